--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Two commands set up everything on a fresh machine: `make demo` and `make test`.
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+SEED ?= 1
+SECONDS ?= 120
+
+.PHONY: demo test measure measure-policies measure-capacity soak format
+
+$(VENV)/.installed: requirements-dev.txt pyproject.toml
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: $(VENV)/.installed
+	$(PYTHON) -m greengagefall.bench.demo
+
+test: $(VENV)/.installed
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(PYTHON) -m greengagefall.tests
+
+measure: $(VENV)/.installed
+	$(PYTHON) -m greengagefall.bench.measure
+
+measure-policies: $(VENV)/.installed
+	$(PYTHON) -m greengagefall.bench.measure_policies
+
+measure-capacity: $(VENV)/.installed
+	$(PYTHON) -m greengagefall.bench.measure_capacity
+
+soak: $(VENV)/.installed
+	$(PYTHON) -m greengagefall.bench.soak --seed $(SEED) --seconds $(SECONDS)
+
+format: $(VENV)/.installed
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
--- /dev/null
+++ b/greengagefall/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Balancing policies for pooled and keyed back ends."""
--- /dev/null
+++ b/greengagefall/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, soak and measurement commands."""
--- /dev/null
+++ b/greengagefall/config/__init__.py
@@ -0,0 +1,1 @@
+"""Process settings read from flags and environment variables."""
--- /dev/null
+++ b/greengagefall/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination library: slice maps, grants, dispatch rights, membership."""
--- /dev/null
+++ b/greengagefall/coordinator/__init__.py
@@ -0,0 +1,1 @@
+"""Coordinator of an availability zone."""
--- /dev/null
+++ b/greengagefall/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Dispatcher: the only sender of requests to one backend server."""
--- /dev/null
+++ b/greengagefall/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Entry host: callers' HTTP, routing, forwarding."""
--- /dev/null
+++ b/greengagefall/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits library: admission, concurrency limits, retry budgets."""
--- /dev/null
+++ b/greengagefall/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Inner protocol between greengagefall's processes."""
--- /dev/null
+++ b/greengagefall/protocol/messages.py
@@ -0,0 +1,325 @@
+"""Typed messages of the inner protocol.
+
+Each message is a ``NamedTuple`` of CBOR types (nested records travel as arrays).
+``call_id`` pairs a reply with its request on one connection; 0 asks for no reply.
+"""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple, TypeVar
+
+PROTOCOL_VERSION = 1
+
+MessageType = TypeVar("MessageType", bound=type)
+
+MESSAGE_TYPES: dict[str, type] = {}
+MESSAGE_KINDS: dict[type, str] = {}
+
+
+def message(kind: str) -> Any:
+    """Registers a message type under the name it has on the wire."""
+
+    def register(cls: MessageType) -> MessageType:
+        MESSAGE_TYPES[kind] = cls
+        MESSAGE_KINDS[cls] = kind
+        return cls
+
+    return register
+
+
+@message("hello")
+class Hello(NamedTuple):
+    """First frame of each side.
+
+    Attributes:
+        version: ``PROTOCOL_VERSION`` of the sender.
+        role: ``entry`` or ``coordinator``.
+        host: Name of the sender's host.
+        zone: Availability zone of the sender.
+        incarnation: Incarnation of the sending process.
+        address: ``IP:port`` of the sender's peer interface, empty for none.
+        http_address: ``IP:port`` of the sender's callers' interface, empty for none.
+    """
+
+    version: int
+    role: str
+    host: str
+    zone: str
+    incarnation: str
+    address: str
+    http_address: str
+
+
+@message("forward")
+class Forward(NamedTuple):
+    """A caller's request on its way to the dispatcher of a backend server.
+
+    Attributes:
+        call_id: Id on this connection.
+        request_id: The caller's id, end to end.
+        back_end: Name of the back end.
+        server: Name of the backend server.
+        slice_id: Slice of the key, -1 for pooled back ends.
+        fence: Fence of the slice as the sender knows it, 0 for pooled.
+        map_version: Slice map version of the sender.
+        method: HTTP method.
+        path: Path and query for the backend server.
+        headers: Header names and values for the backend server.
+        body: Request body.
+        timeout_ms: Time left until the caller's deadline.
+        repeatable: Whether it may run more than once.
+        priority: Class priority, 0 is shed last.
+        caller: Identity of the caller, for fair queueing.
+        relay_host: Final host when the receiver is to relay, else empty.
+    """
+
+    call_id: int
+    request_id: str
+    back_end: str
+    server: str
+    slice_id: int
+    fence: int
+    map_version: int
+    method: str
+    path: str
+    headers: list[list[str]]
+    body: bytes
+    timeout_ms: int
+    repeatable: bool
+    priority: int
+    caller: str
+    relay_host: str
+
+
+@message("answer")
+class Answer(NamedTuple):
+    """A backend server's whole answer.
+
+    Attributes:
+        call_id: Id of the ``Forward``.
+        request_id: The caller's id.
+        status: HTTP status.
+        headers: Header names and values.
+        body: Whole body.
+        queue_length: Requests waiting or running at the dispatcher.
+        latency_ms: Time at the backend server.
+    """
+
+    call_id: int
+    request_id: str
+    status: int
+    headers: list[list[str]]
+    body: bytes
+    queue_length: int
+    latency_ms: float
+
+
+@message("refusal")
+class Refusal(NamedTuple):
+    """A typed refusal.
+
+    Attributes:
+        call_id: Id of the ``Forward``.
+        request_id: The caller's id.
+        reason: Name out of ``greengagefall.entry.refusals``.
+        not_run: True only if no byte reached a backend server or it said so itself.
+        retry_after_ms: When a retry may help, 0 for no hint.
+        hint_host: Host that dispatches the server, if known.
+        map_version: Slice map version of the refusing host.
+    """
+
+    call_id: int
+    request_id: str
+    reason: str
+    not_run: bool
+    retry_after_ms: int
+    hint_host: str
+    map_version: int
+
+
+@message("cancel")
+class Cancel(NamedTuple):
+    """Asks to stop the ``Forward`` with this id; there is no reply."""
+
+    call_id: int
+
+
+@message("endorse")
+class Endorse(NamedTuple):
+    """A candidate asks a witness to endorse it for several backend servers.
+
+    Attributes:
+        call_id: Id on this connection.
+        host: The candidate.
+        incarnation: Its incarnation.
+        epoch: Members epoch under which it asks.
+        servers: Pairs of ``back end/server`` and the fence to store.
+        map_versions: Slice map version under which it acts, by back end.
+        resign: True gives the endorsements back.
+    """
+
+    call_id: int
+    host: str
+    incarnation: str
+    epoch: int
+    servers: list[list[Any]]
+    map_versions: dict[str, int]
+    resign: bool
+
+
+@message("endorsed")
+class Endorsed(NamedTuple):
+    """A witness's reply.
+
+    Attributes:
+        call_id: Id of the ``Endorse``.
+        host: The witness.
+        incarnation: Its incarnation.
+        epoch: The witness's epoch; it endorses nothing when it differs.
+        results: Rows of ``back end/server``, endorsed, highest fence stored, and whether
+            an endorsement under the epoch before was carried over unexpired.
+        map_versions: Highest slice map version stored, by back end.
+    """
+
+    call_id: int
+    host: str
+    incarnation: str
+    epoch: int
+    results: list[list[Any]]
+    map_versions: dict[str, int]
+
+
+@message("heartbeat")
+class Heartbeat(NamedTuple):
+    """Liveness and versions, between neighbours and from the coordinator.
+
+    Attributes:
+        call_id: Id on this connection.
+        host: The sender.
+        epoch: Members epoch it acts under, 0 for none.
+        coordinator: Host of the coordinator it last heard from, empty for none.
+        coordinator_term: Term of that coordinator.
+        coordinator_age_ms: Time since it last heard from it.
+        versions: Version by document name: ``config``, ``members/<zone>``,
+            ``slices/<back end>``.
+    """
+
+    call_id: int
+    host: str
+    epoch: int
+    coordinator: str
+    coordinator_term: int
+    coordinator_age_ms: int
+    versions: dict[str, int]
+
+
+@message("heartbeat_reply")
+class HeartbeatReply(NamedTuple):
+    """Reply to a heartbeat, with the receiver's own versions."""
+
+    call_id: int
+    host: str
+    incarnation: str
+    epoch: int
+    coordinator: str
+    coordinator_term: int
+    coordinator_age_ms: int
+    versions: dict[str, int]
+
+
+@message("fetch")
+class Fetch(NamedTuple):
+    """Asks for documents newer than the given versions, by document name."""
+
+    call_id: int
+    versions: dict[str, int]
+
+
+@message("documents")
+class Documents(NamedTuple):
+    """Documents, as a reply to ``Fetch`` or pushed with ``call_id`` 0.
+
+    Attributes:
+        call_id: Id of the ``Fetch``, or 0.
+        documents: Rows of name, version, kind (``whole`` or ``delta``) and JSON text.
+    """
+
+    call_id: int
+    documents: list[list[Any]]
+
+
+@message("release")
+class Release(NamedTuple):
+    """The coordinator asks a dispatcher to get slices released.
+
+    Attributes:
+        call_id: Id on this connection.
+        back_end: Name of the back end.
+        server: The owner.
+        runs: Pairs of first and last slice.
+        map_version: Version in which these slices are ``releasing``.
+    """
+
+    call_id: int
+    back_end: str
+    server: str
+    runs: list[list[int]]
+    map_version: int
+
+
+@message("released")
+class Released(NamedTuple):
+    """A dispatcher's reply to ``Release``.
+
+    Attributes:
+        call_id: Id of the ``Release``.
+        released: Whether the server certainly holds none of the slices.
+        how: ``confirmed``, ``ran_out``, ``other_incarnation``, or why not yet.
+        dispatch_fence: Fence of the dispatcher's right.
+    """
+
+    call_id: int
+    released: bool
+    how: str
+    dispatch_fence: int
+
+
+@message("host_report")
+class HostReport(NamedTuple):
+    """Asks an entry host for its dispatchers' state."""
+
+    call_id: int
+
+
+@message("host_status")
+class HostStatus(NamedTuple):
+    """What an entry host dispatches, for the coordinator and operators.
+
+    Attributes:
+        call_id: Id of the ``HostReport``.
+        host: The sender.
+        incarnation: Its incarnation.
+        epoch: Members epoch it acts under.
+        resigning: Whether it is stopping.
+        servers: Rows of ``back end/server``, state (``up``, ``cold``, ``suspect``, ``down``),
+            seconds in that state, busy share of its slots, and the limit in force.
+        slice_load: Requests per second by ``back end/slice`` for the busiest slices.
+        violations: Invariant violations by name.
+    """
+
+    call_id: int
+    host: str
+    incarnation: str
+    epoch: int
+    resigning: bool
+    servers: list[list[Any]]
+    slice_load: dict[str, float]
+    violations: dict[str, int]
+
+
+@message("failure")
+class Failure(NamedTuple):
+    """Reply to a request that the receiver could not take."""
+
+    call_id: int
+    reason: str
--- /dev/null
+++ b/greengagefall/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing configuration: model, checks, patches."""
--- /dev/null
+++ b/greengagefall/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of outside systems, for tests, demo and measurements."""
--- /dev/null
+++ b/greengagefall/store/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's key-value service and host list."""
--- /dev/null
+++ b/greengagefall/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, run by python -m greengagefall.tests."""
--- /dev/null
+++ b/greengagefall/tests/codec_tests.py
@@ -0,0 +1,23 @@
+"""Tests of the CBOR frames."""
+
+from __future__ import annotations
+
+import unittest
+
+import cbor2
+
+from greengagefall.protocol import codec
+from greengagefall.protocol.exceptions import FrameError
+from greengagefall.protocol.messages import Cancel
+
+
+class CodecTests(unittest.TestCase):
+    def test_round_trip(self):
+        self.assertEqual(codec.decode(codec.encode(Cancel(7))), Cancel(7))
+
+    def test_malformed_frames_are_refused(self):
+        frames = ["text", b"", b"\xff\xff", cbor2.dumps({}), cbor2.dumps(["no"])]
+        frames += [cbor2.dumps(["cancel"]), cbor2.dumps([1, 2]), b"\x5b" + b"\xff" * 8]
+        for frame in frames:
+            with self.subTest(frame=frame), self.assertRaises(FrameError):
+                codec.decode(frame)
--- /dev/null
+++ b/greengagefall/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers shared by all programs."""
--- /dev/null
+++ b/greengagefall/utils/logs.py
@@ -0,0 +1,54 @@
+"""Structured logs: JSON lines with a fixed prefix per part."""
+
+from __future__ import annotations
+
+import logging
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+PREFIXES = {
+    "greengagefall.commands": "command",
+    "greengagefall.routing": "routing",
+    "greengagefall.coordination": "coordination",
+    "greengagefall.limits": "limits",
+    "greengagefall.balancing": "balancing",
+    "greengagefall.protocol": "peer",
+    "greengagefall.store": "store",
+    "greengagefall.entry": "entry",
+    "greengagefall.dispatch": "dispatch",
+    "greengagefall.coordinator": "coordinator",
+    "greengagefall.utils": "utils",
+    "greengagefall.standins": "standin",
+    "greengagefall.bench": "bench",
+}
+
+
+class PrefixFilter(logging.Filter):
+    """Puts the prefix of the part before each message."""
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Adds the prefix once and keeps the record."""
+        part = ".".join(record.name.split(".")[:2])
+        prefix = PREFIXES.get(part, "other")
+        if not getattr(record, "part", None):
+            record.part = prefix
+            record.msg = f"{prefix}: {record.msg}"
+        return True
+
+
+def setup_logging(level: str, **static_fields: str) -> None:
+    """Sends all logs to standard error as JSON lines.
+
+    Args:
+        level: Name of the lowest level that is written, such as ``INFO``.
+        **static_fields: Fields added to each line, such as ``host``.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        JsonFormatter("{asctime}{levelname}{name}{message}", style="{", static_fields=static_fields)
+    )
+    handler.addFilter(PrefixFilter())
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(level)
