--- a/greengagefall/utils/metrics.py
+++ b/greengagefall/utils/metrics.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING, Any
 
-
 from opentelemetry.sdk.metrics import Counter, Histogram, MeterProvider
 from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 
