Add slice maps, their deltas and numbered documents

The data path needs the slice map, its JSON forms and the book of documents first. A delta is checked against the entries that it replaces: an owner is appointed over free or releasing slices only, with the delta's number as fence.

--- /dev/null
+++ b/greengagefall/coordination/documents.py
@@ -0,0 +1,168 @@
+"""Numbered documents that hosts pass on to each other.
+
+Names are ``config``, ``members/<zone>`` and ``slices/<back end>``. A version never falls.
+Slice maps travel as deltas as long as the receiver is not too far behind.
+"""
+
+from __future__ import annotations
+
+import json
+import logging
+from collections import deque
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from result import Ok
+
+from greengagefall.coordination.slice_map import SliceMap, delta_from_json, delta_to_json
+
+if TYPE_CHECKING:
+    from greengagefall.coordination.model import SliceDelta
+
+log = logging.getLogger(__name__)
+
+CONFIG = "config"
+MEMBERS_PREFIX = "members/"
+SLICES_PREFIX = "slices/"
+KIND_WHOLE = "whole"
+KIND_DELTA = "delta"
+MAX_KEPT_DELTAS = 256
+
+Row = list[Any]
+
+
+class StoredDocument(NamedTuple):
+    """A document in one version."""
+
+    version: int
+    document: dict[str, Any]
+
+
+class SliceDocument:
+    """A slice map with its last deltas.
+
+    Attributes:
+        slice_map: The map in its newest version.
+    """
+
+    def __init__(self, slice_map: SliceMap) -> None:
+        self.slice_map = slice_map
+        self._deltas: deque[SliceDelta] = deque(maxlen=MAX_KEPT_DELTAS)
+
+    def apply(self, delta: SliceDelta) -> bool:
+        """Applies the next delta; False if it is not the next one or not valid."""
+        outcome = self.slice_map.apply(delta)
+        if not isinstance(outcome, Ok):
+            return False
+        self._deltas.append(delta)
+        return True
+
+    def rows_after(self, name: str, version: int) -> list[Row]:
+        """Returns what brings a holder of ``version`` up to date."""
+        missing = self.slice_map.version - version
+        if missing <= 0:
+            return []
+        if missing > len(self._deltas):
+            return [_row(name, self.slice_map.version, KIND_WHOLE, self.slice_map.to_json())]
+        deltas = list(self._deltas)[-missing:]
+        return [_row(name, delta.version, KIND_DELTA, delta_to_json(delta)) for delta in deltas]
+
+
+class DocumentBook:
+    """The newest version of each document that a host has learnt."""
+
+    def __init__(self) -> None:
+        self._whole: dict[str, StoredDocument] = {}
+        self._slices: dict[str, SliceDocument] = {}
+
+    def versions(self) -> dict[str, int]:
+        """Returns the version of each document by name."""
+        versions = {name: stored.version for name, stored in self._whole.items()}
+        for name, stored in self._slices.items():
+            versions[name] = stored.slice_map.version
+        return versions
+
+    def document(self, name: str) -> dict[str, Any] | None:
+        """Returns a configuration or members document."""
+        stored = self._whole.get(name)
+        return stored.document if stored else None
+
+    def slice_map(self, back_end: str) -> SliceMap | None:
+        """Returns the newest slice map of a back end; it changes in place."""
+        stored = self._slices.get(SLICES_PREFIX + back_end)
+        return stored.slice_map if stored else None
+
+    def slice_maps(self) -> dict[str, SliceMap]:
+        """Returns the newest slice maps by back end."""
+        return {stored.slice_map.back_end: stored.slice_map for stored in self._slices.values()}
+
+    def newer_than(self, versions: dict[str, int]) -> list[Row]:
+        """Returns rows of a ``Documents`` message for a holder of these versions."""
+        rows = []
+        for name, stored in self._whole.items():
+            if stored.version > versions.get(name, -1):
+                rows.append(_row(name, stored.version, KIND_WHOLE, stored.document))
+        for name, stored_slices in self._slices.items():
+            rows.extend(stored_slices.rows_after(name, versions.get(name, -1)))
+        return rows
+
+    def offer(self, rows: list[Row]) -> set[str]:
+        """Takes the rows of a ``Documents`` message that are newer.
+
+        Returns:
+            Names of the documents that changed. A delta that leaves a gap is dropped; the
+            versions in later heartbeats lead to a fetch.
+        """
+        changed = set()
+        for name, version, kind, text in rows:
+            if self._offer_one(name, int(version), kind, text):
+                changed.add(name)
+        return changed
+
+    def put(self, name: str, version: int, document: dict[str, Any]) -> bool:
+        """Takes a whole configuration or members document; False if it is not newer."""
+        stored = self._whole.get(name)
+        if stored and stored.version >= version:
+            return False
+        self._whole[name] = StoredDocument(version, document)
+        return True
+
+    def put_slice_map(self, slice_map: SliceMap) -> bool:
+        """Takes a whole slice map; False if it is not newer."""
+        name = SLICES_PREFIX + slice_map.back_end
+        stored = self._slices.get(name)
+        if stored and stored.slice_map.version >= slice_map.version:
+            return False
+        self._slices[name] = SliceDocument(slice_map)
+        return True
+
+    def apply_delta(self, delta: SliceDelta) -> bool:
+        """Applies the next delta of a slice map; False if it is not the next one."""
+        stored = self._slices.get(SLICES_PREFIX + delta.back_end)
+        return bool(stored and stored.apply(delta))
+
+    def _offer_one(self, name: str, version: int, kind: str, text: str) -> bool:
+        if version <= self.version_of(name):
+            return False
+        try:
+            document = json.loads(text)
+        except ValueError:
+            log.warning("Document is not JSON. Name: %s, version: %d.", name, version)
+            return False
+        if kind == KIND_DELTA:
+            delta = delta_from_json(document)
+            return isinstance(delta, Ok) and self.apply_delta(delta.ok_value)
+        if not name.startswith(SLICES_PREFIX):
+            return self.put(name, version, document)
+        slice_map = SliceMap.from_json(document)
+        return isinstance(slice_map, Ok) and self.put_slice_map(slice_map.ok_value)
+
+    def version_of(self, name: str) -> int:
+        """Returns the version held of a document, -1 for none."""
+        if name in self._slices:
+            return self._slices[name].slice_map.version
+        stored = self._whole.get(name)
+        return stored.version if stored else -1
+
+
+def _row(name: str, version: int, kind: str, document: dict[str, Any]) -> Row:
+    return [name, version, kind, json.dumps(document, separators=(",", ":"))]
--- /dev/null
+++ b/greengagefall/coordination/exceptions.py
@@ -0,0 +1,29 @@
+"""Errors of the coordination layer."""
+
+from __future__ import annotations
+
+
+class CoordinationError(Exception):
+    """Base of all errors of this layer."""
+
+
+class VersionGapError(CoordinationError):
+    """A delta does not follow the version that is held.
+
+    Attributes:
+        held: Version of the slice map that is held.
+        offered: Version of the delta.
+    """
+
+    def __init__(self, held: int, offered: int) -> None:
+        super().__init__(f"delta {offered} does not follow version {held}")
+        self.held = held
+        self.offered = offered
+
+
+class InvalidDeltaError(CoordinationError):
+    """A delta breaks a rule of slice ownership."""
+
+
+class InvalidDocumentError(CoordinationError):
+    """A document is not of the expected form."""
--- /dev/null
+++ b/greengagefall/tests/coordination_slice_map_tests.py
@@ -0,0 +1,108 @@
+"""Tests of slice maps, their changes and documents."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from greengagefall.coordination import slice_map_changes as changes
+from greengagefall.coordination.documents import DocumentBook
+from greengagefall.coordination.model import SLICE_OWNED, SliceRun
+from greengagefall.coordination.slice_map import SliceMap, delta_from_json, delta_to_json
+from greengagefall.utils import invariants
+
+SLICES = 12
+BOUNDS = st.tuples(st.integers(0, SLICES - 1), st.integers(0, SLICES - 1)).map(
+    lambda pair: (min(pair), max(pair))
+)
+STEPS = st.lists(
+    st.tuples(st.sampled_from(["assign", "release", "free"]), BOUNDS, st.sampled_from("abc")),
+    max_size=12,
+)
+
+
+def step_runs(slice_map: SliceMap, step: tuple) -> list[SliceRun]:
+    kind, bounds, owner = step
+    if kind == "assign":
+        return changes.assign(slice_map, [bounds], owner)
+    make = changes.begin_release if kind == "release" else changes.free
+    return make(slice_map, [bounds])
+
+
+class SliceMapTests(unittest.TestCase):
+    def setUp(self) -> None:
+        invariants.reset_violations()
+
+    def tearDown(self) -> None:
+        invariants.reset_violations()
+
+    @given(STEPS)
+    def test_map_agrees_with_a_plain_list(self, steps: list[tuple]) -> None:
+        slice_map = changes.initial_map("proofdesk", SLICES)
+        plain = [("free", "", 0)] * SLICES
+        book = DocumentBook()
+        book.put_slice_map(changes.initial_map("proofdesk", SLICES))
+        for step in steps:
+            delta = changes.next_delta(slice_map, step_runs(slice_map, step))
+            self.assertIsInstance(slice_map.apply(delta), Ok)
+            self.assertTrue(book.apply_delta(delta_from_json(delta_to_json(delta)).unwrap()))
+            for run in delta.runs:
+                for slice_id in range(run.first, run.last + 1):
+                    plain[slice_id] = (run.state, run.owner, run.fence)
+        self.assertEqual([slice_map.lookup(i)[2:5] for i in range(SLICES)], plain)
+        self.assertEqual(SliceMap.from_json(slice_map.to_json()).unwrap().runs(), slice_map.runs())
+        for behind in (-1, max(0, slice_map.version - 2)):
+            other = DocumentBook()
+            if behind >= 0:
+                other = self.book_at(steps[:behind])
+            other.offer(book.newer_than(other.versions()))
+            self.assertEqual(other.slice_map("proofdesk").runs(), slice_map.runs())
+        self.assertEqual(invariants.violations(), {})
+
+    def book_at(self, steps: list[tuple]) -> DocumentBook:
+        book = DocumentBook()
+        book.put_slice_map(changes.initial_map("proofdesk", SLICES))
+        for step in steps:
+            slice_map = book.slice_map("proofdesk")
+            book.apply_delta(changes.next_delta(slice_map, step_runs(slice_map, step)))
+        return book
+
+    def test_owner_does_not_change_without_release(self) -> None:
+        slice_map = changes.initial_map("proofdesk", SLICES)
+        slice_map.apply(changes.next_delta(slice_map, changes.assign(slice_map, [(0, 5)], "a")))
+        stolen = SliceRun(2, 3, SLICE_OWNED, "b", 1, "")
+        outcome = slice_map.apply(changes.next_delta(slice_map, [stolen]))
+        self.assertIsInstance(outcome, Err)
+        self.assertEqual(slice_map.lookup(2).owner, "a")
+        self.assertEqual(invariants.violations(), {"one_owner": 1})
+
+    def test_new_owner_needs_the_version_as_its_fence(self) -> None:
+        slice_map = changes.initial_map("proofdesk", SLICES)
+        run = SliceRun(2, 3, SLICE_OWNED, "b", 0, "")
+        self.assertIsInstance(slice_map.apply(changes.next_delta(slice_map, [run])), Err)
+        self.assertEqual(invariants.violations(), {"fence_monotone": 1})
+
+    def test_version_gap_changes_nothing(self) -> None:
+        slice_map = changes.initial_map("proofdesk", SLICES)
+        delta = changes.next_delta(slice_map, changes.assign(slice_map, [(0, 5)], "a"))
+        self.assertIsInstance(slice_map.apply(delta._replace(version=3)), Err)
+        self.assertEqual(slice_map.version, 0)
+
+    def test_broken_documents_are_refused(self) -> None:
+        whole = changes.initial_map("proofdesk", SLICES).to_json()
+        rows = whole["runs"]
+        for runs in (
+            [],
+            [[0, 10, "free", "", 0, ""]],
+            [*rows, *rows],
+            [[0, 11, "owned", "", 0, ""]],
+        ):
+            self.assertIsInstance(SliceMap.from_json({**whole, "runs": runs}), Err)
+        self.assertEqual(DocumentBook().offer([["config", 3, "whole", "{"]]), set())
+
+
+if __name__ == "__main__":
+    unittest.main()
