--- a/greengagefall/coordination/model.py
+++ b/greengagefall/coordination/model.py
@@ -37,6 +37,8 @@
         previous_epoch: Epoch before this one.
         previous: Members of the epoch before.
         gone: ``host/incarnation`` of previous members that have certainly ended.
+        map_floors: Newest slice map version by back end, read from the store after the epoch
+            before was complete and all of ``gone`` had ended.
     """
 
     zone: str
@@ -45,6 +47,7 @@
     previous_epoch: int
     previous: tuple[Member, ...]
     gone: tuple[str, ...]
+    map_floors: dict[str, int]
 
 
 class SliceRun(NamedTuple):
--- a/greengagefall/protocol/messages.py
+++ b/greengagefall/protocol/messages.py
@@ -156,6 +156,8 @@
         servers: Pairs of ``back end/server`` and the fence to store.
         map_versions: Slice map version under which it acts, by back end.
         resign: True gives the endorsements back.
+        round: Grows with each ``Endorse`` of this incarnation to this witness; a witness ignores
+            a request that arrives behind a later one.
     """
 
     call_id: int
@@ -165,6 +167,7 @@
     servers: list[list[Any]]
     map_versions: dict[str, int]
     resign: bool
+    round: int
 
 
 @message("endorsed")
--- /dev/null
+++ b/greengagefall/tests/coordination_ring_tests.py
@@ -0,0 +1,95 @@
+"""Tests of the ring and of members records."""
+
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from greengagefall.coordination import epochs
+from greengagefall.coordination.model import Member
+from greengagefall.coordination.ring import candidates, group_size, neighbours, witness_group
+
+SERVER_KEYS = [f"catalogue/catalogue-{number}" for number in range(400)]
+MAX_NEIGHBOURS = 8
+
+
+def hosts(count: int, incarnation: str = "i1") -> tuple[Member, ...]:
+    return tuple(Member(f"entry-{n:03d}", incarnation, "", "", False) for n in range(count))
+
+
+class RingTests(unittest.TestCase):
+    @given(st.integers(3, 120))
+    def test_neighbours_are_bounded_and_hold_all_groups(self, count: int) -> None:
+        members = hosts(count)
+        near = {member.host: set(neighbours(members, member.host)) for member in members}
+        self.assertLessEqual(max(map(len, near.values())), MAX_NEIGHBOURS)
+        for key in SERVER_KEYS[:20]:
+            group = witness_group(members, key)
+            self.assertEqual(len(set(group)), group_size(count))
+            for member in group:
+                self.assertLessEqual(set(group) - {member}, near[member.host])
+
+    def test_restart_changes_only_groups_with_the_host(self) -> None:
+        members = hosts(87)
+        restarted = (members[0]._replace(incarnation="i2"), *members[1:])
+        changed = [
+            k for k in SERVER_KEYS if witness_group(members, k) != witness_group(restarted, k)
+        ]
+        self.assertTrue(all(members[0] in witness_group(members, key) for key in changed))
+        self.assertLess(len(changed), 2 * len(SERVER_KEYS) * group_size(87) / 87)
+
+    def test_heads_are_balanced(self) -> None:
+        members = hosts(12)
+        heads = Counter(witness_group(members, key)[0].host for key in SERVER_KEYS)
+        self.assertEqual(len(heads), 12)
+        self.assertLess(max(heads.values()), 2 * len(SERVER_KEYS) / 12)
+
+    def test_resigned_member_is_the_last_resort(self) -> None:
+        members = hosts(12)
+        group = witness_group(members, "orders/orders-1")
+        leaving = {group[0].host, group[1].host}
+        changed = tuple(m._replace(resigned=m.host in leaving) for m in members)
+        self.assertFalse(leaving & {m.host for m in candidates(changed, "orders/orders-1")})
+        self.assertEqual(len(candidates(changed, "orders/orders-1")), 3)
+        three = tuple(m for m in changed if m in witness_group(changed, "orders/orders-1"))[:3]
+        self.assertEqual(len(candidates(three, "orders/orders-1")), 3)
+
+
+class EpochsTests(unittest.TestCase):
+    def test_replaced_incarnation_is_gone(self) -> None:
+        first = epochs.first_record("tanta", hosts(4))
+        back = first.members[1]._replace(incarnation="i2")
+        second = epochs.next_record(first, seen=[back], map_floors={"catalogue": 7})
+        self.assertEqual(second.gone, ("entry-001/i1",))
+        self.assertIn(back, second.members)
+        self.assertEqual((second.epoch, second.previous), (2, first.members))
+        third = epochs.next_record(second, ended=["entry-002/i1"], leaving=["entry-003"])
+        self.assertEqual([member.host for member in third.members], ["entry-000", "entry-001"])
+        self.assertEqual((third.gone, third.map_floors), (("entry-002/i1",), {"catalogue": 7}))
+        self.assertEqual(epochs.record_from_json(epochs.record_to_json(third)).unwrap(), third)
+
+    def test_complete_when_majorities_moved_or_ended(self) -> None:
+        first = epochs.first_record("tanta", hosts(3))
+        second = epochs.next_record(first, seen=[first.members[0]._replace(incarnation="i2")])
+        self.assertFalse(epochs.is_complete(second, {}))
+        self.assertFalse(epochs.is_complete(second, {"entry-001": ("i1", 1)}))
+        self.assertTrue(epochs.is_complete(second, {"entry-001": ("i1", 2)}))
+        self.assertTrue(epochs.is_complete(second, {"entry-002": ("i2", 0)}))
+        self.assertTrue(epochs.is_complete(second, {}, ["entry-002/i1"]))
+
+    def test_windows_without_change_need_not_move(self) -> None:
+        first = epochs.first_record("tanta", hosts(30))
+        restarted = first.members[0]
+        second = epochs.next_record(first, seen=[restarted._replace(incarnation="i2")])
+        near = {member.host for member in neighbours(first.members, restarted.host)}
+        moved = dict.fromkeys(near, ("i1", 2))
+        self.assertTrue(epochs.is_complete(second, moved))
+        joined = epochs.next_record(first, seen=[Member("entry-new", "i1", "", "", False)])
+        self.assertFalse(epochs.is_complete(joined, moved))
+
+
+if __name__ == "__main__":
+    unittest.main()
