--- /dev/null
+++ b/greengagefall/coordination/dispatch_right.py
@@ -0,0 +1,313 @@
+"""The right of one candidate to dispatch one backend server.
+
+Safety. Two candidates never hold the right at the same time:
+
+- Within one witness group: majorities intersect, a witness is exclusive for its lease time, and a
+  candidate counts a shorter time from before it asked.
+- Between epochs, for a group that changed: the right is *open* to a candidate only once no right
+  under an earlier epoch can exist any more. Either more than half of the previous group moved to
+  this epoch or ended, which ends new endorsements under the previous epoch, and then the lease time
+  passed (the wait). Or the candidate had the right open in the epoch just before, and more than
+  half of the previous group moved *while they endorsed it*: each of them endorsed nobody else until
+  it left that epoch for good, so nobody else can have or assemble a majority there (no wait).
+- The next epoch is written only when the present one is complete. So a candidate that finds its
+  group unchanged since the previous record, but did not have the right open there, needs the wait
+  alone.
+- A right that was held when the epoch changed goes on until its own endorsements run out: the
+  wait of all others covers that time.
+
+Fences. A candidate draws a fence above all that a majority has stored, and above every fence
+of earlier epochs by the epoch in its upper bits, which also covers witnesses that lost their
+memory. It uses the fence once a majority has stored it, while a majority was unexpired all the
+time since the draw; otherwise it draws again.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, NamedTuple
+
+from greengagefall.coordination.epochs import identities, member_id, merge_floors
+from greengagefall.coordination.ring import witness_group
+from greengagefall.coordination.witness import LEASE_S, Identity
+from greengagefall.utils.invariants import check
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from greengagefall.coordination.model import MembersRecord
+    from greengagefall.protocol.messages import Endorsed
+    from greengagefall.utils.clock import Clock
+
+log = logging.getLogger(__name__)
+
+CLOCK_RATE_MARGIN = 0.02
+SEND_GUARD_S = 0.02
+EPOCH_FENCE_SPAN = 1 << 32
+NEVER_S = float("-inf")
+
+
+class Terms(NamedTuple):
+    """Times of a right.
+
+    Attributes:
+        lease_s: How long a witness endorses, by its own clock.
+        rate_margin: Largest relative difference of the rates of two hosts' clocks.
+        guard_s: Time kept for the step from the check to the send.
+    """
+
+    lease_s: float = LEASE_S
+    rate_margin: float = CLOCK_RATE_MARGIN
+    guard_s: float = SEND_GUARD_S
+
+    def usable_s(self) -> float:
+        """Returns how long a candidate relies on an endorsement, from before it asked."""
+        return self.lease_s * (1 - self.rate_margin) - self.guard_s
+
+    def wait_s(self) -> float:
+        """Returns how long a candidate waits for endorsements of others to run out."""
+        return self.lease_s * (1 + self.rate_margin)
+
+
+class DispatchRight:
+    """One candidate's right to dispatch one backend server.
+
+    Attributes:
+        server_key: ``back end/server``.
+        fence: Fence drawn for the right, 0 for none.
+        epoch: Epoch of the newest members record seen.
+        group: Host and incarnation of each witness of this epoch.
+        previous: Host and incarnation of each witness of the epoch before.
+    """
+
+    def __init__(
+        self,
+        server_key: str,
+        host: str,
+        incarnation: str,
+        clock: Clock,
+        terms: Terms | None = None,
+    ) -> None:
+        self.server_key = server_key
+        self.back_end = server_key.partition("/")[0]
+        self.host = host
+        self.incarnation = incarnation
+        self.fence = 0
+        self.epoch = 0
+        self.group: tuple[Identity, ...] = ()
+        self.previous: tuple[Identity, ...] = ()
+        self._clock = clock
+        self._terms = terms or Terms()
+        self._endorsed_until_s: dict[Identity, float] = {}
+        self._stored_fences: dict[Identity, int] = {}
+        self._stored_maps: dict[Identity, int] = {}
+        self._moved_at_s: dict[Identity, float] = {}
+        self._carried: set[Identity] = set()
+        self._is_open = False
+        self._may_carry = False
+        self._open_at_s: float | None = None
+        self._tail_until_s = NEVER_S
+        self._valid_until_s = NEVER_S
+        self._ignore_until_s = NEVER_S
+        self._seen_fence = 0
+        self._map_floor = 0
+
+    def may_send(self) -> bool:
+        """Returns whether this host may send to the server now; to be called before each send."""
+        return self._clock.now_s() < self._valid_until_s
+
+    def valid_until_s(self) -> float:
+        """Returns when the right runs out unless it is renewed."""
+        return self._valid_until_s
+
+    def map_floor(self) -> int:
+        """Returns the slice map version below which nothing may be granted."""
+        return self._map_floor
+
+    def stored_map_version(self) -> int:
+        """Returns the slice map version that more than half of the witnesses store.
+
+        A release of slices may be reported up to this version only.
+        """
+        if not self._is_open:
+            return 0
+        return int(_kth_largest(self._stored_maps.values(), majority(self.group), 0))
+
+    def is_open(self) -> bool:
+        """Returns whether no right under an earlier epoch can exist any more."""
+        self._update(self._clock.now_s())
+        return self._is_open
+
+    def opens_at_s(self) -> float | None:
+        """Returns when the wait ends; ``None`` if it did not begin yet."""
+        return self._open_at_s
+
+    def has_support(self) -> bool:
+        """Returns whether a majority endorses this host under this epoch now."""
+        return self._clock.now_s() < self._support_until_s()
+
+    def may_carry(self) -> bool:
+        """Returns whether the right can go on from the epoch before without the wait."""
+        return self._may_carry and not self._is_open
+
+    def set_members(self, record: MembersRecord) -> None:
+        """Moves to a newer epoch."""
+        if record.epoch <= self.epoch:
+            return
+        now_s = self._clock.now_s()
+        self._update(now_s)
+        group = identities(witness_group(record.members, self.server_key))
+        previous = identities(witness_group(record.previous, self.server_key))
+        self._map_floor = max(self._map_floor, record.map_floors.get(self.back_end, 0))
+        if self._is_same_group(record, group, previous):
+            self._keep_group(record, now_s)
+        else:
+            self._change_group(record, group, previous, now_s)
+        self._update(now_s)
+
+    def on_reply(self, reply: Endorsed, asked_at_s: float) -> None:
+        """Counts a witness's reply.
+
+        Args:
+            reply: The reply.
+            asked_at_s: This host's clock before the request was sent.
+        """
+        now_s = self._clock.now_s()
+        self._update(now_s)
+        if asked_at_s <= self._ignore_until_s:
+            return
+        witness = (reply.host, reply.incarnation)
+        floors = merge_floors({self.back_end: self._map_floor}, reply.map_versions)
+        self._map_floor = floors[self.back_end]
+        if reply.epoch >= self.epoch and witness in self.previous:
+            self._moved_at_s.setdefault(witness, now_s)
+        for key, endorsed, fence, carried in reply.results:
+            if key != self.server_key:
+                continue
+            self._seen_fence = max(self._seen_fence, fence)
+            if reply.epoch == self.epoch:
+                self._count(witness, endorsed, fence, carried, asked_at_s)
+                self._count_map(witness, endorsed, reply.map_versions)
+        self._update(now_s)
+
+    def lose(self) -> None:
+        """Gives up the right at once; replies to earlier requests no longer count."""
+        self._ignore_until_s = self._clock.now_s()
+        self._endorsed_until_s.clear()
+        self._drop()
+
+    def _is_same_group(
+        self,
+        record: MembersRecord,
+        group: tuple[Identity, ...],
+        previous: tuple[Identity, ...],
+    ) -> bool:
+        """Whether the same witnesses served in all epochs from the own one to the new one.
+
+        The record tells of two epochs. With the own one, that makes three in a row at most.
+        """
+        knows_all = 0 < self.epoch >= record.previous_epoch - 1
+        return knows_all and group == previous == self.group
+
+    def _keep_group(self, record: MembersRecord, now_s: float) -> None:
+        """Goes on undisturbed: the witnesses remember whom they endorse.
+
+        If the right was not open yet, the record proves that the epoch before is complete, so
+        only the wait is left.
+        """
+        self.epoch = record.epoch
+        self.previous = self.group
+        self._may_carry = False
+        if not self._is_open:
+            opens_at_s = now_s + self._terms.wait_s()
+            self._open_at_s = min(self._open_at_s or opens_at_s, opens_at_s)
+
+    def _change_group(
+        self,
+        record: MembersRecord,
+        group: tuple[Identity, ...],
+        previous: tuple[Identity, ...],
+        now_s: float,
+    ) -> None:
+        self._tail_until_s = self._valid_until_s
+        self._may_carry = self._is_open and self.epoch == record.previous_epoch
+        self.epoch = record.epoch
+        self.group, self.previous = group, previous
+        for state in (self._endorsed_until_s, self._stored_fences, self._stored_maps):
+            state.clear()
+        self._moved_at_s.clear()
+        self._carried.clear()
+        self._is_open, self._open_at_s = record.previous_epoch == 0, None
+        if group == previous or not previous:
+            self._open_at_s = now_s + self._terms.wait_s()
+        for witness in previous:
+            if member_id(*witness) in record.gone:
+                self._moved_at_s[witness] = now_s
+
+    def _count(
+        self, witness: Identity, endorsed: bool, fence: int, carried: bool, asked_at_s: float
+    ) -> None:
+        if carried and witness in self.previous:
+            self._carried.add(witness)
+        if not endorsed or witness not in self.group:
+            return
+        until_s = asked_at_s + self._terms.usable_s()
+        self._endorsed_until_s[witness] = max(until_s, self._endorsed_until_s.get(witness, NEVER_S))
+        self._stored_fences[witness] = max(fence, self._stored_fences.get(witness, 0))
+
+    def _count_map(self, witness: Identity, endorsed: bool, versions: dict[str, int]) -> None:
+        if not endorsed or witness not in self.group:
+            return
+        version = versions.get(self.back_end, 0)
+        self._stored_maps[witness] = max(version, self._stored_maps.get(witness, 0))
+
+    def _update(self, now_s: float) -> None:
+        """Brings what depends on time and on the counts up to date."""
+        self._open(now_s)
+        support_until_s = self._support_until_s()
+        if self.fence and now_s >= max(support_until_s, self._tail_until_s):
+            self._drop()
+        if not self.fence and now_s < support_until_s:
+            self._draw_fence()
+        is_stored = _kth_largest(self._stored_fences.values(), majority(self.group), 0)
+        if self.fence and is_stored >= self.fence:
+            self._valid_until_s = max(support_until_s, self._tail_until_s)
+        else:
+            self._valid_until_s = self._tail_until_s
+
+    def _open(self, now_s: float) -> None:
+        if self._is_open or not self.group:
+            return
+        needed = majority(self.previous)
+        if self._open_at_s is None and len(self._moved_at_s) >= needed:
+            moved_at_s = sorted(self._moved_at_s.values())[needed - 1]
+            self._open_at_s = moved_at_s + self._terms.wait_s()
+        waited = self._open_at_s is not None and now_s >= self._open_at_s
+        self._is_open = waited or (self._may_carry and len(self._carried) >= needed)
+
+    def _support_until_s(self) -> float:
+        if not self._is_open or not self.group:
+            return NEVER_S
+        return _kth_largest(self._endorsed_until_s.values(), majority(self.group), NEVER_S)
+
+    def _draw_fence(self) -> None:
+        last = self._seen_fence
+        self.fence = max(self._seen_fence, self.epoch * EPOCH_FENCE_SPAN) + 1
+        self._seen_fence = self.fence
+        check(self.fence > last, "dispatch_fence_monotone", server=self.server_key)
+
+    def _drop(self) -> None:
+        self.fence = 0
+        self._stored_fences.clear()
+        self._stored_maps.clear()
+        self._tail_until_s = self._valid_until_s = NEVER_S
+
+
+def majority(group: tuple[Identity, ...]) -> int:
+    """Returns the smallest number that is more than half of a group."""
+    return len(group) // 2 + 1
+
+
+def _kth_largest(values: Iterable[float], k: int, default: float) -> float:
+    ordered = sorted(values, reverse=True)
+    return ordered[k - 1] if len(ordered) >= k else default
--- /dev/null
+++ b/greengagefall/coordination/witness.py
@@ -0,0 +1,158 @@
+"""The witness part of an entry host: endorses one candidate per backend server at a time."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from greengagefall.coordination.epochs import merge_floors
+from greengagefall.protocol.messages import Endorse, Endorsed
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from greengagefall.coordination.model import MembersRecord
+    from greengagefall.utils.clock import Clock
+
+log = logging.getLogger(__name__)
+
+LEASE_S = 1.0
+
+Identity = tuple[str, str]
+
+
+class Holder(NamedTuple):
+    """A candidate whom a witness endorses.
+
+    Attributes:
+        host: Name of the candidate.
+        incarnation: Its incarnation.
+        until_s: When the endorsement runs out, by the witness's clock.
+    """
+
+    host: str
+    incarnation: str
+    until_s: float
+
+
+class Endorsement:
+    """What a witness remembers of one backend server.
+
+    Attributes:
+        holder: Who was endorsed last, ``None`` after the endorsement was given back.
+        fence: Highest fence stored.
+        carried: Host and incarnation whose endorsement was unexpired at the last epoch change.
+    """
+
+    def __init__(self) -> None:
+        self.holder: Holder | None = None
+        self.fence = 0
+        self.carried: Identity | None = None
+
+    def holder_at(self, now_s: float) -> Holder | None:
+        """Returns the holder of an unexpired endorsement."""
+        if self.holder and now_s < self.holder.until_s:
+            return self.holder
+        return None
+
+
+class Witness:
+    """Endorses candidates for the lease time, exclusively.
+
+    An endorsement binds the witness until it ran out by the witness's clock or was given back,
+    also across epochs. Candidates count their lease from before they asked, so an endorsement
+    never ends at the witness while the candidate still relies on it.
+
+    Attributes:
+        host: Name of this host.
+        incarnation: Incarnation of this process.
+        epoch: Epoch of the newest members record seen, 0 for none.
+        map_versions: Highest slice map version stored, by back end.
+    """
+
+    def __init__(self, host: str, incarnation: str, clock: Clock, lease_s: float = LEASE_S) -> None:
+        self.host = host
+        self.incarnation = incarnation
+        self.epoch = 0
+        self.map_versions: dict[str, int] = {}
+        self._clock = clock
+        self._lease_s = lease_s
+        self._members: set[Identity] = set()
+        self._servers: dict[str, Endorsement] = {}
+        self._last_rounds: dict[Identity, int] = {}
+        self._on_freed: Callable[[list[str], str], None] | None = None
+
+    def on_freed(self, callback: Callable[[list[str], str], None]) -> None:
+        """Sets who is told which servers' endorsements were given back, and by which host."""
+        self._on_freed = callback
+
+    def set_members(self, record: MembersRecord) -> bool:
+        """Moves to a newer epoch, which ends all endorsing under the one before.
+
+        Returns:
+            False if the record is not newer.
+        """
+        if record.epoch <= self.epoch:
+            return False
+        now_s = self._clock.now_s()
+        for endorsement in self._servers.values():
+            holder = endorsement.holder_at(now_s)
+            endorsement.carried = holder[:2] if holder else None
+        self.epoch = record.epoch
+        self._members = {(member.host, member.incarnation) for member in record.members}
+        self._last_rounds = {k: v for k, v in self._last_rounds.items() if k in self._members}
+        return True
+
+    def handle(self, request: Endorse) -> Endorsed:
+        """Answers a candidate."""
+        now_s = self._clock.now_s()
+        candidate = (request.host, request.incarnation)
+        self.map_versions = merge_floors(self.map_versions, request.map_versions)
+        is_late = request.round <= self._last_rounds.get(candidate, 0)
+        if not is_late:
+            self._last_rounds[candidate] = request.round
+        if request.resign and not is_late:
+            self._give_back(request, candidate)
+        endorses = not (is_late or request.resign) and self._may_endorse(request, candidate)
+        results = [
+            self._answer(key, candidate, fence, now_s, endorses) for key, fence in request.servers
+        ]
+        return Endorsed(
+            call_id=request.call_id,
+            host=self.host,
+            incarnation=self.incarnation,
+            epoch=self.epoch,
+            results=results,
+            map_versions=dict(self.map_versions),
+        )
+
+    def holder(self, server_key: str) -> Holder | None:
+        """Returns who is endorsed now for a backend server."""
+        endorsement = self._servers.get(server_key)
+        return endorsement.holder_at(self._clock.now_s()) if endorsement else None
+
+    def _may_endorse(self, request: Endorse, candidate: Identity) -> bool:
+        """An incarnation outside the epoch's record neither endorses nor is endorsed."""
+        own = (self.host, self.incarnation)
+        return request.epoch == self.epoch and {own, candidate} <= self._members
+
+    def _answer(
+        self, key: str, candidate: Identity, fence: int, now_s: float, endorses: bool
+    ) -> list[Any]:
+        endorsement = self._servers.setdefault(key, Endorsement())
+        holder = endorsement.holder_at(now_s)
+        endorses = endorses and (holder is None or holder[:2] == candidate)
+        if endorses:
+            endorsement.holder = Holder(*candidate, now_s + self._lease_s)
+            endorsement.fence = max(endorsement.fence, fence)
+        return [key, endorses, endorsement.fence, endorsement.carried == candidate]
+
+    def _give_back(self, request: Endorse, candidate: Identity) -> None:
+        freed = []
+        for key, _ in request.servers:
+            endorsement = self._servers.get(key)
+            if endorsement and endorsement.holder and endorsement.holder[:2] == candidate:
+                endorsement.holder = None
+                freed.append(key)
+        if freed and self._on_freed:
+            self._on_freed(freed, request.host)
