--- a/greengagefall/bench/rights_model.py
+++ b/greengagefall/bench/rights_model.py
@@ -48,6 +48,8 @@
     per_s: float = 1.5
 
 
+HARSH = Faults()
+STORM = Faults(loss=0.3, spike=0.05, spike_s=0.8, per_s=4.0)
 QUIET = Faults(0.0, 0.0, 0.0, 0.0, 0.002, 0.0)
 
 
--- a/greengagefall/coordination/candidate.py
+++ b/greengagefall/coordination/candidate.py
@@ -181,7 +181,8 @@
         asking.right.lose()
         asking.not_before_s = self._clock.now_s() + self._backoff_s(asking)
         asking.tries = 0
-        for host, _ in {*asking.right.group, *asking.right.previous}:
+        witnesses = (*asking.right.group, *asking.right.previous)
+        for host in dict.fromkeys(host for host, _ in witnesses):
             self._given_back.setdefault(host, []).append(server_key)
 
     def resign(self) -> None:
@@ -267,8 +268,8 @@
             return
         asking.next_at_s = now_s + (RENEW_INTERVAL_S if is_settled else RETRY_INTERVAL_S)
         asking.drawn_fence = right.fence
-        witnesses = set(right.group) if right.is_open() else {*right.group, *right.previous}
-        for host, _ in witnesses:
+        witnesses = right.group if right.is_open() else (*right.group, *right.previous)
+        for host in dict.fromkeys(host for host, _ in witnesses):
             row = rows.setdefault(host, [])
             if right.is_open() or right.may_send():
                 row.append([right.server_key, right.fence])
--- /dev/null
+++ b/greengagefall/tests/planted_rights.py
@@ -0,0 +1,101 @@
+"""Wrong rules for dispatch rights, which the exploration has to catch.
+
+python -m greengagefall.tests.planted_rights --runs 3000 --seed 0
+"""
+
+from __future__ import annotations
+
+import click
+
+from greengagefall.bench.explore_rights import PROFILES, describe, explore
+from greengagefall.coordination.dispatch_right import DispatchRight, majority
+
+PLANTED: dict[str, type[DispatchRight]] = {}
+
+
+def planted(cls: type[DispatchRight]) -> type[DispatchRight]:
+    """Registers a wrong rule under the name of its class."""
+    PLANTED[cls.__name__] = cls
+    return cls
+
+
+@planted
+class NoWait(DispatchRight):
+    """A majority of moves opens the right for anybody, without the wait."""
+
+    def _open(self, now_s):
+        if len(self._moved_at_s) >= majority(self.previous):
+            self._is_open = True
+        super()._open(now_s)
+
+
+@planted
+class StoodDownIsEnough(DispatchRight):
+    """The candidate for which the right was open before goes on without more."""
+
+    def _change_group(self, *args):
+        super()._change_group(*args)
+        self._is_open = self._is_open or self._may_carry
+
+
+@planted
+class MovesAloneCarry(DispatchRight):
+    """For an unbroken change any majority of moves counts, carried or not."""
+
+    def _open(self, now_s):
+        if self._may_carry and len(self._moved_at_s) >= majority(self.previous):
+            self._is_open = True
+        super()._open(now_s)
+
+
+@planted
+class CountsFromReceipt(DispatchRight):
+    """An endorsement is counted from the receipt of the reply."""
+
+    def on_reply(self, reply, asked_at_s):
+        super().on_reply(reply, max(asked_at_s, self._clock.now_s()))
+
+
+@planted
+class NoFenceRound(DispatchRight):
+    """The fence is used before a majority has stored it, and drawn from zero."""
+
+    def _draw_fence(self):
+        self.fence = self._seen_fence + 1
+
+    def _update(self, now_s):
+        super()._update(now_s)
+        if self.fence:
+            self._valid_until_s = max(self._support_until_s(), self._tail_until_s)
+
+
+@planted
+class NoReleaseFloor(DispatchRight):
+    """The slice map versions that witnesses stored are not learnt."""
+
+    def map_floor(self):
+        return 0
+
+
+@planted
+class NoRecordFloor(DispatchRight):
+    """The floors in the members record are not learnt."""
+
+    def set_members(self, record):
+        super().set_members(record._replace(map_floors={}))
+
+
+@click.command()
+@click.option("--runs", default=3000)
+@click.option("--seed", default=0)
+@click.option("--profile", type=click.Choice(sorted(PROFILES)), default="harsh")
+@click.option("--workers", default=2)
+def main(runs: int, seed: int, profile: str, workers: int) -> None:
+    """Prints for each wrong rule in how many runs it was caught."""
+    for name, right_class in PLANTED.items():
+        results = explore(range(seed, seed + runs), profile, right_class, workers)
+        click.echo(f"{name}: {describe(results)}")
+
+
+if __name__ == "__main__":
+    main()
