--- /dev/null
+++ b/greengagefall/tests/coordination_grants_tests.py
@@ -0,0 +1,167 @@
+"""Stateful tests of slice maps, grants and the release floor, with planted faults."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from greengagefall.coordination import slice_map_changes as changes
+from greengagefall.coordination.grants import GRANT_TTL_S, MS_PER_S, GrantLedger
+from greengagefall.tests.grants_model import (
+    RATES,
+    SERVERS,
+    SLICES,
+    GrantsModel,
+    Server,
+    first_caught,
+)
+from greengagefall.utils import invariants
+from greengagefall.utils.clock import ManualClock
+
+MAJORITIES = ((0, 1), (0, 2), (1, 2), (0, 1, 2))
+SERVER = st.sampled_from(SERVERS)
+SLICE = st.integers(0, SLICES - 1)
+INDEX = st.integers(0, 7)
+
+
+class GrantsMachine(RuleBasedStateMachine):
+    model_class = GrantsModel
+
+    @initialize(rates=st.lists(st.sampled_from(RATES), min_size=3, max_size=3))
+    def start(self, rates):
+        self.model = self.model_class(rates)
+
+    @rule(step_s=st.sampled_from([0.01, 0.5, 1.0, 1.6]))
+    def advance(self, step_s):
+        self.model.now_s += step_s
+
+    @rule(server=SERVER, newest=st.booleans(), arrives=st.booleans())
+    def renew(self, server, newest, arrives):
+        self.model.renew(server, newest=newest, arrives=arrives)
+
+    @precondition(lambda self: self.model.grants)
+    @rule(index=INDEX, keep=st.booleans())
+    def deliver_grant(self, index, keep):
+        self.model.deliver_grant(index, keep)
+
+    @rule(server=SERVER, index=INDEX)
+    def answer(self, server, index):
+        self.model.read_clock(server)
+        self.model.deliver_answer(index)
+
+    @rule(slice_id=SLICE, witnesses=st.sampled_from(MAJORITIES), learns=st.booleans())
+    def move(self, slice_id, witnesses, learns):
+        self.model.move(slice_id, witnesses, learns=learns)
+
+    @rule(server=SERVER, majority=st.sampled_from(MAJORITIES), version=st.integers(1, 4))
+    def take_over(self, server, majority, version):
+        self.model.take_over(server, majority, version)
+
+    @rule(server=SERVER)
+    def restart_server(self, server):
+        self.model.servers[server].restart()
+
+    @invariant()
+    def no_slice_is_held_twice(self):
+        if hasattr(self, "model"):
+            assert not self.model.held_twice(), self.model.held_twice()
+
+
+class NoFloor(GrantsModel):
+    has_floor = False
+
+
+class NoWaitLedger(GrantLedger):
+    def surely_ended_at_s(self, bounds):
+        return self._clock.now_s()
+
+
+class NoWait(GrantsModel):
+    ledger_class = NoWaitLedger
+
+
+class CountsFromReceipt(Server):
+    def put(self, grant):
+        until_ms = self.now_ms() + round(GRANT_TTL_S * MS_PER_S)
+        return super().put(grant._replace(until_ms=until_ms))
+
+
+class DelayedGrantCounts(GrantsModel):
+    server_class = CountsFromReceipt
+
+
+class NoEarlierLedger(GrantLedger):
+    def begin(self, fence):
+        super().begin(fence)
+        self._earlier_end_at_s = self._clock.now_s()
+
+
+class EarlierDispatcherForgotten(GrantsModel):
+    ledger_class = NoEarlierLedger
+
+
+class AnyAnswerLedger(GrantLedger):
+    def note_reading(self, incarnation, now_ms, asked_at_s):
+        super().note_reading(incarnation, now_ms, float("inf"))
+
+
+class LateAnswersCount(GrantsModel):
+    ledger_class = AnyAnswerLedger
+
+
+PLANTED = (NoFloor, NoWait, DelayedGrantCounts, EarlierDispatcherForgotten, LateAnswersCount)
+RUNS = 1500
+STEPS = 60
+
+
+class GrantsMachineTests(unittest.TestCase):
+    def test_no_slice_is_held_twice(self) -> None:
+        invariants.reset_violations()
+        options = settings(max_examples=200, stateful_step_count=50)
+        run_state_machine_as_test(GrantsMachine, settings=options)
+        self.assertEqual(invariants.violations(), {})
+
+    def test_random_runs_hold_no_slice_twice(self) -> None:
+        self.assertIsNone(first_caught(GrantsModel, range(RUNS), STEPS))
+
+    def test_planted_faults_are_caught(self) -> None:
+        for model_class in PLANTED:
+            with self.subTest(fault=model_class.__name__):
+                self.assertIsNotNone(first_caught(model_class, range(RUNS), STEPS))
+
+
+class GrantLedgerTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.ledger = GrantLedger("proofdesk/a", self.clock)
+        self.map = changes.initial_map("proofdesk", SLICES)
+        self.map.apply(changes.next_delta(self.map, changes.assign(self.map, [(0, 2)], "a")))
+
+    def test_late_answer_of_former_incarnation_is_not_used(self) -> None:
+        self.ledger.begin(1)
+        self.clock.advance(1.0)
+        self.ledger.note_reading("i2", 50, 1.0)
+        self.ledger.next_grant(self.map, 0)
+        self.ledger.note_reading("i1", 9000, 0.5)
+        self.assertEqual(self.ledger.incarnation, "i2")
+        self.assertTrue(self.ledger.holds_grant(0))
+
+    def test_old_map_grants_nothing(self) -> None:
+        self.ledger.begin(1)
+        self.ledger.note_reading("i1", 50, 0.0)
+        self.assertIsNone(self.ledger.next_grant(self.map, 2))
+        self.assertIsNotNone(self.ledger.next_grant(self.map, 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
