--- /dev/null
+++ b/greengagefall/limits/cold_ramp.py
@@ -0,0 +1,71 @@
+"""Bound on requests in flight while a backend server is in cold start."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from greengagefall.utils.clock import Clock
+
+log = logging.getLogger(__name__)
+
+DEFAULT_HOLD_S = 1.0
+DEFAULT_STEP_S = 0.3
+DEFAULT_STEP_SUCCESSES = 3
+
+
+class ColdRamp:
+    """Raises the bound from ``cold_slots`` to ``slots`` as the server proves itself.
+
+    The bound stays at ``cold_slots`` until ``cold_hold_s`` have passed without a sign
+    of cold start. Each further step takes ``cold_step_successes`` answers in a row
+    for each request in flight and at least ``cold_step_s``.
+    """
+
+    def __init__(self, slots: int, clock: Clock, tuning: Mapping[str, float] | None = None) -> None:
+        tuning = tuning or {}
+        self._slots = slots
+        self._clock = clock
+        self._hold_s = tuning.get("cold_hold_s", DEFAULT_HOLD_S)
+        self._step_s = tuning.get("cold_step_s", DEFAULT_STEP_S)
+        self._step_successes = tuning.get("cold_step_successes", DEFAULT_STEP_SUCCESSES)
+        self._bound = slots
+        self._successes = 0
+        self._next_step_s = 0.0
+
+    @property
+    def cold(self) -> bool:
+        """Whether the server is still held below its slots."""
+        return self._bound < self._slots
+
+    @property
+    def bound(self) -> int:
+        """Requests in flight that the server is trusted with."""
+        return self._bound
+
+    def restart(self, cold_slots: int) -> None:
+        """Goes down to ``cold_slots`` after a sign of cold start."""
+        self._bound = max(1, min(cold_slots, self._slots))
+        self._successes = 0
+        self._next_step_s = self._clock.now_s() + self._hold_s
+
+    def on_success(self) -> None:
+        """Counts an answer and raises the bound by one when it is due."""
+        if not self.cold:
+            return
+        self._successes += 1
+        if self._successes < self._step_successes * self._bound:
+            return
+        now_s = self._clock.now_s()
+        if now_s < self._next_step_s:
+            return
+        self._bound += 1
+        self._successes = 0
+        self._next_step_s = now_s + self._step_s
+
+    def on_failure(self) -> None:
+        """Demands a new row of answers."""
+        self._successes = 0
