--- /dev/null
+++ b/greengagefall/balancing/hedging.py
@@ -0,0 +1,107 @@
+"""Second copies of idempotent requests that take long."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Protocol
+
+from greengagefall.limits.retry_budget import RetryBudget
+from greengagefall.utils.registry import Registry
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+log = logging.getLogger(__name__)
+
+DEFAULT_HEDGE_RATIO = 0.05
+DEFAULT_HEDGE_BURST = 10.0
+DEFAULT_HEDGE_QUANTILE = 0.95
+DEFAULT_HEDGE_MIN_MS = 1.0
+SAMPLES = 512
+SORT_EACH_SAMPLES = 32
+MIN_SAMPLES = 64
+
+
+class Hedge(Protocol):
+    """Decides when a second copy of a request is sent to another server."""
+
+    def on_request(self) -> None:
+        """Counts a first try."""
+
+    def on_latency(self, latency_ms: float) -> None:
+        """Takes in the time from a first try to its answer."""
+
+    def delay_ms(self, repeatable: bool) -> float | None:
+        """Returns how long to wait before the second copy, None for never."""
+
+    def try_spend(self) -> bool:
+        """Takes a second copy from the budget, or returns False."""
+
+
+HEDGES: Registry[type[Hedge]] = Registry("hedge")
+
+
+@HEDGES.register("off")
+class NoHedge:
+    """Sends no second copies; the baseline."""
+
+    def __init__(self, tuning: Mapping[str, float] | None = None) -> None:
+        pass
+
+    def on_request(self) -> None:
+        """Does nothing."""
+
+    def on_latency(self, latency_ms: float) -> None:
+        """Does nothing."""
+
+    def delay_ms(self, repeatable: bool) -> float | None:
+        """Returns None."""
+        return None
+
+    def try_spend(self) -> bool:
+        """Returns False."""
+        return False
+
+
+@HEDGES.register("after_p95")
+class QuantileHedge:
+    """Sends a second copy once a request took longer than most others.
+
+    Tuning: ``hedge_quantile`` of recent latencies is the delay, ``hedge_ratio`` bounds the
+    copies per first try.
+    """
+
+    def __init__(self, tuning: Mapping[str, float] | None = None) -> None:
+        tuning = tuning or {}
+        self._quantile = tuning.get("hedge_quantile", DEFAULT_HEDGE_QUANTILE)
+        self._min_ms = tuning.get("hedge_min_ms", DEFAULT_HEDGE_MIN_MS)
+        ratio = tuning.get("hedge_ratio", DEFAULT_HEDGE_RATIO)
+        self._budget = RetryBudget(ratio, tuning.get("hedge_burst", DEFAULT_HEDGE_BURST))
+        self._samples: list[float] = []
+        self._next = 0
+        self._delay_ms: float | None = None
+
+    def on_request(self) -> None:
+        """Counts a first try."""
+        self._budget.on_first_try()
+
+    def on_latency(self, latency_ms: float) -> None:
+        """Takes in the time from a first try to its answer."""
+        if len(self._samples) < SAMPLES:
+            self._samples.append(latency_ms)
+        else:
+            self._samples[self._next % SAMPLES] = latency_ms
+        self._next += 1
+        if self._next >= MIN_SAMPLES and self._next % SORT_EACH_SAMPLES == 0:
+            ordered = sorted(self._samples)
+            self._delay_ms = max(self._min_ms, ordered[int(self._quantile * len(ordered))])
+
+    def delay_ms(self, repeatable: bool) -> float | None:
+        """Returns the quantile, or None for a request that may run only once."""
+        if not repeatable:
+            return None
+        return self._delay_ms
+
+    def try_spend(self) -> bool:
+        """Takes a second copy from the budget, or returns False."""
+        return self._budget.try_spend()
