--- /dev/null
+++ b/greengagefall/balancing/zone_moves.py
@@ -0,0 +1,202 @@
+"""Moves of slices while servers and availability zones leave and return."""
+
+from __future__ import annotations
+
+import logging
+import math
+from typing import TYPE_CHECKING, Protocol
+
+from greengagefall.balancing.loads import LoadEstimate, Loads, SliceRuns, usable_servers
+from greengagefall.balancing.moves import Move, merge_moves
+from greengagefall.coordination.model import SLICE_FREE, SLICE_RELEASING
+from greengagefall.utils.registry import Registry
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Mapping
+
+    from greengagefall.coordination.model import SliceRun
+    from greengagefall.routing.model import BackendServer
+
+log = logging.getLogger(__name__)
+
+DEFAULT_LEAVE_SHARE_PER_PLAN = 0.07
+DEFAULT_LEAVE_CHUNK_SLICES = 16
+
+
+class ZoneMoves(Protocol):
+    """Moves slices off servers that must not own them, and back home."""
+
+    def plan(
+        self,
+        slice_map: SliceRuns,
+        servers: Mapping[str, BackendServer],
+        loads: Loads,
+        zones: Mapping[str, str],
+        lost: Collection[str] = (),
+    ) -> list[Move]:
+        """Returns the next moves; plan again once they are done.
+
+        Args:
+            slice_map: The slice map in force.
+            servers: Servers of the back end.
+            loads: Observed load.
+            zones: State of each availability zone.
+            lost: Servers that certainly hold nothing and do not answer.
+        """
+
+
+ZONE_MOVES: Registry[type[ZoneMoves]] = Registry("zone_move")
+
+
+class _Targets:
+    """Spreads rates over the usable servers, emptiest first."""
+
+    def __init__(self, usable: list[str], estimate: LoadEstimate) -> None:
+        self._cost = {name: estimate.cost[name] for name in usable}
+        self._load = {name: estimate.rate_per_s[name] * self._cost[name] for name in usable}
+
+    def emptiest(self) -> str:
+        """Returns the server with the lowest utilisation."""
+        return min(self._load, key=lambda name: (self._load[name], name))
+
+    def add(self, name: str, rate_per_s: float) -> None:
+        """Counts a rate that moves to a server."""
+        self._load[name] += max(rate_per_s, 1e-9) * self._cost[name]
+
+
+def leaving_runs(
+    runs: list[SliceRun],
+    servers: Mapping[str, BackendServer],
+    zones: Mapping[str, str],
+    lost: Collection[str],
+) -> list[SliceRun]:
+    """Returns the runs that are free or whose owner must not own slices."""
+    allowed = set(usable_servers(servers, Loads({}, {}), zones)) - set(lost)
+    return [
+        run
+        for run in runs
+        if run.state != SLICE_RELEASING and (run.state == SLICE_FREE or run.owner not in allowed)
+    ]
+
+
+def chunks(run: SliceRun, size: int) -> list[SliceRun]:
+    """Returns the run in pieces of at most ``size`` slices."""
+    firsts = range(run.first, run.last + 1, size)
+    return [run._replace(first=first, last=min(first + size - 1, run.last)) for first in firsts]
+
+
+def spread(pieces: list[SliceRun], estimate: LoadEstimate, usable: list[str]) -> list[Move]:
+    """Returns moves of each piece to the server that is emptiest by then."""
+    targets = _Targets(usable, estimate)
+    moves = []
+    for piece in pieces:
+        target = targets.emptiest()
+        size = piece.last - piece.first + 1
+        rate = sum(estimate.slice_rate(piece.owner, piece.first + offset) for offset in range(size))
+        targets.add(target, rate)
+        moves.append(Move(piece.first, piece.last, piece.owner, target))
+    return merge_moves(moves)
+
+
+@ZONE_MOVES.register("all_at_once")
+class AllAtOnce:
+    """Empties a zone in one plan and brings all its slices back in one; the baseline."""
+
+    def __init__(self, tuning: Mapping[str, float] | None = None) -> None:
+        pass
+
+    def plan(
+        self,
+        slice_map: SliceRuns,
+        servers: Mapping[str, BackendServer],
+        loads: Loads,
+        zones: Mapping[str, str],
+        lost: Collection[str] = (),
+    ) -> list[Move]:
+        """Returns all moves off forbidden servers and all moves home."""
+        runs = slice_map.runs()
+        usable = [name for name in usable_servers(servers, loads, zones) if name not in lost]
+        if not usable:
+            return []
+        estimate = LoadEstimate(runs, servers, loads)
+        leaving = leaving_runs(runs, servers, zones, lost)
+        pieces = [piece for run in leaving for piece in chunks(run, DEFAULT_LEAVE_CHUNK_SLICES)]
+        moves = spread(pieces, estimate, usable)
+        moves += self._homeward(runs, leaving, servers, usable, estimate)
+        return merge_moves(moves)
+
+    def _homeward(
+        self,
+        runs: list[SliceRun],
+        leaving: list[SliceRun],
+        servers: Mapping[str, BackendServer],
+        usable: list[str],
+        estimate: LoadEstimate,
+    ) -> list[Move]:
+        moves = []
+        skipped = set(leaving)
+        for zone in sorted({servers[name].zone for name in usable}):
+            away = [
+                piece
+                for run in runs
+                if run not in skipped
+                and run.state != SLICE_RELEASING
+                and run.home_zone == zone
+                and servers[run.owner].zone != zone
+                for piece in chunks(run, DEFAULT_LEAVE_CHUNK_SLICES)
+            ]
+            at_home = [name for name in usable if servers[name].zone == zone]
+            moves += spread(away, estimate, at_home)
+        return moves
+
+
+@ZONE_MOVES.register("paced")
+class Paced:
+    """Empties a zone in small steps; slices come back only through the placement policy.
+
+    Each plan moves ``leave_share_per_plan`` of all slices, in chunks of
+    ``leave_chunk_slices`` taken in turn from the servers that leave. Slices stay where they
+    are when their zone returns: the placement policy moves home as many as balance needs.
+    """
+
+    def __init__(self, tuning: Mapping[str, float] | None = None) -> None:
+        tuning = tuning or {}
+        self._share = tuning.get("leave_share_per_plan", DEFAULT_LEAVE_SHARE_PER_PLAN)
+        self._chunk = int(tuning.get("leave_chunk_slices", DEFAULT_LEAVE_CHUNK_SLICES))
+
+    def plan(
+        self,
+        slice_map: SliceRuns,
+        servers: Mapping[str, BackendServer],
+        loads: Loads,
+        zones: Mapping[str, str],
+        lost: Collection[str] = (),
+    ) -> list[Move]:
+        """Returns the next step off forbidden servers."""
+        runs = slice_map.runs()
+        usable = [name for name in usable_servers(servers, loads, zones) if name not in lost]
+        leaving = leaving_runs(runs, servers, zones, lost)
+        if not usable or not leaving:
+            return []
+        budget = math.ceil(self._share * (runs[-1].last + 1))
+        pieces = self._in_turn(leaving, budget)
+        return spread(pieces, LoadEstimate(runs, servers, loads), usable)
+
+    def _in_turn(self, leaving: list[SliceRun], budget: int) -> list[SliceRun]:
+        """Returns chunks up to the budget, one of each owner in turn, free ones first."""
+        by_owner: dict[str, list[SliceRun]] = {}
+        for run in leaving:
+            owner = run.owner if run.state != SLICE_FREE else ""
+            by_owner.setdefault(owner, []).extend(chunks(run, self._chunk))
+        pieces: list[SliceRun] = []
+        left = budget
+        while left > 0 and by_owner:
+            for owner in sorted(by_owner):
+                piece = by_owner[owner].pop(0)
+                if not by_owner[owner]:
+                    del by_owner[owner]
+                pieces.append(piece)
+                left -= piece.last - piece.first + 1
+                if left <= 0:
+                    break
+        return pieces
