--- a/greengagefall/balancing/ejection.py
+++ b/greengagefall/balancing/ejection.py
@@ -93,7 +93,7 @@
     def on_result(self, name: str, latency_ms: float, ok: bool) -> None:
         """Takes in an answer, or a failure, of a server."""
         record = self._records.get(name)
-        if record is None:
+        if record is None or record.ejected_until_s > self._clock.now_s():
             return
         if not ok:
             record.failures_in_row += 1
--- a/greengagefall/balancing/placement.py
+++ b/greengagefall/balancing/placement.py
@@ -19,7 +19,7 @@
 from greengagefall.utils.registry import Registry
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
 
     from greengagefall.routing.model import BackendServer
     from greengagefall.utils.clock import Clock
@@ -27,6 +27,7 @@
 log = logging.getLogger(__name__)
 
 DEFAULT_MIN_IMBALANCE = 0.10
+SETTLE_SHARE_OF_MIN_IMBALANCE = 0.5
 DEFAULT_CHURN_COST = 0.3
 DEFAULT_MAX_MOVES_PER_PLAN = 64
 DEFAULT_HOT_SLICE_FACTOR = 8.0
@@ -134,6 +135,8 @@
 
     Tuning:
         ``min_imbalance``: excess over the balanced utilisation that starts a move.
+        ``settle_imbalance``: excess at which a server stops giving slices away; half of
+        ``min_imbalance`` if not set.
         ``churn_cost``: a slice moves only if its rate, relative to the mean slice, is at
         least this; larger values mean fewer moves.
         ``max_moves_per_plan``: slices per plan.
@@ -145,6 +148,9 @@
     def __init__(self, clock: Clock, tuning: Mapping[str, float] | None = None) -> None:
         tuning = tuning or {}
         self._min_imbalance = tuning.get("min_imbalance", DEFAULT_MIN_IMBALANCE)
+        self._settle_imbalance = tuning.get(
+            "settle_imbalance", self._min_imbalance * SETTLE_SHARE_OF_MIN_IMBALANCE
+        )
         self._churn_cost = tuning.get("churn_cost", DEFAULT_CHURN_COST)
         self._max_moves = int(tuning.get("max_moves_per_plan", DEFAULT_MAX_MOVES_PER_PLAN))
         self._hot_factor = tuning.get("hot_slice_factor", DEFAULT_HOT_SLICE_FACTOR)
@@ -174,7 +180,7 @@
             return []
         estimate = LoadEstimate(runs, servers, loads)
         cost = self._costs.settled(estimate.cost)
-        balance = _Balance(usable, estimate, cost)
+        balance = _Balance(usable, estimate, cost, self._settle_imbalance)
         owned: dict[str, list[SliceRun]] = {}
         for run in runs:
             if run.state == SLICE_OWNED:
@@ -202,7 +208,7 @@
         source: str,
         owned: dict[str, list[SliceRun]],
         estimate: LoadEstimate,
-        target_zone: str,
+        zone: str,
         rate_wanted: float,
         left: int,
     ) -> tuple[list[tuple[int, int]], float]:
@@ -213,25 +219,40 @@
         taken: list[tuple[int, int]] = []
         rate_taken = 0.0
         keep: list[SliceRun] = []
-        for run in sorted(
-            owned.get(source, []), key=lambda run: _order_of_leaving(run, target_zone)
-        ):
-            slice_id = run.last
-            while slice_id >= run.first and left > 0:
-                rate = estimate.slice_rate(source, slice_id)
-                if not too_cold <= rate <= too_hot or rate_taken + rate > rate_wanted:
-                    break
-                rate_taken += rate
-                left -= 1
-                slice_id -= 1
-            if slice_id < run.last:
-                taken.append((slice_id + 1, run.last))
-            if slice_id >= run.first:
-                keep.append(run._replace(last=slice_id))
+        for run in sorted(owned.get(source, []), key=lambda run: _order_of_leaving(run, zone)):
+            for piece in _split_at(run, estimate.busy_slices(source)):
+                last = piece.last
+                while last >= piece.first and left > 0:
+                    rate = estimate.slice_rate(source, last)
+                    if not too_cold <= rate <= too_hot or rate_taken + rate > rate_wanted:
+                        break
+                    rate_taken += rate
+                    left -= 1
+                    last -= 1
+                if last < piece.last:
+                    taken.append((last + 1, piece.last))
+                if last >= piece.first:
+                    keep.append(piece._replace(last=last))
         owned[source] = keep
         return taken, rate_taken
 
 
+def _split_at(run: SliceRun, slices: Iterable[int]) -> list[SliceRun]:
+    """Returns the run in pieces, each of ``slices`` a piece of its own."""
+    pieces = []
+    first = run.first
+    for slice_id in sorted(slices):
+        if not run.first <= slice_id <= run.last:
+            continue
+        if slice_id > first:
+            pieces.append(run._replace(first=first, last=slice_id - 1))
+        pieces.append(run._replace(first=slice_id, last=slice_id))
+        first = slice_id + 1
+    if first <= run.last:
+        pieces.append(run._replace(first=first))
+    return pieces
+
+
 def _order_of_leaving(run: SliceRun, target_zone: str) -> tuple[bool, int, int]:
     """Slices that would come home go first, then short runs."""
     return run.home_zone != target_zone, run.last - run.first, run.first
@@ -241,12 +262,17 @@
     """Utilisation of each usable server while moves are planned."""
 
     def __init__(
-        self, usable: list[str], estimate: LoadEstimate, cost: Mapping[str, float]
+        self,
+        usable: list[str],
+        estimate: LoadEstimate,
+        cost: Mapping[str, float],
+        settle_imbalance: float,
     ) -> None:
         self._cost = {name: cost[name] for name in usable}
         self._rate = {name: estimate.rate_per_s[name] for name in usable}
         speed = sum(1.0 / self._cost[name] for name in usable)
         self._level = sum(self._rate.values()) / speed
+        self._settled_level = self._level * (1.0 + settle_imbalance)
 
     def widest(self, sources: set[str], min_imbalance: float) -> tuple[str, str, float] | None:
         """Returns the fullest source, the emptiest server and the rate to move."""
@@ -256,7 +282,7 @@
         target = min(sorted(self._rate), key=self._utilisation)
         if self._utilisation(source) <= self._level * (1.0 + min_imbalance):
             return None
-        excess = (self._utilisation(source) - self._level) / self._cost[source]
+        excess = (self._utilisation(source) - self._settled_level) / self._cost[source]
         deficit = (self._level - self._utilisation(target)) / self._cost[target]
         if deficit <= 0.0:
             return None
--- a/greengagefall/limits/concurrency.py
+++ b/greengagefall/limits/concurrency.py
@@ -55,6 +55,9 @@
     def on_shed(self) -> None:
         """Counts a request that was started and that the server refused to run."""
 
+    def on_cancelled(self) -> None:
+        """Counts the end of a request that was started and then cancelled."""
+
     def on_cold(self, cold_slots: int) -> None:
         """Holds the server at ``cold_slots`` after a sign of cold start."""
 
@@ -130,6 +133,10 @@
         if self.cold or self._sheds >= self._cold_sheds:
             self.on_cold(self._cold_slots)
 
+    def on_cancelled(self) -> None:
+        """Counts the end of a request that was started and then cancelled."""
+        self.in_flight -= 1
+
     def on_cold(self, cold_slots: int) -> None:
         """Holds the server at ``cold_slots`` after a sign of cold start."""
         if not self.cold:
