Count the time in flight as a latency in server views

Cause: an entry host learned of a slowed server only from its answers, after up to 2 s, and sent on meanwhile.

--- a/greengagefall/balancing/server_views.py
+++ b/greengagefall/balancing/server_views.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+from collections import deque
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -13,6 +14,7 @@
 
 LATENCY_WEIGHT = 0.3
 FORGET_S = 3.0
+MS_PER_S = 1000.0
 
 
 class ServerView(NamedTuple):
@@ -38,14 +40,14 @@
 
 
 class _Seen:
-    """Answers of one server; its own requests in flight are counted exactly."""
+    """Answers of one server; requests in flight are known by their time of sending."""
 
     def __init__(self, zone: str, slots: int, weight: float) -> None:
         self.zone = zone
         self.slots = slots
         self.weight = weight
         self.available = True
-        self.in_flight = 0
+        self.sent_s: deque[float] = deque()
         self.reported_queue = 0
         self.latency_ms = 0.0
         self.seen_s = -math.inf
@@ -55,7 +57,8 @@
     """Keeps a view of each server from the answers that pass by.
 
     What was seen fades: a latency that has not been confirmed for a while counts less,
-    so that a server which was slow once is tried again.
+    so that a server which was slow once is tried again. The time that a request has been
+    in flight counts as a latency already, so that a frozen server is left early.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -86,7 +89,7 @@
         """Counts a request on its way to the server."""
         seen = self._servers.get(name)
         if seen is not None:
-            seen.in_flight += 1
+            seen.sent_s.append(self._clock.now_s())
 
     def on_answer(self, name: str, queue_length: int, latency_ms: float) -> None:
         """Takes in an answer with the dispatcher's queue and the server's latency."""
@@ -115,13 +118,15 @@
         return [self._view(name, seen, now_s) for name, seen in self._servers.items()]
 
     def _end(self, seen: _Seen) -> None:
-        seen.in_flight = max(0, seen.in_flight - 1)
+        if seen.sent_s:
+            seen.sent_s.popleft()
 
     def _view(self, name: str, seen: _Seen, now_s: float) -> ServerView:
         age_s = now_s - seen.seen_s
         fresh = math.exp(-age_s / FORGET_S) if age_s != math.inf else 0.0
-        queue_length = max(seen.in_flight, round(seen.reported_queue * fresh))
-        latency_ms = seen.latency_ms * fresh
+        queue_length = max(len(seen.sent_s), round(seen.reported_queue * fresh))
+        waited_ms = (now_s - seen.sent_s[0]) * MS_PER_S if seen.sent_s else 0.0
+        latency_ms = max(seen.latency_ms * fresh, waited_ms)
         return ServerView(
             name, seen.zone, queue_length, latency_ms, seen.available, seen.slots, seen.weight
         )
