--- /dev/null
+++ b/greengagefall/bench/policies_keyed_figures.py
@@ -0,0 +1,124 @@
+"""Figures of the keyed runs: tail of healthy servers, and a zone that leaves and returns."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from greengagefall.bench.policies_deployments import TIMEOUT_S, Deployment
+from greengagefall.bench.policies_keyed import KeyedEnd, KeyedRun, keyed_rate_per_s
+from greengagefall.bench.policies_stats import quantile
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+log = logging.getLogger(__name__)
+
+TAIL_UTILISATION = 0.5
+TAIL_WARM_UP_S = 8.0
+TAIL_RUN_S = 24.0
+SLOW_FACTOR = 10.0
+SLOWED_SERVERS = 3
+
+ZONE_UTILISATION = 0.5
+ZONE_OUT_S = 10.0
+ZONE_IN_S = 30.0
+ZONE_RUN_S = 75.0
+NO_NEW_WORK_AFTER_S = 5.0
+
+
+def measure_tail(
+    deployment: Deployment,
+    policies: Mapping[str, str],
+    tuning: Mapping[str, float],
+    seed: int,
+) -> dict[str, float]:
+    """Returns the p99 of keys on healthy servers, beside the same keys' unslowed run."""
+    healthy, served = _tail_run(deployment, policies, tuning, seed, SLOWED_SERVERS)
+    unslowed, _ = _tail_run(deployment, policies, tuning, seed, 0)
+    return {
+        "healthy_p99_ms": quantile(healthy, 0.99),
+        "unslowed_p99_ms": quantile(unslowed, 0.99),
+        "healthy_ratio": quantile(healthy, 0.99) / quantile(unslowed, 0.99),
+        "served_all": served,
+    }
+
+
+def _tail_run(
+    deployment: Deployment,
+    policies: Mapping[str, str],
+    tuning: Mapping[str, float],
+    seed: int,
+    slowed: int,
+) -> tuple[list[float], float]:
+    run = KeyedRun(deployment, policies, tuning, seed)
+    chosen = set(run.rng.sample(sorted(run.models), SLOWED_SERVERS))
+    if slowed:
+        for name in chosen:
+            run.loop.call_at(TAIL_WARM_UP_S, setattr, run.models[name], "slow_factor", SLOW_FACTOR)
+    run.planner.start()
+    run.offer_load(keyed_rate_per_s(run, TAIL_UTILISATION), TAIL_RUN_S)
+    run.loop.run_until(TAIL_RUN_S + TIMEOUT_S)
+    counted = [end for end in run.ends if end.request.start_s >= TAIL_WARM_UP_S]
+    healthy = [end.took_ms for end in counted if end.server not in chosen]
+    return healthy, _served(counted)
+
+
+def measure_zone(
+    deployment: Deployment,
+    policies: Mapping[str, str],
+    tuning: Mapping[str, float],
+    seed: int,
+) -> dict[str, float]:
+    """Returns churn, service and unavailable time while a zone leaves and returns."""
+    run = KeyedRun(deployment, policies, tuning, seed)
+    zone = deployment.zones[1]
+    in_zone = {name for name, server in run.servers.items() if server.zone == zone}
+    home = sum(owner in in_zone for owner in run.planner.owners)
+    moved: list[int] = []
+
+    def change(state: str) -> None:
+        moved.append(run.planner.moved)
+        run.zones[zone] = state
+
+    run.loop.call_at(ZONE_OUT_S, change, "out")
+    run.loop.call_at(ZONE_IN_S, change, "in")
+    run.planner.start()
+    run.offer_load(keyed_rate_per_s(run, ZONE_UTILISATION), ZONE_RUN_S)
+    run.loop.run_until(ZONE_OUT_S + NO_NEW_WORK_AFTER_S)
+    offered_then = sum(run.dispatchers[name].offered for name in in_zone)
+    run.loop.run_until(ZONE_IN_S)
+    late_work = sum(run.dispatchers[name].offered for name in in_zone) - offered_then
+    run.loop.run_until(ZONE_RUN_S + TIMEOUT_S)
+    moved.append(run.planner.moved)
+    during = [end for end in run.ends if end.request.start_s >= ZONE_OUT_S]
+    leaving = [end for end in during if end.request.start_s < ZONE_IN_S]
+    back = [end for end in during if end.request.start_s >= ZONE_IN_S]
+    gaps_s = run.planner.unavailable_s
+    return {
+        "churn_leave": (moved[1] - moved[0]) / home,
+        "churn_return": (moved[2] - moved[1]) / max(1, moved[1] - moved[0]),
+        "served_leave": _served(leaving),
+        "served_return": _served(back),
+        "p99_leave_ms": quantile([end.took_ms for end in leaving], 0.99),
+        "p99_return_ms": quantile([end.took_ms for end in back], 0.99),
+        "unavailable_slice_s": sum(gaps_s),
+        "longest_gap_s": max(gaps_s, default=0.0),
+        "late_work": float(late_work),
+        "imbalance_after": _imbalance(run),
+        "moved_before": float(moved[0]),
+        "runs": float(len(run.planner.runs())),
+    }
+
+
+def _imbalance(run: KeyedRun) -> float:
+    """Returns max over mean of the servers' shares of slices by their speed."""
+    counts = dict.fromkeys(run.servers, 0)
+    for owner in run.planner.owners:
+        counts[owner] += 1
+    use = [counts[name] / server.weight for name, server in run.servers.items()]
+    return max(use) / (sum(use) / len(use))
+
+
+def _served(ends: list[KeyedEnd]) -> float:
+    return sum(end.answered for end in ends) / len(ends)
