--- /dev/null
+++ b/greengagefall/dispatch/answer_memory.py
@@ -0,0 +1,70 @@
+"""Remembers requests that may not be repeated, so that a resent id joins the first run."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from typing import TYPE_CHECKING, NamedTuple
+
+from greengagefall.protocol.messages import Answer, Refusal
+
+if TYPE_CHECKING:
+    from greengagefall.utils.clock import Clock
+
+MEMORY_ENTRIES = 20_000
+MEMORY_S = 60.0
+
+Outcome = Answer | Refusal
+
+
+class _Entry(NamedTuple):
+    """A remembered run; the future holds its outcome once known."""
+
+    future: asyncio.Future[Outcome]
+    started_at_s: float
+
+
+class AnswerMemory:
+    """Outcomes by request id, bounded in number and age.
+
+    It reaches as far as one dispatcher's right in one process: a new dispatcher of the
+    same backend server starts with an empty memory.
+    """
+
+    def __init__(self, clock: Clock, entries: int = MEMORY_ENTRIES, age_s: float = MEMORY_S):
+        self._clock = clock
+        self._entry_limit = entries
+        self._age_s = age_s
+        self._entries: OrderedDict[str, _Entry] = OrderedDict()
+
+    def find(self, request_id: str) -> asyncio.Future[Outcome] | None:
+        """Returns the run of this id that is in flight or remembered, if any."""
+        self._forget_old()
+        entry = self._entries.get(request_id)
+        return entry.future if entry else None
+
+    def begin(self, request_id: str) -> None:
+        """Notes that a run of this id begins."""
+        future = asyncio.get_running_loop().create_future()
+        self._entries[request_id] = _Entry(future, self._clock.now_s())
+
+    def end(self, request_id: str, outcome: Outcome) -> None:
+        """Keeps the outcome; a request that did not run is forgotten and may run later."""
+        entry = self._entries.get(request_id)
+        if entry is None:
+            return
+        if not entry.future.done():
+            entry.future.set_result(outcome)
+        if isinstance(outcome, Refusal) and outcome.not_run:
+            del self._entries[request_id]
+
+    def _forget_old(self) -> None:
+        oldest_kept_s = self._clock.now_s() - self._age_s
+        while self._entries:
+            request_id, entry = next(iter(self._entries.items()))
+            in_bounds = len(self._entries) <= self._entry_limit
+            if not entry.future.done():
+                return
+            if in_bounds and entry.started_at_s >= oldest_kept_s:
+                return
+            del self._entries[request_id]
--- /dev/null
+++ b/greengagefall/dispatch/grant_keeper.py
@@ -0,0 +1,193 @@
+"""Keeps the grant of one backend server: reads its clock, renews, confirms releases."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING, NamedTuple
+
+from result import Err
+
+from greengagefall.coordination.model import SLICE_OWNED, GrantRun
+from greengagefall.dispatch.exceptions import SendRefusedError
+from greengagefall.dispatch.server_control import Grant, ServerControl, ServerReading
+from greengagefall.utils.metrics import count
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from greengagefall.coordination.dispatch_right import DispatchRight
+    from greengagefall.coordination.grants import GrantLedger
+    from greengagefall.coordination.slice_map import SliceMap
+    from greengagefall.dispatch.server_health import ServerHealth
+
+log = logging.getLogger(__name__)
+
+RENEW_PERIOD_S = 0.4
+RETRY_PERIOD_S = 0.1
+
+
+class AcceptedGrant(NamedTuple):
+    """The grant that the server accepted last under this dispatcher's right."""
+
+    fence: int
+    map_version: int
+    incarnation: str
+    released: bool
+    runs: tuple[GrantRun, ...]
+
+    def fence_of(self, slice_id: int) -> int:
+        """Returns the fence under which ``slice_id`` is granted, 0 if it is not."""
+        for run in self.runs:
+            if run.first <= slice_id <= run.last:
+                return run.fence
+        return 0
+
+
+class GrantKeeper:
+    """Renews one server's grant while the dispatch right is held.
+
+    Args:
+        back_end: Name of the back end.
+        server: Name of the backend server.
+        control: Calls to the server.
+        right: This host's dispatch right for the server.
+        ledger: When grants of this server have certainly ended.
+        health: Told of each answer and failure.
+        slice_map: Returns the newest slice map, None for a pooled back end or before one came.
+        keyed: Whether the back end is keyed.
+        on_reading: Called with each reading.
+    """
+
+    def __init__(
+        self,
+        back_end: str,
+        server: str,
+        control: ServerControl,
+        right: DispatchRight,
+        ledger: GrantLedger,
+        health: ServerHealth,
+        slice_map: Callable[[], SliceMap | None],
+        keyed: bool,
+        on_reading: Callable[[ServerReading], None],
+    ) -> None:
+        self._back_end = back_end
+        self._server = server
+        self._control = control
+        self._right = right
+        self._ledger = ledger
+        self._health = health
+        self._slice_map = slice_map
+        self._keyed = keyed
+        self._on_reading = on_reading
+        self._incarnation = ""
+        self._wake = asyncio.Event()
+        self.accepted: AcceptedGrant | None = None
+        self.checks = True
+
+    def wake(self) -> None:
+        """Asks for a renewal at once, as after a change of map or right."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Renews until cancelled."""
+        while True:
+            ok = await self._tick()
+            period_s = RENEW_PERIOD_S if ok else RETRY_PERIOD_S
+            self._wake.clear()
+            try:
+                await asyncio.wait_for(self._wake.wait(), period_s)
+            except TimeoutError:
+                continue
+
+    def granted_fence(self, slice_id: int) -> int:
+        """Returns the fence under which the server holds the slice now, 0 if it does not."""
+        accepted = self.accepted
+        if accepted is None or accepted.fence != self._right.fence:
+            return 0
+        if not self._ledger.granted_now():
+            return 0
+        return accepted.fence_of(slice_id)
+
+    def released_since(self, map_version: int) -> bool:
+        """Returns whether the server confirmed a grant of at least this map version.
+
+        Such a grant leaves out every slice that is releasing in that version, and the server
+        said that it runs no request on slices outside the grant.
+        """
+        accepted = self.accepted
+        if accepted is None or accepted.fence != self._right.fence:
+            return False
+        return accepted.released and accepted.map_version >= map_version
+
+    async def _tick(self) -> bool:
+        if not self._right.may_send():
+            self.accepted = None
+            return True
+        if not self._incarnation and not await self._read_status():
+            return False
+        if not self.checks:
+            return await self._read_status()
+        slice_map = self._slice_map()
+        if self._keyed and not self._map_is_new_enough(slice_map):
+            return await self._read_status()
+        return await self._renew(slice_map)
+
+    def _map_is_new_enough(self, slice_map: SliceMap | None) -> bool:
+        if slice_map is None:
+            return False
+        return slice_map.version >= self._right.map_floor(self._back_end)
+
+    async def _read_status(self) -> bool:
+        reply = await self._control.status(self._right.may_send)
+        if isinstance(reply, Err):
+            return self._failed(reply.err_value)
+        self._note(reply.ok_value)
+        return True
+
+    async def _renew(self, slice_map: SliceMap | None) -> bool:
+        grant = self._next_grant(slice_map)
+        reply = await self._control.grant(grant, self._right.may_send)
+        if isinstance(reply, Err):
+            return self._failed(reply.err_value)
+        reading = reply.ok_value
+        self._note(reading)
+        if reading.refused:
+            count("grants_refused", reason=reading.refused)
+            log.warning("Grant of %s refused: %s.", self._server, reading.refused)
+            self.accepted = None
+            return False
+        self.accepted = AcceptedGrant(
+            grant.fence, grant.map_version, reading.incarnation, reading.released, grant.runs
+        )
+        return reading.released
+
+    def _next_grant(self, slice_map: SliceMap | None) -> Grant:
+        runs = _owned_runs(slice_map, self._server)
+        version = slice_map.version if slice_map else 0
+        until_ms = self._ledger.next_grant(version)
+        return Grant(self._incarnation, self._right.fence, version, until_ms, runs)
+
+    def _note(self, reading: ServerReading) -> None:
+        self.checks = reading.checks
+        if reading.incarnation != self._incarnation:
+            self._incarnation = reading.incarnation
+            self.accepted = None
+        if reading.checks:
+            self._ledger.note_reading(reading.now_ms, reading.incarnation)
+        self._health.on_answer(reading.cold)
+        self._on_reading(reading)
+
+    def _failed(self, error: Exception) -> bool:
+        if not isinstance(error, SendRefusedError):
+            self._health.on_failure()
+        return False
+
+
+def _owned_runs(slice_map: SliceMap | None, server: str) -> tuple[GrantRun, ...]:
+    if slice_map is None:
+        return ()
+    runs = slice_map.owned_by(server)
+    return tuple(
+        GrantRun(run.first, run.last, run.fence) for run in runs if run.state == SLICE_OWNED
+    )
--- /dev/null
+++ b/greengagefall/dispatch/server_dispatcher.py
@@ -0,0 +1,425 @@
+"""The dispatcher of one backend server: admission, limits, sending, outcomes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import logging
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from greengagefall.dispatch.answer_memory import AnswerMemory
+from greengagefall.dispatch.connection_pool import ConnectionPool, HttpAnswer, HttpRequest
+from greengagefall.dispatch.exceptions import (
+    AnswerLostError,
+    AnswerTimeoutError,
+    AnswerTooLargeError,
+    NotSentError,
+    SendRefusedError,
+)
+from greengagefall.dispatch.grant_keeper import GrantKeeper
+from greengagefall.dispatch.server_control import ServerControl
+from greengagefall.dispatch.server_health import DOWN, ServerHealth
+from greengagefall.entry import refusals
+from greengagefall.entry.refusals import REFUSALS
+from greengagefall.limits.admission import QUEUES, Waiting
+from greengagefall.limits.concurrency import LIMITS
+from greengagefall.protocol.messages import Answer, Forward, Refusal
+from greengagefall.routing.model import KIND_KEYED, SERVER_DRAINING
+from greengagefall.utils.invariants import check
+from greengagefall.utils.metrics import count, observe_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from greengagefall.coordination.dispatch_right import DispatchRight
+    from greengagefall.coordination.grants import GrantLedger
+    from greengagefall.coordination.slice_map import SliceMap
+    from greengagefall.dispatch.server_control import ServerReading
+    from greengagefall.routing.model import BackEnd, BackendServer, Limits
+    from greengagefall.utils.clock import Clock
+
+log = logging.getLogger(__name__)
+
+DEFAULT_LIMIT_POLICY = "adaptive"
+DEFAULT_QUEUE_POLICY = "deadline_fair"
+NOT_RUN_HEADER = "X-Not-Run"
+REQUEST_ID_HEADER = "X-Request-Id"
+INCARNATION_HEADER = "X-Server-Incarnation"
+HTTP_UNAVAILABLE = 503
+MS_PER_S = 1000.0
+
+Outcome = Answer | Refusal
+
+
+class ServerDispatcher:
+    """Takes requests for one backend server while this host may dispatch it.
+
+    Args:
+        back_end: Configuration of the back end.
+        server: Configuration of the backend server.
+        limits: Bounds on callers.
+        right: This host's dispatch right for the server.
+        ledger: When the server's grants have certainly ended.
+        slice_map: Returns the newest slice map of the back end.
+        clock: Monotonic clock.
+    """
+
+    def __init__(
+        self,
+        back_end: BackEnd,
+        server: BackendServer,
+        limits: Limits,
+        right: DispatchRight,
+        ledger: GrantLedger,
+        slice_map: Callable[[], SliceMap | None],
+        clock: Clock,
+    ) -> None:
+        self.key = f"{back_end.name}/{server.name}"
+        self.back_end = back_end
+        self.server = server
+        self.right = right
+        self._limits = limits
+        self._ledger = ledger
+        self._slice_map = slice_map
+        self._clock = clock
+        self.health = ServerHealth(self.key, clock)
+        self._pool = ConnectionPool(server.address, limits.answer_bytes, self._unconfirm)
+        self._control = ServerControl(server.address)
+        self.grants = GrantKeeper(
+            back_end.name,
+            server.name,
+            self._control,
+            right,
+            ledger,
+            self.health,
+            slice_map,
+            back_end.kind == KIND_KEYED,
+            self._on_reading,
+        )
+        limit_policy = back_end.policies.get("limit", DEFAULT_LIMIT_POLICY)
+        self.limit = LIMITS[limit_policy](server.slots, server.cold_slots, clock, back_end.tuning)
+        queue_policy = back_end.policies.get("queue", DEFAULT_QUEUE_POLICY)
+        self._queue = QUEUES[queue_policy](back_end.queue_limit, clock, back_end.tuning)
+        self._memory = AnswerMemory(clock)
+        self._waiting: dict[str, asyncio.Future[str]] = {}
+        self._slices_in_flight: dict[int, int] = {}
+        self._tickets = itertools.count(1)
+        self._incarnation = ""
+        self._confirmed = False
+        self._foreign_busy = 0
+        self._upkeep: asyncio.Task | None = None
+        self.draining = server.state == SERVER_DRAINING
+
+    def start(self) -> None:
+        """Starts renewing the grant."""
+        self._upkeep = asyncio.create_task(self.grants.run())
+
+    async def close(self) -> None:
+        """Stops renewing and closes all idle connections."""
+        if self._upkeep is not None:
+            self._upkeep.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._upkeep
+        self._pool.close()
+        self._control.close()
+
+    def in_flight(self) -> int:
+        """Returns the number of requests that wait or run."""
+        return self.limit.in_flight + len(self._waiting)
+
+    def busy_share(self) -> float:
+        """Returns the share of slots that run a request."""
+        return self.limit.in_flight / self.server.slots
+
+    async def submit(self, forward: Forward) -> Outcome:
+        """Runs a request and returns its outcome; never raises for an expected failure."""
+        if forward.repeatable:
+            return await self._submit_repeatable(forward)
+        known = self._memory.find(forward.request_id)
+        if known is None:
+            self._memory.begin(forward.request_id)
+            known = asyncio.create_task(self._run_remembered(forward))
+        else:
+            count("requests_joined", back_end=self.back_end.name)
+        # A caller that leaves must not stop the run that others may have joined.
+        outcome = await asyncio.shield(known)
+        return outcome._replace(call_id=forward.call_id)
+
+    async def _submit_repeatable(self, forward: Forward) -> Outcome:
+        try:
+            return await self._admit(forward)
+        except asyncio.CancelledError:
+            asyncio.ensure_future(self._control.cancel(forward.request_id))
+            raise
+
+    async def _run_remembered(self, forward: Forward) -> Outcome:
+        outcome: Outcome = self._refuse(forward, refusals.OUTCOME_UNKNOWN)
+        try:
+            outcome = await self._admit(forward)
+        finally:
+            self._memory.end(forward.request_id, outcome)
+        return outcome
+
+    def released(self, runs: list[list[int]], map_version: int) -> tuple[bool, str]:
+        """Returns whether the server certainly holds none of these slices, and how or why not.
+
+        Args:
+            runs: Pairs of first and last slice, all ``releasing`` in ``map_version``.
+            map_version: The slice map version that says so.
+        """
+        slice_map = self._slice_map()
+        if not self.right.may_send():
+            return False, "not_dispatcher"
+        if slice_map is None or slice_map.version < map_version:
+            return False, "map_behind"
+        if self._any_in_flight(runs):
+            return False, "in_flight"
+        if self.right.stored_floor(self.back_end.name) < map_version:
+            return False, "floor_not_stored"
+        if self.grants.released_since(map_version):
+            return True, "confirmed"
+        if not self.grants.checks:
+            return self._unchecked_released()
+        if self._ledger.surely_ended(map_version, self.right.held_since_s):
+            return True, "ran_out"
+        return False, "grant_running"
+
+    def _unchecked_released(self) -> tuple[bool, str]:
+        # Such a server keeps no grant: what an earlier dispatcher sent must have ended.
+        quiet_s = self._clock.now_s() - self.right.held_since_s
+        if quiet_s * MS_PER_S >= self._limits.timeout_ms:
+            return True, "confirmed"
+        return False, "earlier_dispatcher"
+
+    def _any_in_flight(self, runs: list[list[int]]) -> bool:
+        return any(
+            first <= slice_id <= last for slice_id in self._slices_in_flight for first, last in runs
+        )
+
+    def _unconfirm(self) -> None:
+        # After a lost connection another incarnation may answer on the address.
+        self._confirmed = False
+        self.grants.wake()
+
+    def _on_reading(self, reading: ServerReading) -> None:
+        changed = bool(self._incarnation) and reading.incarnation != self._incarnation
+        self._incarnation = reading.incarnation
+        self._confirmed = True
+        self._foreign_busy = max(0, reading.busy - self.limit.in_flight)
+        if changed or reading.cold:
+            self.limit.on_cold(self.server.cold_slots)
+        self._pump()
+
+    def _room(self) -> int:
+        """Returns how many more requests may run, less those of an earlier dispatcher."""
+        return self.limit.limit - self.limit.in_flight - self._foreign_busy
+
+    async def _admit(self, forward: Forward) -> Outcome:
+        deadline_s = self._clock.now_s() + forward.timeout_ms / MS_PER_S
+        reason = self._reason_against(forward)
+        if reason:
+            return self._refuse(forward, reason)
+        if self._room() > 0 and not self._waiting:
+            return await self._run(forward, deadline_s)
+        reason = await self._wait(forward, deadline_s) or self._reason_against(forward)
+        if reason:
+            self._pump()
+            return self._refuse(forward, reason)
+        return await self._run(forward, deadline_s)
+
+    def _reason_against(self, forward: Forward) -> str:
+        if not self.right.may_send():
+            return refusals.NOT_DISPATCHER
+        if self.draining:
+            return refusals.SERVER_DRAINING
+        if self.health.state == DOWN:
+            return refusals.SERVER_UNREACHABLE
+        if not self._confirmed:
+            self.grants.wake()
+            return refusals.NOT_CONFIRMED
+        if self.back_end.kind != KIND_KEYED:
+            return ""
+        return self._reason_against_slice(forward.slice_id)
+
+    def _reason_against_slice(self, slice_id: int) -> str:
+        slice_map = self._slice_map()
+        if slice_map is None:
+            return refusals.SLICE_FREE
+        run = slice_map.lookup(slice_id)
+        if run.owner != self.server.name:
+            return refusals.STALE_MAP
+        if run.state != "owned":
+            return refusals.SLICE_MOVING
+        if not self.grants.checks:
+            return ""
+        if self.grants.granted_fence(slice_id) == run.fence:
+            return ""
+        self.grants.wake()
+        return refusals.NOT_GRANTED
+
+    async def _wait(self, forward: Forward, deadline_s: float) -> str:
+        """Waits for a slot; returns why there is none, or an empty string."""
+        ticket = str(next(self._tickets))
+        now_s = self._clock.now_s()
+        self._queue.note_capacity(self.limit.limit, self.limit.latency_ms)
+        item = Waiting(ticket, forward.caller, forward.priority, deadline_s, now_s)
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[str] = loop.create_future()
+        self._waiting[ticket] = future
+        timer = loop.call_later(max(0.0, deadline_s - now_s), self._drop_expired)
+        try:
+            offered = self._queue.offer(item)
+            self._drop_expired()
+            if isinstance(offered, Err):
+                return offered.err_value.reason
+            return await future
+        except asyncio.CancelledError:
+            self._queue.remove(ticket)
+            raise
+        finally:
+            timer.cancel()
+            self._waiting.pop(ticket, None)
+
+    def _drop_expired(self) -> None:
+        for dropped in self._queue.expire(self._clock.now_s()):
+            future = self._waiting.pop(dropped.item.request_id, None)
+            if future is not None and not future.done():
+                future.set_result(dropped.reason)
+
+    def _pump(self) -> None:
+        """Lets waiting requests run while there is room."""
+        room = self._room()
+        while room > 0:
+            item = self._queue.pop(self._clock.now_s())
+            if item is None:
+                break
+            future = self._waiting.pop(item.request_id, None)
+            if future is None or future.done():
+                continue
+            future.set_result("")
+            room -= 1
+        self._drop_expired()
+
+    async def _run(self, forward: Forward, deadline_s: float) -> Outcome:
+        if not self.limit.can_start():
+            return self._refuse(forward, refusals.QUEUE_FULL)
+        self.limit.on_start()
+        self._enter(forward.slice_id)
+        started_s = self._clock.now_s()
+        outcome: Outcome | None = None
+        try:
+            outcome = await self._send(forward, deadline_s)
+            return outcome
+        finally:
+            latency_ms = (self._clock.now_s() - started_s) * MS_PER_S
+            self._leave(forward.slice_id)
+            self._finish(outcome, latency_ms)
+            self._pump()
+
+    def _finish(self, outcome: Outcome | None, latency_ms: float) -> None:
+        shed = isinstance(outcome, Refusal) and outcome.reason == refusals.SERVER_REFUSED
+        if shed:
+            self.limit.on_shed()
+            return
+        self.limit.on_finish(latency_ms, isinstance(outcome, Answer))
+        observe_ms("server_latency_ms", latency_ms, back_end=self.back_end.name)
+
+    async def _send(self, forward: Forward, deadline_s: float) -> Outcome:
+        left_s = deadline_s - self._clock.now_s()
+        if left_s <= 0:
+            return self._refuse(forward, refusals.DEADLINE_EXPIRED)
+        request = self._request(forward, left_s)
+        try:
+            answer = await self._pool.exchange(request, left_s, lambda: self._may_send(forward))
+        except SendRefusedError:
+            return self._refuse(forward, refusals.NOT_DISPATCHER)
+        except NotSentError:
+            self.health.on_failure()
+            self._unconfirm()
+            return self._refuse(forward, refusals.SERVER_UNREACHABLE)
+        except AnswerTimeoutError:
+            return self._refuse(forward, refusals.TIMED_OUT)
+        except AnswerTooLargeError:
+            return self._refuse(forward, refusals.ANSWER_TOO_LARGE)
+        except AnswerLostError:
+            self.health.on_failure()
+            self._unconfirm()
+            return self._refuse(forward, refusals.OUTCOME_UNKNOWN)
+        return self._outcome(forward, answer)
+
+    def _may_send(self, forward: Forward) -> bool:
+        # The last check before the first byte: right, grant and limit at this moment.
+        if self._reason_against(forward):
+            return False
+        check(
+            self.limit.in_flight <= self.server.slots,
+            "in_flight_within_limit",
+            server=self.key,
+            in_flight=self.limit.in_flight,
+        )
+        return check(self.right.may_send(), "no_send_without_right", server=self.key)
+
+    def _request(self, forward: Forward, left_s: float) -> HttpRequest:
+        fence = self.grants.granted_fence(forward.slice_id) if forward.slice_id >= 0 else 0
+        headers = [
+            *forward.headers,
+            [REQUEST_ID_HEADER, forward.request_id],
+            ["X-Timeout-Ms", str(int(left_s * MS_PER_S))],
+            ["X-Dispatch-Fence", str(self.right.fence)],
+        ]
+        if forward.slice_id >= 0:
+            headers.append(["X-Slice", str(forward.slice_id)])
+            headers.append(["X-Slice-Fence", str(fence)])
+        return HttpRequest(forward.method, forward.path, headers, forward.body)
+
+    def _outcome(self, forward: Forward, answer: HttpAnswer) -> Outcome:
+        answered_id = answer.headers.get(REQUEST_ID_HEADER)
+        if answered_id != forward.request_id:
+            log.error("Server %s answered with another request's id.", self.key)
+            return self._refuse(forward, refusals.CROSSED_ANSWER)
+        incarnation = answer.headers.get(INCARNATION_HEADER)
+        if incarnation and incarnation != self._incarnation:
+            self.limit.on_cold(self.server.cold_slots)
+            self._unconfirm()
+        not_run = answer.headers.get(NOT_RUN_HEADER)
+        if answer.status == HTTP_UNAVAILABLE and not_run:
+            count("server_refusals", back_end=self.back_end.name, reason=not_run)
+            self.grants.wake()
+            return self._refuse(forward, refusals.SERVER_REFUSED)
+        headers = [[name, value] for name, value in answer.headers.get_all()]
+        return Answer(
+            forward.call_id,
+            forward.request_id,
+            answer.status,
+            headers,
+            answer.body,
+            self.in_flight(),
+            0.0,
+        )
+
+    def _refuse(self, forward: Forward, reason: str) -> Refusal:
+        row = REFUSALS[reason]
+        slice_map = self._slice_map()
+        version = slice_map.version if slice_map else 0
+        return Refusal(
+            forward.call_id,
+            forward.request_id,
+            reason,
+            row.not_run,
+            row.retry_after_ms,
+            "",
+            version,
+        )
+
+    def _enter(self, slice_id: int) -> None:
+        self._slices_in_flight[slice_id] = self._slices_in_flight.get(slice_id, 0) + 1
+
+    def _leave(self, slice_id: int) -> None:
+        left = self._slices_in_flight[slice_id] - 1
+        if left:
+            self._slices_in_flight[slice_id] = left
+            return
+        del self._slices_in_flight[slice_id]
