Add the links between the system's processes

One task per peer connects, exchanges hellos, reads and reconnects with full jitter up to 1 s. A call needs no task and no wait_for: a future, a call_later timer and a synchronous write. A call that times out starts one probe of the connection; a peer that answers no ping within 1.5 s is closed. Fault switches drop frames by host name or address, by direction. Writing through the connection's own send() was ruled out: it waits for the write buffer and so would hide back-pressure; a full buffer is refused instead, with nothing sent.

--- /dev/null
+++ b/greengagefall/protocol/frames.py
@@ -0,0 +1,98 @@
+"""Reading and writing of single messages on a websocket connection."""
+
+from __future__ import annotations
+
+import logging
+import socket
+from typing import TYPE_CHECKING, Any
+
+from websockets.protocol import State
+
+from greengagefall.protocol.codec import MAX_FRAME_BYTES, decode, encode
+from greengagefall.protocol.exceptions import FrameError, PeerUnreachableError, VersionError
+from greengagefall.protocol.messages import PROTOCOL_VERSION, Hello
+
+if TYPE_CHECKING:
+    from websockets.asyncio.connection import Connection
+
+MAX_WRITE_BUFFER_BYTES = 2 * MAX_FRAME_BYTES
+MAX_QUEUED_FRAMES = 256
+CLOSE_TIMEOUT_S = 0.2
+
+KEEPALIVE_IDLE_S = 10
+KEEPALIVE_INTERVAL_S = 5
+KEEPALIVE_PROBES = 3
+
+wire_log = logging.getLogger("greengagefall.protocol.wire")
+wire_log.setLevel(logging.CRITICAL)
+
+CONNECTION_OPTIONS: dict[str, Any] = {
+    "compression": None,
+    "max_size": MAX_FRAME_BYTES,
+    "max_queue": MAX_QUEUED_FRAMES,
+    "ping_interval": None,
+    "close_timeout": CLOSE_TIMEOUT_S,
+    "logger": wire_log,
+}
+
+
+def write_message(connection: Connection, message: tuple) -> None:
+    """Writes one message without waiting for the peer.
+
+    Raises:
+        FrameError: The message is larger than a frame may be; nothing was sent.
+        PeerUnreachableError: The connection is not open, or the peer does not read;
+            nothing was sent.
+    """
+    if connection.protocol.state is not State.OPEN or connection.transport.is_closing():
+        raise PeerUnreachableError("the connection is closing")
+    if connection.transport.get_write_buffer_size() > MAX_WRITE_BUFFER_BYTES:
+        raise PeerUnreachableError("overloaded: the write buffer is full")
+    frame = encode(message)
+    if len(frame) > MAX_FRAME_BYTES:
+        raise FrameError(f"frame of {len(frame)} bytes is over {MAX_FRAME_BYTES}")
+    connection.protocol.send_binary(frame)
+    connection.send_data()
+
+
+def read_call_id(message: Any) -> int:
+    """Returns the call id of a received message.
+
+    Raises:
+        FrameError: The message has no valid call id.
+    """
+    call_id = getattr(message, "call_id", None)
+    if type(call_id) is not int or call_id < 0:
+        raise FrameError("call_id is not a non-negative integer")
+    return call_id
+
+
+async def read_hello(connection: Connection) -> Hello:
+    """Returns the peer's first message.
+
+    Raises:
+        FrameError: The first message is not a valid hello.
+        VersionError: The peer speaks another protocol version.
+    """
+    message = decode(await connection.recv())
+    if not isinstance(message, Hello):
+        raise FrameError("the first message is not a hello")
+    if message.version != PROTOCOL_VERSION:
+        raise VersionError(f"peer speaks version {message.version!r}, not {PROTOCOL_VERSION}")
+    if not all(isinstance(field, str) for field in message[1:]):
+        raise FrameError("the fields of a hello are strings")
+    return message
+
+
+def enable_keepalive(connection: Connection) -> None:
+    """Lets the operating system notice a dead peer on an idle connection."""
+    sock = connection.transport.get_extra_info("socket")
+    if sock is None:
+        return
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    if not hasattr(socket, "TCP_KEEPIDLE"):
+        return
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
--- /dev/null
+++ b/greengagefall/protocol/link.py
@@ -0,0 +1,312 @@
+"""Client side of a connection to one peer."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+import random
+from typing import TYPE_CHECKING, Any
+
+from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed, WebSocketException
+
+from greengagefall.protocol import faults
+from greengagefall.protocol.codec import decode
+from greengagefall.protocol.exceptions import (
+    FrameError,
+    PeerLostError,
+    PeerTimeoutError,
+    PeerUnreachableError,
+    ProtocolError,
+    VersionError,
+)
+from greengagefall.protocol.frames import (
+    CONNECTION_OPTIONS,
+    enable_keepalive,
+    read_call_id,
+    read_hello,
+    write_message,
+)
+from greengagefall.protocol.messages import Cancel, Forward, Hello
+from greengagefall.utils.metrics import count
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from websockets.asyncio.client import ClientConnection
+
+log = logging.getLogger(__name__)
+
+MAX_OUTSTANDING_CALLS = 4096
+PROBE_TIMEOUT_S = 1.5
+STABLE_AFTER_S = 1.0
+RECONNECT_BASE_S = 0.05
+RECONNECT_CAP_S = 1.0
+
+
+def reconnect_delay_s(attempt: int, rng: random.Random) -> float:
+    """Returns a delay with full jitter before reconnection number ``attempt``, from 0."""
+    ceiling_s = min(RECONNECT_CAP_S, RECONNECT_BASE_S * 2 ** min(attempt, 10))
+    return rng.uniform(0.0, ceiling_s)
+
+
+class PeerLink:
+    """A connection to one peer that reconnects until it is closed.
+
+    Attributes:
+        address: ``IP:port`` of the peer.
+        peer: The peer's hello while connected, else None.
+        blocked: Test switch that drops every frame in both directions.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        hello: Hello,
+        *,
+        on_message: Callable[[Any], None] | None = None,
+        on_connect: Callable[[Hello], None] | None = None,
+        on_disconnect: Callable[[Hello], None] | None = None,
+        connect_timeout_s: float = 1.0,
+    ) -> None:
+        """Prepares the link; ``start`` connects it.
+
+        Args:
+            address: ``IP:port`` of the peer.
+            hello: First message to the peer.
+            on_message: Called with each message that is no reply.
+            on_connect: Called with the peer's hello after each connection.
+            on_disconnect: Called with the peer's hello after each end of a connection.
+            connect_timeout_s: Time for a connection with its exchange of hellos.
+        """
+        self.address = address
+        self.peer: Hello | None = None
+        self.blocked = False
+        self._hello = hello
+        self._on_message = on_message
+        self._on_connect = on_connect
+        self._on_disconnect = on_disconnect
+        self._connect_timeout_s = connect_timeout_s
+        self._connection: ClientConnection | None = None
+        self._waiting: dict[int, asyncio.Future] = {}
+        self._call_ids = itertools.count(1)
+        self._rng = random.Random()
+        self._task: asyncio.Task | None = None
+        self._probe_task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Starts the task that keeps the connection; does not wait for it."""
+        self._task = asyncio.create_task(self._run(), name=f"link {self.address}")
+
+    async def close(self) -> None:
+        """Ends the connection; waiting calls fail with ``PeerLostError``."""
+        tasks = [task for task in (self._task, self._probe_task) if task is not None]
+        self._task = None
+        self._probe_task = None
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    @property
+    def connected(self) -> bool:
+        """Whether a call would be sent now."""
+        return self._connection is not None
+
+    @property
+    def suspect(self) -> bool:
+        """Whether a call timed out and the peer has not answered a probe since."""
+        return self._probe_task is not None
+
+    @property
+    def outstanding(self) -> int:
+        """Number of calls that wait for a reply."""
+        return len(self._waiting)
+
+    def next_call_id(self) -> int:
+        """Returns an unused call id, for a call that may be cancelled."""
+        return next(self._call_ids)
+
+    async def call(self, message: Any, timeout_s: float, *, call_id: int = 0) -> Any:
+        """Sends a request and returns its reply, which may be a ``Failure``.
+
+        A ``Forward`` whose caller is cancelled is cancelled at the peer too.
+
+        Args:
+            message: The request; its ``call_id`` is replaced.
+            timeout_s: Time to wait for the reply.
+            call_id: An id from ``next_call_id``, or 0 to draw one.
+
+        Raises:
+            FrameError: The message is too large; nothing was sent.
+            PeerUnreachableError: Nothing was sent.
+            PeerLostError: The connection ended after the message was written.
+            PeerTimeoutError: The message was written and no reply came in time.
+        """
+        connection = self._connection
+        if connection is None:
+            raise PeerUnreachableError(f"no connection to {self.address}")
+        if len(self._waiting) >= MAX_OUTSTANDING_CALLS:
+            raise PeerUnreachableError("overloaded: too many outstanding calls")
+        call_id = call_id or next(self._call_ids)
+        self._write(connection, message._replace(call_id=call_id))
+        loop = asyncio.get_running_loop()
+        waiter = self._waiting[call_id] = loop.create_future()
+        timer = loop.call_later(timeout_s, self._expire, call_id)
+        try:
+            return await waiter
+        except asyncio.CancelledError:
+            if isinstance(message, Forward):
+                self.send(Cancel(call_id))
+            raise
+        finally:
+            timer.cancel()
+            self._waiting.pop(call_id, None)
+
+    def send(self, message: Any) -> bool:
+        """Writes a message without a reply.
+
+        Returns:
+            Whether it was handed to an open connection.
+        """
+        if self._connection is None:
+            return False
+        try:
+            self._write(self._connection, message)
+        except PeerUnreachableError:
+            return False
+        return True
+
+    async def cancel(self, call_id: int) -> None:
+        """Ends a waiting call with ``PeerTimeoutError`` and cancels it at the peer."""
+        waiter = self._waiting.get(call_id)
+        if waiter is None or waiter.done():
+            return
+        waiter.set_exception(PeerTimeoutError(f"call to {self.address} was cancelled"))
+        self.send(Cancel(call_id))
+
+    def _write(self, connection: ClientConnection, message: Any) -> None:
+        if self._drops_outbound():
+            return
+        write_message(connection, message)
+
+    def _drops_outbound(self) -> bool:
+        host = self.peer.host if self.peer else ""
+        return self.blocked or faults.drops_outbound(host, self.address)
+
+    def _drops_inbound(self) -> bool:
+        host = self.peer.host if self.peer else ""
+        return self.blocked or faults.drops_inbound(host, self.address)
+
+    def _expire(self, call_id: int) -> None:
+        waiter = self._waiting.get(call_id)
+        if waiter is None or waiter.done():
+            return
+        waiter.set_exception(PeerTimeoutError(f"no reply from {self.address}"))
+        count("peer_call_timeouts")
+        if self._connection is not None and self._probe_task is None:
+            probe = self._probe(self._connection)
+            self._probe_task = asyncio.create_task(probe, name=f"probe {self.address}")
+
+    async def _probe(self, connection: ClientConnection) -> None:
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                await (await connection.ping())
+            if self._drops_outbound() or self._drops_inbound():
+                self._abort(connection)
+        except TimeoutError:
+            self._abort(connection)
+        except WebSocketException:
+            pass
+        finally:
+            self._probe_task = None
+
+    def _abort(self, connection: ClientConnection) -> None:
+        log.warning("Peer %s answers no probe. Closing the connection.", self.address)
+        count("peer_probe_failures")
+        connection.transport.abort()
+
+    async def _run(self) -> None:
+        attempt = 0
+        loop = asyncio.get_running_loop()
+        while True:
+            started_s = loop.time()
+            try:
+                await self._connect_and_read()
+            except VersionError as error:
+                log.warning("Peer %s refused: %s.", self.address, error)
+                count("peer_frame_errors", reason="version")
+            except FrameError as error:
+                log.warning("Malformed frame from %s: %s.", self.address, error)
+                count("peer_frame_errors", reason="malformed")
+            except (OSError, TimeoutError, WebSocketException, ProtocolError) as error:
+                log.debug("Connection to %s ended: %r.", self.address, error)
+            if loop.time() - started_s > STABLE_AFTER_S + self._connect_timeout_s:
+                attempt = 0
+            await asyncio.sleep(reconnect_delay_s(attempt, self._rng))
+            attempt += 1
+
+    async def _connect_and_read(self) -> None:
+        if self._drops_outbound() or self._drops_inbound():
+            raise PeerUnreachableError("cut by a fault switch")
+        async with asyncio.timeout(self._connect_timeout_s):
+            connection = await connect(
+                f"ws://{self.address}/", proxy=None, open_timeout=None, **CONNECTION_OPTIONS
+            )
+        peer = None
+        try:
+            async with asyncio.timeout(self._connect_timeout_s):
+                write_message(connection, self._hello)
+                peer = await read_hello(connection)
+            self._opened(connection, peer)
+            await self._read(connection)
+        finally:
+            self._ended(peer)
+            await self._close_connection(connection)
+
+    def _opened(self, connection: ClientConnection, peer: Hello) -> None:
+        enable_keepalive(connection)
+        self.peer = peer
+        self._connection = connection
+        log.debug("Connected to %s at %s.", peer.host, self.address)
+        count("peer_connections")
+        if self._on_connect is not None:
+            self._on_connect(peer)
+
+    def _ended(self, peer: Hello | None) -> None:
+        self._connection = None
+        self.peer = None
+        for waiter in list(self._waiting.values()):
+            if not waiter.done():
+                waiter.set_exception(PeerLostError(f"connection to {self.address} ended"))
+        if peer is not None and self._on_disconnect is not None:
+            self._on_disconnect(peer)
+
+    async def _close_connection(self, connection: ClientConnection) -> None:
+        try:
+            await connection.close()
+        finally:
+            connection.transport.abort()
+
+    async def _read(self, connection: ClientConnection) -> None:
+        while True:
+            try:
+                frame = await connection.recv()
+            except ConnectionClosed:
+                return
+            if self._drops_inbound():
+                continue
+            self._receive(decode(frame))
+
+    def _receive(self, message: Any) -> None:
+        call_id = read_call_id(message)
+        waiter = self._waiting.get(call_id)
+        if waiter is not None:
+            if not waiter.done():
+                waiter.set_result(message)
+            return
+        if call_id:
+            count("peer_late_replies")
+            return
+        if self._on_message is not None:
+            self._on_message(message)
--- /dev/null
+++ b/greengagefall/protocol/server.py
@@ -0,0 +1,247 @@
+"""Server side of the connections with peers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING, Any
+
+from websockets.asyncio.server import serve
+from websockets.exceptions import ConnectionClosed
+from websockets.frames import CloseCode
+
+from greengagefall.protocol import faults
+from greengagefall.protocol.codec import decode
+from greengagefall.protocol.exceptions import (
+    FrameError,
+    PeerUnreachableError,
+    ProtocolError,
+    VersionError,
+)
+from greengagefall.protocol.frames import (
+    CONNECTION_OPTIONS,
+    enable_keepalive,
+    read_call_id,
+    read_hello,
+    write_message,
+)
+from greengagefall.protocol.messages import Cancel, Failure, Hello
+from greengagefall.utils.metrics import count
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from websockets.asyncio.server import Server, ServerConnection
+
+log = logging.getLogger(__name__)
+
+HELLO_TIMEOUT_S = 2.0
+MAX_CONCURRENT_REQUESTS = 1024
+FAILURE_INTERNAL = "internal_error"
+
+
+class _PeerConnection:
+    """One connection with its running requests."""
+
+    def __init__(self, connection: ServerConnection, peer: Hello) -> None:
+        self.connection = connection
+        self.peer = peer
+        self.requests: dict[int, asyncio.Task] = {}
+        self.slots = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
+
+    def write(self, message: Any) -> None:
+        if faults.drops_outbound(self.peer.host, self.peer.address):
+            return
+        write_message(self.connection, message)
+
+
+class PeerServer:
+    """Accepts peers and hands their messages to a handler.
+
+    Requests of one connection run concurrently, up to a bound; beyond it the connection
+    is not read. A ``Cancel`` cancels the task of the request with its call id.
+    """
+
+    def __init__(
+        self,
+        listen: str,
+        hello: Hello,
+        handler: Callable[[Hello, Any], Awaitable[Any] | Any],
+        *,
+        on_connect: Callable[[Hello], None] | None = None,
+        on_disconnect: Callable[[Hello], None] | None = None,
+    ) -> None:
+        """Prepares the server; ``start`` opens its port.
+
+        Args:
+            listen: ``IP:port``; port 0 takes a free one.
+            hello: First message to each peer.
+            handler: Called with the peer's hello and a message. It returns the reply or
+                None, or a coroutine for it, which then runs in a task of its own.
+            on_connect: Called with the hello of a peer that connected.
+            on_disconnect: Called with the hello of a peer whose connection ended.
+        """
+        self._listen = listen
+        self._hello = hello
+        self._handler = handler
+        self._on_connect = on_connect
+        self._on_disconnect = on_disconnect
+        self._server: Server | None = None
+        self._connections: dict[ServerConnection, _PeerConnection] = {}
+        self.address = listen
+
+    async def start(self) -> None:
+        """Opens the port; ``address`` and the hello then carry the real one."""
+        host, port = self._listen.rsplit(":", 1)
+        self._server = await serve(
+            self._serve, host, int(port), open_timeout=HELLO_TIMEOUT_S, **CONNECTION_OPTIONS
+        )
+        bound_port = next(iter(self._server.sockets)).getsockname()[1]
+        self.address = f"{host}:{bound_port}"
+        if self._hello.address.endswith(":0"):
+            self._hello = self._hello._replace(address=self.address)
+
+    async def close(self) -> None:
+        """Ends all connections and running requests, and closes the port."""
+        if self._server is None:
+            return
+        running = []
+        for peer in self._connections.values():
+            running.extend(peer.requests.values())
+        for task in running:
+            task.cancel()
+        self._server.close()
+        await asyncio.gather(*running, return_exceptions=True)
+        await self._server.wait_closed()
+        self._server = None
+
+    @property
+    def hello(self) -> Hello:
+        """First message to each peer."""
+        return self._hello
+
+    def peers(self) -> list[Hello]:
+        """Returns the hellos of the connected peers."""
+        return [peer.peer for peer in self._connections.values()]
+
+    def send_to(self, host: str, message: Any, *, role: str = "entry") -> bool:
+        """Pushes a message to the connections of a host's process.
+
+        Args:
+            host: Name of the host.
+            message: A message with ``call_id`` 0.
+            role: Role of the process at the other end.
+
+        Returns:
+            Whether it was handed to at least one open connection.
+        """
+        sent = False
+        for peer in self._connections.values():
+            if peer.peer.host != host or peer.peer.role != role:
+                continue
+            try:
+                peer.write(message)
+                sent = True
+            except PeerUnreachableError:
+                continue
+        return sent
+
+    async def _serve(self, connection: ServerConnection) -> None:
+        try:
+            peer = await self._exchange_hellos(connection)
+            await self._serve_peer(peer)
+        except VersionError as error:
+            log.warning("Peer refused: %s.", error)
+            await self._close_bad_peer(connection, "version")
+        except FrameError as error:
+            log.warning("Malformed frame: %s.", error)
+            await self._close_bad_peer(connection, "malformed")
+        except (ConnectionClosed, ProtocolError, TimeoutError) as error:
+            log.debug("Connection of a peer ended: %r.", error)
+        finally:
+            connection.transport.abort()
+
+    async def _close_bad_peer(self, connection: ServerConnection, reason: str) -> None:
+        count("peer_frame_errors", reason=reason)
+        await connection.close(CloseCode.PROTOCOL_ERROR, reason)
+
+    async def _exchange_hellos(self, connection: ServerConnection) -> _PeerConnection:
+        enable_keepalive(connection)
+        async with asyncio.timeout(HELLO_TIMEOUT_S):
+            write_message(connection, self._hello)
+            hello = await read_hello(connection)
+        if faults.drops_inbound(hello.host, hello.address):
+            raise PeerUnreachableError("cut by a fault switch")
+        return _PeerConnection(connection, hello)
+
+    async def _serve_peer(self, peer: _PeerConnection) -> None:
+        self._connections[peer.connection] = peer
+        if self._on_connect is not None:
+            self._on_connect(peer.peer)
+        try:
+            await self._read(peer)
+        finally:
+            del self._connections[peer.connection]
+            if self._on_disconnect is not None:
+                self._on_disconnect(peer.peer)
+
+    async def _read(self, peer: _PeerConnection) -> None:
+        while True:
+            try:
+                frame = await peer.connection.recv()
+            except ConnectionClosed as closed:
+                if closed.sent and closed.sent.code == CloseCode.MESSAGE_TOO_BIG:
+                    count("peer_frame_errors", reason="too_large")
+                return
+            if faults.drops_inbound(peer.peer.host, peer.peer.address):
+                continue
+            message = decode(frame)
+            await self._dispatch(peer, message, read_call_id(message))
+
+    async def _dispatch(self, peer: _PeerConnection, message: Any, call_id: int) -> None:
+        if isinstance(message, Cancel):
+            self._cancel(peer, call_id)
+            return
+        await peer.slots.acquire()
+        try:
+            outcome = self._handler(peer.peer, message)
+        except Exception as error:
+            peer.slots.release()
+            self._reply(peer, call_id, self._failure(message, error))
+            return
+        if not asyncio.iscoroutine(outcome):
+            peer.slots.release()
+            self._reply(peer, call_id, outcome)
+            return
+        task = asyncio.create_task(self._run_request(peer, message, call_id, outcome))
+        peer.requests[call_id or -id(task)] = task
+
+    def _cancel(self, peer: _PeerConnection, call_id: int) -> None:
+        task = peer.requests.get(call_id)
+        if task is not None:
+            task.cancel()
+
+    async def _run_request(
+        self, peer: _PeerConnection, message: Any, call_id: int, outcome: Awaitable[Any]
+    ) -> None:
+        try:
+            self._reply(peer, call_id, await outcome)
+        except Exception as error:
+            self._reply(peer, call_id, self._failure(message, error))
+        finally:
+            peer.slots.release()
+            peer.requests.pop(call_id or -id(asyncio.current_task()), None)
+
+    def _failure(self, message: Any, error: Exception) -> Failure:
+        log.error("Handler of %s failed.", type(message).__name__, exc_info=error)
+        count("peer_handler_errors", kind=type(message).__name__)
+        return Failure(0, FAILURE_INTERNAL)
+
+    def _reply(self, peer: _PeerConnection, call_id: int, reply: Any) -> None:
+        if reply is None or not call_id:
+            return
+        try:
+            peer.write(reply._replace(call_id=call_id))
+        except PeerUnreachableError:
+            count("peer_replies_dropped")
+            peer.connection.transport.abort()
--- /dev/null
+++ b/greengagefall/tests/link_tests.py
@@ -0,0 +1,256 @@
+"""Tests of the connections between the system's own processes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+import cbor2
+from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed
+
+from greengagefall.protocol import codec, faults, link
+from greengagefall.protocol.exceptions import (
+    FrameError,
+    PeerLostError,
+    PeerTimeoutError,
+    PeerUnreachableError,
+)
+from greengagefall.protocol.link import PeerLink, reconnect_delay_s
+from greengagefall.protocol.messages import (
+    PROTOCOL_VERSION,
+    Documents,
+    Failure,
+    Fetch,
+    Forward,
+    Heartbeat,
+    HeartbeatReply,
+    Hello,
+    Refusal,
+)
+from greengagefall.protocol.server import PeerServer
+from greengagefall.utils.metrics import snapshot
+
+PATIENCE_S = 20.0
+SHORT_S = 0.05
+
+
+def hello_of(host: str, role: str = "entry", version: int = PROTOCOL_VERSION) -> Hello:
+    return Hello(version, role, host, "ee-north-a", f"{host}-1", "127.0.0.1:0", "")
+
+
+def heartbeat(host: str = "a") -> Heartbeat:
+    return Heartbeat(0, host, 0, "", 0, 0, {})
+
+
+def forward(request_id: str) -> Forward:
+    return Forward(0, request_id, "b", "s", 1, 1, 1, "GET", "/", [], b"", 1000, True, 0, "c", "")
+
+
+def counted(name: str, **labels: str) -> int:
+    rows = [row for row in snapshot() if row["name"] == name and row["labels"] == labels]
+    return sum(row["value"] for row in rows)
+
+
+async def until(condition) -> None:
+    async with asyncio.timeout(PATIENCE_S):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+
+
+class LinkTestCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.seen = []
+        self.hold = asyncio.Event()
+        self.cancelled = []
+        self.server = await self.start_server("127.0.0.1:0")
+        self.link = await self.start_link()
+
+    async def start_server(self, listen: str) -> PeerServer:
+        server = PeerServer(listen, hello_of("b"), self.handle)
+        await server.start()
+        self.addAsyncCleanup(server.close)
+        return server
+
+    async def start_link(self, **options) -> PeerLink:
+        peer_link = PeerLink(self.server.address, hello_of("a"), **options)
+        await peer_link.start()
+        self.addAsyncCleanup(peer_link.close)
+        await until(lambda: peer_link.connected)
+        return peer_link
+
+    async def asyncTearDown(self):
+        faults.heal()
+
+    def handle(self, peer, message):
+        self.seen.append((peer.host, message))
+        if isinstance(message, Heartbeat):
+            return HeartbeatReply(0, "b", "b-1", 0, "", 0, 0, {})
+        if isinstance(message, Fetch):
+            raise ValueError("planted")
+        return self.refuse_later(message)
+
+    async def refuse_later(self, message):
+        try:
+            await self.hold.wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(message.request_id)
+            raise
+        return Refusal(0, message.request_id, "shed", True, 0, "", 0)
+
+
+class CallTests(LinkTestCase):
+    async def test_reply_matches_its_call(self):
+        self.assertEqual(self.link.peer.host, "b")
+        self.assertEqual(self.link.peer.address, self.server.address)
+        calls = [asyncio.create_task(self.link.call(forward(str(i)), 20)) for i in range(50)]
+        await until(lambda: len(self.seen) == 50)
+        reply = await self.link.call(heartbeat(), 20)
+        self.assertIsInstance(reply, HeartbeatReply)
+        self.hold.set()
+        replies = await asyncio.gather(*calls)
+        self.assertEqual([reply.request_id for reply in replies], [str(i) for i in range(50)])
+        self.assertEqual(self.link.outstanding, 0)
+
+    async def test_unreachable_means_nothing_was_sent(self):
+        lonely = PeerLink("127.0.0.1:1", hello_of("a"))
+        await lonely.start()
+        self.addAsyncCleanup(lonely.close)
+        with self.assertRaises(PeerUnreachableError):
+            await lonely.call(heartbeat(), 1)
+        self.assertFalse(lonely.send(heartbeat()))
+
+    async def test_lost_connection_fails_waiting_calls_and_reconnects(self):
+        call = asyncio.create_task(self.link.call(forward("1"), 20))
+        await until(lambda: self.seen)
+        await self.server.close()
+        with self.assertRaises(PeerLostError):
+            await call
+        await self.start_server(self.server.address)
+        await until(lambda: self.link.connected)
+        self.assertIsInstance(await self.link.call(heartbeat(), 20), HeartbeatReply)
+
+    async def test_late_reply_is_dropped_and_counted(self):
+        before = counted("peer_late_replies")
+        with self.assertRaises(PeerTimeoutError):
+            await self.link.call(forward("1"), SHORT_S)
+        self.hold.set()
+        await until(lambda: counted("peer_late_replies") == before + 1)
+        self.assertTrue(self.link.connected)
+        await until(lambda: not self.link.suspect)
+
+    async def test_cancelled_forward_is_cancelled_at_the_peer(self):
+        call = asyncio.create_task(self.link.call(forward("7"), 20))
+        await until(lambda: self.seen)
+        call.cancel()
+        await until(lambda: self.cancelled == ["7"])
+
+    async def test_cancel_by_call_id(self):
+        call_id = self.link.next_call_id()
+        call = asyncio.create_task(self.link.call(forward("8"), 20, call_id=call_id))
+        await until(lambda: self.seen)
+        await self.link.cancel(call_id)
+        with self.assertRaises(PeerTimeoutError):
+            await call
+        await until(lambda: self.cancelled == ["8"])
+
+    async def test_failing_handler_answers_failure(self):
+        with self.assertLogs("greengagefall.protocol.server", "ERROR"):
+            reply = await self.link.call(Fetch(0, {}), 20)
+        self.assertIsInstance(reply, Failure)
+        self.assertTrue(self.link.connected)
+
+    async def test_outstanding_calls_are_bounded(self):
+        previous, link.MAX_OUTSTANDING_CALLS = link.MAX_OUTSTANDING_CALLS, 2
+        self.addCleanup(setattr, link, "MAX_OUTSTANDING_CALLS", previous)
+        calls = [asyncio.create_task(self.link.call(forward(str(i)), 20)) for i in range(2)]
+        await until(lambda: len(self.seen) == 2)
+        with self.assertRaisesRegex(PeerUnreachableError, "overloaded"):
+            await self.link.call(heartbeat(), 1)
+        self.hold.set()
+        await asyncio.gather(*calls)
+
+    async def test_too_large_message_is_not_sent(self):
+        body = bytes(codec.MAX_FRAME_BYTES)
+        with self.assertRaises(FrameError):
+            await self.link.call(forward("1")._replace(body=body), 1)
+        self.assertIsInstance(await self.link.call(heartbeat(), 20), HeartbeatReply)
+
+    async def test_server_pushes_to_a_host(self):
+        pushed = []
+        await self.start_link(on_message=pushed.append)
+        documents = Documents(0, [["config", 1, "whole", "{}"]])
+        self.assertTrue(self.server.send_to("a", documents))
+        self.assertFalse(self.server.send_to("nobody", documents))
+        await until(lambda: pushed == [documents])
+
+
+class FaultTests(LinkTestCase):
+    async def test_cut_peer_times_out_and_heals(self):
+        faults.cut(["b"])
+        with self.assertRaises(PeerTimeoutError):
+            await self.link.call(heartbeat(), SHORT_S)
+        self.assertEqual(self.seen, [])
+        await until(lambda: not self.link.connected)
+        faults.heal()
+        await until(lambda: self.link.connected)
+        self.assertIsInstance(await self.link.call(heartbeat(), 20), HeartbeatReply)
+
+    async def test_blocked_link_sends_nothing(self):
+        self.link.blocked = True
+        with self.assertRaises(PeerTimeoutError):
+            await self.link.call(heartbeat(), SHORT_S)
+        self.assertEqual(self.seen, [])
+
+    def test_reconnect_delay_grows_with_full_jitter_to_a_cap(self):
+        rng = random.Random(1)
+        for attempt in range(100):
+            ceiling_s = min(link.RECONNECT_CAP_S, link.RECONNECT_BASE_S * 2**attempt)
+            self.assertLessEqual(reconnect_delay_s(attempt, rng), ceiling_s)
+        delays = {round(reconnect_delay_s(9, rng), 3) for _ in range(12)}
+        self.assertGreater(len(delays), 6)
+
+
+class BadPeerTests(LinkTestCase):
+    async def send_raw(self, *frames) -> None:
+        """Sends raw frames and waits until the server closes the connection."""
+        async with connect(f"ws://{self.server.address}/", proxy=None) as raw:
+            try:
+                for frame in frames:
+                    await raw.send(frame)
+                async with asyncio.timeout(PATIENCE_S):
+                    while True:
+                        await raw.recv()
+            except ConnectionClosed:
+                return
+
+    async def test_malformed_frames_close_that_peer_only(self):
+        good = codec.encode(hello_of("x"))
+        bad = [b"\xff", "text", cbor2.dumps(["cancel", -1]), cbor2.dumps(["cancel", [1]])]
+        bad.append(codec.encode(hello_of("y")))
+        before = counted("peer_frame_errors", reason="malformed")
+        for frame in bad:
+            with self.subTest(frame=frame):
+                await self.send_raw(good, frame)
+        await self.send_raw(b"no hello")
+        await self.send_raw(cbor2.dumps(["hello", 1, 2, 3, 4, 5, 6, 7]))
+        self.assertEqual(counted("peer_frame_errors", reason="malformed"), before + len(bad) + 2)
+        self.assertIsInstance(await self.link.call(heartbeat(), 20), HeartbeatReply)
+
+    async def test_other_version_is_refused_by_both_sides(self):
+        before = counted("peer_frame_errors", reason="version")
+        old = PeerLink(self.server.address, hello_of("old", version=0))
+        await old.start()
+        self.addAsyncCleanup(old.close)
+        await until(lambda: counted("peer_frame_errors", reason="version") > before)
+        self.assertNotIn("old", [peer.host for peer in self.server.peers()])
+        new = PeerServer("127.0.0.1:0", hello_of("new", version=9), self.handle)
+        await new.start()
+        self.addAsyncCleanup(new.close)
+        refused = PeerLink(new.address, hello_of("a"))
+        await refused.start()
+        self.addAsyncCleanup(refused.close)
+        before = counted("peer_frame_errors", reason="version")
+        await until(lambda: counted("peer_frame_errors", reason="version") > before)
+        self.assertFalse(refused.connected)
