--- /dev/null
+++ b/greengagefall/standins/backend_records.py
@@ -0,0 +1,146 @@
+"""What a backend server stand-in records for the oracle."""
+
+from __future__ import annotations
+
+import json
+import os
+import time
+from collections import deque
+from typing import TYPE_CHECKING, Any, TypedDict
+
+if TYPE_CHECKING:
+    from greengagefall.coordination.model import GrantRun
+
+DEFAULT_MAX_RECORDS = 500_000
+JOURNAL_FLAGS = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+
+OUTCOME_PENDING = "pending"
+OUTCOME_RUNNING = "running"
+OUTCOME_RUN = "run"
+OUTCOME_STOPPED = "stopped"
+OUTCOME_NOT_RUN = "not_run"
+
+
+class RequestRecord(TypedDict):
+    """One request.
+
+    Times are seconds of ``time.time()``; ``started_s`` is 0 for a request that never ran.
+    ``outcome`` is ``run``, ``stopped`` (started, then cancelled or its grant ended),
+    ``not_run``, or ``pending`` or ``running`` for one that is still here.
+    """
+
+    request_id: str
+    method: str
+    path: str
+    slice: int
+    slice_fence: int
+    dispatch_fence: int
+    arrived_s: float
+    started_s: float
+    ended_s: float
+    outcome: str
+    reason: str
+    in_flight: int
+    cold: bool
+    incarnation: str
+
+
+class GrantRecord(TypedDict):
+    """A grant held from ``from_s`` to ``until_s`` without change, in ``time.time()``."""
+
+    fence: int
+    map_version: int
+    runs: list[list[int]]
+    from_s: float
+    until_s: float
+    incarnation: str
+
+
+class ColdRecord(TypedDict):
+    """A cold start from ``from_s`` to ``until_s``; ``refused_s`` is its first refusal or 0."""
+
+    from_s: float
+    until_s: float
+    cold_slots: int
+    announced: bool
+    refused_s: float
+    incarnation: str
+
+
+class Records:
+    """Bounded records of one server process.
+
+    Args:
+        server: Name of the server.
+        incarnation: Id of the process.
+        max_requests: Requests kept; older ones are dropped and counted.
+        journal: File that gets each record as a JSON line, so that it outlives a kill.
+    """
+
+    def __init__(self, server: str, incarnation: str, max_requests: int, journal: str = "") -> None:
+        self.server = server
+        self.incarnation = incarnation
+        self.dropped = 0
+        self.requests: deque[RequestRecord] = deque(maxlen=max_requests)
+        self.grants: list[GrantRecord] = []
+        self.colds: list[ColdRecord] = []
+        self._wall_offset_s = time.time() - time.monotonic()
+        self._journal_fd = os.open(journal, JOURNAL_FLAGS, 0o644) if journal else -1
+
+    def close(self) -> None:
+        """Closes the journal."""
+        if self._journal_fd >= 0:
+            os.close(self._journal_fd)
+            self._journal_fd = -1
+
+    def wall_s(self, monotonic_s: float) -> float:
+        """Returns the time of day of a monotonic time."""
+        return monotonic_s + self._wall_offset_s
+
+    def add_request(self, record: RequestRecord) -> None:
+        """Keeps the record of a request that just arrived."""
+        if len(self.requests) == self.requests.maxlen:
+            self.dropped += 1
+        self.requests.append(record)
+
+    def note(self, kind: str, record: Any) -> None:
+        """Writes the present state of a record into the journal."""
+        if self._journal_fd < 0:
+            return
+        row = {"kind": kind, "server": self.server, "record": record}
+        os.write(self._journal_fd, json.dumps(row).encode() + b"\n")
+
+    def hold_grant(
+        self, fence: int, map_version: int, runs: tuple[GrantRun, ...], now_s: float, until_s: float
+    ) -> None:
+        """Records that a grant was accepted; a renewal extends the last record."""
+        from_s, end_s = self.wall_s(now_s), self.wall_s(until_s)
+        rows = [list(run) for run in runs]
+        last = self.grants[-1] if self.grants else None
+        if last is not None and last["until_s"] > from_s:
+            same = (last["fence"], last["map_version"], last["runs"]) == (fence, map_version, rows)
+            last["until_s"] = end_s if same else from_s
+            self.note("grant", last)
+            if same:
+                return
+        record = GrantRecord(
+            fence=fence,
+            map_version=map_version,
+            runs=rows,
+            from_s=from_s,
+            until_s=end_s,
+            incarnation=self.incarnation,
+        )
+        self.grants.append(record)
+        self.note("grant", record)
+
+    def as_json(self) -> dict[str, Any]:
+        """Returns everything as one JSON object."""
+        return {
+            "server": self.server,
+            "incarnation": self.incarnation,
+            "dropped": self.dropped,
+            "requests": list(self.requests),
+            "grants": self.grants,
+            "colds": self.colds,
+        }
--- /dev/null
+++ b/greengagefall/standins/backend_work.py
@@ -0,0 +1,383 @@
+"""Slots, backlog, cold start and running work of a backend server stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter, deque
+from typing import NamedTuple
+from uuid import uuid4
+
+from greengagefall.standins.backend_faults import BackendFaults
+from greengagefall.standins.backend_grants import Grant, refusal_of_grant, refusal_of_request
+from greengagefall.standins.backend_records import (
+    OUTCOME_NOT_RUN,
+    OUTCOME_PENDING,
+    OUTCOME_RUN,
+    OUTCOME_RUNNING,
+    OUTCOME_STOPPED,
+    ColdRecord,
+    Records,
+    RequestRecord,
+)
+
+COLD_SERVICE_FACTOR = 2.0
+FALL_OVER_FACTOR = 4.0
+FALL_OVER_S = 0.5
+LOAD_SAMPLES = 4096
+
+
+class BackendSettings(NamedTuple):
+    """Settings of a backend server stand-in.
+
+    Attributes:
+        listen: ``IP:port``.
+        name: Name of the server.
+        slots: Requests it runs at once.
+        backlog: Requests that wait for a slot, at most.
+        service_ms: Time that a request takes in a slot.
+        checks_orders: Whether it checks grants and fences.
+        cold_s: Length of the cold start after the process starts.
+        cold_slots: Requests it bears at once in cold start.
+        max_records: Requests it keeps records of.
+        journal: File that gets each record, empty for none.
+    """
+
+    listen: str
+    name: str
+    slots: int = 6
+    backlog: int = 6
+    service_ms: float = 5.0
+    checks_orders: bool = True
+    cold_s: float = 0.0
+    cold_slots: int = 1
+    max_records: int = 500_000
+    journal: str = ""
+
+
+class WorkRequest(NamedTuple):
+    """A request as it arrived."""
+
+    request_id: str
+    method: str
+    path: str
+    slice_id: int
+    slice_fence: int
+    dispatch_fence: int
+    deadline_s: float
+    work_ms: float
+
+
+class WorkResult(NamedTuple):
+    """How a request ended; ``run`` counts the runs of its id at this process."""
+
+    outcome: str
+    reason: str
+    run: int
+    value: int
+
+
+class _Work:
+    """A request that waits or runs."""
+
+    def __init__(self, request: WorkRequest, record: RequestRecord) -> None:
+        self.request = request
+        self.record = record
+        self.cancelled = False
+        self.wake: asyncio.Future[None] | None = None
+
+    def wake_up(self) -> None:
+        if self.wake is not None and not self.wake.done():
+            self.wake.set_result(None)
+
+
+class BackendWork:
+    """The server's state: its grant, its slots and what it runs."""
+
+    def __init__(self, settings: BackendSettings) -> None:
+        self.settings = settings
+        self.incarnation = uuid4().hex[:12]
+        self.grant: Grant | None = None
+        self.faults = BackendFaults()
+        self.records = Records(
+            settings.name, self.incarnation, settings.max_records, settings.journal
+        )
+        self._open = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._running: set[_Work] = set()
+        self._waiting: deque[_Work] = deque()
+        self._by_id: dict[str, _Work] = {}
+        self._runs: Counter[str] = Counter()
+        self._values: Counter[str] = Counter()
+        self._cold_until_s = 0.0
+        self._cold_announced = True
+        self._fallen_until_s = 0.0
+        self._load: deque[tuple[float, int]] = deque(maxlen=LOAD_SAMPLES)
+        if settings.cold_s > 0:
+            self.turn_cold(settings.cold_s, announced=True)
+
+    @property
+    def busy(self) -> int:
+        """Requests that run now."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait for a slot."""
+        return len(self._waiting)
+
+    def now_ms(self) -> int:
+        """Returns the server's monotonic clock."""
+        return int(time.monotonic() * 1000)
+
+    def is_cold(self) -> bool:
+        """Returns whether the server is in cold start."""
+        return time.monotonic() < self._cold_until_s
+
+    def says_cold(self) -> bool:
+        """Returns whether the server announces that it is in cold start."""
+        return self._cold_announced and self.is_cold()
+
+    def turn_cold(self, cold_s: float, *, announced: bool) -> None:
+        """Starts a cold start of ``cold_s`` seconds."""
+        now_s = time.monotonic()
+        self._cold_until_s = now_s + cold_s
+        self._cold_announced = announced
+        record = ColdRecord(
+            from_s=self.records.wall_s(now_s),
+            until_s=self.records.wall_s(self._cold_until_s),
+            cold_slots=self.settings.cold_slots,
+            announced=announced,
+            refused_s=0.0,
+            incarnation=self.incarnation,
+        )
+        self.records.colds.append(record)
+        self.records.note("cold", record)
+
+    async def wait_idle(self) -> None:
+        """Waits until no request runs or waits."""
+        await self._idle.wait()
+
+    def load_reported(self) -> int:
+        """Returns the busy slots as the load endpoint reports them."""
+        if self.faults.reported_busy >= 0:
+            return self.faults.reported_busy
+        if self.faults.load_lag_s <= 0:
+            return self.busy
+        seen_s = time.monotonic() - self.faults.load_lag_s
+        reported = 0
+        for at_s, busy in self._load:
+            if at_s > seen_s:
+                break
+            reported = busy
+        return reported
+
+    def offer_grant(self, incarnation: str, offered: Grant) -> str:
+        """Takes a grant, or returns why it is refused."""
+        if incarnation != self.incarnation:
+            return "other_incarnation"
+        refusal = refusal_of_grant(self.grant, offered)
+        if refusal:
+            return refusal
+        held = self.grant
+        if held is not None and held._replace(until_ms=0) == offered._replace(until_ms=0):
+            offered = offered._replace(until_ms=max(held.until_ms, offered.until_ms))
+        self.grant = offered
+        now_s = time.monotonic()
+        self.records.hold_grant(
+            offered.fence,
+            offered.map_version,
+            offered.runs,
+            now_s,
+            max(now_s, offered.until_ms / 1000),
+        )
+        return ""
+
+    def has_released(self) -> bool:
+        """Returns whether no request runs on a slice outside the grant."""
+        grant = self.grant
+        slices = {work.request.slice_id for work in self._running}
+        return all(
+            slice_id < 0 or (grant is not None and grant.run_of(slice_id) is not None)
+            for slice_id in slices
+        )
+
+    def cancel(self, request_id: str) -> str:
+        """Cancels a request; returns ``waiting``, ``running`` or ``unknown``."""
+        work = self._by_id.get(request_id)
+        if work is None:
+            return "unknown"
+        state = "running" if work in self._running else "waiting"
+        work.cancelled = True
+        work.wake_up()
+        return state
+
+    async def handle(self, request: WorkRequest) -> WorkResult:
+        """Runs a request, or refuses it, and records either."""
+        record = self._new_record(request)
+        refusal = self._refusal_on_arrival(request, record)
+        if refusal:
+            return self._not_run(record, refusal)
+        work = _Work(request, record)
+        self._by_id[request.request_id] = work
+        self._open += 1
+        self._idle.clear()
+        try:
+            refusal = await self._wait_for_slot(work)
+            if refusal:
+                return self._not_run(record, refusal)
+            return await self._run(work)
+        finally:
+            self._by_id.pop(request.request_id, None)
+            self._open -= 1
+            if self._open == 0:
+                self._idle.set()
+
+    def _new_record(self, request: WorkRequest) -> RequestRecord:
+        now_s = self.records.wall_s(time.monotonic())
+        record = RequestRecord(
+            request_id=request.request_id,
+            method=request.method,
+            path=request.path,
+            slice=request.slice_id,
+            slice_fence=request.slice_fence,
+            dispatch_fence=request.dispatch_fence,
+            arrived_s=now_s,
+            started_s=0.0,
+            ended_s=0.0,
+            outcome=OUTCOME_PENDING,
+            reason="",
+            in_flight=self.busy + self.waiting,
+            cold=self.is_cold(),
+            incarnation=self.incarnation,
+        )
+        self.records.add_request(record)
+        return record
+
+    def _not_run(self, record: RequestRecord, reason: str) -> WorkResult:
+        record["outcome"] = OUTCOME_NOT_RUN
+        record["reason"] = reason
+        record["ended_s"] = self.records.wall_s(time.monotonic())
+        self.records.note("request", record)
+        return WorkResult(OUTCOME_NOT_RUN, reason, 0, 0)
+
+    def _refusal_on_arrival(self, request: WorkRequest, record: RequestRecord) -> str:
+        refusal = self._refusal_to_start(request)
+        if refusal:
+            return refusal
+        if self.faults.draining:
+            return "draining"
+        if self.faults.shedding:
+            return "shedding"
+        if self.is_cold() and record["in_flight"] >= self.settings.cold_slots:
+            self._fall_over()
+            return "cold"
+        if self.waiting >= self.settings.backlog and self.busy >= self.settings.slots:
+            return "shedding"
+        return ""
+
+    def _refusal_to_start(self, request: WorkRequest) -> str:
+        if time.monotonic() >= request.deadline_s:
+            return "deadline"
+        if not self.settings.checks_orders:
+            return ""
+        return refusal_of_request(
+            self.grant,
+            self.now_ms(),
+            request.dispatch_fence,
+            request.slice_id,
+            request.slice_fence,
+        )
+
+    def _fall_over(self) -> None:
+        now_s = time.monotonic()
+        self._fallen_until_s = now_s + FALL_OVER_S
+        record = self.records.colds[-1]
+        if record["refused_s"] == 0.0:
+            record["refused_s"] = self.records.wall_s(now_s)
+            self.records.note("cold", record)
+
+    async def _wait_for_slot(self, work: _Work) -> str:
+        """Waits until a slot is free and takes it; returns why the request may not start."""
+        while self.busy >= self.settings.slots and not work.cancelled:
+            work.wake = asyncio.get_running_loop().create_future()
+            self._waiting.append(work)
+            try:
+                await work.wake
+            finally:
+                if work in self._waiting:
+                    self._waiting.remove(work)
+        refusal = "cancelled" if work.cancelled else self._refusal_to_start(work.request)
+        if refusal:
+            self._wake_next()
+        return refusal
+
+    def _wake_next(self) -> None:
+        if self._waiting and self.busy < self.settings.slots:
+            self._waiting.popleft().wake_up()
+
+    async def _run(self, work: _Work) -> WorkResult:
+        request, record = work.request, work.record
+        self._running.add(work)
+        self._note_load()
+        started_s = time.monotonic()
+        record["started_s"] = self.records.wall_s(started_s)
+        record["outcome"] = OUTCOME_RUNNING
+        self._runs[request.request_id] += 1
+        self.records.note("request", record)
+        try:
+            stopped = await self._work_until(work, started_s + self._service_s(request))
+        finally:
+            self._running.discard(work)
+            self._note_load()
+            self._wake_next()
+        record["outcome"] = OUTCOME_STOPPED if stopped else OUTCOME_RUN
+        record["reason"] = stopped
+        record["ended_s"] = self.records.wall_s(self._work_end_s(request, stopped))
+        self.records.note("request", record)
+        if not stopped and request.method not in ("GET", "HEAD"):
+            self._values[request.path] += 1
+        run, value = self._runs[request.request_id], self._values[request.path]
+        return WorkResult(record["outcome"], stopped, run, value)
+
+    def _service_s(self, request: WorkRequest) -> float:
+        service_s = request.work_ms / 1000 * self.faults.slow_factor
+        if self.is_cold():
+            service_s *= COLD_SERVICE_FACTOR
+        if time.monotonic() < self._fallen_until_s:
+            service_s *= FALL_OVER_FACTOR
+        return service_s
+
+    async def _work_until(self, work: _Work, end_s: float) -> str:
+        """Works until ``end_s``; returns why it stopped early.
+
+        Work on a slice stops when the grant runs out, so that it never overlaps with
+        the work of a later owner, even when the process was frozen meanwhile.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            limit_s = self._grant_end_s(work.request)
+            now_s = time.monotonic()
+            if now_s >= min(end_s, limit_s):
+                return "" if end_s <= limit_s else "grant_ended"
+            if work.cancelled:
+                return "cancelled"
+            work.wake = loop.create_future()
+            timer = loop.call_later(min(end_s, limit_s) - now_s, work.wake_up)
+            try:
+                await work.wake
+            finally:
+                timer.cancel()
+
+    def _grant_end_s(self, request: WorkRequest) -> float:
+        if not self.settings.checks_orders or request.slice_id < 0 or self.grant is None:
+            return float("inf")
+        return self.grant.until_ms / 1000
+
+    def _work_end_s(self, request: WorkRequest, stopped: str) -> float:
+        now_s = time.monotonic()
+        return min(now_s, self._grant_end_s(request)) if stopped == "grant_ended" else now_s
+
+    def _note_load(self) -> None:
+        self._load.append((time.monotonic(), self.busy))
