--- /dev/null
+++ b/greengagefall/config/options.py
@@ -0,0 +1,297 @@
+"""Declarative, checked settings.
+
+A settings class lists its options as class attributes. Each option is a flag
+(``--http-listen``) and an environment variable (``GREENGAGEFALL_HTTP_LISTEN``);
+the flag goes before the variable.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Any, Generic, TypeVar
+
+from result import Err, Ok, Result
+
+from greengagefall.config.exceptions import SettingsError
+from greengagefall.routing.addresses import ADDRESS_RULE, is_address
+from greengagefall.routing.fields import NAME_PATTERN, NAME_RULE
+
+ENV_PREFIX = "GREENGAGEFALL_"
+TRUE_TEXTS = ("true", "1", "yes", "on")
+FALSE_TEXTS = ("false", "0", "no", "off")
+
+Value = TypeVar("Value")
+
+
+class Required:
+    """Marks an option without a default."""
+
+
+REQUIRED = Required()
+
+
+class Option(Generic[Value]):
+    """One setting; subclasses check and convert its text.
+
+    Attributes:
+        name: Name of the attribute, set by the class that holds the option.
+        default: Value when nothing is given, or ``REQUIRED``.
+        help: One sentence for ``--help`` and the reference.
+        multiple: Whether the flag may be repeated.
+        is_flag: Whether the flag takes no value.
+        metavar: Stands for the value in ``--help``.
+    """
+
+    metavar = "VALUE"
+    multiple = False
+    is_flag = False
+
+    def __init__(self, default: Value | Required = REQUIRED, *, help: str) -> None:
+        self.name = ""
+        self.default = default
+        self.help = help
+
+    def __set_name__(self, owner: type, name: str) -> None:
+        self.name = name
+
+    def __get__(self, instance: Settings | None, owner: type) -> Any:
+        """Returns the value in ``instance``, or the option itself for the class."""
+        if instance is None:
+            return self
+        return instance.values[self.name]
+
+    @property
+    def flag(self) -> str:
+        """The flag, such as ``--http-listen``."""
+        return "--" + self.name.replace("_", "-")
+
+    @property
+    def env_var(self) -> str:
+        """The environment variable, such as ``GREENGAGEFALL_HTTP_LISTEN``."""
+        return ENV_PREFIX + self.name.upper()
+
+    @property
+    def required(self) -> bool:
+        """Whether a value must be given."""
+        return isinstance(self.default, Required)
+
+    @property
+    def allowed(self) -> str:
+        """What values are allowed, as the end of an error message."""
+        raise NotImplementedError
+
+    def validate(self, value: object) -> Result[Value, str]:
+        """Converts ``value``, text or already converted, or says why it is not allowed."""
+        converted = self.convert(value)
+        if converted is None:
+            return Err(f"{value!r} is not allowed; allowed is {self.allowed}")
+        return Ok(converted)
+
+    def convert(self, value: object) -> Value | None:
+        """Returns the converted value, or None if it is not allowed."""
+        raise NotImplementedError
+
+
+class Name(Option[str]):
+    """Name of a host or availability zone."""
+
+    metavar = "NAME"
+
+    @property
+    def allowed(self) -> str:
+        """What values are allowed."""
+        return NAME_RULE
+
+    def convert(self, value: object) -> str | None:
+        """Returns the name, or None if it is not allowed."""
+        if isinstance(value, str) and NAME_PATTERN.fullmatch(value):
+            return value
+        return None
+
+
+class IpPort(Option[str]):
+    """Address in the form ``IP:port``; an empty default means none."""
+
+    metavar = "IP:PORT"
+
+    @property
+    def allowed(self) -> str:
+        """What values are allowed."""
+        return ADDRESS_RULE
+
+    def convert(self, value: object) -> str | None:
+        """Returns the address, or None if it is not allowed."""
+        if isinstance(value, str) and (is_address(value) or value == self.default):
+            return value
+        return None
+
+
+class IpPorts(Option[tuple[str, ...]]):
+    """Any number of addresses; the variable separates them by commas or spaces."""
+
+    metavar = "IP:PORT"
+    multiple = True
+
+    @property
+    def allowed(self) -> str:
+        """What values are allowed."""
+        return ADDRESS_RULE
+
+    def convert(self, value: object) -> tuple[str, ...] | None:
+        """Returns the addresses, or None if one is not allowed."""
+        parts = value.replace(",", " ").split() if isinstance(value, str) else value
+        if not isinstance(parts, (tuple, list)):
+            return None
+        if not all(isinstance(part, str) and is_address(part) for part in parts):
+            return None
+        return tuple(parts)
+
+
+class Integer(Option[int]):
+    """Integer in a range."""
+
+    metavar = "NUMBER"
+
+    def __init__(
+        self, default: int | Required = REQUIRED, *, least: int, most: int, help: str
+    ) -> None:
+        super().__init__(default, help=help)
+        self.least = least
+        self.most = most
+
+    @property
+    def allowed(self) -> str:
+        """What values are allowed."""
+        return f"an integer from {self.least} to {self.most}"
+
+    def convert(self, value: object) -> int | None:
+        """Returns the integer, or None if it is not allowed."""
+        try:
+            number = int(str(value))
+        except ValueError:
+            return None
+        return number if self.least <= number <= self.most else None
+
+
+class DurationS(Option[float]):
+    """Duration in seconds, in a range."""
+
+    metavar = "SECONDS"
+
+    def __init__(
+        self, default: float | Required = REQUIRED, *, least: float, most: float, help: str
+    ) -> None:
+        super().__init__(default, help=help)
+        self.least = least
+        self.most = most
+
+    @property
+    def allowed(self) -> str:
+        """What values are allowed."""
+        return f"seconds from {self.least:g} to {self.most:g}"
+
+    def convert(self, value: object) -> float | None:
+        """Returns the seconds, or None if they are not allowed."""
+        try:
+            seconds = float(str(value))
+        except ValueError:
+            return None
+        if not math.isfinite(seconds) or not self.least <= seconds <= self.most:
+            return None
+        return seconds
+
+
+class Choice(Option[str]):
+    """One of several words."""
+
+    metavar = "WORD"
+
+    def __init__(
+        self, default: str | Required = REQUIRED, *, choices: tuple[str, ...], help: str
+    ) -> None:
+        super().__init__(default, help=help)
+        self.choices = choices
+
+    @property
+    def allowed(self) -> str:
+        """What values are allowed."""
+        return "one of " + ", ".join(self.choices)
+
+    def convert(self, value: object) -> str | None:
+        """Returns the word, or None if it is not allowed."""
+        return value if isinstance(value, str) and value in self.choices else None
+
+
+class Switch(Option[bool]):
+    """A flag without a value; off unless given."""
+
+    is_flag = True
+
+    def __init__(self, default: bool = False, *, help: str) -> None:
+        super().__init__(default, help=help)
+
+    @property
+    def allowed(self) -> str:
+        """What values are allowed."""
+        return "true or false"
+
+    def convert(self, value: object) -> bool | None:
+        """Returns the boolean, or None if it is not allowed."""
+        text = str(value).lower()
+        if text in TRUE_TEXTS:
+            return True
+        return False if text in FALSE_TEXTS else None
+
+
+class Settings:
+    """Base class of the settings of one program.
+
+    Attributes:
+        values: Checked values by option name.
+    """
+
+    def __init__(self, **given: object) -> None:
+        """Checks the given values and takes defaults for the others.
+
+        Args:
+            **given: Values by option name, as text or already converted.
+
+        Raises:
+            SettingsError: A value is missing or not allowed.
+        """
+        self.values: dict[str, Any] = {}
+        options = self.options()
+        for name in given:
+            if name not in options:
+                raise SettingsError(name, f"unknown; known are {', '.join(options)}")
+        for name, option in options.items():
+            self.values[name] = _checked_value(option, given)
+        self.check()
+
+    @classmethod
+    def options(cls) -> dict[str, Option]:
+        """Returns the options by name, those of base classes first."""
+        found: dict[str, Option] = {}
+        for owner in reversed(cls.__mro__):
+            for name, value in vars(owner).items():
+                if isinstance(value, Option):
+                    found[name] = value
+        return found
+
+    def check(self) -> None:
+        """Checks rules between options.
+
+        Raises:
+            SettingsError: A rule is broken.
+        """
+
+
+def _checked_value(option: Option, given: dict[str, object]) -> Any:
+    if option.name not in given:
+        if option.required:
+            raise SettingsError(option.flag, f"is required; allowed is {option.allowed}")
+        return option.default
+    checked = option.validate(given[option.name])
+    if isinstance(checked, Err):
+        raise SettingsError(option.flag, checked.err_value)
+    return checked.ok_value
