--- a/greengagefall/standins/backend_faults.py
+++ b/greengagefall/standins/backend_faults.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 
 class BackendFaults(NamedTuple):
@@ -29,20 +29,3 @@
     reported_health: str = ""
     draining: bool = False
     shedding: bool = False
-
-
-def change_faults(faults: NamedTuple, changes: dict[str, Any]) -> Any:
-    """Returns ``faults`` with some fields changed.
-
-    Raises:
-        ValueError: A field is unknown or its value has another type.
-    """
-    for name, value in changes.items():
-        if name not in faults._fields:
-            raise ValueError(f"unknown fault {name!r}; known: {', '.join(faults._fields)}")
-        wanted = type(getattr(faults, name))
-        if wanted is float and type(value) is int:
-            continue
-        if type(value) is not wanted:
-            raise ValueError(f"{name} is a {wanted.__name__}, not {value!r}")
-    return faults._replace(**changes)
--- a/greengagefall/standins/backend_server.py
+++ b/greengagefall/standins/backend_server.py
@@ -16,7 +16,6 @@
 import click
 import tornado.web
 
-from greengagefall.standins.backend_faults import change_faults
 from greengagefall.standins.backend_grants import parse_grant
 from greengagefall.standins.backend_records import (
     DEFAULT_MAX_RECORDS,
@@ -29,6 +28,7 @@
     WorkRequest,
     WorkResult,
 )
+from greengagefall.standins.faults import change_faults
 from greengagefall.standins.http import HttpListener, JsonHandler, serve_until_stopped
 from greengagefall.utils.logs import setup_logging
 
--- /dev/null
+++ b/greengagefall/standins/kv_json.py
@@ -0,0 +1,132 @@
+"""The etcd v3 JSON forms of items, events, compares and operations."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from typing import TYPE_CHECKING, Any
+
+from greengagefall.standins.kv_state import (
+    EVENT_DELETE,
+    MAX_TXN_OPS,
+    DeleteOp,
+    Event,
+    Item,
+    PutOp,
+)
+
+if TYPE_CHECKING:
+    from greengagefall.standins.kv_state import KvState
+
+MAX_VALUE_BYTES = 1024 * 1024
+
+RESULTS = {
+    "EQUAL": lambda left, right: left == right,
+    "NOT_EQUAL": lambda left, right: left != right,
+    "GREATER": lambda left, right: left > right,
+    "LESS": lambda left, right: left < right,
+}
+TARGETS = {
+    "VERSION": ("version", "version"),
+    "CREATE": ("create_revision", "create_revision"),
+    "MOD": ("mod_revision", "mod_revision"),
+    "LEASE": ("lease", "lease_id"),
+}
+
+
+def from_base64(text: Any) -> bytes:
+    """Returns the bytes of a base64 field; an absent one is empty.
+
+    Raises:
+        ValueError: It is not base64.
+    """
+    try:
+        return base64.b64decode(text or "", validate=True)
+    except (binascii.Error, TypeError) as error:
+        raise ValueError(f"illegal base64 data: {text!r}") from error
+
+
+def without_zeros(fields: dict[str, Any]) -> dict[str, Any]:
+    """Returns the fields as the gateway writes them: zeros left out, numbers as strings."""
+    return {
+        name: str(value) if type(value) is int else value for name, value in fields.items() if value
+    }
+
+
+def item_json(item: Item) -> dict[str, Any]:
+    """Returns the JSON form of an item."""
+    return without_zeros(
+        {
+            "key": base64.b64encode(item.key).decode(),
+            "value": base64.b64encode(item.value).decode(),
+            "create_revision": item.create_revision,
+            "mod_revision": item.mod_revision,
+            "version": item.version,
+            "lease": item.lease_id,
+        }
+    )
+
+
+def event_json(event: Event) -> dict[str, Any]:
+    """Returns the JSON form of an event; ``PUT`` is the default type and left out."""
+    kind = {"type": event.kind} if event.kind == EVENT_DELETE else {}
+    return {**kind, "kv": item_json(event.item)}
+
+
+def read_put(body: dict[str, Any]) -> PutOp:
+    """Returns the put operation in a request.
+
+    Raises:
+        ValueError: It is malformed or too large.
+    """
+    key, value = from_base64(body.get("key")), from_base64(body.get("value"))
+    if not key:
+        raise ValueError("etcdserver: key is not provided")
+    if len(value) > MAX_VALUE_BYTES:
+        raise ValueError("etcdserver: request is too large")
+    return PutOp(key, value, int(body.get("lease", 0)))
+
+
+def read_delete(body: dict[str, Any]) -> DeleteOp:
+    """Returns the delete operation in a request."""
+    return DeleteOp(from_base64(body.get("key")), from_base64(body.get("range_end")))
+
+
+def read_ops(rows: list[dict[str, Any]]) -> list[PutOp | DeleteOp]:
+    """Returns the operations of one branch of a transaction.
+
+    Raises:
+        ValueError: One is malformed or unsupported, or there are too many.
+    """
+    if len(rows) > MAX_TXN_OPS:
+        raise ValueError("etcdserver: too many operations in txn request")
+    ops: list[PutOp | DeleteOp] = []
+    for row in rows:
+        put = row.get("request_put") or row.get("requestPut")
+        delete = row.get("request_delete_range") or row.get("requestDeleteRange")
+        if put is not None:
+            ops.append(read_put(put))
+        elif delete is not None:
+            ops.append(read_delete(delete))
+        else:
+            raise ValueError(f"unsupported operation {sorted(row)}")
+    return ops
+
+
+def compare_holds(state: KvState, compare: dict[str, Any]) -> bool:
+    """Returns whether one compare of a transaction holds.
+
+    Raises:
+        ValueError: It is malformed or unsupported.
+    """
+    item = state.items.get(from_base64(compare.get("key")))
+    holds = RESULTS.get(compare.get("result", "EQUAL"))
+    target = compare.get("target", "VERSION")
+    if holds is None:
+        raise ValueError(f"unknown result {compare.get('result')!r}")
+    if target == "VALUE":
+        return item is not None and holds(item.value, from_base64(compare.get("value")))
+    if target not in TARGETS:
+        raise ValueError(f"unknown target {target!r}")
+    field, attribute = TARGETS[target]
+    return holds(getattr(item, attribute) if item else 0, int(compare.get(field, 0)))
