--- a/greengagefall/standins/kv_service.py
+++ b/greengagefall/standins/kv_service.py
@@ -53,7 +53,7 @@
     """Faults in force.
 
     Attributes:
-        outage: ``refuse`` answers 503, ``hang`` answers nothing; both end the watches.
+        outage: ``refuse`` answers 503 and ends the watches, ``hang`` answers nothing.
         slow_ms: Delay of each call.
         lose_answers: Number of coming writes that take effect but get no answer.
         cut_hosts: Hosts that get no answer, by ``X-Host``.
@@ -83,7 +83,7 @@
         faults = self.service.faults
         if faults.slow_ms > 0:
             await asyncio.sleep(faults.slow_ms / 1000)
-        if self.service.is_cut(self.request.headers) or faults.outage == "hang":
+        if self.service.is_silent(self.request.headers):
             await self.service.wait_fault_change()
             self.drop()
             return
@@ -265,8 +265,11 @@
                 if in_range(event.item.key, first, end)
                 and event.item.mod_revision >= start_revision
             ]
-            if events:
-                await self._send({"events": events})
+            if not events:
+                continue
+            while self.service.is_silent(self.request.headers):
+                await self.service.wait_fault_change()
+            await self._send({"events": events})
 
     async def _send(self, fields: dict[str, Any]) -> None:
         self.write(json.dumps({"result": {"header": self.header(), **fields}}) + "\n")
@@ -360,24 +363,26 @@
             self._expiry.cancel()
             await asyncio.wait([self._expiry])
         self.set_faults(KvFaults())
-        await self._end_watches(lambda watch: True)
+        self._end_watches()
+        await asyncio.sleep(0)
         await self._listener.close()
         self.state.close()
 
     def set_faults(self, faults: KvFaults) -> None:
-        """Puts faults in force; cut or failing clients lose their watches."""
+        """Puts faults in force."""
         if faults.outage not in OUTAGES:
             raise ValueError(f"outage is one of {OUTAGES}, not {faults.outage!r}")
         self.faults = faults
         self._fault_changed.set()
         self._fault_changed = asyncio.Event()
-        for watch in list(self.watches):
-            if faults.outage or self.is_cut(watch.request.headers):
-                watch.end()
+        if faults.outage == "refuse":
+            self._end_watches()
 
-    def is_cut(self, headers: Any) -> bool:
-        """Returns whether a caller is cut off by its host or zone."""
+    def is_silent(self, headers: Any) -> bool:
+        """Returns whether a caller gets no answer, by the outage or its host or zone."""
         faults = self.faults
+        if faults.outage == "hang":
+            return True
         return (
             headers.get("X-Host") in faults.cut_hosts or headers.get("X-Zone") in faults.cut_zones
         )
@@ -386,10 +391,9 @@
         """Waits until faults are set again."""
         await self._fault_changed.wait()
 
-    async def _end_watches(self, chosen: Any) -> None:
-        for watch in [watch for watch in self.watches if chosen(watch)]:
+    def _end_watches(self) -> None:
+        for watch in self.watches:
             watch.end()
-        await asyncio.sleep(0)
 
     async def _expire_leases(self) -> None:
         while True:
