--- a/greengagefall/config/entry.py
+++ b/greengagefall/config/entry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from greengagefall.config.common import HostSettings, check_advertised
-from greengagefall.config.options import DurationS, Integer, IpPort, IpPorts
+from greengagefall.config.options import DurationS, Integer, IpPort, IpPorts, Switch
 
 
 class EntrySettings(HostSettings):
@@ -17,6 +17,7 @@
     lease_ms = Integer(
         1000, least=200, most=10_000, help="Time for which a witness endorses a dispatcher."
     )
+    allow_faults = Switch(help="Lets tests cut this process off from peers; not for production.")
     drain_timeout_s = DurationS(
         30.0, least=0.0, most=600.0, help="Longest wait for requests in flight at a planned stop."
     )
--- a/greengagefall/dispatch/grant_keeper.py
+++ b/greengagefall/dispatch/grant_keeper.py
@@ -20,6 +20,7 @@
     from greengagefall.coordination.grants import GrantLedger
     from greengagefall.coordination.slice_map import SliceMap
     from greengagefall.dispatch.server_health import ServerHealth
+    from greengagefall.utils.clock import Clock
 
 log = logging.getLogger(__name__)
 
@@ -57,6 +58,13 @@
         slice_map: Returns the newest slice map, None for a pooled back end or before one came.
         keyed: Whether the back end is keyed.
         on_reading: Called with each reading.
+        clock: Monotonic clock.
+
+    Attributes:
+        accepted: The grant that the server accepted last under the present right.
+        checks: Whether the server takes grants at all.
+        held_fence: Fence of the right that was held at the last renewal, 0 for none.
+        held_since_s: When this host was first seen to hold the present right.
     """
 
     def __init__(
@@ -70,6 +78,7 @@
         slice_map: Callable[[], SliceMap | None],
         keyed: bool,
         on_reading: Callable[[ServerReading], None],
+        clock: Clock,
     ) -> None:
         self._back_end = back_end
         self._server = server
@@ -80,10 +89,13 @@
         self._slice_map = slice_map
         self._keyed = keyed
         self._on_reading = on_reading
+        self._clock = clock
         self._incarnation = ""
         self._wake = asyncio.Event()
         self.accepted: AcceptedGrant | None = None
         self.checks = True
+        self.held_fence = 0
+        self.held_since_s = clock.now_s()
 
     def wake(self) -> None:
         """Asks for a renewal at once, as after a change of map or right."""
@@ -123,7 +135,11 @@
     async def _tick(self) -> bool:
         if not self._right.may_send():
             self.accepted = None
+            self.held_fence = 0
             return True
+        if self._right.fence != self.held_fence:
+            self.held_fence = self._right.fence
+            self.held_since_s = self._clock.now_s()
         if not self._incarnation and not await self._read_status():
             return False
         if not self.checks:
@@ -136,7 +152,7 @@
     def _map_is_new_enough(self, slice_map: SliceMap | None) -> bool:
         if slice_map is None:
             return False
-        return slice_map.version >= self._right.map_floor(self._back_end)
+        return slice_map.version >= self._right.map_floor()
 
     async def _read_status(self) -> bool:
         reply = await self._control.status(self._right.may_send)
--- a/greengagefall/dispatch/server_dispatcher.py
+++ b/greengagefall/dispatch/server_dispatcher.py
@@ -98,6 +98,7 @@
             slice_map,
             back_end.kind == KIND_KEYED,
             self._on_reading,
+            clock,
         )
         limit_policy = back_end.policies.get("limit", DEFAULT_LIMIT_POLICY)
         self.limit = LIMITS[limit_policy](server.slots, server.cold_slots, clock, back_end.tuning)
@@ -110,8 +111,10 @@
         self._incarnation = ""
         self._confirmed = False
         self._foreign_busy = 0
+        self._reserved = 0
         self._upkeep: asyncio.Task | None = None
         self.draining = server.state == SERVER_DRAINING
+        self.taking = True
 
     def start(self) -> None:
         """Starts renewing the grant."""
@@ -126,6 +129,20 @@
         self._pool.close()
         self._control.close()
 
+    def can_take(self, back_end: BackEnd, server: BackendServer) -> bool:
+        """Returns whether the new configuration differs in what can change in place."""
+        same_back_end = back_end._replace(servers={}, classes=()) == self.back_end._replace(
+            servers={}, classes=()
+        )
+        return same_back_end and server._replace(state="") == self.server._replace(state="")
+
+    def update(self, back_end: BackEnd, server: BackendServer, limits: Limits) -> None:
+        """Takes a configuration that ``can_take`` accepted."""
+        self.back_end = back_end
+        self.server = server
+        self._limits = limits
+        self.draining = server.state == SERVER_DRAINING
+
     def in_flight(self) -> int:
         """Returns the number of requests that wait or run."""
         return self.limit.in_flight + len(self._waiting)
@@ -177,19 +194,19 @@
             return False, "map_behind"
         if self._any_in_flight(runs):
             return False, "in_flight"
-        if self.right.stored_floor(self.back_end.name) < map_version:
+        if self.right.stored_map_version() < map_version:
             return False, "floor_not_stored"
         if self.grants.released_since(map_version):
             return True, "confirmed"
         if not self.grants.checks:
             return self._unchecked_released()
-        if self._ledger.surely_ended(map_version, self.right.held_since_s):
+        if self._ledger.surely_ended(map_version, self.grants.held_since_s):
             return True, "ran_out"
         return False, "grant_running"
 
     def _unchecked_released(self) -> tuple[bool, str]:
         # Such a server keeps no grant: what an earlier dispatcher sent must have ended.
-        quiet_s = self._clock.now_s() - self.right.held_since_s
+        quiet_s = self._clock.now_s() - self.grants.held_since_s
         if quiet_s * MS_PER_S >= self._limits.timeout_ms:
             return True, "confirmed"
         return False, "earlier_dispatcher"
@@ -215,9 +232,12 @@
 
     def _room(self) -> int:
         """Returns how many more requests may run, less those of an earlier dispatcher."""
-        return self.limit.limit - self.limit.in_flight - self._foreign_busy
+        taken = self.limit.in_flight + self._reserved + self._foreign_busy
+        return self.limit.limit - taken
 
     async def _admit(self, forward: Forward) -> Outcome:
+        if not self.taking:
+            return self._refuse(forward, refusals.STOPPING)
         deadline_s = self._clock.now_s() + forward.timeout_ms / MS_PER_S
         reason = self._reason_against(forward)
         if reason:
@@ -282,6 +302,15 @@
         finally:
             timer.cancel()
             self._waiting.pop(ticket, None)
+            self._unreserve(future)
+
+    def _unreserve(self, future: asyncio.Future[str]) -> None:
+        granted = future.done() and not future.cancelled() and not future.result()
+        if not granted:
+            return
+        self._reserved -= 1
+        if asyncio.current_task().cancelling():
+            self._pump()
 
     def _drop_expired(self) -> None:
         for dropped in self._queue.expire(self._clock.now_s()):
@@ -300,6 +329,7 @@
             if future is None or future.done():
                 continue
             future.set_result("")
+            self._reserved += 1
             room -= 1
         self._drop_expired()
 
--- /dev/null
+++ b/greengagefall/entry/admin.py
@@ -0,0 +1,185 @@
+"""Operators' interface of an entry host: health, metrics, status, explanations."""
+
+from __future__ import annotations
+
+import json
+import logging
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs
+
+from greengagefall.coordination.model import SLICE_FREE
+from greengagefall.entry.http_answers import write_json, write_text
+from greengagefall.protocol import faults
+from greengagefall.routing.model import KIND_KEYED, ZONE_IN
+from greengagefall.utils import invariants, metrics
+from greengagefall.utils.hashing import slice_of_key
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import Any
+
+    from tornado.httputil import HTTPServerRequest
+
+    from greengagefall.entry.dispatch_table import DispatchTable
+    from greengagefall.entry.host_state import HostState
+    from greengagefall.entry.targets import Targets
+    from greengagefall.routing.model import BackEnd
+
+log = logging.getLogger(__name__)
+
+PREFIX = "/.greengagefall/"
+HTTP_OK = 200
+HTTP_BAD_REQUEST = 400
+HTTP_FORBIDDEN = 403
+HTTP_NOT_FOUND = 404
+HTTP_UNAVAILABLE = 503
+
+
+class Admin:
+    """Answers requests below ``/.greengagefall/``.
+
+    Args:
+        state: Documents of this host.
+        table: This host's dispatchers.
+        targets: Where requests go.
+        why_not_ready: Returns why the host takes no requests, empty when it does.
+        allow_faults: Whether the fault switches of tests may be set.
+    """
+
+    def __init__(
+        self,
+        state: HostState,
+        table: DispatchTable,
+        targets: Targets,
+        why_not_ready: Callable[[], str],
+        allow_faults: bool,
+    ) -> None:
+        self._state = state
+        self._table = table
+        self._targets = targets
+        self._why_not_ready = why_not_ready
+        self._allow_faults = allow_faults
+        self._pages = {
+            "health": self._health,
+            "ready": self._ready,
+            "metrics": self._metrics,
+            "status": self._status,
+            "slices": self._slices,
+            "why": self._why,
+            "faults": self._faults,
+        }
+
+    def answer(self, request: HTTPServerRequest) -> None:
+        """Answers one request."""
+        name = request.path.removeprefix(PREFIX)
+        page = self._pages.get(name)
+        if page is None:
+            write_json(request, HTTP_NOT_FOUND, {"error": f"no page {name!r}"})
+            return
+        page(request)
+
+    def _health(self, request: HTTPServerRequest) -> None:
+        write_json(request, HTTP_OK, {"host": self._state.host, "healthy": True})
+
+    def _ready(self, request: HTTPServerRequest) -> None:
+        why_not = self._why_not_ready()
+        status = HTTP_UNAVAILABLE if why_not else HTTP_OK
+        write_json(request, status, {"ready": not why_not, "why_not": why_not})
+
+    def _metrics(self, request: HTTPServerRequest) -> None:
+        write_text(request, HTTP_OK, metrics.render_text())
+
+    def _status(self, request: HTTPServerRequest) -> None:
+        maps = self._state.book.slice_maps()
+        status = {
+            "host": self._state.host,
+            "zone": self._state.zone,
+            "incarnation": self._state.incarnation,
+            "epoch": self._state.epoch(),
+            "config_version": self._state.config_holder.current.version,
+            "map_versions": {name: held.version for name, held in maps.items()},
+            "servers": self._servers(),
+            "ready": not self._why_not_ready(),
+            "violations": invariants.violations(),
+        }
+        write_json(request, HTTP_OK, status)
+
+    def _servers(self) -> list[dict[str, Any]]:
+        return [
+            {
+                "server": one.key,
+                "state": one.health.state,
+                "limit": one.limit.limit,
+                "in_flight": one.in_flight(),
+                "busy": round(one.busy_share(), 3),
+                "dispatcher": self._state.host,
+                "fence": one.right.fence,
+            }
+            for one in self._table.held()
+        ]
+
+    def _slices(self, request: HTTPServerRequest) -> None:
+        maps = self._state.book.slice_maps()
+        write_json(request, HTTP_OK, {name: held.to_json() for name, held in maps.items()})
+
+    def _why(self, request: HTTPServerRequest) -> None:
+        arguments = parse_qs(request.query)
+        name = arguments.get("back_end", [""])[0]
+        key = arguments.get("key", [""])[0]
+        back_end = self._state.config_holder.current.back_ends.get(name)
+        if back_end is None:
+            write_json(request, HTTP_NOT_FOUND, {"error": f"no back end {name!r}"})
+            return
+        if back_end.kind != KIND_KEYED or not key:
+            write_json(request, HTTP_BAD_REQUEST, {"error": "give a keyed back end and a key"})
+            return
+        write_json(request, HTTP_OK, self._explain(back_end, key))
+
+    def _explain(self, back_end: BackEnd, key: str) -> dict[str, Any]:
+        slice_map = self._state.slice_map(back_end.name)
+        if slice_map is None:
+            return {"back_end": back_end.name, "key": key, "why": "no slice map has come yet"}
+        slice_id = slice_of_key(key, slice_map.slice_count)
+        run = slice_map.lookup(slice_id)
+        explained: dict[str, Any] = {
+            "back_end": back_end.name,
+            "key": key,
+            "slice": slice_id,
+            "state": run.state,
+            "owner": run.owner,
+            "fence": run.fence,
+            "home_zone": run.home_zone,
+            "map_version": slice_map.version,
+        }
+        server = back_end.servers.get(run.owner)
+        if run.state == SLICE_FREE or server is None:
+            explained["why"] = "the slice has no owner"
+            return explained
+        server_key = f"{back_end.name}/{server.name}"
+        zones = self._state.config_holder.current.zones
+        explained["zone"] = server.zone
+        explained["zone_state"] = zones.get(server.zone, ZONE_IN)
+        explained["server_state"] = server.state
+        explained["dispatcher"] = self._targets.dispatcher(server_key, server.zone)
+        candidates = self._state.candidates(server_key, server.zone)
+        explained["candidates"] = [member.host for member in candidates]
+        dispatcher = self._table.get(server_key)
+        if dispatcher is not None and dispatcher.right.may_send():
+            explained["server_health"] = dispatcher.health.state
+            explained["granted_fence"] = dispatcher.grants.granted_fence(slice_id)
+        explained["why"] = ""
+        return explained
+
+    def _faults(self, request: HTTPServerRequest) -> None:
+        if not self._allow_faults:
+            write_json(request, HTTP_FORBIDDEN, {"error": "start with --allow-faults"})
+            return
+        try:
+            wanted = json.loads(request.body or b"{}")
+            faults.heal()
+            faults.cut(wanted.get("cut_from", ()), outbound=False)
+            faults.cut(wanted.get("cut_to", ()), inbound=False)
+        except (ValueError, AttributeError, TypeError) as error:
+            write_json(request, HTTP_BAD_REQUEST, {"error": f"not understood: {error}"})
+            return
+        write_json(request, HTTP_OK, faults.cuts())
--- /dev/null
+++ b/greengagefall/entry/caller_interface.py
@@ -0,0 +1,174 @@
+"""Callers' HTTP interface: reads a request, has it forwarded, writes the outcome."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import TYPE_CHECKING
+
+from result import Err
+from tornado.httpserver import HTTPServer
+
+from greengagefall.entry import refusals
+from greengagefall.entry.http_answers import write_answer, write_refusal
+from greengagefall.entry.refuse import refuse
+from greengagefall.entry.request import read_request
+from greengagefall.limits.caller_share import CallerShare
+from greengagefall.protocol.messages import Answer
+from greengagefall.utils.metrics import count, observe_ms
+from greengagefall.utils.waiting import wait_until
+
+if TYPE_CHECKING:
+    from tornado.httputil import HTTPServerRequest
+
+    from greengagefall.entry.admin import Admin
+    from greengagefall.entry.forwarder import Forwarder
+    from greengagefall.entry.host_state import HostState
+    from greengagefall.entry.request import CallerRequest
+    from greengagefall.protocol.messages import Refusal
+    from greengagefall.routing.model import RoutingConfig
+
+log = logging.getLogger(__name__)
+
+# Above what a configuration allows, so that the refusal can be typed.
+MAX_HEADER_BYTES = 128 * 1024
+MAX_BODY_BYTES = 80 * 1024 * 1024
+BODY_TIMEOUT_S = 30.0
+IDLE_TIMEOUT_S = 120.0
+MS_PER_S = 1000.0
+ADMIN_PREFIX = "/.greengagefall/"
+
+
+class CallerInterface:
+    """HTTP server for callers and, under its own prefix, for operators.
+
+    Args:
+        listen: ``IP:port`` to listen on.
+        state: Documents of this host.
+        forwarder: Carries requests.
+        admin: Answers operators.
+    """
+
+    def __init__(self, listen: str, state: HostState, forwarder: Forwarder, admin: Admin) -> None:
+        self._listen = listen
+        self._state = state
+        self._forwarder = forwarder
+        self._admin = admin
+        limits = state.config_holder.current.limits
+        self._share = CallerShare(limits.caller_in_flight, limits.entry_in_flight)
+        self._tasks: set[asyncio.Task] = set()
+        self._joined: dict[str, asyncio.Task] = {}
+        self._server = HTTPServer(
+            self._on_request,
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+            body_timeout=BODY_TIMEOUT_S,
+            idle_connection_timeout=IDLE_TIMEOUT_S,
+        )
+        self.stopping = False
+
+    def start(self) -> None:
+        """Opens the port."""
+        host, _, port = self._listen.rpartition(":")
+        self._server.listen(int(port), address=host)
+
+    def set_config(self, config: RoutingConfig) -> None:
+        """Takes new limits; what is in flight stays counted."""
+        limits = config.limits
+        self._share.set_limits(limits.caller_in_flight, limits.entry_in_flight)
+
+    @property
+    def in_flight(self) -> int:
+        """Requests of callers that have no outcome yet."""
+        return self._share.total
+
+    async def drain(self, timeout_s: float) -> bool:
+        """Stops accepting connections and waits until no request is in flight.
+
+        Returns:
+            Whether all requests got their outcome in time.
+        """
+        self._server.stop()
+        return await wait_until(lambda: not self._tasks, timeout_s)
+
+    async def close(self) -> None:
+        """Closes the port and all connections."""
+        self._server.stop()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._server.close_all_connections()
+
+    def _on_request(self, request: HTTPServerRequest) -> None:
+        if request.uri.startswith(ADMIN_PREFIX):
+            self._admin.answer(request)
+            return
+        task = asyncio.create_task(self._serve(request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, request: HTTPServerRequest) -> None:
+        config = self._state.config_holder.current
+        if not config.version:
+            write_refusal(request, refuse("", refusals.NO_CONFIG))
+            return
+        read = read_request(request, config)
+        if isinstance(read, Err):
+            bad = read.err_value
+            write_refusal(request, refuse(bad.request_id, bad.reason))
+            return
+        caller_request = read.ok_value
+        entered = self._share.try_enter(caller_request.caller)
+        if isinstance(entered, Err):
+            why = entered.err_value
+            reason = why.reason
+            write_refusal(
+                request,
+                refuse(caller_request.request_id, reason, retry_after_ms=why.retry_after_ms),
+            )
+            return
+        try:
+            await self._serve_counted(request, caller_request)
+        finally:
+            self._share.leave(caller_request.caller)
+
+    async def _serve_counted(
+        self, request: HTTPServerRequest, caller_request: CallerRequest
+    ) -> None:
+        started_s = time.monotonic()
+        work = asyncio.ensure_future(self._forward_once(caller_request))
+        request.connection.set_close_callback(lambda: self._on_caller_left(caller_request, work))
+        try:
+            outcome = await work
+        except asyncio.CancelledError:
+            if not work.cancelled():
+                raise
+            count("refusals", reason=refusals.CANCELLED)
+            return
+        observe_ms(
+            "request_latency_ms",
+            (time.monotonic() - started_s) * MS_PER_S,
+            back_end=caller_request.back_end.name,
+        )
+        if isinstance(outcome, Answer):
+            count("answers", back_end=caller_request.back_end.name)
+            write_answer(request, outcome)
+            return
+        write_refusal(request, outcome)
+
+    async def _forward_once(self, caller_request: CallerRequest) -> Answer | Refusal:
+        """Forwards a request; one that may not be repeated joins its first run here."""
+        if caller_request.request_class.repeatable:
+            return await self._forwarder.forward(caller_request)
+        key = f"{caller_request.back_end.name}/{caller_request.request_id}"
+        running = self._joined.get(key)
+        if running is None:
+            running = asyncio.create_task(self._forwarder.forward(caller_request))
+            self._joined[key] = running
+            running.add_done_callback(lambda _: self._joined.pop(key, None))
+        return await asyncio.shield(running)
+
+    def _on_caller_left(self, caller_request: CallerRequest, work: asyncio.Future) -> None:
+        if caller_request.request_class.repeatable and not work.done():
+            work.cancel()
--- /dev/null
+++ b/greengagefall/entry/control.py
@@ -0,0 +1,200 @@
+"""Control traffic of an entry host: endorsements and heartbeats with its neighbours."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from greengagefall.coordination.candidate import TICK_S
+from greengagefall.coordination.ring import neighbours
+from greengagefall.protocol.exceptions import ProtocolError
+from greengagefall.protocol.messages import (
+    Documents,
+    Endorsed,
+    Fetch,
+    Heartbeat,
+    HeartbeatReply,
+)
+from greengagefall.utils.hashing import hash64
+from greengagefall.utils.metrics import count
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from typing import Any
+
+    from greengagefall.coordination.candidate import Candidate, Outgoing
+    from greengagefall.entry.coordinator_watch import CoordinatorWatch
+    from greengagefall.entry.dispatch_table import DispatchTable
+    from greengagefall.entry.host_state import HostState
+    from greengagefall.entry.peer_table import PeerTable
+
+log = logging.getLogger(__name__)
+
+ENDORSE_TIMEOUT_S = 0.5
+HEARTBEAT_PERIOD_S = 0.5
+HEARTBEAT_TIMEOUT_S = 1.0
+FETCH_TIMEOUT_S = 2.0
+HAND_BACK_PERIOD_S = 1.0
+FAR_HOSTS_PER_ZONE = 2
+
+
+class Control:
+    """Loops: endorsements for this host's servers, heartbeats, handing back.
+
+    Args:
+        state: Documents of this host.
+        peers: Links to other entry hosts.
+        candidate: Dispatch rights of this host.
+        coordinator: What is known of the zone's coordinator.
+        table: This host's dispatchers.
+    """
+
+    def __init__(
+        self,
+        state: HostState,
+        peers: PeerTable,
+        candidate: Candidate,
+        coordinator: CoordinatorWatch,
+        table: DispatchTable,
+    ) -> None:
+        self._state = state
+        self._peers = peers
+        self._candidate = candidate
+        self._coordinator = coordinator
+        self._table = table
+        self._loops: list[asyncio.Task] = []
+        self._calls: set[asyncio.Task] = set()
+        self._fetching = False
+        self._turn = 0
+
+    def start(self) -> None:
+        """Starts all loops."""
+        self._loops = [
+            asyncio.create_task(self._endorse_loop()),
+            asyncio.create_task(self._heartbeat_loop()),
+            asyncio.create_task(self._hand_back_loop()),
+        ]
+
+    async def close(self) -> None:
+        """Stops all loops and calls."""
+        tasks = [*self._loops, *self._calls]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def ask_now(self) -> None:
+        """Sends the endorsement requests that are due."""
+        maps = self._state.book.slice_maps()
+        versions = {name: held.version for name, held in maps.items()}
+        for outgoing in self._candidate.build_requests(versions):
+            self._spawn(self._ask(outgoing))
+        self._table.rights_changed()
+
+    async def resign(self) -> None:
+        """Gives back all rights for good, so that the next candidates may take over."""
+        self._candidate.resign()
+        outgoing = self._candidate.build_requests({})
+        await asyncio.gather(*(self._ask(one) for one in outgoing))
+
+    def offer_versions(self, host: str, versions: dict[str, int]) -> None:
+        """Fetches documents from a peer that has newer ones."""
+        held = self._state.book.versions()
+        if all(held.get(name, -1) >= version for name, version in versions.items()):
+            return
+        if self._fetching:
+            return
+        self._fetching = True
+        self._spawn(self._fetch(host))
+
+    async def _endorse_loop(self) -> None:
+        while True:
+            self.ask_now()
+            await asyncio.sleep(TICK_S)
+
+    async def _ask(self, outgoing: Outgoing) -> None:
+        host = outgoing.member.host
+        try:
+            reply = await self._peers.call(host, outgoing.request, ENDORSE_TIMEOUT_S)
+        except ProtocolError:
+            count("endorse_failures")
+            return
+        if isinstance(reply, Endorsed):
+            self._candidate.on_reply(reply, outgoing.asked_at_s)
+            self._table.rights_changed()
+
+    async def _hand_back_loop(self) -> None:
+        """Returns servers to candidates that are preferred and back for a while."""
+        while True:
+            await asyncio.sleep(HAND_BACK_PERIOD_S)
+            for server_key in self._candidate.misplaced():
+                await self._table.hand_back(server_key)
+
+    async def _heartbeat_loop(self) -> None:
+        while True:
+            for host in self._heartbeat_hosts():
+                self._spawn(self._beat(host))
+            await asyncio.sleep(HEARTBEAT_PERIOD_S)
+
+    def _heartbeat_hosts(self) -> list[str]:
+        """Returns ring neighbours, and in turn one of a few hosts of each other zone."""
+        record = self._state.record(self._state.zone)
+        near = [] if record is None else neighbours(record.members, self._state.host)
+        self._turn += 1
+        far = self._far_hosts()
+        in_turn = [hosts[self._turn % len(hosts)] for hosts in far.values()]
+        return [member.host for member in near] + in_turn
+
+    def _far_hosts(self) -> dict[str, list[str]]:
+        """Returns a few hosts of each other zone, the same ones each time."""
+        far: dict[str, list[str]] = {}
+        for member in self._state.members():
+            zone = self._state.zone_of(member.host)
+            if zone is not None and zone != self._state.zone:
+                far.setdefault(zone, []).append(member.host)
+        own = self._state.host
+        return {
+            zone: sorted(hosts, key=lambda host: hash64(own, host))[:FAR_HOSTS_PER_ZONE]
+            for zone, hosts in far.items()
+        }
+
+    async def _beat(self, host: str) -> None:
+        seen = self._coordinator.seen()
+        message = Heartbeat(
+            0,
+            self._state.host,
+            self._state.epoch(),
+            seen.host,
+            seen.term,
+            seen.age_ms,
+            self._state.book.versions(),
+        )
+        try:
+            reply = await self._peers.call(host, message, HEARTBEAT_TIMEOUT_S)
+        except ProtocolError:
+            count("heartbeat_failures")
+            return
+        if not isinstance(reply, HeartbeatReply):
+            return
+        if self._state.zone_of(host) == self._state.zone:
+            self._coordinator.hear_of(
+                reply.coordinator, reply.coordinator_term, reply.coordinator_age_ms
+            )
+        self.offer_versions(host, reply.versions)
+
+    async def _fetch(self, host: str) -> None:
+        try:
+            message = Fetch(0, self._state.book.versions())
+            reply = await self._peers.call(host, message, FETCH_TIMEOUT_S)
+        except ProtocolError:
+            count("fetch_failures")
+            return
+        finally:
+            self._fetching = False
+        if isinstance(reply, Documents):
+            self._state.offer(reply)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
--- /dev/null
+++ b/greengagefall/entry/dispatch_table.py
@@ -0,0 +1,159 @@
+"""The dispatchers that this entry host may run."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from greengagefall.coordination.grants import GrantLedger
+from greengagefall.dispatch.server_dispatcher import ServerDispatcher
+from greengagefall.entry import refusals
+from greengagefall.entry.refuse import refuse
+from greengagefall.utils.waiting import wait_until
+
+if TYPE_CHECKING:
+    from greengagefall.coordination.candidate import Candidate
+    from greengagefall.entry.host_state import HostState
+    from greengagefall.protocol.messages import Answer, Forward, Refusal, Release
+    from greengagefall.routing.model import BackEnd, BackendServer, RoutingConfig
+    from greengagefall.utils.clock import Clock
+
+log = logging.getLogger(__name__)
+
+HAND_BACK_S = 2.0
+
+
+class DispatchTable:
+    """One dispatcher per backend server for which this host is a candidate.
+
+    Args:
+        state: Documents of this host.
+        candidate: Dispatch rights of this host.
+        clock: Monotonic clock.
+    """
+
+    def __init__(self, state: HostState, candidate: Candidate, clock: Clock) -> None:
+        self._state = state
+        self._candidate = candidate
+        self._clock = clock
+        self._dispatchers: dict[str, ServerDispatcher] = {}
+        self._taking = True
+        self._ledgers: dict[str, GrantLedger] = {}
+        self._closing: set[asyncio.Task] = set()
+
+    def refresh(self) -> None:
+        """Starts and closes dispatchers after a change of configuration or members."""
+        config = self._state.config_holder.current
+        servers = self._zone_servers(config)
+        self._candidate.set_servers(servers)
+        for key in list(self._dispatchers):
+            right = self._candidate.right(key)
+            if right is not self._dispatchers[key].right:
+                self._close_later(self._dispatchers.pop(key))
+        for key, (back_end, server) in servers.items():
+            if self._candidate.right(key) is not None:
+                self._start_or_update(key, back_end, server, config)
+
+    def slices_changed(self, back_end: str) -> None:
+        """Renews the grants of a back end's servers at once."""
+        for dispatcher in self._dispatchers.values():
+            if dispatcher.back_end.name == back_end:
+                dispatcher.grants.wake()
+
+    def rights_changed(self) -> None:
+        """Lets dispatchers whose right was won begin at once."""
+        for dispatcher in self._dispatchers.values():
+            if dispatcher.right.fence != dispatcher.grants.held_fence:
+                dispatcher.grants.wake()
+
+    async def submit(self, forward: Forward) -> Answer | Refusal:
+        """Runs a request at this host's dispatcher of the server, if it has the right."""
+        key = f"{forward.back_end}/{forward.server}"
+        dispatcher = self._dispatchers.get(key)
+        if not self._taking:
+            return refuse(forward.request_id, refusals.STOPPING, call_id=forward.call_id)
+        if dispatcher is None or not dispatcher.right.may_send():
+            return refuse(
+                forward.request_id,
+                refusals.NOT_DISPATCHER,
+                call_id=forward.call_id,
+                hint_host=self._candidate.holder_host(key),
+            )
+        return await dispatcher.submit(forward)
+
+    def stop_taking(self) -> None:
+        """Refuses new requests; those that wait or run go on."""
+        self._taking = False
+
+    def release(self, message: Release) -> tuple[bool, str, int]:
+        """Returns whether slices are released, how or why not, and the dispatcher's fence."""
+        dispatcher = self._dispatchers.get(f"{message.back_end}/{message.server}")
+        if dispatcher is None:
+            return False, "not_dispatcher", 0
+        released, how = dispatcher.released(message.runs, message.map_version)
+        return released, how, dispatcher.right.fence
+
+    def held(self) -> list[ServerDispatcher]:
+        """Returns the dispatchers whose right this host holds now."""
+        return [one for one in self._dispatchers.values() if one.right.may_send()]
+
+    def get(self, server_key: str) -> ServerDispatcher | None:
+        """Returns the dispatcher of a server, whether or not its right is held."""
+        return self._dispatchers.get(server_key)
+
+    def in_flight(self) -> int:
+        """Returns the requests that wait or run at all dispatchers."""
+        return sum(one.in_flight() for one in self._dispatchers.values())
+
+    async def close(self) -> None:
+        """Closes all dispatchers."""
+        dispatchers = list(self._dispatchers.values())
+        self._dispatchers.clear()
+        await asyncio.gather(*(one.close() for one in dispatchers), *self._closing)
+
+    async def hand_back(self, server_key: str) -> None:
+        """Lets what is in flight to a server end, then gives its right back."""
+        dispatcher = self._dispatchers.get(server_key)
+        if dispatcher is None:
+            return
+        dispatcher.taking = False
+        await wait_until(lambda: not dispatcher.in_flight(), HAND_BACK_S)
+        self._candidate.give_back(server_key)
+        dispatcher.taking = True
+
+    def _zone_servers(self, config: RoutingConfig) -> dict[str, tuple[BackEnd, BackendServer]]:
+        return {
+            f"{back_end.name}/{server.name}": (back_end, server)
+            for back_end in config.back_ends.values()
+            for server in back_end.servers.values()
+            if server.zone == self._state.zone
+        }
+
+    def _start_or_update(
+        self, key: str, back_end: BackEnd, server: BackendServer, config: RoutingConfig
+    ) -> None:
+        held = self._dispatchers.get(key)
+        if held is not None and held.can_take(back_end, server):
+            held.update(back_end, server, config.limits)
+            return
+        if held is not None:
+            self._close_later(held)
+        # A ledger outlives its dispatcher: grants that were sent still run.
+        ledger = self._ledgers.setdefault(key, GrantLedger(key, self._clock))
+        dispatcher = ServerDispatcher(
+            back_end,
+            server,
+            config.limits,
+            self._candidate.right(key),
+            ledger,
+            lambda: self._state.slice_map(back_end.name),
+            self._clock,
+        )
+        self._dispatchers[key] = dispatcher
+        dispatcher.start()
+
+    def _close_later(self, dispatcher: ServerDispatcher) -> None:
+        task = asyncio.create_task(dispatcher.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
--- /dev/null
+++ b/greengagefall/entry/exceptions.py
@@ -0,0 +1,11 @@
+"""Errors of the entry layer."""
+
+from __future__ import annotations
+
+
+class EntryError(Exception):
+    """Base of all errors of the entry layer."""
+
+
+class StartError(EntryError):
+    """The entry host could not start."""
--- /dev/null
+++ b/greengagefall/entry/host.py
@@ -0,0 +1,157 @@
+"""An entry host: its parts, put together, started and closed in order."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import uuid
+from typing import TYPE_CHECKING
+
+from greengagefall.coordination.candidate import Candidate
+from greengagefall.coordination.dispatch_right import Terms
+from greengagefall.coordination.witness import Witness
+from greengagefall.entry.admin import Admin
+from greengagefall.entry.caller_interface import CallerInterface
+from greengagefall.entry.control import Control
+from greengagefall.entry.coordinator_watch import CoordinatorWatch
+from greengagefall.entry.dispatch_table import DispatchTable
+from greengagefall.entry.forwarder import Forwarder
+from greengagefall.entry.host_state import HostState
+from greengagefall.entry.peer_handler import PeerHandler
+from greengagefall.entry.peer_table import PeerTable
+from greengagefall.entry.pools import Pools
+from greengagefall.entry.targets import Targets
+from greengagefall.entry.transport import Transport
+from greengagefall.protocol.messages import PROTOCOL_VERSION, Documents, Hello
+from greengagefall.protocol.server import PeerServer
+from greengagefall.utils.clock import SystemClock
+from greengagefall.utils.waiting import wait_until
+
+if TYPE_CHECKING:
+    from greengagefall.config.entry import EntrySettings
+    from greengagefall.coordination.model import MembersRecord
+    from greengagefall.routing.model import RoutingConfig
+
+log = logging.getLogger(__name__)
+
+ROLE = "entry"
+MS_PER_S = 1000.0
+# Time for the balancer to see that the host is not ready any more.
+LAME_DUCK_S = 1.0
+
+
+class EntryHost:
+    """One entry host in this process.
+
+    Args:
+        settings: Checked settings.
+    """
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self._settings = settings
+        clock = SystemClock()
+        incarnation = uuid.uuid4().hex[:16]
+        lease_s = settings.lease_ms / MS_PER_S
+        self.state = HostState(settings.host, settings.zone, incarnation)
+        hello = Hello(
+            PROTOCOL_VERSION,
+            ROLE,
+            settings.host,
+            settings.zone,
+            incarnation,
+            settings.peer_address,
+            settings.http_address,
+        )
+        self.witness = Witness(settings.host, incarnation, clock, lease_s)
+        self.candidate = Candidate(self.witness, clock, random.Random(), Terms(lease_s))
+        self.peers = PeerTable(hello, self._on_pushed)
+        self.table = DispatchTable(self.state, self.candidate, clock)
+        self.pools = Pools(settings.zone, clock)
+        self.targets = Targets(self.state, self.pools)
+        self.transport = Transport(self.state, self.peers, self.table)
+        limits = self.state.config_holder.current.limits
+        self.forwarder = Forwarder(
+            self.targets, self.transport, self.pools, clock, limits.retry_ratio
+        )
+        self.coordinator = CoordinatorWatch(clock)
+        self.control = Control(self.state, self.peers, self.candidate, self.coordinator, self.table)
+        self.handler = PeerHandler(
+            self.state,
+            self.table,
+            self.transport,
+            self.witness,
+            self.control,
+            self.coordinator,
+            lambda: self.stopping,
+        )
+        self.peer_server = PeerServer(settings.peer_listen, hello, self.handler.answer)
+        admin = Admin(
+            self.state, self.table, self.targets, self.why_not_ready, settings.allow_faults
+        )
+        self.callers = CallerInterface(settings.http_listen, self.state, self.forwarder, admin)
+        self.stopping = False
+        self.state.config_holder.subscribe(self._on_config)
+        self.state.on_members(self._on_members)
+        self.state.on_slices(self.table.slices_changed)
+
+    async def start(self) -> None:
+        """Opens both ports and starts all loops."""
+        await self.peer_server.start()
+        self.callers.start()
+        self.control.start()
+        log.info("Started. Callers: %s.", self._settings.http_listen)
+
+    async def stop(self) -> None:
+        """Stops as planned: hands over dispatching, finishes all requests, closes."""
+        self.stopping = True
+        self.callers.stopping = True
+        log.info("Stopping. Requests in flight: %d.", self.callers.in_flight)
+        await self._hand_over()
+        await asyncio.sleep(LAME_DUCK_S)
+        if not await self.callers.drain(self._settings.drain_timeout_s):
+            log.warning("Requests are still in flight: %d.", self.callers.in_flight)
+        await self.close()
+
+    async def close(self) -> None:
+        """Closes everything at once."""
+        await self.callers.close()
+        await self.control.close()
+        await self.table.close()
+        await self.peer_server.close()
+        await self.peers.close()
+        log.info("Stopped.")
+
+    def why_not_ready(self) -> str:
+        """Returns why this host should get no new callers, empty when it may."""
+        if self.stopping:
+            return "stopping"
+        if not self.state.config_holder.current.version:
+            return "no configuration"
+        if self.state.record(self.state.zone) is None:
+            return "no members record"
+        return ""
+
+    async def _hand_over(self) -> None:
+        """Stops taking work as dispatcher, waits for what runs, gives the rights back."""
+        self.table.stop_taking()
+        await wait_until(lambda: not self.table.in_flight(), self._settings.drain_timeout_s)
+        await self.control.resign()
+
+    def _on_pushed(self, message: object) -> None:
+        if isinstance(message, Documents):
+            self.state.offer(message)
+
+    def _on_config(self, config: RoutingConfig) -> None:
+        self.pools.set_config(config)
+        self.callers.set_config(config)
+        self.forwarder.set_retry_ratio(config.limits.retry_ratio)
+        self.table.refresh()
+
+    def _on_members(self, record: MembersRecord) -> None:
+        self.peers.set_members(self.state.members())
+        if record.zone != self.state.zone:
+            return
+        self.candidate.set_members(record)
+        self.table.refresh()
+        self.control.ask_now()
--- /dev/null
+++ b/greengagefall/entry/http_answers.py
@@ -0,0 +1,81 @@
+"""Writes answers and refusals to callers."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from tornado.httputil import HTTPHeaders, ResponseStartLine, responses
+from tornado.iostream import StreamClosedError
+
+from greengagefall.entry.refusals import REFUSALS
+from greengagefall.utils.metrics import count
+
+if TYPE_CHECKING:
+    from tornado.httputil import HTTPServerRequest
+
+    from greengagefall.protocol.messages import Answer, Refusal
+
+HTTP_NO_CONTENT = 204
+HTTP_NOT_MODIFIED = 304
+CLIENT_CLOSED = 499
+MS_PER_S = 1000
+
+# Set anew by this hop.
+DROPPED_HEADERS = frozenset(
+    {"connection", "content-length", "date", "keep-alive", "server", "transfer-encoding"}
+)
+
+
+def write_answer(request: HTTPServerRequest, answer: Answer) -> None:
+    """Writes a backend server's whole answer to the caller."""
+    headers = HTTPHeaders()
+    for name, value in answer.headers:
+        if name.lower() not in DROPPED_HEADERS:
+            headers.add(name, value)
+    headers["X-Request-Id"] = answer.request_id
+    _write(request, answer.status, headers, answer.body)
+
+
+def write_refusal(request: HTTPServerRequest, refusal: Refusal) -> None:
+    """Writes a typed refusal to the caller."""
+    row = REFUSALS[refusal.reason]
+    count("refusals", reason=refusal.reason)
+    body = {
+        "reason": refusal.reason,
+        "not_run": refusal.not_run,
+        "retry_after_ms": refusal.retry_after_ms,
+        "request_id": refusal.request_id,
+    }
+    headers = HTTPHeaders({"X-Request-Id": refusal.request_id})
+    if refusal.retry_after_ms:
+        headers["Retry-After"] = str(-(-refusal.retry_after_ms // MS_PER_S))
+    write_json(request, row.http_status, body, headers)
+
+
+def write_json(
+    request: HTTPServerRequest, status: int, body: object, headers: HTTPHeaders | None = None
+) -> None:
+    """Writes a JSON document to the caller."""
+    headers = headers or HTTPHeaders()
+    headers["Content-Type"] = "application/json"
+    _write(request, status, headers, json.dumps(body).encode() + b"\n")
+
+
+def write_text(request: HTTPServerRequest, status: int, text: str) -> None:
+    """Writes plain text to the caller."""
+    headers = HTTPHeaders({"Content-Type": "text/plain; charset=utf-8"})
+    _write(request, status, headers, text.encode())
+
+
+def _write(request: HTTPServerRequest, status: int, headers: HTTPHeaders, body: bytes) -> None:
+    if status not in (HTTP_NO_CONTENT, HTTP_NOT_MODIFIED):
+        headers["Content-Length"] = str(len(body))
+    reason = responses.get(status, "Client Closed Request" if status == CLIENT_CLOSED else "")
+    chunk = None if request.method == "HEAD" else body
+    connection = request.connection
+    try:
+        connection.write_headers(ResponseStartLine("HTTP/1.1", status, reason), headers, chunk)
+        connection.finish()
+    except StreamClosedError:
+        count("answers_undeliverable")
--- /dev/null
+++ b/greengagefall/entry/peer_handler.py
@@ -0,0 +1,138 @@
+"""Answers the messages of peers and of the zone's coordinator."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+from greengagefall.protocol.messages import (
+    Documents,
+    Endorse,
+    Failure,
+    Fetch,
+    Forward,
+    Heartbeat,
+    HeartbeatReply,
+    Hello,
+    HostReport,
+    HostStatus,
+    Release,
+    Released,
+)
+from greengagefall.utils import invariants
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from greengagefall.coordination.witness import Witness
+    from greengagefall.entry.control import Control
+    from greengagefall.entry.coordinator_watch import CoordinatorWatch
+    from greengagefall.entry.dispatch_table import DispatchTable
+    from greengagefall.entry.host_state import HostState
+    from greengagefall.entry.transport import Transport
+
+log = logging.getLogger(__name__)
+
+ROLE_COORDINATOR = "coordinator"
+UNKNOWN_MESSAGE = "unexpected_message"
+
+
+class PeerHandler:
+    """Hands each message to the part that it concerns."""
+
+    def __init__(
+        self,
+        state: HostState,
+        table: DispatchTable,
+        transport: Transport,
+        witness: Witness,
+        control: Control,
+        coordinator: CoordinatorWatch,
+        resigning: Callable[[], bool],
+    ) -> None:
+        self._state = state
+        self._table = table
+        self._transport = transport
+        self._witness = witness
+        self._control = control
+        self._coordinator = coordinator
+        self._resigning = resigning
+        self._answers: dict[type, Callable[[Hello, Any], Any]] = {
+            Forward: self._forward,
+            Endorse: self._endorse,
+            Heartbeat: self._heartbeat,
+            Fetch: self._fetch,
+            Documents: self._documents,
+            Release: self._release,
+            HostReport: self._report,
+        }
+
+    def answer(self, peer: Hello, message: Any) -> Any:
+        """Returns the reply to a message, a coroutine for it, or None."""
+        handler = self._answers.get(type(message))
+        if handler is None:
+            return Failure(0, UNKNOWN_MESSAGE)
+        return handler(peer, message)
+
+    def _forward(self, peer: Hello, message: Forward) -> Coroutine[Any, Any, Any]:
+        if message.relay_host:
+            return self._transport.relay(message)
+        return self._table.submit(message)
+
+    def _endorse(self, peer: Hello, message: Endorse) -> Any:
+        return self._witness.handle(message)
+
+    def _heartbeat(self, peer: Hello, message: Heartbeat) -> HeartbeatReply:
+        if peer.role == ROLE_COORDINATOR or peer.zone == self._state.zone:
+            self._coordinator.hear_of(
+                message.coordinator, message.coordinator_term, message.coordinator_age_ms
+            )
+        if peer.role != ROLE_COORDINATOR:
+            self._hear_of_peer(peer, message)
+        seen = self._coordinator.seen()
+        return HeartbeatReply(
+            0,
+            self._state.host,
+            self._state.incarnation,
+            self._state.epoch(),
+            seen.host,
+            seen.term,
+            seen.age_ms,
+            self._state.book.versions(),
+        )
+
+    def _hear_of_peer(self, peer: Hello, message: Heartbeat) -> None:
+        if self._state.member(peer.host) is not None:
+            self._control.offer_versions(peer.host, message.versions)
+
+    def _fetch(self, peer: Hello, message: Fetch) -> Documents:
+        return Documents(0, self._state.book.newer_than(message.versions))
+
+    def _documents(self, peer: Hello, message: Documents) -> None:
+        self._state.offer(message)
+
+    def _release(self, peer: Hello, message: Release) -> Released:
+        released, how, fence = self._table.release(message)
+        return Released(0, released, how, fence)
+
+    def _report(self, peer: Hello, message: HostReport) -> HostStatus:
+        rows = [
+            [
+                one.key,
+                one.health.state,
+                one.health.in_state_s(),
+                one.busy_share(),
+                one.limit.limit,
+            ]
+            for one in self._table.held()
+        ]
+        return HostStatus(
+            0,
+            self._state.host,
+            self._state.incarnation,
+            self._state.epoch(),
+            self._resigning(),
+            rows,
+            {},
+            invariants.violations(),
+        )
--- /dev/null
+++ b/greengagefall/entry/peer_table.py
@@ -0,0 +1,102 @@
+"""Links to other entry hosts, opened when first needed."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING, Any
+
+from greengagefall.protocol.exceptions import PeerUnreachableError
+from greengagefall.protocol.link import PeerLink
+from greengagefall.utils.waiting import wait_until
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from greengagefall.coordination.model import Member
+    from greengagefall.protocol.messages import Hello
+
+log = logging.getLogger(__name__)
+
+FIRST_CONNECT_S = 0.3
+
+
+class PeerTable:
+    """One link per entry host that this host talks to.
+
+    Args:
+        hello: First message to each peer.
+        on_message: Called with each pushed message.
+    """
+
+    def __init__(self, hello: Hello, on_message: Callable[[Any], None]) -> None:
+        self._hello = hello
+        self._on_message = on_message
+        self._links: dict[str, PeerLink] = {}
+        self._members: dict[str, Member] = {}
+        self._closing: set[asyncio.Task] = set()
+
+    def set_members(self, members: Iterable[Member]) -> None:
+        """Sets the known entry hosts of all zones; links to others are closed."""
+        self._members = {member.host: member for member in members}
+        for host, link in list(self._links.items()):
+            member = self._members.get(host)
+            if member is None or member.address != link.address:
+                del self._links[host]
+                self._close_later(link)
+
+    async def close(self) -> None:
+        """Closes all links."""
+        links = list(self._links.values())
+        self._links.clear()
+        await asyncio.gather(*(link.close() for link in links), *self._closing)
+
+    def member(self, host: str) -> Member | None:
+        """Returns the member record of a host."""
+        return self._members.get(host)
+
+    def connected(self, host: str) -> bool:
+        """Returns whether a call to the host would be sent now."""
+        link = self._links.get(host)
+        return link is not None and link.connected and not link.suspect
+
+    def connected_hosts(self) -> list[str]:
+        """Returns the hosts with an open link."""
+        return [host for host in self._links if self.connected(host)]
+
+    async def call(self, host: str, message: Any, timeout_s: float) -> Any:
+        """Sends a request to a host and returns its reply.
+
+        Raises:
+            PeerUnreachableError: Nothing was sent.
+            PeerLostError: The connection ended after the message was written.
+            PeerTimeoutError: No reply came in time.
+        """
+        link = await self._link(host)
+        if not link.connected:
+            await self._wait_connected(link, min(timeout_s, FIRST_CONNECT_S))
+        return await link.call(message, timeout_s)
+
+    async def _link(self, host: str) -> PeerLink:
+        link = self._links.get(host)
+        if link is not None:
+            return link
+        member = self._members.get(host)
+        if member is None:
+            raise PeerUnreachableError(f"host {host} is not a member")
+        link = PeerLink(member.address, self._hello, on_message=self._on_message)
+        self._links[host] = link
+        await link.start()
+        await self._wait_connected(link, FIRST_CONNECT_S)
+        return link
+
+    async def _wait_connected(self, link: PeerLink, timeout_s: float) -> None:
+        # Only the first callers of a new link wait; a link that was lost fails at once.
+        if link.ever_connected:
+            return
+        await wait_until(lambda: link.connected, timeout_s)
+
+    def _close_later(self, link: PeerLink) -> None:
+        task = asyncio.create_task(link.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
--- /dev/null
+++ b/greengagefall/entry/pools.py
@@ -0,0 +1,106 @@
+"""Policies of pooled back ends: picking, ejection, hedging."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from greengagefall.balancing.ejection import EJECTIONS, Ejection
+from greengagefall.balancing.hedging import HEDGES, Hedge
+from greengagefall.balancing.pick import PICKS, Pick
+from greengagefall.balancing.server_views import ServerViews
+from greengagefall.protocol.messages import Answer
+from greengagefall.routing.model import KIND_POOLED, SERVER_ACTIVE, ZONE_IN
+
+if TYPE_CHECKING:
+    from greengagefall.protocol.messages import Refusal
+    from greengagefall.routing.model import BackEnd, RoutingConfig
+    from greengagefall.utils.clock import Clock
+
+DEFAULT_PICK = "two_choices"
+DEFAULT_EJECTION = "outlier"
+DEFAULT_HEDGE = "after_p95"
+
+
+class Pool:
+    """Policies of one pooled back end in one configuration version."""
+
+    def __init__(self, back_end: BackEnd, clock: Clock, rng: random.Random) -> None:
+        policies = back_end.policies
+        tuning = back_end.tuning
+        self.back_end = back_end
+        self.views = ServerViews(clock)
+        for server in back_end.servers.values():
+            self.views.set_server(server.name, server.zone, server.slots, server.weight)
+        weights = {server.name: server.weight for server in back_end.servers.values()}
+        self.picker: Pick = PICKS[policies.get("pick", DEFAULT_PICK)](rng, tuning)
+        ejection = EJECTIONS[policies.get("ejection", DEFAULT_EJECTION)]
+        self.ejection: Ejection = ejection(weights, clock, tuning)
+        self.hedge: Hedge = HEDGES[policies.get("hedge", DEFAULT_HEDGE)](tuning)
+
+
+class PoolTry:
+    """One try at a server of a pool, counted in its view until it ends."""
+
+    def __init__(self, pool: Pool, server: str) -> None:
+        self._pool = pool
+        self._server = server
+        pool.views.on_send(server)
+
+    def end(self, outcome: Answer | Refusal | None, latency_ms: float) -> None:
+        """Takes in the outcome; None means that the try was cancelled."""
+        if isinstance(outcome, Answer):
+            self._pool.views.on_answer(self._server, outcome.queue_length, latency_ms)
+            self._pool.ejection.on_result(self._server, latency_ms, True)
+            return
+        self._pool.views.on_refusal(self._server, 0)
+        if outcome is not None:
+            self._pool.ejection.on_result(self._server, latency_ms, False)
+
+
+class Pools:
+    """Pools of all pooled back ends.
+
+    Args:
+        zone: Availability zone of this entry host.
+        clock: Monotonic clock.
+    """
+
+    def __init__(self, zone: str, clock: Clock) -> None:
+        self._zone = zone
+        self._clock = clock
+        self._rng = random.Random()
+        self._pools: dict[str, Pool] = {}
+        self._zones: dict[str, str] = {}
+
+    def set_config(self, config: RoutingConfig) -> None:
+        """Takes a new configuration; unchanged back ends keep what they learnt."""
+        self._zones = config.zones
+        for back_end in config.back_ends.values():
+            if back_end.kind != KIND_POOLED:
+                continue
+            pool = self._pools.get(back_end.name)
+            if pool is None or pool.back_end != back_end:
+                self._pools[back_end.name] = Pool(back_end, self._clock, self._rng)
+
+    def pick(self, back_end: BackEnd, tried: set[str]) -> str | None:
+        """Returns a server that was not tried, or None."""
+        pool = self._pools[back_end.name]
+        ejected = pool.ejection.ejected()
+        views = [view for view in pool.views.views() if self._open(pool, view.name)]
+        chosen = pool.picker.pick(views, self._zone, tried | ejected)
+        if chosen is None:
+            chosen = pool.picker.pick(views, self._zone, tried)
+        return chosen
+
+    def begin(self, back_end: BackEnd, server: str) -> PoolTry:
+        """Counts a try that is about to be sent."""
+        return PoolTry(self._pools[back_end.name], server)
+
+    def hedge(self, back_end: BackEnd) -> Hedge:
+        """Returns the hedging policy of a back end."""
+        return self._pools[back_end.name].hedge
+
+    def _open(self, pool: Pool, name: str) -> bool:
+        server = pool.back_end.servers[name]
+        return server.state == SERVER_ACTIVE and self._zones.get(server.zone, ZONE_IN) == ZONE_IN
--- /dev/null
+++ b/greengagefall/entry/refuse.py
@@ -0,0 +1,30 @@
+"""Refusals made by this host."""
+
+from __future__ import annotations
+
+from greengagefall.entry.refusals import REFUSALS
+from greengagefall.protocol.messages import Refusal
+
+
+def refuse(
+    request_id: str,
+    reason: str,
+    *,
+    call_id: int = 0,
+    hint_host: str = "",
+    map_version: int = 0,
+    retry_after_ms: int | None = None,
+) -> Refusal:
+    """Returns a refusal with what the table says of its reason.
+
+    Args:
+        request_id: The caller's id.
+        reason: Name in ``REFUSALS``.
+        call_id: Id on the connection it answers, 0 for none.
+        hint_host: Host that may know better, if any.
+        map_version: Slice map version of this host.
+        retry_after_ms: Hint in place of the table's.
+    """
+    row = REFUSALS[reason]
+    hint_ms = row.retry_after_ms if retry_after_ms is None else retry_after_ms
+    return Refusal(call_id, request_id, reason, row.not_run, hint_ms, hint_host, map_version)
--- /dev/null
+++ b/greengagefall/entry/transport.py
@@ -0,0 +1,96 @@
+"""Sends one try of a request to the dispatcher's entry host, over a relay if need be."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from greengagefall.entry import refusals
+from greengagefall.entry.refuse import refuse
+from greengagefall.protocol.exceptions import (
+    FrameError,
+    PeerLostError,
+    PeerTimeoutError,
+    PeerUnreachableError,
+)
+from greengagefall.protocol.messages import Answer, Refusal
+from greengagefall.utils.metrics import count
+
+if TYPE_CHECKING:
+    from greengagefall.entry.dispatch_table import DispatchTable
+    from greengagefall.entry.host_state import HostState
+    from greengagefall.entry.peer_table import PeerTable
+    from greengagefall.entry.targets import Target
+    from greengagefall.protocol.messages import Forward
+
+log = logging.getLogger(__name__)
+
+MS_PER_S = 1000.0
+# The dispatcher's own refusal at the deadline comes first.
+REPLY_SLACK_S = 0.1
+
+Outcome = Answer | Refusal
+
+
+class Transport:
+    """Hands forwards to this host's own dispatchers or to peers.
+
+    Args:
+        state: Documents of this host.
+        peers: Links to other entry hosts.
+        table: This host's dispatchers.
+    """
+
+    def __init__(self, state: HostState, peers: PeerTable, table: DispatchTable) -> None:
+        self._state = state
+        self._peers = peers
+        self._table = table
+
+    async def send(self, target: Target, forward: Forward) -> Outcome:
+        """Returns the outcome of one try; never raises for an expected failure."""
+        if target.host == self._state.host:
+            return await self._table.submit(forward)
+        outcome = await self.send_to(target.host, forward)
+        if isinstance(outcome, Answer) or outcome.reason != refusals.DISPATCHER_UNREACHABLE:
+            return outcome
+        relay = self._relay_for(target.host)
+        if relay is None:
+            return outcome
+        count("relayed_requests")
+        return await self.send_to(relay, forward._replace(relay_host=target.host))
+
+    async def send_to(self, host: str, forward: Forward) -> Outcome:
+        """Sends a forward to a host and returns the outcome."""
+        timeout_s = forward.timeout_ms / MS_PER_S + REPLY_SLACK_S
+        try:
+            reply = await self._peers.call(host, forward, timeout_s)
+        except (PeerUnreachableError, FrameError):
+            return refuse(forward.request_id, refusals.DISPATCHER_UNREACHABLE)
+        except PeerLostError:
+            return refuse(forward.request_id, refusals.OUTCOME_UNKNOWN)
+        except PeerTimeoutError:
+            return refuse(forward.request_id, refusals.TIMED_OUT)
+        return self._checked(forward, reply)
+
+    async def relay(self, forward: Forward) -> Outcome:
+        """Passes on a forward for another host, as the one hop between cut zones."""
+        if forward.relay_host == self._state.host:
+            return await self._table.submit(forward)
+        return await self.send_to(forward.relay_host, forward._replace(relay_host=""))
+
+    def _checked(self, forward: Forward, reply: object) -> Outcome:
+        if not isinstance(reply, (Answer, Refusal)):
+            return refuse(forward.request_id, refusals.OUTCOME_UNKNOWN)
+        if reply.request_id != forward.request_id:
+            log.error("Peer answered with another request's id.")
+            return refuse(forward.request_id, refusals.CROSSED_ANSWER)
+        return reply
+
+    def _relay_for(self, host: str) -> str | None:
+        """Returns a connected host of a third zone."""
+        target = self._state.zone_of(host)
+        for other in self._peers.connected_hosts():
+            zone = self._state.zone_of(other)
+            if zone not in (target, self._state.zone, None):
+                return other
+        return None
--- a/greengagefall/limits/caller_share.py
+++ b/greengagefall/limits/caller_share.py
@@ -54,6 +54,11 @@
         """Callers with a request in flight."""
         return len(self._in_flight)
 
+    def set_limits(self, caller_in_flight: int, entry_in_flight: int) -> None:
+        """Takes new limits; requests in flight stay counted."""
+        self._caller_limit = caller_in_flight
+        self._entry_limit = entry_in_flight
+
     def try_enter(self, caller: str) -> Result[None, LimitRefusal]:
         """Counts a request of ``caller``, or returns why it is refused."""
         own = self._in_flight.get(caller, 0)
--- a/greengagefall/protocol/link.py
+++ b/greengagefall/protocol/link.py
@@ -58,6 +58,7 @@
         address: ``IP:port`` of the peer.
         peer: The peer's hello while connected, else None.
         blocked: Test switch that drops every frame in both directions.
+        ever_connected: Whether a connection was open at any time.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         self.address = address
         self.peer: Hello | None = None
         self.blocked = False
+        self.ever_connected = False
         self._hello = hello
         self._on_message = on_message
         self._on_connect = on_connect
@@ -268,6 +270,7 @@
         enable_keepalive(connection)
         self.peer = peer
         self._connection = connection
+        self.ever_connected = True
         log.debug("Connected to %s at %s.", peer.host, self.address)
         count("peer_connections")
         if self._on_connect is not None:
