--- a/greengagefall/protocol/link.py
+++ b/greengagefall/protocol/link.py
@@ -11,6 +11,7 @@
 from websockets.asyncio.client import connect
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
+from greengagefall.limits.backoff import full_jitter
 from greengagefall.protocol import faults
 from greengagefall.protocol.codec import decode
 from greengagefall.protocol.exceptions import (
@@ -41,14 +42,8 @@
 MAX_OUTSTANDING_CALLS = 4096
 PROBE_TIMEOUT_S = 1.5
 STABLE_AFTER_S = 1.0
-RECONNECT_BASE_S = 0.05
-RECONNECT_CAP_S = 1.0
-
-
-def reconnect_delay_s(attempt: int, rng: random.Random) -> float:
-    """Returns a delay with full jitter before reconnection number ``attempt``, from 0."""
-    ceiling_s = min(RECONNECT_CAP_S, RECONNECT_BASE_S * 2 ** min(attempt, 10))
-    return rng.uniform(0.0, ceiling_s)
+RECONNECT_BASE_MS = 50.0
+RECONNECT_CAP_MS = 1000.0
 
 
 class PeerLink:
@@ -243,7 +238,8 @@
                 log.debug("Connection to %s ended: %r.", self.address, error)
             if loop.time() - started_s > STABLE_AFTER_S + self._connect_timeout_s:
                 attempt = 0
-            await asyncio.sleep(reconnect_delay_s(attempt, self._rng))
+            delay_ms = full_jitter(attempt, RECONNECT_BASE_MS, RECONNECT_CAP_MS, self._rng)
+            await asyncio.sleep(delay_ms / 1000)
             attempt += 1
 
     async def _connect_and_read(self) -> None:
--- a/greengagefall/tests/link_tests.py
+++ b/greengagefall/tests/link_tests.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import unittest
+from unittest import mock
 
 import cbor2
 from websockets.asyncio.client import connect
 from websockets.exceptions import ConnectionClosed
 
+from greengagefall.limits.backoff import full_jitter
 from greengagefall.protocol import codec, faults, link
 from greengagefall.protocol.exceptions import (
     FrameError,
@@ -17,7 +18,7 @@
     PeerTimeoutError,
     PeerUnreachableError,
 )
-from greengagefall.protocol.link import PeerLink, reconnect_delay_s
+from greengagefall.protocol.link import PeerLink
 from greengagefall.protocol.messages import (
     PROTOCOL_VERSION,
     Documents,
@@ -203,13 +204,22 @@
             await self.link.call(heartbeat(), SHORT_S)
         self.assertEqual(self.seen, [])
 
-    def test_reconnect_delay_grows_with_full_jitter_to_a_cap(self):
-        rng = random.Random(1)
-        for attempt in range(100):
-            ceiling_s = min(link.RECONNECT_CAP_S, link.RECONNECT_BASE_S * 2**attempt)
-            self.assertLessEqual(reconnect_delay_s(attempt, rng), ceiling_s)
-        delays = {round(reconnect_delay_s(9, rng), 3) for _ in range(12)}
-        self.assertGreater(len(delays), 6)
+    async def test_many_links_reconnect_spread_out(self):
+        delays_ms = []
+
+        def recorded(attempt, base_ms, cap_ms, rng):
+            delay_ms = full_jitter(attempt, base_ms, cap_ms, rng)
+            delays_ms.append(delay_ms)
+            return delay_ms
+
+        with mock.patch.object(link, "full_jitter", recorded):
+            lonely = [PeerLink("127.0.0.1:1", hello_of("a")) for _ in range(12)]
+            for peer_link in lonely:
+                await peer_link.start()
+                self.addAsyncCleanup(peer_link.close)
+            await until(lambda: len(delays_ms) >= 60)
+        self.assertGreater(len({round(delay_ms) for delay_ms in delays_ms}), 12)
+        self.assertLessEqual(max(delays_ms), link.RECONNECT_CAP_MS)
 
 
 class BadPeerTests(LinkTestCase):
