--- /dev/null
+++ b/greengagefall/coordinator/contacts.py
@@ -0,0 +1,245 @@
+"""Connections of the active coordinator with the entry hosts of its zone."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from typing import TYPE_CHECKING, NamedTuple
+
+from greengagefall.protocol.exceptions import ProtocolError
+from greengagefall.protocol.link import PeerLink
+from greengagefall.protocol.messages import (
+    Documents,
+    Heartbeat,
+    HeartbeatReply,
+    HostReport,
+    HostStatus,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from greengagefall.coordination.documents import DocumentBook
+    from greengagefall.protocol.messages import Hello
+    from greengagefall.utils.clock import Clock
+
+log = logging.getLogger(__name__)
+
+HEARTBEAT_INTERVAL_S = 0.5
+CALL_TIMEOUT_S = 0.5
+HEARD_WITHIN_S = 2.0
+
+
+class Claim(NamedTuple):
+    """What the coordinator says of itself in heartbeats.
+
+    Attributes:
+        host: Its host, empty while its lease is not certain.
+        term: Its term.
+    """
+
+    host: str
+    term: int
+
+
+class HostSight(NamedTuple):
+    """What the coordinator knows of an entry host that answered lately.
+
+    Attributes:
+        host: Name of the host.
+        incarnation: Incarnation of its entry process.
+        address: ``IP:port`` of its peer interface.
+        http_address: ``IP:port`` of its callers' interface.
+        epoch: Members epoch it acts under.
+        resigning: Whether it is stopping.
+    """
+
+    host: str
+    incarnation: str
+    address: str
+    http_address: str
+    epoch: int
+    resigning: bool
+
+
+class HostContact:
+    """Connection with one entry host, with its last heartbeat reply and status.
+
+    Attributes:
+        address: ``IP:port`` of the host's peer interface.
+        link: The connection.
+        status: Last status of the host, or None.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        hello: Hello,
+        book: DocumentBook,
+        clock: Clock,
+        claim: Callable[[], Claim],
+        on_change: Callable[[], None],
+    ) -> None:
+        self.address = address
+        self.link = PeerLink(address, hello, on_connect=self._connected)
+        self.status: HostStatus | None = None
+        self._host = hello.host
+        self._book = book
+        self._clock = clock
+        self._claim = claim
+        self._on_change = on_change
+        self._versions: dict[str, int] | None = None
+        self._heard_at_s: float | None = None
+        self._sight: HostSight | None = None
+        self._task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Starts the connection and the heartbeats."""
+        await self.link.start()
+        self._task = asyncio.create_task(self._run(), name=f"contact {self.address}")
+
+    async def close(self) -> None:
+        """Stops the heartbeats and ends the connection."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self.link.close()
+
+    def sight(self) -> HostSight | None:
+        """Returns what is known of the host, None unless it answered lately."""
+        if self._heard_at_s is None or self._clock.now_s() - self._heard_at_s > HEARD_WITHIN_S:
+            return None
+        return self._sight
+
+    def push(self) -> None:
+        """Sends the documents that the host does not have yet."""
+        if self._versions is None:
+            return
+        rows = self._book.newer_than(self._versions)
+        if rows and self.link.send(Documents(0, rows)):
+            self._versions = self._book.versions()
+
+    def _connected(self, peer: Hello) -> None:
+        self._versions = None
+        self.status = None
+
+    async def _run(self) -> None:
+        await asyncio.sleep(random.uniform(0, HEARTBEAT_INTERVAL_S / 5))
+        while True:
+            if self.link.connected:
+                await self._exchange()
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+
+    async def _exchange(self) -> None:
+        claim = self._claim()
+        heartbeat = Heartbeat(0, self._host, 0, claim.host, claim.term, 0, self._book.versions())
+        try:
+            reply = await self.link.call(heartbeat, CALL_TIMEOUT_S)
+            if isinstance(reply, HeartbeatReply):
+                self._note_reply(reply)
+            status = await self.link.call(HostReport(0), CALL_TIMEOUT_S)
+            if isinstance(status, HostStatus):
+                self._note_status(status)
+        except ProtocolError as error:
+            log.debug("No answer from %s: %s.", self.address, error)
+
+    def _note_reply(self, reply: HeartbeatReply) -> None:
+        self._versions = dict(reply.versions)
+        self.push()
+        peer = self.link.peer
+        if peer is None or peer.incarnation != reply.incarnation:
+            return
+        resigning = bool(self.status and self.status.resigning)
+        sight = HostSight(
+            reply.host, reply.incarnation, self.address, peer.http_address, reply.epoch, resigning
+        )
+        self._see(sight)
+
+    def _note_status(self, status: HostStatus) -> None:
+        before, self.status = self.status, status
+        if self._sight is not None and self._sight.incarnation == status.incarnation:
+            self._see(self._sight._replace(epoch=status.epoch, resigning=status.resigning))
+        if before is None or _states(before) != _states(status):
+            self._on_change()
+
+    def _see(self, sight: HostSight) -> None:
+        before = self.sight()
+        self._sight = sight
+        self._heard_at_s = self._clock.now_s()
+        if before != sight:
+            self._on_change()
+
+
+class HostContacts:
+    """The contacts of the active coordinator, by address."""
+
+    def __init__(
+        self,
+        hello: Hello,
+        book: DocumentBook,
+        clock: Clock,
+        claim: Callable[[], Claim],
+        on_change: Callable[[], None],
+    ) -> None:
+        """Prepares the contacts.
+
+        Args:
+            hello: First message to each host.
+            book: Documents to push.
+            clock: Source of time.
+            claim: Returns what heartbeats say of the coordinator.
+            on_change: Called when a host or a server's state changed.
+        """
+        self._hello = hello
+        self._book = book
+        self._clock = clock
+        self._claim = claim
+        self._on_change = on_change
+        self._contacts: dict[str, HostContact] = {}
+
+    async def connect(self, addresses: Iterable[str]) -> None:
+        """Keeps contact with exactly these addresses."""
+        wanted = set(addresses)
+        for address in wanted - self._contacts.keys():
+            contact = HostContact(
+                address, self._hello, self._book, self._clock, self._claim, self._on_change
+            )
+            self._contacts[address] = contact
+            await contact.start()
+        ended = [self._contacts.pop(address) for address in self._contacts.keys() - wanted]
+        await asyncio.gather(*(contact.close() for contact in ended))
+
+    async def close(self) -> None:
+        """Ends all contacts."""
+        await self.connect([])
+
+    def push(self) -> None:
+        """Sends each host the documents that it does not have yet."""
+        for contact in self._contacts.values():
+            contact.push()
+
+    def sights(self) -> dict[str, HostSight]:
+        """Returns what is known of the hosts that answered lately, by host."""
+        sights = (contact.sight() for contact in self._contacts.values())
+        return {sight.host: sight for sight in sights if sight is not None}
+
+    def statuses(self) -> list[HostStatus]:
+        """Returns the last status of each host that answered lately."""
+        return [
+            contact.status
+            for contact in self._contacts.values()
+            if contact.status is not None and contact.sight() is not None
+        ]
+
+    def link_to(self, host: str) -> PeerLink | None:
+        """Returns the connection with a host that answered lately."""
+        for contact in self._contacts.values():
+            sight = contact.sight()
+            if sight is not None and sight.host == host:
+                return contact.link
+        return None
+
+
+def _states(status: HostStatus) -> list[tuple[str, str]]:
+    return [(row[0], row[1]) for row in status.servers]
--- /dev/null
+++ b/greengagefall/coordinator/hosts.py
@@ -0,0 +1,78 @@
+"""Follows the platform's lagging list of hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from typing import TYPE_CHECKING
+
+from result import Err
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from greengagefall.store.host_list import HostListClient, ListedHost
+
+log = logging.getLogger(__name__)
+
+FETCH_INTERVAL_S = 2.0
+
+
+class ListedHosts:
+    """The entry hosts of one zone, as the platform listed them last."""
+
+    def __init__(
+        self, client: HostListClient | None, zone: str, on_change: Callable[[], None]
+    ) -> None:
+        """Prepares the list.
+
+        Args:
+            client: Client of the host list, None if there is none.
+            zone: Own availability zone.
+            on_change: Called when the list changed.
+        """
+        self._client = client
+        self._zone = zone
+        self._on_change = on_change
+        self._hosts: tuple[ListedHost, ...] | None = None
+        self._task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Starts reading the list at intervals."""
+        if self._client is not None:
+            self._task = asyncio.create_task(self._run(), name="host list")
+
+    async def close(self) -> None:
+        """Stops reading."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def states(self) -> dict[str, str] | None:
+        """Returns the state by host, None until the list was read."""
+        if self._hosts is None:
+            return None
+        return {listed.host: listed.state for listed in self._hosts}
+
+    def addresses(self) -> list[str]:
+        """Returns the peer addresses of the listed hosts."""
+        return [listed.address for listed in self._hosts or ()]
+
+    async def fetch(self) -> None:
+        """Reads the list once; the former one stays if that fails."""
+        if self._client is None:
+            return
+        found = await self._client.fetch()
+        if isinstance(found, Err):
+            log.debug("The host list cannot be read: %s.", found.err_value)
+            return
+        hosts = tuple(sorted(host for host in found.ok_value if host.zone == self._zone))
+        if hosts != self._hosts:
+            self._hosts = hosts
+            self._on_change()
+
+    async def _run(self) -> None:
+        while True:
+            await self.fetch()
+            await asyncio.sleep(random.uniform(0.5, 1.5) * FETCH_INTERVAL_S)
