Make patches the next configuration version, through lost answers and races

Operators race with patches and the store loses answers after writes took effect. A version is created only if absent and if the one before is present; unknown outcomes are settled by reading back, and a patch id is accepted at most once.

--- a/greengagefall/routing/exceptions.py
+++ b/greengagefall/routing/exceptions.py
@@ -41,6 +41,10 @@
     """The store could not be reached; nothing was changed."""
 
 
+class RegistryRefusedError(RoutingError):
+    """The store found the write of a version invalid, such as too large."""
+
+
 class PatchOutcomeUnknownError(RoutingError):
     """The store did not say whether a patch was accepted.
 
--- a/greengagefall/routing/patch.py
+++ b/greengagefall/routing/patch.py
@@ -55,7 +55,7 @@
     """
     if patch.base_version != config.version:
         return Err(StalePatchError(patch.base_version, config.version))
-    refused = _check_merge(patch)
+    refused = check_patch(patch)
     if refused is not None:
         return Err(refused)
     document = merge_patch(config.document, patch.merge)
@@ -68,7 +68,8 @@
     return parsed if broken is None else Err(broken)
 
 
-def _check_merge(patch: Patch) -> ConfigError | None:
+def check_patch(patch: Patch) -> ConfigError | None:
+    """Returns what is wrong with ``patch`` itself, whatever it is applied to."""
     if not patch.patch_id:
         return ConfigError("patch_id", "is required")
     if not isinstance(patch.merge, dict):
--- /dev/null
+++ b/greengagefall/routing/registry.py
@@ -0,0 +1,216 @@
+"""Makes patches the next version of the routing configuration in the store.
+
+The record of a version is created only if it is absent and if the version before is
+present. Old versions are deleted; a record outside their prefix then refuses a late
+creation of the first version.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from greengagefall.limits.backoff import full_jitter
+from greengagefall.routing.exceptions import (
+    ConfigError,
+    PatchOutcomeUnknownError,
+    RegistryRefusedError,
+    RegistryUnavailableError,
+    RoutingError,
+    StalePatchError,
+)
+from greengagefall.routing.parse import empty_config
+from greengagefall.routing.patch import Patch, apply_patch, check_patch, merge_patch
+from greengagefall.routing.records import (
+    config_key,
+    load_head,
+    load_history,
+    parse_head,
+    parse_record,
+    read_version,
+)
+from greengagefall.store.exceptions import (
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from greengagefall.store.model import Compare, Put, absent, exists
+
+if TYPE_CHECKING:
+    from greengagefall.routing.model import RoutingConfig
+    from greengagefall.store.exceptions import StoreError
+    from greengagefall.store.model import Store
+
+log = logging.getLogger(__name__)
+
+__all__ = ["backoff_pause", "load_head", "propose", "read_version"]
+
+FIRST_VERSION = 1
+FLOOR_KEY = "config_floor"
+KEPT_VERSIONS = 32
+
+MAX_ATTEMPTS = 6
+BACKOFF_BASE_MS = 200
+BACKOFF_CAP_MS = 2000
+
+Pause = Callable[[int], Awaitable[None]]
+
+_rng = random.Random()
+
+
+async def backoff_pause(attempt: int) -> None:
+    """Waits before the retry number ``attempt``, with full jitter."""
+    delay_ms = full_jitter(attempt - 1, BACKOFF_BASE_MS, BACKOFF_CAP_MS, _rng)
+    await asyncio.sleep(delay_ms / 1000)
+
+
+async def propose(
+    store: Store,
+    patch: Patch,
+    *,
+    pause: Pause = backoff_pause,
+    kept_versions: int = KEPT_VERSIONS,
+) -> Result[RoutingConfig, RoutingError]:
+    """Makes the next version out of ``patch``, at most once per patch id.
+
+    Proposing a patch again with the same id is safe: where it was accepted, the
+    version that it made is returned.
+
+    Args:
+        store: The platform's key-value service.
+        patch: The change, against a stated version.
+        pause: Waits before a retry.
+        kept_versions: Number of newest versions that stay in the store, at least 2.
+
+    Returns:
+        The version that the patch made, or an error. ``StalePatchError`` and
+        ``ConfigError`` mean that the patch is not accepted (for a patch against a version
+        older than those kept: not by this call), ``RegistryUnavailableError`` that this call
+        changed nothing, ``PatchOutcomeUnknownError`` that only another try tells.
+    """
+    malformed = check_patch(patch)
+    if malformed is not None:
+        return Err(malformed)
+    proposal = Proposal(store, patch, kept_versions)
+    for attempt in range(MAX_ATTEMPTS):
+        if attempt:
+            await pause(attempt)
+        outcome = await proposal.run_attempt()
+        if outcome is not None:
+            return outcome
+    return proposal.give_up()
+
+
+class Proposal:
+    """The attempts to make one patch the next version."""
+
+    def __init__(self, store: Store, patch: Patch, kept_versions: int) -> None:
+        self._store = store
+        self._patch = patch
+        self._kept_versions = kept_versions
+        self._may_be_accepted = False
+        self._why = ""
+
+    async def run_attempt(self) -> Result[RoutingConfig, RoutingError] | None:
+        """Reads the versions and creates the next one; returns None to try again."""
+        history = await load_history(self._store)
+        if isinstance(history, Err):
+            return self._note_read_error(history)
+        records = history.ok_value
+        settled = self._settle(records)
+        if settled is not None:
+            return settled
+        proposed = _apply_to_head(records, self._patch)
+        if isinstance(proposed, Err):
+            return proposed
+        return await self._create(proposed.ok_value, records)
+
+    def give_up(self) -> Err[RoutingError]:
+        """Returns the error that ends a proposal without an outcome."""
+        if self._may_be_accepted:
+            return self._unknown(self._why)
+        return Err(RegistryUnavailableError(self._why))
+
+    def _note_read_error(self, read: Err[RoutingError]) -> Err[RoutingError] | None:
+        if not isinstance(read.err_value, RegistryUnavailableError):
+            return self._unknown(str(read.err_value)) if self._may_be_accepted else read
+        self._why = str(read.err_value)
+        return None
+
+    def _note_write_error(self, error: StoreError) -> Err[RoutingError] | None:
+        self._why = str(error)
+        if isinstance(error, StoreOutcomeUnknownError):
+            self._may_be_accepted = True
+            return None
+        if isinstance(error, StoreUnavailableError):
+            return None
+        if self._may_be_accepted:
+            return self._unknown(self._why)
+        return Err(RegistryRefusedError(self._why))
+
+    def _settle(self, records: dict[int, dict]) -> Result[RoutingConfig, RoutingError] | None:
+        """Returns the outcome if the versions present decide it."""
+        version = self._patch.base_version + 1
+        head_version = max(records, default=0)
+        document = records.get(version)
+        if document is not None and document.get("patch_id") == self._patch.patch_id:
+            return self._read_own(records, version)
+        if head_version == self._patch.base_version:
+            return None
+        if document is None and head_version > version and self._may_be_accepted:
+            return self._unknown(f"version {version} is no longer kept")
+        return Err(StalePatchError(self._patch.base_version, head_version))
+
+    def _read_own(
+        self, records: dict[int, dict], version: int
+    ) -> Result[RoutingConfig, RoutingError]:
+        """Returns the version that carries the patch's id, if it is this patch's outcome."""
+        base_known = version == FIRST_VERSION or version - 1 in records
+        expected = merge_patch(records.get(version - 1, {}), self._patch.merge)
+        expected |= {"version": version, "patch_id": self._patch.patch_id}
+        if base_known and expected != records[version]:
+            return Err(ConfigError("patch_id", f"{self._patch.patch_id!r} names another patch"))
+        return parse_record(config_key(version), records[version])
+
+    async def _create(
+        self, proposed: RoutingConfig, records: dict[int, dict]
+    ) -> Result[RoutingConfig, RoutingError] | None:
+        key = config_key(proposed.version)
+        compares = [absent(key), _compare_before(proposed.version)]
+        created = await self._store.txn(compares, [Put(key, proposed.document)])
+        if isinstance(created, Err):
+            return self._note_write_error(created.err_value)
+        if not created.ok_value.succeeded:
+            self._why = "another change came first"
+            return None
+        log.info("Version %d was made by patch %s.", proposed.version, proposed.patch_id)
+        await self._delete_old(proposed.version, records)
+        return Ok(proposed)
+
+    async def _delete_old(self, version: int, records: dict[int, dict]) -> None:
+        oldest = version - self._kept_versions + 1
+        keys = [config_key(number) for number in records if number < oldest]
+        if not keys:
+            return
+        deleted = await self._store.txn([], [Put(FLOOR_KEY, {"oldest": oldest})], keys)
+        if isinstance(deleted, Err):
+            log.warning("Old versions could not be deleted: %s.", deleted.err_value)
+
+    def _unknown(self, why: str) -> Err[RoutingError]:
+        return Err(PatchOutcomeUnknownError(self._patch.patch_id, self._patch.base_version, why))
+
+
+def _compare_before(version: int) -> Compare:
+    """Returns what must hold of the version before, at any later time too."""
+    if version == FIRST_VERSION:
+        return absent(FLOOR_KEY)
+    return exists(config_key(version - 1))
+
+
+def _apply_to_head(records: dict[int, dict], patch: Patch) -> Result[RoutingConfig, RoutingError]:
+    head = parse_head(records) if records else Ok(empty_config())
+    return head if isinstance(head, Err) else apply_patch(head.ok_value, patch)
