--- /dev/null
+++ b/greengagefall/coordinator/active.py
@@ -0,0 +1,145 @@
+"""Everything that runs only while a coordinator is active."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from greengagefall.coordinator.contacts import HostContacts
+from greengagefall.coordinator.hosts import ListedHosts
+from greengagefall.coordinator.members import MembersKeeper
+from greengagefall.coordinator.records import Records
+from greengagefall.coordinator.slices import SliceKeeper
+from greengagefall.coordinator.wakeup import Wakeup
+from greengagefall.coordinator.watch import RecordsWatch
+from greengagefall.routing.model import KIND_KEYED
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from greengagefall.coordinator.contacts import Claim
+    from greengagefall.protocol.messages import Hello
+    from greengagefall.store.host_list import HostListClient
+    from greengagefall.store.model import Store
+    from greengagefall.utils.clock import Clock
+
+log = logging.getLogger(__name__)
+
+ARRANGE_INTERVAL_S = 1.0
+PUSH_BATCH_S = 0.02
+
+
+class ActiveCoordinator:
+    """The active coordinator of a zone.
+
+    Attributes:
+        records: The store's records.
+        contacts: Connections with the zone's hosts.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        host_list: HostListClient | None,
+        hello: Hello,
+        entry_peer: str,
+        claim: Callable[[], Claim],
+        clock: Clock,
+    ) -> None:
+        """Prepares the parts.
+
+        Args:
+            store: The platform's key-value service.
+            host_list: The platform's host list, None if there is none.
+            hello: First message to each host.
+            entry_peer: Peer address of the own host's entry process.
+            claim: Returns what heartbeats say of the coordinator.
+            clock: Source of time.
+        """
+        self._zone = hello.zone
+        self._entry_peer = entry_peer
+        self._clock = clock
+        self._arrange_wakeup = Wakeup()
+        self._push_wakeup = Wakeup()
+        self._members_wakeup = Wakeup()
+        self._slice_wakeups: dict[str, Wakeup] = {}
+        self._keepers: dict[str, SliceKeeper] = {}
+        self.records = Records(store, self._zone, self._records_changed)
+        self.contacts = HostContacts(hello, self.records.book, clock, claim, self._contacts_changed)
+        self._watch = RecordsWatch(store, self.records, self._records_changed)
+        self._listed = ListedHosts(host_list, self._zone, self._arrange_wakeup.set)
+        self._members = MembersKeeper(
+            self._zone, self.records, self.contacts, self._listed, clock, self._members_wakeup
+        )
+        self._tasks: list[asyncio.Task] = []
+
+    async def start(self) -> None:
+        """Starts all parts."""
+        await self._listed.start()
+        await self._watch.start()
+        await self._members.start()
+        self._tasks = [
+            asyncio.create_task(self._push(), name="push"),
+            asyncio.create_task(self._arrange(), name="arrange"),
+        ]
+
+    async def close(self) -> None:
+        """Ends all parts; nothing that was begun is lost with them."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*(keeper.close() for keeper in self._keepers.values()))
+        await self._members.close()
+        await self._watch.close()
+        await self._listed.close()
+        await self.contacts.close()
+
+    def _records_changed(self) -> None:
+        self._push_wakeup.set()
+        self._arrange_wakeup.set()
+        self._contacts_changed()
+
+    def _contacts_changed(self) -> None:
+        self._members_wakeup.set()
+        for wakeup in self._slice_wakeups.values():
+            wakeup.set()
+
+    async def _push(self) -> None:
+        """Pushes changed documents, those of a short while together."""
+        while True:
+            await self._push_wakeup.wait(ARRANGE_INTERVAL_S)
+            await asyncio.sleep(PUSH_BATCH_S)
+            self.contacts.push()
+
+    async def _arrange(self) -> None:
+        """Keeps contact with the right hosts, and a keeper for each keyed back end."""
+        while True:
+            await self.contacts.connect(self._addresses())
+            await self._arrange_keepers()
+            await self._arrange_wakeup.wait(ARRANGE_INTERVAL_S)
+
+    def _addresses(self) -> set[str]:
+        record = self.records.members
+        members = record.members if record else ()
+        return {
+            self._entry_peer,
+            *self._listed.addresses(),
+            *(member.address for member in members),
+        }
+
+    async def _arrange_keepers(self) -> None:
+        wanted = {
+            name
+            for name, back_end in self.records.config.back_ends.items()
+            if back_end.kind == KIND_KEYED
+        }
+        for name in self._keepers.keys() - wanted:
+            del self._slice_wakeups[name]
+            await self._keepers.pop(name).close()
+        for name in sorted(wanted - self._keepers.keys()):
+            wakeup = self._slice_wakeups[name] = Wakeup()
+            keeper = SliceKeeper(name, self._zone, self.records, self.contacts, self._clock, wakeup)
+            self._keepers[name] = keeper
+            await keeper.start()
+            wakeup.set()
--- a/greengagefall/coordinator/contacts.py
+++ b/greengagefall/coordinator/contacts.py
@@ -84,7 +84,7 @@
         self.address = address
         self.link = PeerLink(address, hello, on_connect=self._connected)
         self.status: HostStatus | None = None
-        self._host = hello.host
+        self._hello = hello
         self._book = book
         self._clock = clock
         self._claim = claim
@@ -133,7 +133,9 @@
 
     async def _exchange(self) -> None:
         claim = self._claim()
-        heartbeat = Heartbeat(0, self._host, 0, claim.host, claim.term, 0, self._book.versions())
+        heartbeat = Heartbeat(
+            0, self._hello.host, 0, claim.host, claim.term, 0, self._book.versions()
+        )
         try:
             reply = await self.link.call(heartbeat, CALL_TIMEOUT_S)
             if isinstance(reply, HeartbeatReply):
@@ -150,6 +152,9 @@
         peer = self.link.peer
         if peer is None or peer.incarnation != reply.incarnation:
             return
+        if peer.zone != self._hello.zone:
+            log.warning("Host %s is in zone %s, not in ours.", peer.host, peer.zone)
+            return
         resigning = bool(self.status and self.status.resigning)
         sight = HostSight(
             reply.host, reply.incarnation, self.address, peer.http_address, reply.epoch, resigning
--- /dev/null
+++ b/greengagefall/coordinator/process.py
@@ -0,0 +1,140 @@
+"""The coordinator process: standby until elected, then active until the lease is lost."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import uuid
+from typing import TYPE_CHECKING
+
+from greengagefall.coordinator.active import ActiveCoordinator
+from greengagefall.coordinator.admin import AdminServer
+from greengagefall.coordinator.contacts import Claim
+from greengagefall.coordinator.election import Election
+from greengagefall.coordinator.standby import StandbyView
+from greengagefall.protocol.link import PeerLink
+from greengagefall.protocol.messages import PROTOCOL_VERSION, Hello
+from greengagefall.store.client import StoreClient
+from greengagefall.store.host_list import HostListClient
+from greengagefall.utils.clock import SystemClock
+from greengagefall.utils.metrics import count
+
+if TYPE_CHECKING:
+    from greengagefall.config.coordinator import CoordinatorSettings
+    from greengagefall.store.model import Store
+
+log = logging.getLogger(__name__)
+
+ROLE_COORDINATOR = "coordinator"
+STORE_CALLS_PER_S = 20.0
+RESIGN_TIMEOUT_S = 2.0
+
+
+class CoordinatorProcess:
+    """One coordinator program.
+
+    Attributes:
+        active: The active part, None while standby.
+    """
+
+    def __init__(self, settings: CoordinatorSettings, store: Store | None = None) -> None:
+        """Prepares the process.
+
+        Args:
+            settings: Checked settings.
+            store: The platform's key-value service; None makes a client by the settings.
+        """
+        self.active: ActiveCoordinator | None = None
+        self._settings = settings
+        self._clock = SystemClock()
+        self._store = store or StoreClient(
+            settings.store,
+            calls_per_s=STORE_CALLS_PER_S,
+            host=settings.host,
+            zone=settings.zone,
+        )
+        self._host_list = HostListClient(settings.host_list) if settings.host_list else None
+        self._hello = Hello(
+            PROTOCOL_VERSION,
+            ROLE_COORDINATOR,
+            settings.host,
+            settings.zone,
+            uuid.uuid4().hex,
+            "",
+            "",
+        )
+        self._link = PeerLink(settings.entry_peer, self._hello)
+        self._view = StandbyView(self._link, self._host_list, settings.host, settings.zone)
+        self._election = Election(
+            self._store,
+            self._view,
+            settings.host,
+            settings.zone,
+            settings.lease_ttl_s,
+            self._clock,
+        )
+        self._admin = AdminServer(settings.admin_listen, self) if settings.admin_listen else None
+        self._task: asyncio.Task | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Whether the process can do its part: it hears its entry host, or is active."""
+        if self.active is not None:
+            return self.active.records.complete
+        return self._link.connected
+
+    @property
+    def term(self) -> int:
+        """Term won last, 0 for none."""
+        return self._election.term
+
+    async def start(self) -> None:
+        """Starts as standby."""
+        await self._store.start()
+        if self._host_list is not None:
+            await self._host_list.start()
+        await self._link.start()
+        if self._admin is not None:
+            await self._admin.start()
+        self._task = asyncio.create_task(self._run(), name="coordinator")
+
+    async def close(self) -> None:
+        """Gives the lease back and ends."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        try:
+            async with asyncio.timeout(RESIGN_TIMEOUT_S):
+                await self._election.resign()
+        except TimeoutError:
+            log.warning("The lease is not given back in time. It runs out by itself.")
+        if self._admin is not None:
+            await self._admin.close()
+        await self._link.close()
+        if self._host_list is not None:
+            await self._host_list.close()
+        await self._store.close()
+
+    async def _run(self) -> None:
+        while True:
+            await self._election.win()
+            count("coordinator_terms")
+            self.active = ActiveCoordinator(
+                self._store,
+                self._host_list,
+                self._hello,
+                self._settings.entry_peer,
+                self._claim,
+                self._clock,
+            )
+            try:
+                await self.active.start()
+                await self._election.hold()
+            finally:
+                await self.active.close()
+                self.active = None
+
+    def _claim(self) -> Claim:
+        if not self._election.certain:
+            return Claim("", 0)
+        return Claim(self._settings.host, self._election.term)
--- /dev/null
+++ b/greengagefall/coordinator/slices.py
@@ -0,0 +1,323 @@
+"""Drives the slice map of one keyed back end."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from greengagefall.balancing.loads import usable_servers
+from greengagefall.balancing.placement import PLACEMENTS, Placement
+from greengagefall.balancing.zone_moves import ZONE_MOVES, ZoneMoves
+from greengagefall.coordination.model import SLICE_FREE, SLICE_RELEASING, SliceRun
+from greengagefall.coordination.slice_map_changes import begin_release, initial_map, next_delta
+from greengagefall.coordinator import slice_decisions as decisions
+from greengagefall.coordinator.releases import Releases
+from greengagefall.routing.model import KIND_KEYED, ZONE_IN, ZONE_LOST
+from greengagefall.utils.metrics import count
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from greengagefall.balancing.loads import Loads
+    from greengagefall.balancing.moves import Move
+    from greengagefall.coordination.slice_map import SliceMap
+    from greengagefall.coordinator.contacts import HostContacts
+    from greengagefall.coordinator.records import Records
+    from greengagefall.coordinator.slice_decisions import Bounds, ServerReport
+    from greengagefall.coordinator.wakeup import Wakeup
+    from greengagefall.routing.model import BackEnd, RoutingConfig
+    from greengagefall.utils.clock import Clock
+
+log = logging.getLogger(__name__)
+
+CHECK_INTERVAL_S = 0.25
+STEP_PAUSE_S = 0.1
+PATIENCE_S = 2.0
+PLAN_TIMEOUT_S = 2.0
+BALANCE_INTERVAL_S = 10.0
+MAX_BALANCED_SHARE = 0.07
+DEFAULT_PLACEMENT = "load_aware"
+DEFAULT_ZONE_MOVE = "paced"
+
+
+class SliceKeeper:
+    """Writes the slice map of one keyed back end while its coordinator is active."""
+
+    def __init__(
+        self,
+        back_end: str,
+        zone: str,
+        records: Records,
+        contacts: HostContacts,
+        clock: Clock,
+        wakeup: Wakeup,
+    ) -> None:
+        """Prepares the keeper.
+
+        Args:
+            back_end: Name of the back end.
+            zone: Own availability zone.
+            records: The store's records.
+            contacts: Connections with the zone's hosts.
+            clock: Source of time.
+            wakeup: Set when records or contacts changed.
+        """
+        self.releases = Releases(back_end, records, contacts, wakeup.set)
+        self._name = back_end
+        self._zone = zone
+        self._records = records
+        self._contacts = contacts
+        self._clock = clock
+        self._wakeup = wakeup
+        self._wanted: dict[int, str] = {}
+        self._free_since_s: float | None = None
+        self._lost_since_s: dict[str, float] = {}
+        self._planned_s = float("-inf")
+        self._balanced_s = clock.now_s()
+        self._policies: tuple[dict[str, str], dict[str, float]] | None = None
+        self._placement: Placement | None = None
+        self._zone_moves: ZoneMoves | None = None
+        self._task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Starts the task that keeps the map."""
+        self._task = asyncio.create_task(self._run(), name=f"slices {self._name}")
+
+    async def close(self) -> None:
+        """Ends the task; slices left in state ``releasing`` are the next coordinator's."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self.releases.close()
+
+    async def _run(self) -> None:
+        while True:
+            await self._wakeup.wait(CHECK_INTERVAL_S)
+            if self._records.complete:
+                await self.step()
+            await asyncio.sleep(STEP_PAUSE_S)
+
+    async def step(self) -> None:
+        """Makes the next change of the map, if one is due."""
+        config = self._records.config
+        back_end = config.back_ends.get(self._name)
+        if back_end is None or back_end.kind != KIND_KEYED:
+            return
+        self._note_lost_zones(config)
+        self._choose_policies(back_end)
+        slice_map = self._records.slice_map(self._name)
+        if slice_map is None:
+            await self._create_map(config, back_end)
+            return
+        if slice_map.slice_count != back_end.slice_count:
+            count("coordinator_slice_count_conflicts", back_end=self._name)
+            return
+        await self._change(config, back_end, slice_map)
+
+    async def _change(self, config: RoutingConfig, back_end: BackEnd, slice_map: SliceMap) -> None:
+        lost_for_s = self._lost_for_s()
+        zones = decisions.driven_zones(config, self._zone, lost_for_s, PATIENCE_S)
+        reports = decisions.server_reports(self._contacts.statuses(), self._name)
+        loads = decisions.loads_of(reports, self._contacts.statuses(), self._name)
+        if await self._assign(config, back_end, slice_map, zones, loads):
+            return
+        if await self._begin_releases(config, back_end, slice_map, zones, reports, loads):
+            return
+        self._drive_releases(config, back_end, slice_map, zones)
+        await self._records.compact(self._name)
+
+    async def _create_map(self, config: RoutingConfig, back_end: BackEnd) -> None:
+        if not self._may_take_free(config):
+            return
+        created = await self._records.create_slice_map(
+            initial_map(self._name, back_end.slice_count)
+        )
+        if isinstance(created, Err):
+            log.warning("The slice map is not created: %s.", created.err_value)
+
+    async def _assign(
+        self,
+        config: RoutingConfig,
+        back_end: BackEnd,
+        slice_map: SliceMap,
+        zones: set[str],
+        loads: Loads,
+    ) -> bool:
+        """Appoints owners for free and released slices; returns whether it tried."""
+        free = any(run.state == SLICE_FREE for run in slice_map.runs())
+        take_free = free and self._may_take_free(config)
+        if not free:
+            self._free_since_s = None
+        runs = decisions.assignable_runs(
+            slice_map, back_end, zones, self.releases.proofs, take_free
+        )
+        if not runs:
+            return False
+        entries = self._appointments(config, back_end, slice_map, runs, loads)
+        if not entries:
+            count("coordinator_no_owner", back_end=self._name)
+            return False
+        if await self._write(slice_map, entries):
+            self.releases.forget(entries)
+            self._forget_wanted(entries)
+        return True
+
+    def _appointments(
+        self,
+        config: RoutingConfig,
+        back_end: BackEnd,
+        slice_map: SliceMap,
+        runs: list[SliceRun],
+        loads: Loads,
+    ) -> list[SliceRun]:
+        fence = slice_map.version + 1
+        if slice_map.version == 0:
+            return self._placement.initial(
+                slice_map.slice_count, back_end.servers, config.zones, fence
+            )
+        moves = decisions.choose_owners(
+            runs, slice_map, back_end, loads, config.zones, self._wanted
+        )
+        return decisions.appointments(moves, slice_map, back_end, fence)
+
+    async def _begin_releases(
+        self,
+        config: RoutingConfig,
+        back_end: BackEnd,
+        slice_map: SliceMap,
+        zones: set[str],
+        reports: dict[str, ServerReport],
+        loads: Loads,
+    ) -> bool:
+        """Begins the releases that are due; returns whether it tried."""
+        if not usable_servers(back_end.servers, loads, config.zones):
+            return False
+        bounds = decisions.releases_of_lost_servers(
+            slice_map, back_end, zones, reports, config.zones
+        )
+        moves: list[Move] = []
+        if self._plan_is_due(slice_map, back_end, zones):
+            moves = decisions.planned_releases(
+                slice_map, back_end, zones, loads, config.zones, self._zone_moves
+            )
+        if not bounds and not moves and self._balance_is_due(config, slice_map, reports):
+            moves = self._balance(config, back_end, slice_map, zones, loads)
+        bounds = _without_overlap(bounds, moves)
+        if not bounds:
+            return False
+        if moves:
+            self._planned_s = self._clock.now_s()
+        if await self._write(slice_map, begin_release(slice_map, bounds)):
+            self._want(moves)
+        return True
+
+    def _balance(
+        self,
+        config: RoutingConfig,
+        back_end: BackEnd,
+        slice_map: SliceMap,
+        zones: set[str],
+        loads: Loads,
+    ) -> list[Move]:
+        self._balanced_s = self._clock.now_s()
+        max_slices = max(1, int(MAX_BALANCED_SHARE * slice_map.slice_count))
+        return decisions.balancing_moves(
+            slice_map, back_end, zones, loads, config.zones, self._placement, max_slices
+        )
+
+    def _drive_releases(
+        self, config: RoutingConfig, back_end: BackEnd, slice_map: SliceMap, zones: set[str]
+    ) -> None:
+        asked, lost = set(), set()
+        for run in self._releasing(slice_map, back_end, zones):
+            zone = decisions.zone_of_run(run, back_end)
+            if zone == self._zone:
+                asked.add(run.owner)
+            elif config.zones.get(zone) == ZONE_LOST:
+                lost.add(run.owner)
+        self.releases.drive(asked, lost)
+
+    def _releasing(self, slice_map: SliceMap, back_end: BackEnd, zones: set[str]) -> list[SliceRun]:
+        return [
+            run
+            for run in slice_map.runs()
+            if run.state == SLICE_RELEASING and decisions.is_driven(run, back_end, zones)
+        ]
+
+    async def _write(self, slice_map: SliceMap, entries: Iterable[SliceRun]) -> bool:
+        delta = next_delta(slice_map, entries)
+        written = await self._records.write_delta(delta)
+        if isinstance(written, Err):
+            log.warning("Delta %d of %s: %s.", delta.version, self._name, written.err_value)
+            return False
+        return written.ok_value
+
+    def _may_take_free(self, config: RoutingConfig) -> bool:
+        """Returns whether it is this zone's turn to create or assign what nobody owns."""
+        now_s = self._clock.now_s()
+        if self._free_since_s is None:
+            self._free_since_s = now_s
+        rank = decisions.zone_rank(config, self._zone)
+        return rank is not None and now_s - self._free_since_s >= rank * PATIENCE_S
+
+    def _plan_is_due(self, slice_map: SliceMap, back_end: BackEnd, zones: set[str]) -> bool:
+        if self._clock.now_s() - self._planned_s >= PLAN_TIMEOUT_S:
+            return True
+        return not self._releasing(slice_map, back_end, zones)
+
+    def _balance_is_due(
+        self,
+        config: RoutingConfig,
+        slice_map: SliceMap,
+        reports: dict[str, ServerReport],
+    ) -> bool:
+        if config.zones.get(self._zone, ZONE_IN) != ZONE_IN:
+            return False
+        if self._clock.now_s() - self._balanced_s < BALANCE_INTERVAL_S:
+            return False
+        if any(run.state == SLICE_RELEASING for run in slice_map.runs()):
+            return False
+        return any(report.busy_share > 0 for report in reports.values())
+
+    def _choose_policies(self, back_end: BackEnd) -> None:
+        """Makes the policies anew only when their settings changed, since they keep history."""
+        chosen = (back_end.policies, back_end.tuning)
+        if self._policies == chosen:
+            return
+        self._policies = chosen
+        placement = PLACEMENTS[back_end.policies.get("placement", DEFAULT_PLACEMENT)]
+        zone_moves = ZONE_MOVES[back_end.policies.get("zone_move", DEFAULT_ZONE_MOVE)]
+        self._placement = placement(self._clock, back_end.tuning)
+        self._zone_moves = zone_moves(back_end.tuning)
+
+    def _note_lost_zones(self, config: RoutingConfig) -> None:
+        lost = [zone for zone, state in config.zones.items() if state == ZONE_LOST]
+        known = self._lost_since_s
+        self._lost_since_s = {zone: known.get(zone, self._clock.now_s()) for zone in lost}
+
+    def _lost_for_s(self) -> dict[str, float]:
+        now_s = self._clock.now_s()
+        return {zone: now_s - since_s for zone, since_s in self._lost_since_s.items()}
+
+    def _want(self, moves: Iterable[Move]) -> None:
+        for move in moves:
+            for slice_id in range(move.first, move.last + 1):
+                self._wanted[slice_id] = move.target
+
+    def _forget_wanted(self, entries: Iterable[SliceRun]) -> None:
+        for run in entries:
+            for slice_id in range(run.first, run.last + 1):
+                self._wanted.pop(slice_id, None)
+
+
+def _without_overlap(bounds: Bounds, moves: Iterable[Move]) -> Bounds:
+    """Returns both together, in order, no slice twice."""
+    merged: Bounds = []
+    for first, last in sorted([*bounds, *((move.first, move.last) for move in moves)]):
+        first = max(first, merged[-1][1] + 1) if merged else first
+        if first <= last:
+            merged.append((first, last))
+    return merged
