--- a/greengagefall/bench/fleet.py
+++ b/greengagefall/bench/fleet.py
@@ -11,14 +11,18 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPError
 
 from greengagefall.bench.processes import ProcessGroup, ProcessSpec, free_addresses
+from greengagefall.routing.exceptions import RoutingError
 from greengagefall.routing.patch import Patch
 from greengagefall.routing.registry import propose
 from greengagefall.store.client import StoreClient
+from greengagefall.store.exceptions import StoreError
 
 STORE = "store"
 HOST_LIST = "host-list"
 READY_TIMEOUT_S = 40.0
 POLL_S = 0.1
+PATCH_TRIES = 100
+PATCH_PAUSE_S = 0.3
 
 
 class BackEndSpec(NamedTuple):
@@ -98,6 +102,7 @@
         self.processes = ProcessGroup()
         self.entries: dict[str, EntryAddress] = {}
         self.servers: dict[str, ServerAddress] = {}
+        self._patching: set[asyncio.Task] = set()
         self._http = AsyncHTTPClient(force_instance=True, max_clients=50)
         self._assign_addresses()
 
@@ -171,6 +176,24 @@
         finally:
             await store.close()
 
+    def try_patch(self, merge: dict[str, Any]) -> None:
+        """Patches in the background until it took effect, as an operator would by retrying."""
+        task = asyncio.create_task(self._patch_until_done(merge))
+        self._patching.add(task)
+        task.add_done_callback(self._patching.discard)
+
+    async def patches_done(self) -> None:
+        """Waits until all patches begun by ``try_patch`` took effect."""
+        await asyncio.gather(*self._patching)
+
+    async def _patch_until_done(self, merge: dict[str, Any]) -> None:
+        for _ in range(PATCH_TRIES):
+            try:
+                await self.patch(merge)
+                return
+            except (RoutingError, StoreError):
+                await asyncio.sleep(PATCH_PAUSE_S)
+
     async def statuses(self) -> dict[str, dict[str, Any] | None]:
         """Returns the status of each entry host; None where it does not answer."""
         hosts = list(self.entries.values())
--- /dev/null
+++ b/greengagefall/bench/unavailable.py
@@ -0,0 +1,37 @@
+"""How long keys were without service after a loss, from the callers' rows."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from greengagefall.bench.caller import CallRow
+
+LOSSES = ("kill_server", "kill_entry")
+WINDOW_S = 10.0
+
+FaultRow = tuple[float, float, str, str]
+
+
+def recovery_times_s(
+    rows: Sequence[CallRow], faults: Sequence[FaultRow], window_s: float = WINDOW_S
+) -> dict[str, list[float]]:
+    """Returns for each loss the time from its begin to the last request refused because of it.
+
+    A request counts by the moment it was sent: one that was sent after the returned time was
+    answered. Only requests that were sent within ``window_s`` of the loss are looked at.
+    """
+    times: dict[str, list[float]] = defaultdict(list)
+    for begun_s, _, kind, _ in faults:
+        if kind not in LOSSES:
+            continue
+        failed = [
+            row.sent_s - begun_s
+            for row in rows
+            if not row.ok and 0.0 <= row.sent_s - begun_s <= window_s
+        ]
+        times[kind].append(max(failed, default=0.0))
+    return dict(times)
--- a/greengagefall/dispatch/grant_keeper.py
+++ b/greengagefall/dispatch/grant_keeper.py
@@ -155,19 +155,21 @@
         return slice_map.version >= self._right.map_floor()
 
     async def _read_status(self) -> bool:
+        asked_at_s = self._clock.now_s()
         reply = await self._control.status(self._right.may_send)
         if isinstance(reply, Err):
             return self._failed(reply.err_value)
-        self._note(reply.ok_value)
+        self._note(reply.ok_value, asked_at_s)
         return True
 
     async def _renew(self, slice_map: SliceMap | None) -> bool:
         grant = self._next_grant(slice_map)
+        asked_at_s = self._clock.now_s()
         reply = await self._control.grant(grant, self._right.may_send)
         if isinstance(reply, Err):
             return self._failed(reply.err_value)
         reading = reply.ok_value
-        self._note(reading)
+        self._note(reading, asked_at_s)
         if reading.refused:
             count("grants_refused", reason=reading.refused)
             log.warning("Grant of %s refused: %s.", self._server, reading.refused)
@@ -184,13 +186,16 @@
         until_ms = self._ledger.next_grant(version)
         return Grant(self._incarnation, self._right.fence, version, until_ms, runs)
 
-    def _note(self, reading: ServerReading) -> None:
+    def _note(self, reading: ServerReading, asked_at_s: float) -> None:
         self.checks = reading.checks
         if reading.incarnation != self._incarnation:
             self._incarnation = reading.incarnation
             self.accepted = None
         if reading.checks:
-            self._ledger.note_reading(reading.now_ms, reading.incarnation)
+            received_at_s = self._clock.now_s()
+            self._ledger.note_reading(
+                reading.now_ms, asked_at_s, received_at_s, reading.incarnation
+            )
         self._health.on_answer(reading.cold)
         self._on_reading(reading)
 
