Add greengagefallctl

Operators need commands for the configuration, zones, backend servers and lost hosts, and views of hosts, slices and keys. Exit codes tell refused, stale, unavailable and unknown outcomes apart.

--- /dev/null
+++ b/greengagefall/commands/ctl_session.py
@@ -0,0 +1,141 @@
+"""What the commands of ``greengagefallctl`` share: connections, errors, exit codes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from typing import TYPE_CHECKING, Any, NoReturn, TypeVar
+from urllib.parse import urlencode
+
+import click
+from result import Err, Ok, Result
+from tornado.httpclient import AsyncHTTPClient, HTTPError
+
+from greengagefall.commands import exit_codes
+from greengagefall.commands.output import print_json
+from greengagefall.routing.exceptions import (
+    PatchOutcomeUnknownError,
+    RegistryUnavailableError,
+    StalePatchError,
+)
+from greengagefall.store.client import StoreClient
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from greengagefall.config.ctl import CtlSettings
+    from greengagefall.store.model import Store
+
+ADMIN_PREFIX = "/.greengagefall/"
+
+Value = TypeVar("Value")
+
+
+class EntryError(Exception):
+    """An entry host gave no usable answer to an operators' request."""
+
+
+class Connections:
+    """Opens the store and asks entry hosts; tests put fakes in its place."""
+
+    def store(self, settings: CtlSettings) -> Store:
+        """Returns a client of the store, not yet started."""
+        return StoreClient(settings.store, call_timeout_s=settings.call_timeout_s)
+
+    async def fetch(self, address: str, path: str, timeout_s: float) -> Result[Any, EntryError]:
+        """Returns the JSON document that an entry host has under ``path``."""
+        url = f"http://{address}{path}"
+        try:
+            answer = await AsyncHTTPClient().fetch(
+                url, connect_timeout=timeout_s, request_timeout=timeout_s, raise_error=False
+            )
+            document = json.loads(answer.body)
+        except (OSError, HTTPError, ValueError) as error:
+            return Err(EntryError(f"{address}: {error}"))
+        if answer.code != 200:
+            return Err(EntryError(f"{address}: {document.get('error', answer.reason)}"))
+        return Ok(document)
+
+
+class CtlSession:
+    """One run of ``greengagefallctl``.
+
+    Attributes:
+        settings: Its settings.
+    """
+
+    def __init__(self, settings: CtlSettings, connections: Connections) -> None:
+        self.settings = settings
+        self._connections = connections
+
+    def with_store(self, work: Callable[[Store], Awaitable[Result[Value, Exception]]]) -> Value:
+        """Runs ``work`` with the store; ends the program if it fails."""
+        if not self.settings.store:
+            raise click.UsageError("This command needs --store (GREENGAGEFALL_STORE).")
+        return self._unwrap(asyncio.run(self._run_with_store(work)))
+
+    def ask_first(self, page: str, **arguments: str) -> Any:
+        """Returns an admin page of the first entry host that has it; ends the program if none."""
+        failures = []
+        for _, answer in self.ask_all(page, **arguments):
+            if isinstance(answer, Ok):
+                return answer.ok_value
+            failures.append(str(answer.err_value))
+        return fail(exit_codes.REFUSED, "; ".join(failures))
+
+    def ask_all(self, page: str, **arguments: str) -> list[tuple[str, Result[Any, EntryError]]]:
+        """Returns an admin page of each entry host by address."""
+        if not self.settings.entry:
+            raise click.UsageError("This command needs --entry (GREENGAGEFALL_ENTRY).")
+        path = ADMIN_PREFIX + page
+        if arguments:
+            path += "?" + urlencode(arguments)
+        return asyncio.run(self._ask_all(path))
+
+    def print_version(self, version: int, patch_id: str, text: str) -> None:
+        """Prints which version holds a change."""
+        if self.settings.json:
+            print_json({"version": version, "patch_id": patch_id})
+            return
+        click.echo(text)
+
+    async def _run_with_store(
+        self, work: Callable[[Store], Awaitable[Result[Value, Exception]]]
+    ) -> Result[Value, Exception]:
+        store = self._connections.store(self.settings)
+        await store.start()
+        try:
+            return await work(store)
+        finally:
+            await store.close()
+
+    async def _ask_all(self, path: str) -> list[tuple[str, Result[Any, EntryError]]]:
+        timeout_s = self.settings.call_timeout_s
+        addresses = self.settings.entry
+        answers = await asyncio.gather(
+            *(self._connections.fetch(address, path, timeout_s) for address in addresses)
+        )
+        return list(zip(addresses, answers, strict=True))
+
+    def _unwrap(self, outcome: Result[Value, Exception]) -> Value:
+        if isinstance(outcome, Ok):
+            return outcome.ok_value
+        return fail(exit_code_of(outcome.err_value), str(outcome.err_value))
+
+
+def exit_code_of(error: Exception) -> int:
+    """Returns the exit code that stands for ``error``."""
+    if isinstance(error, StalePatchError):
+        return exit_codes.STALE_PATCH
+    if isinstance(error, RegistryUnavailableError):
+        return exit_codes.STORE_UNAVAILABLE
+    if isinstance(error, PatchOutcomeUnknownError):
+        return exit_codes.OUTCOME_UNKNOWN
+    return exit_codes.REFUSED
+
+
+def fail(code: int, message: str) -> NoReturn:
+    """Ends the program with a message on standard error."""
+    click.echo(f"Error: {message}", err=True)
+    sys.exit(code)
--- a/greengagefall/config/ctl.py
+++ b/greengagefall/config/ctl.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from greengagefall.config.options import DurationS, IpPort, Settings, Switch
+from greengagefall.config.options import DurationS, IpPort, IpPorts, Settings, Switch
 
 
 class CtlSettings(Settings):
     """Settings of ``greengagefallctl``."""
 
     store = IpPort("", help="Address of the platform's key-value service.")
-    entry = IpPort("", help="Callers' address of an entry host.")
+    entry = IpPorts((), help="Callers' address of an entry host; may be repeated.")
     call_timeout_s = DurationS(2.0, least=0.1, most=60.0, help="Longest wait for one answer.")
     json = Switch(help="Print JSON in place of tables.")
--- a/greengagefall/routing/registry.py
+++ b/greengagefall/routing/registry.py
@@ -47,7 +47,7 @@
 
 log = logging.getLogger(__name__)
 
-__all__ = ["backoff_pause", "load_head", "propose", "read_version"]
+__all__ = ["backoff_pause", "load_head", "parse_record", "propose", "read_version"]
 
 FIRST_VERSION = 1
 FLOOR_KEY = "config_floor"
