Check names and ranges of policies' numbers; fill in default policies

A mistyped number in a back end's tuning had no effect and no error. The defaults stand in one place.

--- a/greengagefall/routing/fields.py
+++ b/greengagefall/routing/fields.py
@@ -121,6 +121,10 @@
             check_name(join_path(self.at(field), name), name)
         return members
 
+    def nested(self, field: str, allowed: tuple[str, ...]) -> FieldReader:
+        """Returns a reader of the object in ``field``; of an empty one when absent."""
+        return FieldReader(self.at(field), self._get(field, {}), allowed)
+
     def items(self, field: str, max_items: int) -> list[Any]:
         """Returns the items of an array; empty when absent."""
         value = self._get(field, [])
--- a/greengagefall/routing/parse.py
+++ b/greengagefall/routing/parse.py
@@ -22,7 +22,7 @@
     RequestClass,
     RoutingConfig,
 )
-from greengagefall.routing.policy_names import POLICY_NAMES
+from greengagefall.routing.policy_names import POLICY_AREAS, TUNING_RANGES
 
 DOCUMENT_FIELDS = ("version", "patch_id", "zones", "lost_hosts", "back_ends", "limits")
 ZONE_FIELDS = ("state",)
@@ -54,7 +54,6 @@
 MAX_CLASSES = 64
 MAX_LOST_HOSTS = 10_000
 MAX_TEXT_CHARS = 200
-MAX_TUNING = 1e9
 
 DEFAULT_SLICES = 4096
 DEFAULT_TIMEOUT_MS = 2000
@@ -112,7 +111,7 @@
         zones=zones,
         lost_hosts=_parse_lost_hosts(reader),
         back_ends=back_ends,
-        limits=_parse_limits(document.get("limits", {})),
+        limits=_parse_limits(reader.nested("limits", (*LIMIT_RANGES, "retry_ratio"))),
         document=document,
     )
 
@@ -130,8 +129,7 @@
     return tuple(hosts)
 
 
-def _parse_limits(value: object) -> Limits:
-    reader = FieldReader("limits", value, (*LIMIT_RANGES, "retry_ratio"))
+def _parse_limits(reader: FieldReader) -> Limits:
     integers = {field: reader.integer(field, *bounds) for field, bounds in LIMIT_RANGES.items()}
     return Limits(
         **integers, retry_ratio=reader.number("retry_ratio", DEFAULT_RETRY_RATIO, 0.0, 1.0)
@@ -168,16 +166,19 @@
 
 
 def _parse_policies(reader: FieldReader) -> dict[str, str]:
-    path = reader.at("policies")
-    chosen = reader.members("policies")
-    fields = FieldReader(path, chosen, tuple(POLICY_NAMES))
-    return {area: fields.choice(area, None, POLICY_NAMES[area]) for area in chosen}
+    fields = reader.nested("policies", tuple(POLICY_AREAS))
+    return {
+        name: fields.choice(name, area.default, area.names) for name, area in POLICY_AREAS.items()
+    }
 
 
 def _parse_tuning(reader: FieldReader) -> dict[str, float]:
-    values = reader.members("tuning")
-    fields = FieldReader(reader.at("tuning"), values, tuple(values))
-    return {name: fields.number(name, None, 0.0, MAX_TUNING) for name in values}
+    fields = reader.nested("tuning", tuple(TUNING_RANGES))
+    return {
+        name: fields.number(name, None, allowed.least, allowed.most)
+        for name, allowed in TUNING_RANGES.items()
+        if fields.has(name)
+    }
 
 
 def _parse_classes(reader: FieldReader) -> tuple[RequestClass, ...]:
--- a/greengagefall/tests/routing_parse_tests.py
+++ b/greengagefall/tests/routing_parse_tests.py
@@ -56,6 +56,7 @@
         self.assertEqual(config.back_ends["catalogue"].servers["c-1"].cold_slots, 1)
         self.assertFalse(config.back_ends["catalogue"].classes[1].repeatable)
         self.assertEqual(config.back_ends["orders"].slice_count, 0)
+        self.assertEqual(config.back_ends["orders"].policies["pick"], "two_choices")
 
     def test_errors_name_path_value_and_rule(self):
         server = "back_ends.catalogue.servers.c-1"
@@ -73,6 +74,8 @@
             ("back_ends.catalogue.kind", "sharded", "'sharded' is not one of keyed, pooled"),
             ("back_ends.catalogue.policies.pick", "best", "not one of round_robin, two_choices"),
             ("back_ends.catalogue.policies.magic", "on", "unknown field"),
+            ("back_ends.catalogue.tuning.hedge_ratio", 2, "2 is not between 0 and 1"),
+            ("back_ends.catalogue.tuning.hedge_rat", 0.1, "unknown field"),
             ("back_ends.catalogue.classes.0.methods", ["FETCH"], "'FETCH' is not one of"),
             ("back_ends.catalogue.classes.1.name", "read", "name of an earlier class"),
             ("back_ends.orders.slices", 8, "only a keyed back end"),
