Remove settings that nothing reads; write reference tables out of the code

The entry program reads neither store, host list nor seeds, and the coordinator no lease_ms: operators would set them to no effect. Reference tables of flags, limits, policies, refusals and messages are rendered from the code into the pages.

--- a/greengagefall/bench/fleet.py
+++ b/greengagefall/bench/fleet.py
@@ -138,7 +138,11 @@
     def start_coordinator(self, host: str) -> None:
         """Starts the coordinator's process of an entry host."""
         entry = self.entries[host]
-        arguments = (*self._host_arguments(entry), "--entry-peer", entry.peer)
+        arguments = (
+            *self._host_arguments(entry),
+            *("--entry-peer", entry.peer),
+            *("--store", self.store_address, "--host-list", self.host_list_address),
+        )
         self.processes.start(
             ProcessSpec(f"coordinator-{host}", "greengagefall.commands.coordinator", arguments)
         )
@@ -248,10 +252,7 @@
                     self.servers[name] = ServerAddress(name, back_end.name, zone, address)
 
     def _host_arguments(self, entry: EntryAddress) -> tuple[str, ...]:
-        return (
-            *("--host", entry.host, "--zone", entry.zone),
-            *("--store", self.store_address, "--host-list", self.host_list_address),
-        )
+        return ("--host", entry.host, "--zone", entry.zone)
 
     def _start_stand_ins(self) -> None:
         data_file = str(self.processes.log_dir / "store.data")
--- a/greengagefall/config/common.py
+++ b/greengagefall/config/common.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from greengagefall.config.exceptions import SettingsError
-from greengagefall.config.options import Choice, IpPort, Name, Option, Settings
+from greengagefall.config.options import Choice, Name, Option, Settings
 
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
@@ -15,8 +15,6 @@
 
     host = Name(help="Name of this host, unique in the system.")
     zone = Name(help="Availability zone of this host.")
-    store = IpPort(help="Address of the platform's key-value service.")
-    host_list = IpPort("", help="Address of the platform's host list; none if not given.")
     log_level = Choice("INFO", choices=LOG_LEVELS, help="Lowest level of logs that are written.")
 
 
--- a/greengagefall/config/coordinator.py
+++ b/greengagefall/config/coordinator.py
@@ -9,14 +9,10 @@
 class CoordinatorSettings(HostSettings):
     """Settings of one coordinator."""
 
+    store = IpPort(help="Address of the platform's key-value service.")
+    host_list = IpPort("", help="Address of the platform's host list; none if not given.")
     entry_peer = IpPort(help="Peer address of the entry process on this host.")
     admin_listen = IpPort("", help="Address for health and metrics; none if not given.")
     lease_ttl_s = Integer(
         5, least=2, most=60, help="Lifetime of the lease under which a coordinator is active."
     )
-    lease_ms = Integer(
-        1000,
-        least=200,
-        most=10_000,
-        help="Time for which a witness endorses a dispatcher; the same on every host.",
-    )
--- a/greengagefall/config/entry.py
+++ b/greengagefall/config/entry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from greengagefall.config.common import HostSettings, check_advertised
-from greengagefall.config.options import DurationS, Integer, IpPort, IpPorts, Switch
+from greengagefall.config.options import DurationS, Integer, IpPort, Switch
 
 
 class EntrySettings(HostSettings):
@@ -13,9 +13,11 @@
     peer_listen = IpPort(help="Address for the other processes of the system.")
     http_advertise = IpPort("", help="Address for callers as others reach it; else --http-listen.")
     peer_advertise = IpPort("", help="Address for peers as others reach it; else --peer-listen.")
-    seeds = IpPorts((), help="Peer addresses of other entry hosts, asked first at start.")
     lease_ms = Integer(
-        1000, least=200, most=10_000, help="Time for which a witness endorses a dispatcher."
+        1000,
+        least=200,
+        most=10_000,
+        help="Time for which a host endorses a dispatcher; the same on all hosts.",
     )
     allow_faults = Switch(help="Lets tests cut this process off from peers; not for production.")
     drain_timeout_s = DurationS(
--- /dev/null
+++ b/greengagefall/documentation/pages.py
@@ -0,0 +1,38 @@
+"""Puts the reference tables into the pages, between markers.
+
+A table stands between ``<!-- table: NAME -->`` and ``<!-- end -->``.
+"""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from greengagefall.documentation.tables import TABLES
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+DOCS_DIR = Path(__file__).parent.parent.parent / "docs"
+TABLE = re.compile(r"(<!-- table: ([\w-]+) -->\n).*?(<!-- end -->)", re.DOTALL)
+
+
+def pages() -> Iterator[Path]:
+    """Yields the paths of all pages."""
+    yield from sorted(DOCS_DIR.rglob("*.md"))
+
+
+def table_names(text: str) -> list[str]:
+    """Returns the names of the tables in a page."""
+    return [match.group(2) for match in TABLE.finditer(text)]
+
+
+def fill_tables(text: str) -> str:
+    """Returns the text of a page with its tables written anew."""
+    return TABLE.sub(_filled, text)
+
+
+def _filled(match: re.Match[str]) -> str:
+    begin, name, end = match.groups()
+    return f"{begin}\n{TABLES[name]()}\n\n{end}"
