Keep callers away from the control interface of backend servers

A caller's PUT /<back end>/.server/grant was passed on as /.server/grant, so any caller could grant slices or fence out the dispatcher. Paths with that segment, with dot segments and in absolute form are refused as bad_path; the new test failed in each of its nine cases before.

--- a/greengagefall/entry/refusals.py
+++ b/greengagefall/entry/refusals.py
@@ -43,7 +43,7 @@
     return name
 
 
-BAD_PATH = _reason("bad_path", 400, "The path names no back end or no key.")
+BAD_PATH = _reason("bad_path", 400, "The path names no back end or no key, or is reserved.")
 UNKNOWN_BACK_END = _reason("unknown_back_end", 404, "The configuration has no such back end.")
 KEY_TOO_LONG = _reason("key_too_long", 400, "The key is longer than limits.key_bytes.")
 BAD_TIMEOUT = _reason("bad_timeout", 400, "X-Timeout-Ms is not a whole number in its range.")
--- a/greengagefall/entry/request.py
+++ b/greengagefall/entry/request.py
@@ -24,6 +24,9 @@
 CALLER_HEADER = "X-Caller"
 MAX_REQUEST_ID_CHARS = 128
 
+# A backend server's control interface, and segments that a server may resolve to it.
+RESERVED_SEGMENTS = frozenset({".server", ".", ".."})
+
 # Not passed on: they concern one connection, or are set anew by the dispatcher.
 DROPPED_HEADERS = frozenset(
     {
@@ -109,6 +112,8 @@
     if isinstance(address, Err):
         return Err(BadRequest(request_id, address.err_value))
     names = address.ok_value
+    if _is_reserved(names.path):
+        return Err(BadRequest(request_id, refusals.BAD_PATH))
     back_end = config.back_ends[names.back_end]
     if len(names.key.encode()) > config.limits.key_bytes:
         return Err(BadRequest(request_id, refusals.KEY_TOO_LONG))
@@ -175,6 +180,14 @@
     return Ok(_Address(named, key, request.uri, path))
 
 
+def _is_reserved(path: str) -> bool:
+    """Returns whether a path must not reach a backend server."""
+    if not path.startswith("/"):
+        return True
+    decoded = unquote(path.partition("?")[0]).replace("\\", "/")
+    return any(segment.lower() in RESERVED_SEGMENTS for segment in decoded.split("/"))
+
+
 def _timeout_ms(headers: HTTPHeaders, back_end: BackEnd, config: RoutingConfig) -> Result[int, str]:
     text = headers.get(TIMEOUT_HEADER)
     if text is None:
--- a/greengagefall/tests/entry_request_tests.py
+++ b/greengagefall/tests/entry_request_tests.py
@@ -66,6 +66,23 @@
         names = [name for name, _ in read("/benchline/", headers=headers).ok_value.headers]
         self.assertEqual(names, ["Accept"])
 
+    def test_control_interface_of_servers_is_out_of_reach(self):
+        headers = {"X-Back-End": "benchline"}
+        for uri, given in [
+            ("/proofdesk/.server/grant", {}),
+            ("/benchline/.server/grant", {}),
+            ("/benchline/%2Eserver/grant", {}),
+            ("/benchline/a/..%2F.SERVER/grant", {}),
+            ("/benchline//./.server/grant", {}),
+            ("/proofdesk/k/../../orders", {}),
+            ("/.server/grant", headers),
+            ("http://h/.server/grant", headers),
+            ("http://h/orders", headers),
+        ]:
+            with self.subTest(uri=uri):
+                self.assertEqual(read(uri, "PUT", given).err_value.reason, refusals.BAD_PATH)
+        self.assertEqual(read("/benchline/v1.2/..a?x=../.server").ok_value.path[:5], "/v1.2")
+
     def test_bad_requests(self):
         cases = [
             ("/", {}, b"", refusals.BAD_PATH),
