Let rates belong to slices, so that a lagging observation does not mislead planners

Cause: loads were credited to the servers of the new map and each plan filled the same servers again. LoadModel keeps a rate per slice and takes in an observation once, for servers whose slices are the same as at the one before; spread fills the emptiest servers to one level. The straggler test now stamps its observations, since each is taken in once.

--- a/greengagefall/balancing/loads.py
+++ b/greengagefall/balancing/loads.py
@@ -6,17 +6,23 @@
 import statistics
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
+from greengagefall.balancing.straggler import CostHistory
 from greengagefall.routing.model import SERVER_ACTIVE, ZONE_IN, BackendServer
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from greengagefall.coordination.model import SliceRun
+    from greengagefall.utils.clock import Clock
 
 log = logging.getLogger(__name__)
 
 IDLE_UTILISATION = 1e-6
 MIN_SERVED_PER_S = 1e-3
+MIN_CAPACITY = 1e-9
+DEFAULT_RATE_WEIGHT = 0.4
+
+Ranges = tuple[tuple[int, int], ...]
 
 
 class SliceRuns(Protocol):
@@ -48,19 +54,21 @@
     Attributes:
         servers: Load by server; a server without an entry counts as up and unknown.
         slices: Requests per second of the busiest slices.
+        observed_s: When it was observed; planners take in each observation once.
     """
 
     servers: dict[str, ServerLoad]
     slices: dict[int, float]
+    observed_s: float
 
 
-NO_LOADS = Loads({}, {})
+NO_LOADS = Loads({}, {}, 0.0)
 UNKNOWN_LOAD = ServerLoad(0.0, 0.0, 0.0, True)
 
 
 def capacity(server: BackendServer) -> float:
     """Returns the server's share of work by its settings."""
-    return server.weight * server.slots
+    return max(server.weight * server.slots, MIN_CAPACITY)
 
 
 def usable_servers(
@@ -77,77 +85,123 @@
 
 
 class LoadEstimate:
-    """Rates of slices and the share of its slots that a server needs per request rate.
+    """Request rates by slice, and what a request costs each server.
 
-    Without rates each slice counts alike; without any load at all the servers' settings
-    alone decide.
+    Attributes:
+        rates: Requests per second by slice.
+        cost: Share of its slots that one request per second takes, by server.
+        rate_per_s: Requests per second by server, for the slices it owns now.
+        mean_slice_rate: Mean of ``rates`` by server.
     """
 
     def __init__(
+        self, owned: Mapping[str, Ranges], rates: list[float], cost: Mapping[str, float]
+    ) -> None:
+        self.rates = rates
+        self.cost = cost
+        self.rate_per_s = dict.fromkeys(cost, 0.0)
+        self.mean_slice_rate = dict.fromkeys(cost, 0.0)
+        for name, ranges in owned.items():
+            if name not in cost:
+                continue
+            rate = sum(self.range_rate(first, last) for first, last in ranges)
+            count = sum(last - first + 1 for first, last in ranges)
+            self.rate_per_s[name] = rate
+            self.mean_slice_rate[name] = rate / count
+
+    def range_rate(self, first: int, last: int) -> float:
+        """Returns the requests per second of consecutive slices."""
+        return sum(self.rates[first : last + 1])
+
+    def utilisation(self, name: str) -> float:
+        """Returns the share of its slots that a server's slices need."""
+        return self.rate_per_s[name] * self.cost[name]
+
+
+class LoadModel:
+    """Turns observations of servers into rates of slices, which move with the slices.
+
+    An observation lags: part of it may stem from slices that have moved since. So it
+    changes the rates only of servers that own the same slices as at the one before.
+    Until a rate was observed all slices count alike, and servers by their settings.
+    """
+
+    def __init__(self, clock: Clock, tuning: Mapping[str, float] | None = None) -> None:
+        tuning = tuning or {}
+        self._rate_weight = tuning.get("rate_weight", DEFAULT_RATE_WEIGHT)
+        self._costs = CostHistory(clock, tuning)
+        self._rates: list[float] = []
+        self._owned: dict[str, Ranges] = {}
+        self._rates_observed = False
+        self._observed_s: float | None = None
+        self._cost: dict[str, float] = {}
+
+    def update(
         self, runs: list[SliceRun], servers: Mapping[str, BackendServer], loads: Loads
+    ) -> LoadEstimate:
+        """Takes in an observation, if it is new, and returns the estimate for ``runs``."""
+        owned = ranges_by_owner(runs)
+        slice_count = runs[-1].last + 1
+        if len(self._rates) != slice_count:
+            self._rates = [1.0] * slice_count
+            self._rates_observed = False
+        if loads.observed_s != self._observed_s:
+            self._observe_rates(owned, loads)
+            self._observed_s = loads.observed_s
+            self._cost = self._costs.settled(self._observed_costs(owned, servers, loads))
+        elif self._cost.keys() != servers.keys():
+            self._cost = self._costs.settled(self._observed_costs(owned, servers, loads))
+        return LoadEstimate(owned, self._rates, self._cost)
+
+    def _observe_rates(self, owned: dict[str, Ranges], loads: Loads) -> None:
+        if not any(load.offered_per_s > 0 for load in loads.servers.values()):
+            return
+        weight = self._rate_weight if self._rates_observed else 1.0
+        for name, ranges in owned.items():
+            load = loads.servers.get(name)
+            if load is None or not load.up:
+                continue
+            if self._rates_observed and self._owned.get(name) != ranges:
+                continue
+            self._spread_rate(load.offered_per_s, ranges, loads.slices, weight)
+        self._owned = owned
+        self._rates_observed = True
+
+    def _spread_rate(
+        self, rate_per_s: float, ranges: Ranges, known: Mapping[int, float], weight: float
     ) -> None:
-        self._loads = loads
-        self._servers = servers
-        self._slice_counts: dict[str, int] = {}
-        for run in runs:
-            size = run.last - run.first + 1
-            self._slice_counts[run.owner] = self._slice_counts.get(run.owner, 0) + size
-        self._known_rates = any(load.offered_per_s > 0 for load in loads.servers.values())
-        self.rate_per_s = {name: self._server_rate(name) for name in servers}
-        self._hot_of = self._slices_by_owner(runs)
-        self._base_rate = {name: self._rest_rate(name) for name in servers}
-        self.cost = self._costs()
-
-    def slice_rate(self, owner: str, slice_id: int) -> float:
-        """Returns the requests per second of a slice."""
-        known = self._hot_of.get(owner, {}).get(slice_id)
-        return known if known is not None else self._base_rate.get(owner, 0.0)
-
-    def busy_slices(self, owner: str) -> dict[int, float]:
-        """Returns the slices of a server with a rate of their own."""
-        return self._hot_of.get(owner, {})
-
-    def mean_slice_rate(self, owner: str) -> float:
-        """Returns the mean rate of a server's slices."""
-        count = self._slice_counts.get(owner, 0)
-        return self.rate_per_s.get(owner, 0.0) / count if count else 0.0
-
-    def _server_rate(self, name: str) -> float:
-        if self._known_rates:
-            return self._loads.servers.get(name, UNKNOWN_LOAD).offered_per_s
-        return float(self._slice_counts.get(name, 0))
-
-    def _slices_by_owner(self, runs: list[SliceRun]) -> dict[str, dict[int, float]]:
-        by_owner: dict[str, dict[int, float]] = {}
-        if not self._known_rates:
-            return by_owner
-        ordered = sorted(self._loads.slices.items())
-        index = 0
-        for run in runs:
-            while index < len(ordered) and ordered[index][0] <= run.last:
-                slice_id, rate = ordered[index]
-                by_owner.setdefault(run.owner, {})[slice_id] = rate
-                index += 1
-        return by_owner
-
-    def _rest_rate(self, name: str) -> float:
-        hot = self._hot_of.get(name, {})
-        rest = self._slice_counts.get(name, 0) - len(hot)
-        if rest <= 0:
-            return 0.0
-        return max(0.0, self.rate_per_s[name] - sum(hot.values())) / rest
-
-    def _costs(self) -> dict[str, float]:
-        """Returns the share of its slots that one request per second takes, by server."""
+        """Gives known slices their own rate and the others equal shares of the rest."""
+        slices = [item for first, last in ranges for item in range(first, last + 1)]
+        own = {item: known[item] for item in slices if item in known}
+        rest = max(0.0, rate_per_s - sum(own.values())) / max(1, len(slices) - len(own))
+        for item in slices:
+            self._rates[item] += weight * (own.get(item, rest) - self._rates[item])
+
+    def _observed_costs(
+        self, owned: dict[str, Ranges], servers: Mapping[str, BackendServer], loads: Loads
+    ) -> dict[str, float]:
         observed = {}
-        for name in self._servers:
-            load = self._loads.servers.get(name, UNKNOWN_LOAD)
-            served = load.served_per_s if self._known_rates else self.rate_per_s[name]
-            if served > MIN_SERVED_PER_S and load.busy_share > IDLE_UTILISATION:
-                observed[name] = load.busy_share / served
-        work = [cost * capacity(self._servers[name]) for name, cost in observed.items()]
+        for name in servers:
+            load = loads.servers.get(name, UNKNOWN_LOAD)
+            if load.served_per_s > MIN_SERVED_PER_S and load.busy_share > IDLE_UTILISATION:
+                observed[name] = load.busy_share / load.served_per_s
+        work = [cost * capacity(servers[name]) for name, cost in observed.items()]
         typical = statistics.median(work) if work else 1.0
         return {
-            name: observed.get(name, typical / max(capacity(server), 1e-9))
-            for name, server in self._servers.items()
+            name: observed.get(name, typical / capacity(server)) for name, server in servers.items()
         }
+
+
+def estimate_loads(
+    runs: list[SliceRun], servers: Mapping[str, BackendServer], loads: Loads, clock: Clock
+) -> LoadEstimate:
+    """Returns an estimate from one observation alone."""
+    return LoadModel(clock).update(runs, servers, loads)
+
+
+def ranges_by_owner(runs: list[SliceRun]) -> dict[str, Ranges]:
+    """Returns the first and last slices of each owner's runs."""
+    owned: dict[str, list[tuple[int, int]]] = {}
+    for run in runs:
+        owned.setdefault(run.owner, []).append((run.first, run.last))
+    return {name: tuple(ranges) for name, ranges in owned.items()}
--- a/greengagefall/balancing/placement.py
+++ b/greengagefall/balancing/placement.py
@@ -8,18 +8,18 @@
 from greengagefall.balancing.loads import (
     NO_LOADS,
     LoadEstimate,
+    LoadModel,
     Loads,
     SliceRuns,
     capacity,
     usable_servers,
 )
 from greengagefall.balancing.moves import Move, merge_moves
-from greengagefall.balancing.straggler import CostHistory
 from greengagefall.coordination.model import SLICE_OWNED, SliceRun
 from greengagefall.utils.registry import Registry
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterator, Mapping
 
     from greengagefall.routing.model import BackendServer
     from greengagefall.utils.clock import Clock
@@ -154,7 +154,7 @@
         self._churn_cost = tuning.get("churn_cost", DEFAULT_CHURN_COST)
         self._max_moves = int(tuning.get("max_moves_per_plan", DEFAULT_MAX_MOVES_PER_PLAN))
         self._hot_factor = tuning.get("hot_slice_factor", DEFAULT_HOT_SLICE_FACTOR)
-        self._costs = CostHistory(clock, tuning)
+        self._model = LoadModel(clock, tuning)
 
     def initial(
         self,
@@ -175,87 +175,68 @@
     ) -> list[Move]:
         """Returns bounded moves from the fullest servers to the emptiest."""
         runs = slice_map.runs()
+        estimate = self._model.update(runs, servers, loads)
         usable = usable_servers(servers, loads, zones)
         if len(usable) < 2:
             return []
-        estimate = LoadEstimate(runs, servers, loads)
-        cost = self._costs.settled(estimate.cost)
-        balance = _Balance(usable, estimate, cost, self._settle_imbalance)
+        balance = _Balance(usable, estimate, self._settle_imbalance)
         owned: dict[str, list[SliceRun]] = {}
         for run in runs:
             if run.state == SLICE_OWNED:
                 owned.setdefault(run.owner, []).append(run)
         left = self._max_moves
         moves: list[Move] = []
+        planned: set[int] = set()
         sources = set(usable)
         while left > 0:
             pair = balance.widest(sources, self._min_imbalance)
             if pair is None:
                 break
             source, target, rate_wanted = pair
-            target_zone = servers[target].zone
-            taken, rate = self._take(source, owned, estimate, target_zone, rate_wanted, left)
+            candidates = self._candidates(owned.get(source, []), servers[target].zone, estimate)
+            taken = _take(candidates, planned, estimate.rates, rate_wanted, left)
             if not taken:
                 sources.discard(source)
                 continue
-            moves += [Move(first, last, source, target) for first, last in taken]
-            left -= sum(last - first + 1 for first, last in taken)
-            balance.shift(source, target, rate)
+            planned.update(taken)
+            left -= len(taken)
+            moves += [Move(slice_id, slice_id, source, target) for slice_id in taken]
+            balance.shift(source, target, sum(estimate.rates[item] for item in taken))
         return merge_moves(moves)
 
-    def _take(
-        self,
-        source: str,
-        owned: dict[str, list[SliceRun]],
-        estimate: LoadEstimate,
-        zone: str,
-        rate_wanted: float,
-        left: int,
-    ) -> tuple[list[tuple[int, int]], float]:
-        """Cuts slices off the source's runs until they make up ``rate_wanted``."""
-        mean_rate = estimate.mean_slice_rate(source)
-        too_cold = self._churn_cost * mean_rate
-        too_hot = self._hot_factor * mean_rate
-        taken: list[tuple[int, int]] = []
-        rate_taken = 0.0
-        keep: list[SliceRun] = []
-        for run in sorted(owned.get(source, []), key=lambda run: _order_of_leaving(run, zone)):
-            for piece in _split_at(run, estimate.busy_slices(source)):
-                last = piece.last
-                while last >= piece.first and left > 0:
-                    rate = estimate.slice_rate(source, last)
-                    if not too_cold <= rate <= too_hot or rate_taken + rate > rate_wanted:
-                        break
-                    rate_taken += rate
-                    left -= 1
-                    last -= 1
-                if last < piece.last:
-                    taken.append((last + 1, piece.last))
-                if last >= piece.first:
-                    keep.append(piece._replace(last=last))
-        owned[source] = keep
-        return taken, rate_taken
-
-
-def _split_at(run: SliceRun, slices: Iterable[int]) -> list[SliceRun]:
-    """Returns the run in pieces, each of ``slices`` a piece of its own."""
-    pieces = []
-    first = run.first
-    for slice_id in sorted(slices):
-        if not run.first <= slice_id <= run.last:
+    def _candidates(self, runs: list[SliceRun], zone: str, estimate: LoadEstimate) -> Iterator[int]:
+        """Yields the slices that may move to ``zone``, those that suit best first."""
+        for run in sorted(runs, key=lambda run: _order_of_leaving(run, zone)):
+            mean_rate = estimate.mean_slice_rate[run.owner]
+            too_cold = self._churn_cost * mean_rate
+            too_hot = self._hot_factor * mean_rate
+            for slice_id in range(run.last, run.first - 1, -1):
+                if too_cold <= estimate.rates[slice_id] <= too_hot:
+                    yield slice_id
+
+
+def _take(
+    candidates: Iterator[int],
+    planned: set[int],
+    rates: list[float],
+    rate_wanted: float,
+    most: int,
+) -> list[int]:
+    """Returns candidates whose rates add up to at most ``rate_wanted``."""
+    taken: list[int] = []
+    for slice_id in candidates:
+        if len(taken) >= most:
+            break
+        if slice_id in planned or rates[slice_id] > rate_wanted:
             continue
-        if slice_id > first:
-            pieces.append(run._replace(first=first, last=slice_id - 1))
-        pieces.append(run._replace(first=slice_id, last=slice_id))
-        first = slice_id + 1
-    if first <= run.last:
-        pieces.append(run._replace(first=first))
-    return pieces
+        taken.append(slice_id)
+        rate_wanted -= rates[slice_id]
+    return taken
 
 
-def _order_of_leaving(run: SliceRun, target_zone: str) -> tuple[bool, int, int]:
+def _order_of_leaving(run: SliceRun, zone: str) -> tuple[bool, int, int]:
     """Slices that would come home go first, then short runs."""
-    return run.home_zone != target_zone, run.last - run.first, run.first
+    return run.home_zone != zone, run.last - run.first, run.first
 
 
 class _Balance:
@@ -265,10 +246,9 @@
         self,
         usable: list[str],
         estimate: LoadEstimate,
-        cost: Mapping[str, float],
         settle_imbalance: float,
     ) -> None:
-        self._cost = {name: cost[name] for name in usable}
+        self._cost = {name: estimate.cost[name] for name in usable}
         self._rate = {name: estimate.rate_per_s[name] for name in usable}
         speed = sum(1.0 / self._cost[name] for name in usable)
         self._level = sum(self._rate.values()) / speed
--- a/greengagefall/balancing/zone_moves.py
+++ b/greengagefall/balancing/zone_moves.py
@@ -6,7 +6,14 @@
 import math
 from typing import TYPE_CHECKING, Protocol
 
-from greengagefall.balancing.loads import LoadEstimate, Loads, SliceRuns, usable_servers
+from greengagefall.balancing.loads import (
+    NO_LOADS,
+    LoadEstimate,
+    LoadModel,
+    Loads,
+    SliceRuns,
+    usable_servers,
+)
 from greengagefall.balancing.moves import Move, merge_moves
 from greengagefall.coordination.model import SLICE_FREE, SLICE_RELEASING
 from greengagefall.utils.registry import Registry
@@ -16,6 +23,7 @@
 
     from greengagefall.coordination.model import SliceRun
     from greengagefall.routing.model import BackendServer
+    from greengagefall.utils.clock import Clock
 
 log = logging.getLogger(__name__)
 
@@ -48,22 +56,6 @@
 ZONE_MOVES: Registry[type[ZoneMoves]] = Registry("zone_move")
 
 
-class _Targets:
-    """Spreads rates over the usable servers, emptiest first."""
-
-    def __init__(self, usable: list[str], estimate: LoadEstimate) -> None:
-        self._cost = {name: estimate.cost[name] for name in usable}
-        self._load = {name: estimate.rate_per_s[name] * self._cost[name] for name in usable}
-
-    def emptiest(self) -> str:
-        """Returns the server with the lowest utilisation."""
-        return min(self._load, key=lambda name: (self._load[name], name))
-
-    def add(self, name: str, rate_per_s: float) -> None:
-        """Counts a rate that moves to a server."""
-        self._load[name] += max(rate_per_s, 1e-9) * self._cost[name]
-
-
 def leaving_runs(
     runs: list[SliceRun],
     servers: Mapping[str, BackendServer],
@@ -71,7 +63,7 @@
     lost: Collection[str],
 ) -> list[SliceRun]:
     """Returns the runs that are free or whose owner must not own slices."""
-    allowed = set(usable_servers(servers, Loads({}, {}), zones)) - set(lost)
+    allowed = set(usable_servers(servers, NO_LOADS, zones)) - set(lost)
     return [
         run
         for run in runs
@@ -85,16 +77,39 @@
     return [run._replace(first=first, last=min(first + size - 1, run.last)) for first in firsts]
 
 
+def level_after(estimate: LoadEstimate, usable: list[str], rate_per_s: float) -> float:
+    """Returns the utilisation up to which the emptiest servers take ``rate_per_s``."""
+    speed = 0.0
+    taken_per_s = 0.0
+    level = 0.0
+    for name in sorted(usable, key=lambda name: (estimate.utilisation(name), name)):
+        if speed and estimate.utilisation(name) >= level:
+            break
+        speed += 1.0 / estimate.cost[name]
+        taken_per_s += estimate.rate_per_s[name]
+        level = (rate_per_s + taken_per_s) / speed
+    return level
+
+
 def spread(pieces: list[SliceRun], estimate: LoadEstimate, usable: list[str]) -> list[Move]:
-    """Returns moves of each piece to the server that is emptiest by then."""
-    targets = _Targets(usable, estimate)
+    """Returns moves that bring the emptiest servers to one level."""
+    total = sum(estimate.range_rate(piece.first, piece.last) for piece in pieces)
+    level = level_after(estimate, usable, total)
+    room = {
+        name: (level - estimate.utilisation(name)) / estimate.cost[name]
+        for name in sorted(usable)
+        if estimate.utilisation(name) < level
+    }
     moves = []
     for piece in pieces:
-        target = targets.emptiest()
-        size = piece.last - piece.first + 1
-        rate = sum(estimate.slice_rate(piece.owner, piece.first + offset) for offset in range(size))
-        targets.add(target, rate)
-        moves.append(Move(piece.first, piece.last, piece.owner, target))
+        for slice_id in range(piece.first, piece.last + 1):
+            target = next(iter(room), usable[-1])
+            moves.append(Move(slice_id, slice_id, piece.owner, target))
+            if target not in room:
+                continue
+            room[target] -= estimate.rates[slice_id]
+            if room[target] <= estimate.rates[slice_id] / 2 and len(room) > 1:
+                del room[target]
     return merge_moves(moves)
 
 
@@ -102,8 +117,8 @@
 class AllAtOnce:
     """Empties a zone in one plan and brings all its slices back in one; the baseline."""
 
-    def __init__(self, tuning: Mapping[str, float] | None = None) -> None:
-        pass
+    def __init__(self, clock: Clock, tuning: Mapping[str, float] | None = None) -> None:
+        self._model = LoadModel(clock, tuning)
 
     def plan(
         self,
@@ -115,13 +130,12 @@
     ) -> list[Move]:
         """Returns all moves off forbidden servers and all moves home."""
         runs = slice_map.runs()
+        estimate = self._model.update(runs, servers, loads)
         usable = [name for name in usable_servers(servers, loads, zones) if name not in lost]
         if not usable:
             return []
-        estimate = LoadEstimate(runs, servers, loads)
         leaving = leaving_runs(runs, servers, zones, lost)
-        pieces = [piece for run in leaving for piece in chunks(run, DEFAULT_LEAVE_CHUNK_SLICES)]
-        moves = spread(pieces, estimate, usable)
+        moves = spread(leaving, estimate, usable)
         moves += self._homeward(runs, leaving, servers, usable, estimate)
         return merge_moves(moves)
 
@@ -137,13 +151,12 @@
         skipped = set(leaving)
         for zone in sorted({servers[name].zone for name in usable}):
             away = [
-                piece
+                run
                 for run in runs
                 if run not in skipped
                 and run.state != SLICE_RELEASING
                 and run.home_zone == zone
                 and servers[run.owner].zone != zone
-                for piece in chunks(run, DEFAULT_LEAVE_CHUNK_SLICES)
             ]
             at_home = [name for name in usable if servers[name].zone == zone]
             moves += spread(away, estimate, at_home)
@@ -159,7 +172,8 @@
     are when their zone returns: the placement policy moves home as many as balance needs.
     """
 
-    def __init__(self, tuning: Mapping[str, float] | None = None) -> None:
+    def __init__(self, clock: Clock, tuning: Mapping[str, float] | None = None) -> None:
+        self._model = LoadModel(clock, tuning)
         tuning = tuning or {}
         self._share = tuning.get("leave_share_per_plan", DEFAULT_LEAVE_SHARE_PER_PLAN)
         self._chunk = int(tuning.get("leave_chunk_slices", DEFAULT_LEAVE_CHUNK_SLICES))
@@ -174,13 +188,14 @@
     ) -> list[Move]:
         """Returns the next step off forbidden servers."""
         runs = slice_map.runs()
+        estimate = self._model.update(runs, servers, loads)
         usable = [name for name in usable_servers(servers, loads, zones) if name not in lost]
         leaving = leaving_runs(runs, servers, zones, lost)
         if not usable or not leaving:
             return []
         budget = math.ceil(self._share * (runs[-1].last + 1))
         pieces = self._in_turn(leaving, budget)
-        return spread(pieces, LoadEstimate(runs, servers, loads), usable)
+        return spread(pieces, estimate, usable)
 
     def _in_turn(self, leaving: list[SliceRun], budget: int) -> list[SliceRun]:
         """Returns chunks up to the budget, one of each owner in turn, free ones first."""
--- a/greengagefall/bench/policies_keyed.py
+++ b/greengagefall/bench/policies_keyed.py
@@ -6,7 +6,7 @@
 import random
 from typing import TYPE_CHECKING
 
-from greengagefall.balancing.loads import Loads, ServerLoad
+from greengagefall.balancing.loads import NO_LOADS, Loads, ServerLoad
 from greengagefall.balancing.moves import Move, apply_moves, slices_moved
 from greengagefall.balancing.placement import PLACEMENTS
 from greengagefall.balancing.zone_moves import ZONE_MOVES
@@ -200,7 +200,7 @@
     ) -> None:
         self.run = run
         self.loop = run.loop
-        self.zone_moves = ZONE_MOVES[policies["zone_move"]](tuning)
+        self.zone_moves = ZONE_MOVES[policies["zone_move"]](self.loop, tuning)
         self.placement = PLACEMENTS[policies["placement"]](self.loop, tuning)
         self.balances = policies["placement"] != "by_weight"
         self._runs = self.placement.initial(SLICES, run.servers, run.zones)
@@ -213,7 +213,7 @@
         self._fence = 1
         self._next_balance_s = 0.0
         self._seen: dict[str, tuple[float, int, int]] = {}
-        self._loads = Loads({}, {})
+        self._loads = NO_LOADS
         self.loop.call_later(LOAD_WINDOW_S, self._observe)
 
     def runs(self) -> list[SliceRun]:
@@ -239,7 +239,7 @@
                 (now[1] - served) / LOAD_WINDOW_S,
                 True,
             )
-        self._loads = Loads(rows, {})
+        self._loads = Loads(rows, {}, self.loop.now_s())
 
     def _plan(self) -> None:
         self.loop.call_later(PLAN_EACH_S, self._plan)
--- a/greengagefall/tests/balancing_placement_tests.py
+++ b/greengagefall/tests/balancing_placement_tests.py
@@ -43,7 +43,7 @@
     }
 
 
-def observed(slice_map, servers, hot, slow=()):
+def observed(slice_map, servers, hot, slow=(), observed_s=1.0):
     """Loads as dispatchers would see them with one request per second per slice."""
     rates = dict.fromkeys(servers, 0.0)
     for slice_id, run in slice_map.owners().items():
@@ -52,7 +52,7 @@
     for name, rate in rates.items():
         speed = servers[name].weight * (0.1 if name in slow else 1.0)
         rows[name] = ServerLoad(min(1.0, rate * 0.05 / speed / 6), rate, rate, True)
-    return Loads(rows, dict(hot))
+    return Loads(rows, dict(hot), observed_s)
 
 
 def utilisations(slice_map, servers, hot):
@@ -103,14 +103,17 @@
         clock = ManualClock()
         placement = PLACEMENTS["load_aware"](clock, {"straggler_hold_s": 30.0})
         slice_map = Map(placement.initial(SLICES, servers, {}))
-        calm = observed(slice_map, servers, {})
-        slowed = observed(slice_map, servers, {}, slow={"s1"})
+        calm = observed(slice_map, servers, {}, observed_s=-1.0)
+
+        def slowed():
+            return observed(slice_map, servers, {}, {"s1"}, clock.now_s())
+
         self.assertEqual(placement.plan_moves(slice_map, servers, calm, {}), [])
         for _ in range(29):
-            self.assertEqual(placement.plan_moves(slice_map, servers, slowed, {}), [])
+            self.assertEqual(placement.plan_moves(slice_map, servers, slowed(), {}), [])
             clock.advance(1.0)
         clock.advance(2.0)
-        moves = placement.plan_moves(slice_map, servers, slowed, {})
+        moves = placement.plan_moves(slice_map, servers, slowed(), {})
         self.assertEqual({move.source for move in moves}, {"s1"})
 
     @given(st.integers(1, 100))
@@ -132,7 +135,7 @@
     def leave(self, policy, lost=(), zones=None):
         slice_map = self.start
         moved = plans = 0
-        planner = ZONE_MOVES[policy]()
+        planner = ZONE_MOVES[policy](ManualClock())
         while moves := planner.plan(slice_map, self.servers, NO_LOADS, zones or {}, lost):
             moved += slices_moved(moves)
             slice_map = slice_map.done(moves)
@@ -151,13 +154,15 @@
 
     def test_a_returning_zone_gets_back_what_balance_needs(self):
         after, moved, _ = self.leave("paced", zones={"b": "out"})
-        self.assertEqual(ZONE_MOVES["paced"]().plan(after, self.servers, NO_LOADS, {}), [])
+        self.assertEqual(
+            ZONE_MOVES["paced"](ManualClock()).plan(after, self.servers, NO_LOADS, {}), []
+        )
         back = 0
         while moves := self.placement.plan_moves(after, self.servers, NO_LOADS, {}):
             back += slices_moved(moves)
             after = after.done(moves)
         self.assertTrue(0 < back <= 0.6 * moved, (back, moved))
-        at_once = ZONE_MOVES["all_at_once"]()
+        at_once = ZONE_MOVES["all_at_once"](ManualClock())
         home = at_once.plan(
             self.leave("all_at_once", zones={"b": "out"})[0], self.servers, NO_LOADS, {}
         )
