Add a load meter; give planners rates through the coordinator

The coordinator passed busy shares of an instant and no rates, so load_aware could only see settings. LoadMeter gives rates, busy share and busy slices of a window; status rows may carry offered and served rates as two more columns; the coordinator takes a new observation each 5 s.

--- a/greengagefall/balancing/loads.py
+++ b/greengagefall/balancing/loads.py
@@ -8,6 +8,7 @@
 
 from greengagefall.balancing.straggler import CostHistory
 from greengagefall.routing.model import SERVER_ACTIVE, ZONE_IN, BackendServer
+from greengagefall.utils.clock import SystemClock
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -193,10 +194,10 @@
 
 
 def estimate_loads(
-    runs: list[SliceRun], servers: Mapping[str, BackendServer], loads: Loads, clock: Clock
+    runs: list[SliceRun], servers: Mapping[str, BackendServer], loads: Loads
 ) -> LoadEstimate:
     """Returns an estimate from one observation alone."""
-    return LoadModel(clock).update(runs, servers, loads)
+    return LoadModel(SystemClock()).update(runs, servers, loads)
 
 
 def ranges_by_owner(runs: list[SliceRun]) -> dict[str, Ranges]:
--- a/greengagefall/bench/soak_faults.py
+++ b/greengagefall/bench/soak_faults.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -10,6 +9,8 @@
 from greengagefall.utils.registry import Registry
 
 if TYPE_CHECKING:
+    import random
+
     from greengagefall.bench.fleet import Fleet
 
 Undo = Callable[[], Awaitable[None]]
--- a/greengagefall/coordinator/slice_decisions.py
+++ b/greengagefall/coordinator/slice_decisions.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from greengagefall.balancing.loads import LoadEstimate, Loads, ServerLoad, usable_servers
+from greengagefall.balancing.loads import Loads, ServerLoad, estimate_loads, usable_servers
 from greengagefall.balancing.moves import Move, merge_moves
 from greengagefall.balancing.zone_moves import DEFAULT_LEAVE_CHUNK_SLICES, chunks, spread
 from greengagefall.coordination.model import (
@@ -29,6 +29,8 @@
 STATE_DOWN = "down"
 TARGET_STATES = (STATE_UP, STATE_COLD)
 
+UNKNOWN_RATES = (0.0, 0.0)
+
 Bounds = list[tuple[int, int]]
 
 
@@ -40,12 +42,16 @@
         state: ``up``, ``cold``, ``suspect`` or ``down``.
         since_s: Seconds in that state.
         busy_share: Share of its slots in use.
+        offered_per_s: Requests that arrived, 0 if unknown.
+        served_per_s: Requests that were answered, 0 if unknown.
     """
 
     host: str
     state: str
     since_s: float
     busy_share: float
+    offered_per_s: float
+    served_per_s: float
 
 
 class Proof(NamedTuple):
@@ -59,22 +65,32 @@
     """Returns the report on each server of a back end; the best state counts."""
     reports: dict[str, ServerReport] = {}
     for status in statuses:
-        for key, state, since_s, busy_share, _limit in status.servers:
+        for key, state, since_s, busy_share, _limit, *rates in status.servers:
             name, _, server = key.partition("/")
             if name != back_end:
                 continue
             known = reports.get(server)
             if known is None or known.state == STATE_DOWN:
-                reports[server] = ServerReport(status.host, state, since_s, busy_share)
+                reports[server] = ServerReport(
+                    status.host, state, since_s, busy_share, *(rates or UNKNOWN_RATES)
+                )
     return reports
 
 
 def loads_of(
-    reports: Mapping[str, ServerReport], statuses: Iterable[HostStatus], back_end: str
+    reports: Mapping[str, ServerReport],
+    statuses: Iterable[HostStatus],
+    back_end: str,
+    observed_s: float,
 ) -> Loads:
     """Returns the load of a back end for the planners."""
     servers = {
-        name: ServerLoad(report.busy_share, 0.0, 0.0, report.state in TARGET_STATES)
+        name: ServerLoad(
+            report.busy_share,
+            report.offered_per_s,
+            report.served_per_s,
+            report.state in TARGET_STATES,
+        )
         for name, report in reports.items()
     }
     slices: dict[int, float] = {}
@@ -83,7 +99,7 @@
             name, _, number = key.partition("/")
             if name == back_end and number.isdigit():
                 slices[int(number)] = rate_per_s
-    return Loads(servers, slices)
+    return Loads(servers, slices, observed_s)
 
 
 def driven_zones(
@@ -260,7 +276,7 @@
     usable = usable_servers(back_end.servers, loads, zone_states)
     if not usable:
         return []
-    estimate = LoadEstimate(slice_map.runs(), back_end.servers, loads)
+    estimate = estimate_loads(slice_map.runs(), back_end.servers, loads)
     moves = []
     by_zone: dict[str, list[SliceRun]] = {}
     for piece in _pieces(runs, wanted):
--- a/greengagefall/coordinator/slices.py
+++ b/greengagefall/coordinator/slices.py
@@ -38,6 +38,7 @@
 PATIENCE_S = 2.0
 PLAN_TIMEOUT_S = 2.0
 BALANCE_INTERVAL_S = 10.0
+LOADS_INTERVAL_S = 5.0
 MAX_BALANCED_SHARE = 0.07
 DEFAULT_PLACEMENT = "load_aware"
 DEFAULT_ZONE_MOVE = "paced"
@@ -76,6 +77,7 @@
         self._free_since_s: float | None = None
         self._lost_since_s: dict[str, float] = {}
         self._planned_s = float("-inf")
+        self._loads: Loads | None = None
         self._balanced_s = clock.now_s()
         self._policies: tuple[dict[str, str], dict[str, float]] | None = None
         self._placement: Placement | None = None
@@ -121,7 +123,7 @@
         lost_for_s = self._lost_for_s()
         zones = decisions.driven_zones(config, self._zone, lost_for_s, PATIENCE_S)
         reports = decisions.server_reports(self._contacts.statuses(), self._name)
-        loads = decisions.loads_of(reports, self._contacts.statuses(), self._name)
+        loads = self._observe(reports)
         if await self._assign(config, back_end, slice_map, zones, loads):
             return
         if await self._begin_releases(config, back_end, slice_map, zones, reports, loads):
@@ -129,6 +131,19 @@
         self._drive_releases(config, back_end, slice_map, zones)
         await self._records.compact(self._name)
 
+    def _observe(self, reports: dict[str, ServerReport]) -> Loads:
+        """Returns loads that are renewed each ``LOADS_INTERVAL_S``, with states of now."""
+        now_s = self._clock.now_s()
+        fresh = decisions.loads_of(reports, self._contacts.statuses(), self._name, now_s)
+        if self._loads is None or now_s - self._loads.observed_s >= LOADS_INTERVAL_S:
+            self._loads = fresh
+            return fresh
+        servers = {
+            name: self._loads.servers.get(name, load)._replace(up=load.up)
+            for name, load in fresh.servers.items()
+        }
+        return self._loads._replace(servers=servers)
+
     async def _create_map(self, config: RoutingConfig, back_end: BackEnd) -> None:
         if not self._may_take_free(config):
             return
@@ -291,7 +306,7 @@
         placement = PLACEMENTS[back_end.policies.get("placement", DEFAULT_PLACEMENT)]
         zone_moves = ZONE_MOVES[back_end.policies.get("zone_move", DEFAULT_ZONE_MOVE)]
         self._placement = placement(self._clock, back_end.tuning)
-        self._zone_moves = zone_moves(back_end.tuning)
+        self._zone_moves = zone_moves(self._clock, back_end.tuning)
 
     def _note_lost_zones(self, config: RoutingConfig) -> None:
         lost = [zone for zone, state in config.zones.items() if state == ZONE_LOST]
--- a/greengagefall/routing/policy_names.py
+++ b/greengagefall/routing/policy_names.py
@@ -94,6 +94,7 @@
         1, 1e6, "Rate, relative to the mean, at which a slice stays and its neighbours move."
     ),
     "straggler_hold_s": TuningRange(0, 3600, "Seconds a slowed server must last to count."),
+    "rate_weight": TuningRange(0.01, 1, "Weight of the newest load against earlier ones."),
     "leave_share_per_plan": TuningRange(0.001, 1, "Share of all slices that leave in one plan."),
     "leave_chunk_slices": TuningRange(1, 65_536, "Slices that leave together."),
 }
--- a/greengagefall/tests/balancing_pool_tests.py
+++ b/greengagefall/tests/balancing_pool_tests.py
@@ -12,6 +12,8 @@
 from greengagefall.balancing.ejection import EJECTIONS
 from greengagefall.balancing.hedging import HEDGES
 from greengagefall.balancing.hot_keys import SpaceSaving
+from greengagefall.balancing.load_meter import LoadMeter
+from greengagefall.balancing.loads import ServerLoad
 from greengagefall.balancing.pick import PICKS
 from greengagefall.balancing.server_views import FORGET_S, ServerView, ServerViews
 from greengagefall.utils.clock import ManualClock
@@ -126,3 +128,20 @@
                 self.assertIn(key, counted)
         for hot in counted.values():
             self.assertTrue(hot.count - hot.error <= exact[hot.key] <= hot.count)
+
+
+class LoadMeterTests(unittest.TestCase):
+    def test_the_last_whole_window_is_returned(self):
+        clock = ManualClock()
+        meter = LoadMeter(2, clock, window_s=4.0)
+        for second in range(4):
+            meter.on_arrival(slice_id=7 if second else 8)
+            meter.on_start()
+            clock.advance(0.75)
+            meter.on_finish(served=second > 0)
+            clock.advance(0.25)
+        self.assertEqual(meter.load(up=False), ServerLoad(0.375, 1.0, 0.75, False))
+        self.assertEqual(meter.busy_slices(), {7: 0.75, 8: 0.25})
+        clock.advance(4.0)
+        self.assertEqual(meter.load(up=True), ServerLoad(0.0, 0.0, 0.0, True))
+        self.assertEqual(meter.busy_slices(), {})
