--- a/greengagefall/coordinator/slice_decisions.py
+++ b/greengagefall/coordinator/slice_decisions.py
@@ -13,6 +13,7 @@
     SLICE_RELEASING,
     SliceRun,
 )
+from greengagefall.protocol.messages import ServerStatus
 from greengagefall.routing.model import ZONE_IN, ZONE_LOST
 
 if TYPE_CHECKING:
@@ -29,31 +30,9 @@
 STATE_DOWN = "down"
 TARGET_STATES = (STATE_UP, STATE_COLD)
 
-UNKNOWN_RATES = (0.0, 0.0)
-
 Bounds = list[tuple[int, int]]
 
 
-class ServerReport(NamedTuple):
-    """A backend server's state by its dispatcher.
-
-    Attributes:
-        host: Host of the dispatcher.
-        state: ``up``, ``cold``, ``suspect`` or ``down``.
-        since_s: Seconds in that state.
-        busy_share: Share of its slots in use.
-        offered_per_s: Requests that arrived, 0 if unknown.
-        served_per_s: Requests that were answered, 0 if unknown.
-    """
-
-    host: str
-    state: str
-    since_s: float
-    busy_share: float
-    offered_per_s: float
-    served_per_s: float
-
-
 class Proof(NamedTuple):
     """The appointment whose end was proved for a slice."""
 
@@ -61,24 +40,22 @@
     fence: int
 
 
-def server_reports(statuses: Iterable[HostStatus], back_end: str) -> dict[str, ServerReport]:
+def server_reports(statuses: Iterable[HostStatus], back_end: str) -> dict[str, ServerStatus]:
     """Returns the report on each server of a back end; the best state counts."""
-    reports: dict[str, ServerReport] = {}
+    reports: dict[str, ServerStatus] = {}
     for status in statuses:
-        for key, state, since_s, busy_share, _limit, *rates in status.servers:
-            name, _, server = key.partition("/")
+        for row in map(ServerStatus._make, status.servers):
+            name, _, server = row.server_key.partition("/")
             if name != back_end:
                 continue
             known = reports.get(server)
             if known is None or known.state == STATE_DOWN:
-                reports[server] = ServerReport(
-                    status.host, state, since_s, busy_share, *(rates or UNKNOWN_RATES)
-                )
+                reports[server] = row
     return reports
 
 
 def loads_of(
-    reports: Mapping[str, ServerReport],
+    reports: Mapping[str, ServerStatus],
     statuses: Iterable[HostStatus],
     back_end: str,
     observed_s: float,
@@ -147,7 +124,7 @@
     slice_map: SliceMap,
     back_end: BackEnd,
     zones: Collection[str],
-    reports: Mapping[str, ServerReport],
+    reports: Mapping[str, ServerStatus],
     zone_states: Mapping[str, str],
 ) -> Bounds:
     """Returns slices of driven servers that are down or lost, which are released at once."""
--- a/greengagefall/coordinator/slices.py
+++ b/greengagefall/coordinator/slices.py
@@ -26,8 +26,9 @@
     from greengagefall.coordination.slice_map import SliceMap
     from greengagefall.coordinator.contacts import HostContacts
     from greengagefall.coordinator.records import Records
-    from greengagefall.coordinator.slice_decisions import Bounds, ServerReport
+    from greengagefall.coordinator.slice_decisions import Bounds
     from greengagefall.coordinator.wakeup import Wakeup
+    from greengagefall.protocol.messages import ServerStatus
     from greengagefall.routing.model import BackEnd, RoutingConfig
     from greengagefall.utils.clock import Clock
 
@@ -131,7 +132,7 @@
         self._drive_releases(config, back_end, slice_map, zones)
         await self._records.compact(self._name)
 
-    def _observe(self, reports: dict[str, ServerReport]) -> Loads:
+    def _observe(self, reports: dict[str, ServerStatus]) -> Loads:
         """Returns loads that are renewed each ``LOADS_INTERVAL_S``, with states of now."""
         now_s = self._clock.now_s()
         fresh = decisions.loads_of(reports, self._contacts.statuses(), self._name, now_s)
@@ -204,7 +205,7 @@
         back_end: BackEnd,
         slice_map: SliceMap,
         zones: set[str],
-        reports: dict[str, ServerReport],
+        reports: dict[str, ServerStatus],
         loads: Loads,
     ) -> bool:
         """Begins the releases that are due; returns whether it tried."""
@@ -287,7 +288,7 @@
         self,
         config: RoutingConfig,
         slice_map: SliceMap,
-        reports: dict[str, ServerReport],
+        reports: dict[str, ServerStatus],
     ) -> bool:
         if config.zones.get(self._zone, ZONE_IN) != ZONE_IN:
             return False
--- a/greengagefall/dispatch/server_dispatcher.py
+++ b/greengagefall/dispatch/server_dispatcher.py
@@ -10,6 +10,7 @@
 
 from result import Err
 
+from greengagefall.balancing.load_meter import LoadMeter
 from greengagefall.coordination.grants import (
     HOW_CONFIRMED,
     NOT_YET,
@@ -32,7 +33,7 @@
 from greengagefall.entry.refusals import REFUSALS
 from greengagefall.limits.admission import QUEUES, Waiting
 from greengagefall.limits.concurrency import LIMITS
-from greengagefall.protocol.messages import Answer, Forward, Refusal
+from greengagefall.protocol.messages import Answer, Forward, Refusal, ServerStatus
 from greengagefall.routing.model import KIND_KEYED, SERVER_DRAINING
 from greengagefall.utils.invariants import check
 from greengagefall.utils.metrics import count, observe_ms
@@ -110,6 +111,7 @@
         )
         limit_policy = back_end.policies.get("limit", DEFAULT_LIMIT_POLICY)
         self.limit = LIMITS[limit_policy](server.slots, server.cold_slots, clock, back_end.tuning)
+        self.meter = LoadMeter(server.slots, clock)
         queue_policy = back_end.policies.get("queue", DEFAULT_QUEUE_POLICY)
         self._queue = QUEUES[queue_policy](back_end.queue_limit, clock, back_end.tuning)
         self._memory = AnswerMemory(clock)
@@ -155,12 +157,22 @@
         """Returns the number of requests that wait or run."""
         return self.limit.in_flight + len(self._waiting)
 
-    def busy_share(self) -> float:
-        """Returns the share of slots that run a request."""
-        return self.limit.in_flight / self.server.slots
+    def status(self) -> ServerStatus:
+        """Returns what the coordinator and operators are told of the server."""
+        load = self.meter.load(self.health.usable())
+        return ServerStatus(
+            self.key,
+            self.health.state,
+            self.health.in_state_s(),
+            load.busy_share,
+            self.limit.limit,
+            load.offered_per_s,
+            load.served_per_s,
+        )
 
     async def submit(self, forward: Forward) -> Outcome:
         """Runs a request and returns its outcome; never raises for an expected failure."""
+        self.meter.on_arrival(forward.slice_id)
         if forward.repeatable:
             return await self._submit_repeatable(forward)
         known = self._memory.find(forward.request_id)
@@ -342,6 +354,7 @@
         if not self.limit.can_start():
             return self._refuse(forward, refusals.QUEUE_FULL)
         self.limit.on_start()
+        self.meter.on_start()
         self._enter(forward.slice_id)
         started_s = self._clock.now_s()
         outcome: Outcome | None = None
@@ -355,6 +368,7 @@
             self._pump()
 
     def _finish(self, outcome: Outcome | None, latency_ms: float) -> None:
+        self.meter.on_finish(isinstance(outcome, Answer))
         shed = isinstance(outcome, Refusal) and outcome.reason == refusals.SERVER_REFUSED
         if shed:
             self.limit.on_shed()
--- a/greengagefall/entry/admin.py
+++ b/greengagefall/entry/admin.py
@@ -111,7 +111,7 @@
                 "state": one.health.state,
                 "limit": one.limit.limit,
                 "in_flight": one.in_flight(),
-                "busy": round(one.busy_share(), 3),
+                "busy": round(one.status().busy_share, 3),
                 "dispatcher": self._state.host,
                 "fence": one.right.fence,
             }
--- a/greengagefall/entry/peer_handler.py
+++ b/greengagefall/entry/peer_handler.py
@@ -116,23 +116,19 @@
         return Released(0, released, how, fence)
 
     def _report(self, peer: Hello, message: HostReport) -> HostStatus:
-        rows = [
-            [
-                one.key,
-                one.health.state,
-                one.health.in_state_s(),
-                one.busy_share(),
-                one.limit.limit,
-            ]
-            for one in self._table.held()
-        ]
+        held = self._table.held()
+        busiest = {
+            f"{one.back_end.name}/{slice_id}": rate_per_s
+            for one in held
+            for slice_id, rate_per_s in one.meter.busy_slices().items()
+        }
         return HostStatus(
             0,
             self._state.host,
             self._state.incarnation,
             self._state.epoch(),
             self._resigning(),
-            rows,
-            {},
+            [list(one.status()) for one in held],
+            busiest,
             invariants.violations(),
         )
--- a/greengagefall/protocol/messages.py
+++ b/greengagefall/protocol/messages.py
@@ -294,6 +294,28 @@
     call_id: int
 
 
+class ServerStatus(NamedTuple):
+    """State of one backend server by its dispatcher; travels as an array.
+
+    Attributes:
+        server_key: ``back end/server``.
+        state: ``up``, ``cold``, ``suspect``, ``down`` or ``unknown``.
+        in_state_s: Time in that state.
+        busy_share: Share of its slots in use.
+        limit: Requests that may be in flight now.
+        offered_per_s: Requests that reached the dispatcher.
+        served_per_s: Requests that were answered.
+    """
+
+    server_key: str
+    state: str
+    in_state_s: float
+    busy_share: float
+    limit: int
+    offered_per_s: float
+    served_per_s: float
+
+
 @message("host_status")
 class HostStatus(NamedTuple):
     """What an entry host dispatches, for the coordinator and operators.
@@ -304,8 +326,7 @@
         incarnation: Its incarnation.
         epoch: Members epoch it acts under.
         resigning: Whether it is stopping.
-        servers: Rows of ``back end/server``, state (``up``, ``cold``, ``suspect``, ``down``),
-            seconds in that state, busy share of its slots, and the limit in force.
+        servers: The fields of a ``ServerStatus`` for each server.
         slice_load: Requests per second by ``back end/slice`` for the busiest slices.
         violations: Invariant violations by name.
     """
