--- a/greengagefall/dispatch/server_dispatcher.py
+++ b/greengagefall/dispatch/server_dispatcher.py
@@ -10,6 +10,7 @@
 
 from result import Err
 
+from greengagefall.balancing.load_meter import LoadMeter
 from greengagefall.dispatch.answer_memory import AnswerMemory
 from greengagefall.dispatch.connection_pool import ConnectionPool, HttpAnswer, HttpRequest
 from greengagefall.dispatch.exceptions import (
@@ -104,6 +105,7 @@
         self.limit = LIMITS[limit_policy](server.slots, server.cold_slots, clock, back_end.tuning)
         queue_policy = back_end.policies.get("queue", DEFAULT_QUEUE_POLICY)
         self._queue = QUEUES[queue_policy](back_end.queue_limit, clock, back_end.tuning)
+        self.load = LoadMeter(server.slots, clock)
         self._memory = AnswerMemory(clock)
         self._waiting: dict[str, asyncio.Future[str]] = {}
         self._slices_in_flight: dict[int, int] = {}
@@ -236,6 +238,7 @@
         return self.limit.limit - taken
 
     async def _admit(self, forward: Forward) -> Outcome:
+        self.load.on_arrival(forward.slice_id)
         if not self.taking:
             return self._refuse(forward, refusals.STOPPING)
         deadline_s = self._clock.now_s() + forward.timeout_ms / MS_PER_S
@@ -337,6 +340,7 @@
         if not self.limit.can_start():
             return self._refuse(forward, refusals.QUEUE_FULL)
         self.limit.on_start()
+        self.load.on_start()
         self._enter(forward.slice_id)
         started_s = self._clock.now_s()
         outcome: Outcome | None = None
@@ -346,6 +350,7 @@
         finally:
             latency_ms = (self._clock.now_s() - started_s) * MS_PER_S
             self._leave(forward.slice_id)
+            self.load.on_finish(isinstance(outcome, Answer))
             self._finish(outcome, latency_ms)
             self._pump()
 
--- a/greengagefall/entry/peer_handler.py
+++ b/greengagefall/entry/peer_handler.py
@@ -116,16 +116,14 @@
         return Released(0, released, how, fence)
 
     def _report(self, peer: Hello, message: HostReport) -> HostStatus:
-        rows = [
-            [
-                one.key,
-                one.health.state,
-                one.health.in_state_s(),
-                one.busy_share(),
-                one.limit.limit,
-            ]
-            for one in self._table.held()
-        ]
+        rows = []
+        slice_load = {}
+        for one in self._table.held():
+            load = one.load.load(up=True)
+            row = [one.key, one.health.state, one.health.in_state_s(), load.busy_share]
+            rows.append([*row, one.limit.limit, load.offered_per_s, load.served_per_s])
+            for slice_id, rate_per_s in one.load.busy_slices().items():
+                slice_load[f"{one.back_end.name}/{slice_id}"] = rate_per_s
         return HostStatus(
             0,
             self._state.host,
@@ -133,6 +131,6 @@
             self._state.epoch(),
             self._resigning(),
             rows,
-            {},
+            slice_load,
             invariants.violations(),
         )
--- a/greengagefall/protocol/messages.py
+++ b/greengagefall/protocol/messages.py
@@ -305,7 +305,8 @@
         epoch: Members epoch it acts under.
         resigning: Whether it is stopping.
         servers: Rows of ``back end/server``, state (``up``, ``cold``, ``suspect``, ``down``),
-            seconds in that state, busy share of its slots, and the limit in force.
+            seconds in that state, busy share of its slots, the limit in force, and requests
+            offered and served per second.
         slice_load: Requests per second by ``back end/slice`` for the busiest slices.
         violations: Invariant violations by name.
     """
