--- a/greengagefall/dispatch/server_dispatcher.py
+++ b/greengagefall/dispatch/server_dispatcher.py
@@ -114,6 +114,7 @@
         self.meter = LoadMeter(server.slots, clock)
         queue_policy = back_end.policies.get("queue", DEFAULT_QUEUE_POLICY)
         self._queue = QUEUES[queue_policy](back_end.queue_limit, clock, back_end.tuning)
+        self.load = LoadMeter(server.slots, clock)
         self._memory = AnswerMemory(clock)
         self._waiting: dict[str, asyncio.Future[str]] = {}
         self._slices_in_flight: dict[int, int] = {}
@@ -253,6 +254,7 @@
         return self.limit.limit - taken
 
     async def _admit(self, forward: Forward) -> Outcome:
+        self.load.on_arrival(forward.slice_id)
         if not self.taking:
             return self._refuse(forward, refusals.STOPPING)
         deadline_s = self._clock.now_s() + forward.timeout_ms / MS_PER_S
@@ -364,6 +366,7 @@
         finally:
             latency_ms = (self._clock.now_s() - started_s) * MS_PER_S
             self._leave(forward.slice_id)
+            self.load.on_finish(isinstance(outcome, Answer))
             self._finish(outcome, latency_ms)
             self._pump()
 
