--- a/greengagefall/commands/ctl_config.py
+++ b/greengagefall/commands/ctl_config.py
@@ -101,7 +101,7 @@
 def _read_merge(file: Any) -> dict[str, Any]:
     try:
         merge = json.load(file)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         fail(exit_codes.REFUSED, f"{file.name}: not JSON: {error}")
     if not isinstance(merge, dict):
         fail(exit_codes.REFUSED, f"{file.name}: not a JSON object")
--- a/greengagefall/commands/ctl_views.py
+++ b/greengagefall/commands/ctl_views.py
@@ -137,7 +137,8 @@
 
 
 def _fact(value: Any) -> str:
-    return ", ".join(value) if isinstance(value, list) else str(value)
+    text = ", ".join(value) if isinstance(value, list) else str(value)
+    return text or "-"
 
 
 async def _load_members(store: Store) -> Result[list[MembersRecord], Exception]:
--- a/greengagefall/routing/parse.py
+++ b/greengagefall/routing/parse.py
@@ -55,6 +55,10 @@
 MAX_LOST_HOSTS = 10_000
 MAX_TEXT_CHARS = 200
 
+# A body and its headers have to fit into one frame of the inner protocol.
+MAX_BODY_BYTES = 3 * 1024 * 1024
+MAX_HEADER_BYTES = 128 * 1024
+
 DEFAULT_SLICES = 4096
 DEFAULT_TIMEOUT_MS = 2000
 DEFAULT_QUEUE = 32
@@ -63,9 +67,9 @@
 
 # Field of ``Limits``: default, least and most.
 LIMIT_RANGES: dict[str, tuple[int, int, int]] = {
-    "body_bytes": (1_048_576, 1, 67_108_864),
-    "answer_bytes": (4_194_304, 1, 67_108_864),
-    "header_bytes": (16_384, 256, 1_048_576),
+    "body_bytes": (1_048_576, 1, MAX_BODY_BYTES),
+    "answer_bytes": (MAX_BODY_BYTES, 1, MAX_BODY_BYTES),
+    "header_bytes": (16_384, 256, MAX_HEADER_BYTES),
     "key_bytes": (256, 1, 4_096),
     "timeout_ms": (30_000, 1, MAX_TIMEOUT_MS),
     "caller_in_flight": (64, 1, 100_000),
--- a/greengagefall/routing/patch.py
+++ b/greengagefall/routing/patch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any, NamedTuple
 
 from result import Err, Result
@@ -11,6 +12,7 @@
 from greengagefall.routing.model import SERVER_DRAINING, BackEnd, RoutingConfig
 from greengagefall.routing.parse import parse_config
 
+MAX_DOCUMENT_BYTES = 900_000
 RESERVED_FIELDS = ("version", "patch_id")
 
 
@@ -61,6 +63,9 @@
     document = merge_patch(config.document, patch.merge)
     document["version"] = config.version + 1
     document["patch_id"] = patch.patch_id
+    size_bytes = len(json.dumps(document).encode())
+    if size_bytes > MAX_DOCUMENT_BYTES:
+        return Err(ConfigError("", f"{size_bytes} bytes, allowed are {MAX_DOCUMENT_BYTES}"))
     parsed = parse_config(document)
     if isinstance(parsed, Err):
         return parsed
--- a/greengagefall/tests/routing_examples_tests.py
+++ b/greengagefall/tests/routing_examples_tests.py
@@ -48,6 +48,10 @@
             self.check_back_end(config.back_ends[pooled], "pooled", POOLED_SERVERS, slots)
             self.assertEqual(config.back_ends[keyed].tuning, deployment.tuning)
 
+    def test_tutorial(self):
+        config = load_example("first")
+        self.assertEqual(list(config.back_ends["proofdesk"].servers), ["p-01", "p-02"])
+
     def test_orders_are_not_repeatable(self):
         for name in ("kaasik", "hookworks"):
             for back_end in load_example(name).back_ends.values():
--- a/greengagefall/tests/routing_parse_tests.py
+++ b/greengagefall/tests/routing_parse_tests.py
@@ -8,10 +8,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from greengagefall.protocol.codec import MAX_FRAME_BYTES, encode
+from greengagefall.protocol.messages import Answer
 from greengagefall.routing.classes import OTHER_CLASS, match_class
 from greengagefall.routing.exceptions import StalePatchError
 from greengagefall.routing.holder import ConfigHolder
-from greengagefall.routing.parse import empty_config, parse_config
+from greengagefall.routing.parse import LIMIT_RANGES, empty_config, parse_config
 from greengagefall.routing.patch import Patch, apply_patch, merge_patch
 from greengagefall.utils.invariants import reset_violations, violations
 
@@ -106,6 +108,13 @@
     def test_any_json_gives_a_result(self, document):
         parse_config(document)
 
+    def test_largest_request_and_answer_fit_into_a_frame(self):
+        most = {name: allowed[2] for name, allowed in LIMIT_RANGES.items()}
+        headers = [["X-Long", "x" * most["header_bytes"]]]
+        for body_bytes in (most["body_bytes"], most["answer_bytes"]):
+            answer = Answer(1, "id", 200, headers, bytes(body_bytes), 0, 0.0)
+            self.assertLess(len(encode(answer)), MAX_FRAME_BYTES)
+
     def test_match_class(self):
         back_end = parse_config(DOCUMENT).unwrap().back_ends["catalogue"]
         self.assertEqual(match_class(back_end, "GET", "/amend/1").name, "read")
@@ -147,6 +156,10 @@
         self.assertIsInstance(error, StalePatchError)
         self.assertEqual(error.current_version, 3)
 
+    def test_document_must_fit_into_the_store(self):
+        hosts = [f"entry-{number}/{'x' * 180}" for number in range(9_000)]
+        self.assertIn("allowed are 900000", self.refusal({"lost_hosts": hosts}))
+
     def test_changes_that_endanger_ownership_are_refused(self):
         servers = {"c-1": {"address": "127.0.0.1:9009"}}
         for merge, why in [
