--- a/greengagefall/commands/ctl_session.py
+++ b/greengagefall/commands/ctl_session.py
@@ -27,6 +27,7 @@
     from greengagefall.config.ctl import CtlSettings
     from greengagefall.store.model import Store
 
+HTTP_OK = 200
 ADMIN_PREFIX = "/.greengagefall/"
 
 Value = TypeVar("Value")
@@ -50,10 +51,15 @@
             answer = await AsyncHTTPClient().fetch(
                 url, connect_timeout=timeout_s, request_timeout=timeout_s, raise_error=False
             )
-            document = json.loads(answer.body)
-        except (OSError, HTTPError, ValueError) as error:
+        except (OSError, HTTPError) as error:
             return Err(EntryError(f"{address}: {error}"))
-        if answer.code != 200:
+        try:
+            document = json.loads(answer.body)
+        except ValueError:
+            document = None
+        if not isinstance(document, dict):
+            return Err(EntryError(f"{address}: status {answer.code}, no JSON object"))
+        if answer.code != HTTP_OK:
             return Err(EntryError(f"{address}: {document.get('error', answer.reason)}"))
         return Ok(document)
 
--- a/greengagefall/commands/ctl_views.py
+++ b/greengagefall/commands/ctl_views.py
@@ -31,6 +31,8 @@
 
 HOST_HEADERS = ("Address", "Host", "Zone", "Ready", "Epoch", "Config", "Violations")
 SERVER_HEADERS = ("Server", "Dispatcher", "State", "Limit", "In flight", "Busy")
+HOST_FIELDS = ("host", "zone", "ready", "epoch", "config_version")
+SERVER_FIELDS = ("server", "dispatcher", "state", "limit", "in_flight", "busy")
 RUN_HEADERS = ("Back end", "First", "Last", "State", "Owner", "Fence", "Home zone")
 OWNER_HEADERS = ("Back end", "Owner", "Slices", "Releasing")
 MEMBER_HEADERS = ("Host", "Incarnation", "Zone", "Epoch", "Address", "Resigned")
@@ -45,7 +47,7 @@
         print_json({address: _answer_or_error(answer) for address, answer in answers})
     else:
         _print_status(answers)
-    healthy = all(isinstance(one, Ok) and not one.ok_value["violations"] for _, one in answers)
+    healthy = all(isinstance(one, Ok) and not one.ok_value.get("violations") for _, one in answers)
     sys.exit(exit_codes.OK if healthy else exit_codes.REFUSED)
 
 
@@ -103,28 +105,19 @@
             click.echo(f"Error: {answer.err_value}", err=True)
             continue
         host_rows.append((address, *_host_cells(answer.ok_value)))
-        server_rows.extend(_server_cells(row) for row in answer.ok_value["servers"])
+        server_rows.extend(_server_cells(row) for row in answer.ok_value.get("servers", []))
     click.echo(render_table(HOST_HEADERS, host_rows))
     click.echo()
     click.echo(render_table(SERVER_HEADERS, sorted(server_rows)))
 
 
 def _host_cells(found: dict[str, Any]) -> tuple[object, ...]:
-    violations = sum(found["violations"].values())
-    ready = "yes" if found["ready"] else "no"
-    return (
-        found["host"],
-        found["zone"],
-        ready,
-        found["epoch"],
-        found["config_version"],
-        violations,
-    )
+    cells = [found.get(field, "?") for field in HOST_FIELDS]
+    return (*cells, sum(found.get("violations", {}).values()))
 
 
 def _server_cells(row: dict[str, Any]) -> tuple[object, ...]:
-    fields = ("server", "dispatcher", "state", "limit", "in_flight", "busy")
-    return tuple(row[field] for field in fields)
+    return tuple(row.get(field, "?") for field in SERVER_FIELDS)
 
 
 def _slices_by_owner(rows: list[tuple[Any, ...]]) -> list[tuple[object, ...]]:
--- a/greengagefall/tests/ctl_commands_tests.py
+++ b/greengagefall/tests/ctl_commands_tests.py
@@ -8,10 +8,12 @@
 
 from click.testing import CliRunner, Result
 from result import Err, Ok
+from tornado.testing import AsyncHTTPTestCase, gen_test
+from tornado.web import Application, RequestHandler
 
 from greengagefall.commands import exit_codes
 from greengagefall.commands.ctl import main
-from greengagefall.commands.ctl_session import EntryError
+from greengagefall.commands.ctl_session import Connections, EntryError
 from greengagefall.coordination.epochs import first_record, record_to_json
 from greengagefall.coordination.model import Member
 from greengagefall.standins.memory_store import MemoryStore
@@ -217,5 +219,31 @@
         self.assertIn("abc", self.invoke("hosts").output)
 
 
+class FetchTests(AsyncHTTPTestCase):
+    def get_app(self) -> Application:
+        class Page(RequestHandler):
+            def get(self, code: str, text: str) -> None:
+                self.set_status(int(code))
+                self.write(text)
+
+        return Application([(r"/(\d+)/(.*)", Page)])
+
+    async def fetch_text(self, path: str, address: str = "") -> str:
+        address = address or f"127.0.0.1:{self.get_http_port()}"
+        fetched = await Connections().fetch(address, path, 5.0)
+        return str(fetched.ok_value if isinstance(fetched, Ok) else fetched.err_value)
+
+    @gen_test
+    async def test_only_json_objects_are_answers(self):
+        for path, part in [
+            ("/200/{}", "{}"),
+            ("/200/[]", "status 200, no JSON object"),
+            ("/502/oops", "status 502, no JSON object"),
+            ('/404/{"error":"no-page"}', "no-page"),
+        ]:
+            self.assertIn(part, await self.fetch_text(path))
+        self.assertIn("refused", await self.fetch_text("/", address="127.0.0.1:1"))
+
+
 if __name__ == "__main__":
     unittest.main()
