--- a/greengagefall/routing/patch.py
+++ b/greengagefall/routing/patch.py
@@ -9,11 +9,12 @@
 
 from greengagefall.routing.exceptions import ConfigError, StalePatchError
 from greengagefall.routing.fields import shown
-from greengagefall.routing.model import SERVER_DRAINING, BackEnd, RoutingConfig
+from greengagefall.routing.model import SERVER_DRAINING, BackEnd, BackendServer, RoutingConfig
 from greengagefall.routing.parse import parse_config
 
 MAX_DOCUMENT_BYTES = 900_000
 RESERVED_FIELDS = ("version", "patch_id")
+FIXED_SERVER_FIELDS = ("address", "zone")
 
 
 class Patch(NamedTuple):
@@ -111,12 +112,23 @@
         why = f"{new.slice_count} differs from {old.slice_count}, which is fixed"
         return ConfigError(f"{path}.slices", why)
     for name, server in old.servers.items():
-        server_path = f"{path}.servers.{name}"
-        kept = new.servers.get(name)
-        if kept is None and server.state != SERVER_DRAINING:
-            why = f"is {server.state}; only a draining server can be removed"
-            return ConfigError(server_path, why)
-        if kept is not None and kept.address != server.address:
-            why = f"{kept.address} differs from {server.address}; use a new server name"
-            return ConfigError(f"{server_path}.address", why)
+        broken = _check_server_change(f"{path}.servers.{name}", server, new.servers.get(name))
+        if broken is not None:
+            return broken
+    return None
+
+
+def _check_server_change(
+    path: str, old: BackendServer, new: BackendServer | None
+) -> ConfigError | None:
+    if new is None:
+        if old.state == SERVER_DRAINING:
+            return None
+        return ConfigError(path, f"is {old.state}; only a draining server can be removed")
+    # Another address is another process; another zone has witnesses that know no dispatcher yet.
+    for field in FIXED_SERVER_FIELDS:
+        before, after = getattr(old, field), getattr(new, field)
+        if after != before:
+            why = f"{after} differs from {before}, which is fixed; use a new server name"
+            return ConfigError(f"{path}.{field}", why)
     return None
--- a/greengagefall/tests/routing_parse_tests.py
+++ b/greengagefall/tests/routing_parse_tests.py
@@ -161,12 +161,14 @@
         self.assertIn("allowed are 900000", self.refusal({"lost_hosts": hosts}))
 
     def test_changes_that_endanger_ownership_are_refused(self):
-        servers = {"c-1": {"address": "127.0.0.1:9009"}}
+        moved = {"c-1": {"address": "127.0.0.1:9009"}}
+        other_zone = {"c-1": {"zone": "mansoura"}}
         for merge, why in [
             ({"version": 9}, "version: is set by the system"),
             ({"back_ends": {"catalogue": {"slices": 128}}}, "128 differs from 64"),
             ({"back_ends": {"orders": {"kind": "keyed"}}}, "keyed differs from pooled"),
-            ({"back_ends": {"catalogue": {"servers": servers}}}, "use a new server name"),
+            ({"back_ends": {"catalogue": {"servers": moved}}}, "c-1.address: 127.0.0.1:9009"),
+            ({"back_ends": {"catalogue": {"servers": other_zone}}}, "c-1.zone: mansoura differs"),
             ({"back_ends": {"catalogue": {"servers": {"c-1": None}}}}, "only a draining server"),
             ({"back_ends": {"catalogue": None}}, "servers all drain"),
         ]:
