Refuse to remove a backend server that still owns slices

A server that is not in the configuration has no dispatcher, so nobody could prove the release of its slices: their keys stayed refused. greengagefallctl reads the slice map before it proposes such a patch.

--- a/greengagefall/commands/ctl_config.py
+++ b/greengagefall/commands/ctl_config.py
@@ -12,6 +12,7 @@
 from greengagefall.commands import exit_codes
 from greengagefall.commands.ctl_session import CtlSession, fail
 from greengagefall.commands.output import print_json, print_rows
+from greengagefall.commands.removal_check import check_removals
 from greengagefall.routing.diff import diff_documents
 from greengagefall.routing.exceptions import ConfigError, RoutingError
 from greengagefall.routing.parse import empty_config
@@ -69,7 +70,7 @@
         before, after = session.with_store(lambda store: _try_patch(store, patch))
         _print_diff(session, before.document, after.document)
         return
-    accepted = session.with_store(lambda store: propose(store, patch))
+    accepted = session.with_store(lambda store: _apply_patch(store, patch))
     text = f"Version {accepted.version} is accepted (patch {accepted.patch_id})."
     session.print_version(accepted.version, accepted.patch_id, text)
 
@@ -116,6 +117,16 @@
     return loaded
 
 
+async def _apply_patch(store: Store, patch: Patch) -> Result[RoutingConfig, RoutingError]:
+    tried = await _try_patch(store, patch)
+    if isinstance(tried, Ok):
+        checked = await check_removals(store, *tried.ok_value)
+        if isinstance(checked, Err):
+            return checked
+    # Tells of a patch that was accepted before, too.
+    return await propose(store, patch)
+
+
 async def _try_patch(
     store: Store, patch: Patch
 ) -> Result[tuple[RoutingConfig, RoutingConfig], RoutingError]:
--- a/greengagefall/tests/ctl_commands_tests.py
+++ b/greengagefall/tests/ctl_commands_tests.py
@@ -15,7 +15,9 @@
 from greengagefall.commands.ctl import main
 from greengagefall.commands.ctl_session import Connections, EntryError
 from greengagefall.coordination.epochs import first_record, record_to_json
-from greengagefall.coordination.model import Member
+from greengagefall.coordination.model import Member, SliceRun
+from greengagefall.coordination.slice_map import delta_to_json
+from greengagefall.coordination.slice_map_changes import initial_map, next_delta
 from greengagefall.standins.memory_store import MemoryStore
 from greengagefall.tests.routing_parse_tests import DOCUMENT
 
@@ -135,6 +137,29 @@
             self.assertIn(f"{code} {meaning}", text)
 
 
+class RemovalTests(CtlTestCase):
+    def put(self, key: str, document: dict) -> None:
+        self.connections.memory.put_raw(key, json.dumps(document).encode())
+
+    def test_server_that_owns_slices_stays(self):
+        removal = {"back_ends": {"catalogue": {"servers": {"c-1": None}}}}
+        self.apply(0, MERGE)
+        self.invoke("server", "drain", "catalogue", "c-1")
+        slice_map = initial_map("catalogue", 64)
+        self.put("backends/catalogue/slices", slice_map.to_json())
+        owner = next_delta(slice_map, [SliceRun(0, 9, "owned", "c-1", 1, "tanta")])
+        self.put("backends/catalogue/deltas/0000000001", delta_to_json(owner))
+        self.assert_fails(self.apply(2, removal), exit_codes.REFUSED, "c-1: still owns 10 slices")
+        slice_map.apply(owner)
+        release = next_delta(slice_map, [SliceRun(0, 9, "releasing", "c-1", 1, "tanta")])
+        self.put("backends/catalogue/deltas/0000000002", delta_to_json(release))
+        self.assert_fails(self.apply(2, removal), exit_codes.REFUSED, "c-1: still owns 10 slices")
+        slice_map.apply(release)
+        moved = next_delta(slice_map, [SliceRun(0, 9, "owned", "c-2", 3, "tanta")])
+        self.put("backends/catalogue/deltas/0000000003", delta_to_json(moved))
+        self.assertEqual(self.apply(2, removal).exit_code, 0)
+
+
 class ChangeCommandTests(CtlTestCase):
     def setUp(self):
         super().setUp()
