--- a/greengagefall/commands/ctl_session.py
+++ b/greengagefall/commands/ctl_session.py
@@ -127,7 +127,11 @@
     def _unwrap(self, outcome: Result[Value, Exception]) -> Value:
         if isinstance(outcome, Ok):
             return outcome.ok_value
-        return fail(exit_code_of(outcome.err_value), str(outcome.err_value))
+        error = outcome.err_value
+        message = str(error)
+        if isinstance(error, RegistryUnavailableError):
+            message = f"the store at {self.settings.store} is not available: {message}"
+        return fail(exit_code_of(error), message)
 
 
 def exit_code_of(error: Exception) -> int:
--- a/greengagefall/tests/ctl_commands_tests.py
+++ b/greengagefall/tests/ctl_commands_tests.py
@@ -119,7 +119,8 @@
         outcome = self.invoke("config", "apply", "-", "--base-version", "1", text="{")
         self.assert_fails(outcome, exit_codes.REFUSED, "not JSON")
         self.connections.memory.down = True
-        self.assert_fails(self.invoke("config", "show"), exit_codes.STORE_UNAVAILABLE)
+        outcome = self.invoke("config", "show")
+        self.assert_fails(outcome, exit_codes.STORE_UNAVAILABLE, "the store at 127.0.0.1:2379")
 
     def test_dry_run_changes_nothing(self):
         self.apply(0, MERGE)
