Keep the coordinator's loops alive after an unexpected error

A reply of an unexpected shape ended the task that read it, and with it the keeping of slices. Each round of a loop is now guarded, logged and counted. Writes that fail wait with full jitter.

--- a/greengagefall/coordinator/active.py
+++ b/greengagefall/coordinator/active.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from greengagefall.coordinator.contacts import HostContacts
+from greengagefall.coordinator.guard import guarded
 from greengagefall.coordinator.hosts import ListedHosts
 from greengagefall.coordinator.members import MembersKeeper
 from greengagefall.coordinator.records import Records
@@ -115,8 +116,8 @@
     async def _arrange(self) -> None:
         """Keeps contact with the right hosts, and a keeper for each keyed back end."""
         while True:
-            await self.contacts.connect(self._addresses())
-            await self._arrange_keepers()
+            await guarded("arrange", self.contacts.connect(self._addresses()))
+            await guarded("arrange", self._arrange_keepers())
             await self._arrange_wakeup.wait(ARRANGE_INTERVAL_S)
 
     def _addresses(self) -> set[str]:
--- a/greengagefall/coordinator/contacts.py
+++ b/greengagefall/coordinator/contacts.py
@@ -7,6 +7,7 @@
 import random
 from typing import TYPE_CHECKING, NamedTuple
 
+from greengagefall.coordinator.guard import guarded
 from greengagefall.protocol.exceptions import ProtocolError
 from greengagefall.protocol.link import PeerLink
 from greengagefall.protocol.messages import (
@@ -128,7 +129,7 @@
         await asyncio.sleep(random.uniform(0, HEARTBEAT_INTERVAL_S / 5))
         while True:
             if self.link.connected:
-                await self._exchange()
+                await guarded("contacts", self._exchange())
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     async def _exchange(self) -> None:
--- a/greengagefall/coordinator/members.py
+++ b/greengagefall/coordinator/members.py
@@ -15,7 +15,9 @@
     next_record,
 )
 from greengagefall.coordination.model import Member, MembersRecord
+from greengagefall.coordinator.guard import guarded
 from greengagefall.coordinator.keys import BACKENDS_PREFIX
+from greengagefall.coordinator.write_retry import WriteRetry
 from greengagefall.store.host_list import STATE_LEAVING
 from greengagefall.utils.metrics import count
 
@@ -141,6 +143,7 @@
         self._last_seen_s: dict[str, float] = {}
         self._first_seen_s: float | None = None
         self._changed_s: float | None = None
+        self._retry = WriteRetry()
         self._task: asyncio.Task | None = None
 
     async def start(self) -> None:
@@ -157,7 +160,8 @@
         while True:
             await self._wakeup.wait(CHECK_INTERVAL_S)
             if self._records.complete:
-                await self.step()
+                await guarded("members", self.step())
+            await asyncio.sleep(self._retry.delay_s())
 
     async def step(self) -> None:
         """Writes the next record if the members differ and the epoch is complete."""
@@ -236,6 +240,7 @@
 
     async def _write(self, record: MembersRecord) -> None:
         written = await self._records.write_members(record)
+        self._retry.note(written)
         if isinstance(written, Err):
             log.warning("Members of epoch %d are not written: %s.", record.epoch, written.err_value)
             return
--- a/greengagefall/coordinator/slices.py
+++ b/greengagefall/coordinator/slices.py
@@ -14,7 +14,9 @@
 from greengagefall.coordination.model import SLICE_FREE, SLICE_RELEASING, SliceRun
 from greengagefall.coordination.slice_map_changes import begin_release, initial_map, next_delta
 from greengagefall.coordinator import slice_decisions as decisions
+from greengagefall.coordinator.guard import guarded
 from greengagefall.coordinator.releases import Releases
+from greengagefall.coordinator.write_retry import WriteRetry
 from greengagefall.routing.model import KIND_KEYED, ZONE_IN, ZONE_LOST
 from greengagefall.utils.metrics import count
 
@@ -83,6 +85,7 @@
         self._policies: tuple[dict[str, str], dict[str, float]] | None = None
         self._placement: Placement | None = None
         self._zone_moves: ZoneMoves | None = None
+        self._retry = WriteRetry()
         self._task: asyncio.Task | None = None
 
     async def start(self) -> None:
@@ -100,8 +103,8 @@
         while True:
             await self._wakeup.wait(CHECK_INTERVAL_S)
             if self._records.complete:
-                await self.step()
-            await asyncio.sleep(STEP_PAUSE_S)
+                await guarded("slices", self.step())
+            await asyncio.sleep(STEP_PAUSE_S + self._retry.delay_s())
 
     async def step(self) -> None:
         """Makes the next change of the map, if one is due."""
@@ -151,6 +154,7 @@
         created = await self._records.create_slice_map(
             initial_map(self._name, back_end.slice_count)
         )
+        self._retry.note(created)
         if isinstance(created, Err):
             log.warning("The slice map is not created: %s.", created.err_value)
 
@@ -266,6 +270,7 @@
     async def _write(self, slice_map: SliceMap, entries: Iterable[SliceRun]) -> bool:
         delta = next_delta(slice_map, entries)
         written = await self._records.write_delta(delta)
+        self._retry.note(written)
         if isinstance(written, Err):
             log.warning("Delta %d of %s: %s.", delta.version, self._name, written.err_value)
             return False
--- a/greengagefall/coordinator/watch.py
+++ b/greengagefall/coordinator/watch.py
@@ -10,6 +10,7 @@
 
 from result import Err
 
+from greengagefall.coordinator.guard import guarded
 from greengagefall.coordinator.records import PREFIXES
 from greengagefall.limits.backoff import full_jitter
 from greengagefall.store.exceptions import StoreError
@@ -61,17 +62,22 @@
     async def _follow(self, prefix: str) -> None:
         attempt = 0
         while True:
-            read = await self._records.read(prefix)
-            if isinstance(read, Err):
-                log.warning("Records under %s cannot be read: %s.", prefix, read.err_value)
-            else:
+            started_s = asyncio.get_running_loop().time()
+            await guarded("watch", self._read_and_watch(prefix))
+            if asyncio.get_running_loop().time() - started_s > RETRY_CAP_MS / 1000:
                 attempt = 0
-                await self._watch(prefix, read.ok_value + 1)
             count("coordinator_watch_breaks", prefix=prefix)
             delay_ms = full_jitter(attempt, RETRY_BASE_MS, RETRY_CAP_MS, self._rng)
             await asyncio.sleep(delay_ms / 1000)
             attempt += 1
 
+    async def _read_and_watch(self, prefix: str) -> None:
+        read = await self._records.read(prefix)
+        if isinstance(read, Err):
+            log.warning("Records under %s cannot be read: %s.", prefix, read.err_value)
+            return
+        await self._watch(prefix, read.ok_value + 1)
+
     async def _watch(self, prefix: str, from_revision: int) -> None:
         try:
             async with contextlib.aclosing(self._store.watch(prefix, from_revision)) as events:
--- a/greengagefall/tests/link_tests.py
+++ b/greengagefall/tests/link_tests.py
@@ -31,6 +31,7 @@
     Refusal,
 )
 from greengagefall.protocol.server import PeerServer
+from greengagefall.tests.waiting import eventually
 from greengagefall.utils.metrics import snapshot
 
 PATIENCE_S = 20.0
@@ -54,12 +55,6 @@
     return sum(row["value"] for row in rows)
 
 
-async def until(condition) -> None:
-    async with asyncio.timeout(PATIENCE_S):
-        while not condition():  # noqa: ASYNC110
-            await asyncio.sleep(0.005)
-
-
 class LinkTestCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.seen = []
@@ -78,7 +73,7 @@
         peer_link = PeerLink(self.server.address, hello_of("a"), **options)
         await peer_link.start()
         self.addAsyncCleanup(peer_link.close)
-        await until(lambda: peer_link.connected)
+        await eventually(lambda: peer_link.connected)
         return peer_link
 
     async def asyncTearDown(self):
@@ -106,7 +101,7 @@
         self.assertEqual(self.link.peer.host, "b")
         self.assertEqual(self.link.peer.address, self.server.address)
         calls = [asyncio.create_task(self.link.call(forward(str(i)), 20)) for i in range(50)]
-        await until(lambda: len(self.seen) == 50)
+        await eventually(lambda: len(self.seen) == 50)
         reply = await self.link.call(heartbeat(), 20)
         self.assertIsInstance(reply, HeartbeatReply)
         self.hold.set()
@@ -124,12 +119,12 @@
 
     async def test_lost_connection_fails_waiting_calls_and_reconnects(self):
         call = asyncio.create_task(self.link.call(forward("1"), 20))
-        await until(lambda: self.seen)
+        await eventually(lambda: self.seen)
         await self.server.close()
         with self.assertRaises(PeerLostError):
             await call
         await self.start_server(self.server.address)
-        await until(lambda: self.link.connected)
+        await eventually(lambda: self.link.connected)
         self.assertIsInstance(await self.link.call(heartbeat(), 20), HeartbeatReply)
 
     async def test_late_reply_is_dropped_and_counted(self):
@@ -137,24 +132,24 @@
         with self.assertRaises(PeerTimeoutError):
             await self.link.call(forward("1"), SHORT_S)
         self.hold.set()
-        await until(lambda: counted("peer_late_replies") == before + 1)
+        await eventually(lambda: counted("peer_late_replies") == before + 1)
         self.assertTrue(self.link.connected)
-        await until(lambda: not self.link.suspect)
+        await eventually(lambda: not self.link.suspect)
 
     async def test_cancelled_forward_is_cancelled_at_the_peer(self):
         call = asyncio.create_task(self.link.call(forward("7"), 20))
-        await until(lambda: self.seen)
+        await eventually(lambda: self.seen)
         call.cancel()
-        await until(lambda: self.cancelled == ["7"])
+        await eventually(lambda: self.cancelled == ["7"])
 
     async def test_cancel_by_call_id(self):
         call_id = self.link.next_call_id()
         call = asyncio.create_task(self.link.call(forward("8"), 20, call_id=call_id))
-        await until(lambda: self.seen)
+        await eventually(lambda: self.seen)
         await self.link.cancel(call_id)
         with self.assertRaises(PeerTimeoutError):
             await call
-        await until(lambda: self.cancelled == ["8"])
+        await eventually(lambda: self.cancelled == ["8"])
 
     async def test_failing_handler_answers_failure(self):
         with self.assertLogs("greengagefall.protocol.server", "ERROR"):
@@ -166,7 +161,7 @@
         previous, link.MAX_OUTSTANDING_CALLS = link.MAX_OUTSTANDING_CALLS, 2
         self.addCleanup(setattr, link, "MAX_OUTSTANDING_CALLS", previous)
         calls = [asyncio.create_task(self.link.call(forward(str(i)), 20)) for i in range(2)]
-        await until(lambda: len(self.seen) == 2)
+        await eventually(lambda: len(self.seen) == 2)
         with self.assertRaisesRegex(PeerUnreachableError, "overloaded"):
             await self.link.call(heartbeat(), 1)
         self.hold.set()
@@ -184,7 +179,7 @@
         documents = Documents(0, [["config", 1, "whole", "{}"]])
         self.assertTrue(self.server.send_to("a", documents))
         self.assertFalse(self.server.send_to("nobody", documents))
-        await until(lambda: pushed == [documents])
+        await eventually(lambda: pushed == [documents])
 
 
 class FaultTests(LinkTestCase):
@@ -193,9 +188,9 @@
         with self.assertRaises(PeerTimeoutError):
             await self.link.call(heartbeat(), SHORT_S)
         self.assertEqual(self.seen, [])
-        await until(lambda: not self.link.connected)
+        await eventually(lambda: not self.link.connected)
         faults.heal()
-        await until(lambda: self.link.connected)
+        await eventually(lambda: self.link.connected)
         self.assertIsInstance(await self.link.call(heartbeat(), 20), HeartbeatReply)
 
     async def test_blocked_link_sends_nothing(self):
@@ -217,7 +212,7 @@
             for peer_link in lonely:
                 await peer_link.start()
                 self.addAsyncCleanup(peer_link.close)
-            await until(lambda: len(delays_ms) >= 60)
+            await eventually(lambda: len(delays_ms) >= 60)
         self.assertGreater(len({round(delay_ms) for delay_ms in delays_ms}), 12)
         self.assertLessEqual(max(delays_ms), link.RECONNECT_CAP_MS)
 
@@ -253,7 +248,7 @@
         old = PeerLink(self.server.address, hello_of("old", version=0))
         await old.start()
         self.addAsyncCleanup(old.close)
-        await until(lambda: counted("peer_frame_errors", reason="version") > before)
+        await eventually(lambda: counted("peer_frame_errors", reason="version") > before)
         self.assertNotIn("old", [peer.host for peer in self.server.peers()])
         new = PeerServer("127.0.0.1:0", hello_of("new", version=9), self.handle)
         await new.start()
@@ -262,5 +257,5 @@
         await refused.start()
         self.addAsyncCleanup(refused.close)
         before = counted("peer_frame_errors", reason="version")
-        await until(lambda: counted("peer_frame_errors", reason="version") > before)
+        await eventually(lambda: counted("peer_frame_errors", reason="version") > before)
         self.assertFalse(refused.connected)
