Take from the configuration whether a server checks orders

Cause: a grant refused with 404 set the server's incarnation to empty, the next status set it back, and each answer then looked like another incarnation: limit 1 and a stop of sending at every renewal. Ruled out: the adaptive limit.

--- a/greengagefall/bench/measure.py
+++ b/greengagefall/bench/measure.py
@@ -24,7 +24,9 @@
 
 def main_spec(entries: int) -> FleetSpec:
     """Returns one zone with fast backend servers, so that the path itself is measured."""
-    back_end = BackEndSpec("proofdesk", "keyed", SERVERS, SLOTS, 0.0, slices=256)
+    back_end = BackEndSpec(
+        "proofdesk", "keyed", SERVERS, SLOTS, 0.0, slices=256, checks_orders=False
+    )
     return FleetSpec(("zone-a",), entries, (back_end,), allow_faults=False)
 
 
--- a/greengagefall/dispatch/grant_keeper.py
+++ b/greengagefall/dispatch/grant_keeper.py
@@ -56,12 +56,13 @@
         health: Told of each answer and failure.
         slice_map: Returns the newest slice map, None for a pooled back end or before one came.
         keyed: Whether the back end is keyed.
+        checks: Whether its servers take grants.
         on_reading: Called with each reading.
         clock: Monotonic clock.
 
     Attributes:
         accepted: The grant that the server accepted last under the present right.
-        checks: Whether the server takes grants at all.
+        checks: Whether the server takes grants.
         held_fence: Fence of the right that was held at the last renewal, 0 for none.
         held_since_s: When this host was first seen to hold the present right.
     """
@@ -76,6 +77,7 @@
         health: ServerHealth,
         slice_map: Callable[[], SliceMap | None],
         keyed: bool,
+        checks: bool,
         on_reading: Callable[[ServerReading], None],
         clock: Clock,
     ) -> None:
@@ -93,7 +95,7 @@
         self._incarnation = ""
         self._wake = asyncio.Event()
         self.accepted: AcceptedGrant | None = None
-        self.checks = True
+        self.checks = checks
         self.held_fence = 0
         self.held_since_s = clock.now_s()
 
@@ -169,11 +171,10 @@
         return reading.released
 
     def _note(self, reading: ServerReading, asked_at_s: float) -> None:
-        self.checks = reading.checks
         if reading.incarnation != self._incarnation:
             self._incarnation = reading.incarnation
             self.accepted = None
-        if reading.checks:
+        if self.checks and reading.now_ms:
             self._ledger.note_reading(reading.incarnation, reading.now_ms, asked_at_s)
         self._health.on_answer(reading.cold)
         self._on_reading(reading)
--- a/greengagefall/dispatch/server_control.py
+++ b/greengagefall/dispatch/server_control.py
@@ -37,7 +37,6 @@
         refused: Reason of a refused grant, empty when accepted.
         fence: Highest dispatcher fence it has seen, 0 if not said.
         map_version: Highest slice map version it has seen, 0 if not said.
-        checks: Whether it takes grants at all.
     """
 
     incarnation: str
@@ -48,7 +47,10 @@
     refused: str
     fence: int
     map_version: int
-    checks: bool
+
+
+# Of a server without a control interface it is known that it answers, and no more.
+NO_CONTROL = ServerReading("", 0, False, 0, False, "no_control", 0, 0)
 
 
 class ServerControl:
@@ -90,7 +92,7 @@
 
 def _reading(answer: HttpAnswer) -> ServerReading:
     if answer.status == HTTP_NOT_FOUND:
-        return ServerReading("", 0, False, 0, True, "", 0, 0, checks=False)
+        return NO_CONTROL
     try:
         said = json.loads(answer.body)
         refused = str(said["reason"]) if answer.status == HTTP_CONFLICT else ""
@@ -103,7 +105,6 @@
             refused=refused,
             fence=int(said.get("fence", 0)),
             map_version=int(said.get("map_version", 0)),
-            checks=True,
         )
     except (ValueError, KeyError, TypeError) as error:
         raise DispatchError(f"control answer does not parse: {error!r}") from error
--- a/greengagefall/dispatch/server_dispatcher.py
+++ b/greengagefall/dispatch/server_dispatcher.py
@@ -106,6 +106,7 @@
             self.health,
             slice_map,
             back_end.kind == KIND_KEYED,
+            back_end.checks_orders,
             self._on_reading,
             clock,
         )
