--- a/greengagefall/standins/kv_service.py
+++ b/greengagefall/standins/kv_service.py
@@ -229,6 +229,7 @@
 
     async def call(self, body: dict[str, Any]) -> None:
         """Streams events until either side ends the watch."""
+        self.set_header("Content-Type", "application/json")
         create = body.get("create_request") or {}
         first, end = from_base64(create.get("key")), from_base64(create.get("range_end"))
         start_revision = int(create.get("start_revision", 0)) or self.state.revision + 1
@@ -254,6 +255,7 @@
         except CompactedError:
             oldest = str(start_revision + 1)
             await self._send({"canceled": True, "compact_revision": oldest})
+            await self.finish()
             return
         await self._send({"created": True})
         if past:
--- a/greengagefall/standins/kv_state.py
+++ b/greengagefall/standins/kv_state.py
@@ -5,14 +5,17 @@
 import base64
 import json
 import os
-import time
 from collections import deque
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from greengagefall.utils.clock import SystemClock
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from greengagefall.utils.clock import Clock
+
 MAX_HISTORY_EVENTS = 20_000
 MAX_TXN_OPS = 128
 JOURNAL_FLAGS = os.O_WRONLY | os.O_CREAT | os.O_APPEND
@@ -40,7 +43,7 @@
 
 
 class Lease(NamedTuple):
-    """A lease and when it runs out, in ``time.monotonic()`` seconds."""
+    """A lease and when it runs out, in seconds of the clock."""
 
     lease_id: int
     ttl_s: int
@@ -82,9 +85,11 @@
 
     Args:
         data_file: File that keeps every write, so that a restart finds them; empty for none.
+        clock: Clock of the leases.
     """
 
-    def __init__(self, data_file: str = "") -> None:
+    def __init__(self, data_file: str = "", clock: Clock | None = None) -> None:
+        self.clock = clock or SystemClock()
         self.revision = 1
         self.items: dict[bytes, Item] = {}
         self.leases: dict[int, Lease] = {}
@@ -157,7 +162,7 @@
     def grant_lease(self, ttl_s: int) -> Lease:
         """Returns a new lease."""
         self._next_lease_id += 1
-        lease = Lease(self._next_lease_id, ttl_s, time.monotonic() + ttl_s)
+        lease = Lease(self._next_lease_id, ttl_s, self.clock.now_s() + ttl_s)
         self.leases[lease.lease_id] = lease
         self._append({"lease": lease.lease_id, "ttl_s": ttl_s})
         return lease
@@ -167,7 +172,7 @@
         lease = self.leases.get(lease_id)
         if lease is None:
             return 0
-        self.leases[lease_id] = lease._replace(expires_s=time.monotonic() + lease.ttl_s)
+        self.leases[lease_id] = lease._replace(expires_s=self.clock.now_s() + lease.ttl_s)
         return lease.ttl_s
 
     def revoke_lease(self, lease_id: int) -> bool:
@@ -227,7 +232,7 @@
             except ValueError:
                 break
             self._replay(row)
-        now_s = time.monotonic()
+        now_s = self.clock.now_s()
         for lease in list(self.leases.values()):
             self.leases[lease.lease_id] = lease._replace(expires_s=now_s + lease.ttl_s)
 
--- /dev/null
+++ b/greengagefall/standins/memory_store.py
@@ -0,0 +1,210 @@
+"""In-memory store for tests, with the interface of the store client."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from result import Err, Ok, Result
+
+from greengagefall.standins.kv_json import compare_holds, event_json, item_json
+from greengagefall.standins.kv_state import (
+    CompactedError,
+    DeleteOp,
+    Event,
+    KvState,
+    LeaseNotFoundError,
+    PutOp,
+)
+from greengagefall.store import gateway
+from greengagefall.store.exceptions import (
+    StoreCompactedError,
+    StoreError,
+    StoreLeaseLostError,
+    StoreOutcomeUnknownError,
+    StoreRecordError,
+    StoreRefusedError,
+    StoreUnavailableError,
+)
+from greengagefall.store.model import (
+    Compare,
+    KeyValue,
+    Put,
+    TxnOutcome,
+    WatchEvent,
+    absent,
+    unchanged,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable, Sequence
+
+
+class MemoryStore:
+    """One client's view of a store in memory.
+
+    Attributes:
+        state: The data; give it to another ``MemoryStore`` to share it.
+        down: Whether calls have no effect and watches break.
+        lose_next_answer: Number of coming writes that take effect but get no answer.
+        lose_next_write: Number of coming writes that have no effect and get no answer.
+        slow_s: Delay of each call.
+        calls: Number of calls made.
+
+    Args:
+        state: Data shared with another client; None for new data.
+    """
+
+    def __init__(self, state: KvState | None = None) -> None:
+        self.state = state or KvState()
+        self.down = False
+        self.lose_next_answer = 0
+        self.lose_next_write = 0
+        self.slow_s = 0.0
+        self.calls = 0
+        self._watches: set[asyncio.Queue[list[Event] | None]] = set()
+
+    async def start(self) -> None:
+        """Does nothing."""
+
+    async def close(self) -> None:
+        """Ends the watches."""
+        self.end_watches()
+
+    def end_watches(self) -> None:
+        """Breaks every watch of this client."""
+        for batches in self._watches:
+            batches.put_nowait(None)
+
+    def put_raw(self, key: str, value: bytes) -> None:
+        """Writes bytes that need not parse."""
+        self.state.write([PutOp(key.encode(), value, 0)])
+
+    async def get(self, key: str) -> Result[KeyValue | None, StoreError]:
+        """Returns a key, or None if it does not exist."""
+        read = await self._read(key.encode(), b"")
+        return read.map(lambda items: items[0] if items else None)
+
+    async def range(self, prefix: str) -> Result[tuple[list[KeyValue], int], StoreError]:
+        """Returns the keys with a prefix in order, and the revision they were read at."""
+        read = await self._read(prefix.encode(), _prefix_end(prefix))
+        return read.map(lambda items: (items, self.state.revision))
+
+    async def txn(
+        self, compares: Sequence[Compare], puts: Sequence[Put], deletes: Sequence[str] = ()
+    ) -> Result[TxnOutcome, StoreError]:
+        """Applies all writes if all conditions hold."""
+        try:
+            body = gateway.txn_body(compares, puts, deletes)
+        except StoreRefusedError as error:
+            return Err(error)
+        ops: list[PutOp | DeleteOp] = [
+            PutOp(put.key.encode(), gateway.dump_value(put.value), put.lease_id) for put in puts
+        ]
+        ops += [DeleteOp(key.encode(), b"") for key in deletes]
+
+        def apply() -> TxnOutcome:
+            holds = all(compare_holds(self.state, row) for row in body["compare"])
+            if holds:
+                self.state.write(ops)
+            return TxnOutcome(holds, self.state.revision)
+
+        return await self._write(apply)
+
+    async def create(
+        self, key: str, value: dict[str, Any], lease_id: int = 0
+    ) -> Result[bool, StoreError]:
+        """Creates a key; returns False if it exists."""
+        outcome = await self.txn([absent(key)], [Put(key, value, lease_id)])
+        return outcome.map(lambda row: row.succeeded)
+
+    async def replace(
+        self, key: str, value: dict[str, Any], mod_revision: int, lease_id: int = 0
+    ) -> Result[bool, StoreError]:
+        """Replaces a value; returns False if the key changed since ``mod_revision``."""
+        outcome = await self.txn([unchanged(key, mod_revision)], [Put(key, value, lease_id)])
+        return outcome.map(lambda row: row.succeeded)
+
+    async def delete_range(self, first: str, end: str) -> Result[int, StoreError]:
+        """Deletes the keys from ``first`` up to but without ``end``; returns their number."""
+        op = DeleteOp(first.encode(), end.encode())
+        return await self._write(lambda: self.state.write([op])[0])
+
+    async def lease_grant(self, ttl_s: int) -> Result[int, StoreError]:
+        """Returns the id of a new lease."""
+        return await self._write(lambda: self.state.grant_lease(ttl_s).lease_id)
+
+    async def lease_keepalive(self, lease_id: int) -> Result[float, StoreError]:
+        """Renews a lease; returns its seconds to live, 0 if it does not exist."""
+        return await self._write(lambda: float(self.state.keep_lease(lease_id)))
+
+    async def lease_revoke(self, lease_id: int) -> Result[None, StoreError]:
+        """Ends a lease and deletes its keys."""
+
+        def revoke() -> None:
+            if not self.state.revoke_lease(lease_id):
+                raise LeaseNotFoundError
+
+        return await self._write(revoke)
+
+    async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchEvent]:
+        """Yields changes under a prefix; raises a ``StoreError`` when it breaks."""
+        await self._admit()
+        first, end = prefix.encode(), _prefix_end(prefix)
+        batches: asyncio.Queue[list[Event] | None] = asyncio.Queue()
+        self._watches.add(batches)
+        self.state.watch(batches.put_nowait)
+        try:
+            for event in self._events_since(from_revision, first, end):
+                yield gateway.parse_event(event_json(event))
+                from_revision = event.item.mod_revision
+            while (batch := await batches.get()) is not None:
+                for event in batch:
+                    key, revision = event.item.key, event.item.mod_revision
+                    if key.startswith(first) and revision >= from_revision:
+                        yield gateway.parse_event(event_json(event))
+            raise StoreUnavailableError("the watch ended")
+        finally:
+            self.state.unwatch(batches.put_nowait)
+            self._watches.discard(batches)
+
+    def _events_since(self, revision: int, first: bytes, end: bytes) -> list[Event]:
+        try:
+            return self.state.events_since(revision, first, end)
+        except CompactedError as error:
+            raise StoreCompactedError("the revisions are gone") from error
+
+    async def _admit(self) -> None:
+        self.calls += 1
+        await asyncio.sleep(self.slow_s)
+        if self.down:
+            raise StoreUnavailableError("the store is down")
+        self.state.expire_leases(self.state.clock.now_s())
+
+    async def _read(self, first: bytes, end: bytes) -> Result[list[KeyValue], StoreError]:
+        try:
+            await self._admit()
+            return Ok([gateway.parse_item(item_json(i)) for i in self.state.range(first, end)])
+        except (StoreUnavailableError, StoreRecordError) as error:
+            return Err(error)
+
+    async def _write(self, apply: Callable[[], Any]) -> Result[Any, StoreError]:
+        try:
+            await self._admit()
+            if self.lose_next_write > 0:
+                self.lose_next_write -= 1
+                return Err(StoreOutcomeUnknownError("the write was lost"))
+            outcome = apply()
+        except StoreUnavailableError as error:
+            return Err(error)
+        except LeaseNotFoundError:
+            return Err(StoreLeaseLostError("the lease does not exist"))
+        if self.lose_next_answer > 0:
+            self.lose_next_answer -= 1
+            return Err(StoreOutcomeUnknownError("the answer was lost"))
+        return Ok(outcome)
+
+
+def _prefix_end(prefix: str) -> bytes:
+    raw = prefix.encode()
+    return raw[:-1] + bytes([raw[-1] + 1]) if raw else b"\0"
--- /dev/null
+++ b/greengagefall/store/client.py
@@ -0,0 +1,240 @@
+"""Client of the platform's key-value service, over etcd's v3 JSON gateway.
+
+The rate of calls is bounded, each call is counted by its kind, and calls after a failure
+wait with full jitter, so that many hosts do not return at once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from typing import TYPE_CHECKING, Any
+
+from result import Err, Ok, Result
+
+from greengagefall.store import gateway
+from greengagefall.store.exceptions import (
+    StoreCompactedError,
+    StoreError,
+    StoreOutcomeUnknownError,
+    StoreRecordError,
+    StoreRefusedError,
+    StoreUnavailableError,
+)
+from greengagefall.store.model import (
+    Compare,
+    KeyValue,
+    Put,
+    TxnOutcome,
+    WatchEvent,
+    absent,
+    unchanged,
+)
+from greengagefall.store.pacing import Backoff, TokenBucket
+from greengagefall.store.transport import Transport
+from greengagefall.store.watch_stream import WatchStream
+from greengagefall.utils.clock import SystemClock
+from greengagefall.utils.metrics import count
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import AsyncIterator, Sequence
+
+log = logging.getLogger(__name__)
+
+CALL_TIMEOUT_S = 1.0
+CALLS_PER_S = 50.0
+MAX_RATE_WAIT_S = 1.0
+WATCH_RENEW_S = 30.0
+
+
+class StoreClient:
+    """Calls of one process to the store.
+
+    Args:
+        address: ``IP:port`` of the gateway.
+        call_timeout_s: Time for one call.
+        calls_per_s: Calls a second, at most, and the size of a burst.
+        host: Name of this host, sent with each call.
+        zone: Availability zone of this host, sent with each call.
+        watch_renew_s: Age at which a watch is opened anew, to notice a dead connection.
+        rng: Source of the jitter.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        *,
+        call_timeout_s: float = CALL_TIMEOUT_S,
+        calls_per_s: float = CALLS_PER_S,
+        host: str = "",
+        zone: str = "",
+        watch_renew_s: float = WATCH_RENEW_S,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._address = address
+        self._headers = {"Content-Type": "application/json", "X-Host": host, "X-Zone": zone}
+        self._call_timeout_s = call_timeout_s
+        self._watch_renew_s = watch_renew_s
+        self._transport = Transport(address, call_timeout_s, self._headers)
+        self._bucket = TokenBucket(calls_per_s, calls_per_s, SystemClock())
+        self._backoff = Backoff(rng)
+
+    async def start(self) -> None:
+        """Makes ready for calls; connects only when one is made."""
+        await self._transport.start()
+
+    async def close(self) -> None:
+        """Closes the HTTP client."""
+        await self._transport.close()
+
+    async def get(self, key: str) -> Result[KeyValue | None, StoreError]:
+        """Returns a key, or None if it does not exist."""
+        body = {"key": gateway.encode_key(key)}
+        answer = await self._call("range", "/v3/kv/range", body, writes=False)
+        return answer.and_then(_parse_items).map(lambda items: items[0] if items else None)
+
+    async def range(self, prefix: str) -> Result[tuple[list[KeyValue], int], StoreError]:
+        """Returns the keys with a prefix in order, and the revision they were read at."""
+        body = gateway.range_body(prefix)
+        answer = await self._call("range", "/v3/kv/range", body, writes=False)
+        if isinstance(answer, Err):
+            return answer
+        revision = gateway.header_revision(answer.ok_value)
+        return _parse_items(answer.ok_value).map(lambda items: (items, revision))
+
+    async def txn(
+        self, compares: Sequence[Compare], puts: Sequence[Put], deletes: Sequence[str] = ()
+    ) -> Result[TxnOutcome, StoreError]:
+        """Applies all writes if all conditions hold."""
+        try:
+            body = gateway.txn_body(compares, puts, deletes)
+        except StoreRefusedError as error:
+            return Err(error)
+        answer = await self._call("txn", "/v3/kv/txn", body, writes=True)
+        return answer.map(
+            lambda row: TxnOutcome(bool(row.get("succeeded")), gateway.header_revision(row))
+        )
+
+    async def create(
+        self, key: str, value: dict[str, Any], lease_id: int = 0
+    ) -> Result[bool, StoreError]:
+        """Creates a key; returns False if it exists."""
+        outcome = await self.txn([absent(key)], [Put(key, value, lease_id)])
+        return outcome.map(lambda row: row.succeeded)
+
+    async def replace(
+        self, key: str, value: dict[str, Any], mod_revision: int, lease_id: int = 0
+    ) -> Result[bool, StoreError]:
+        """Replaces a value; returns False if the key changed since ``mod_revision``."""
+        outcome = await self.txn([unchanged(key, mod_revision)], [Put(key, value, lease_id)])
+        return outcome.map(lambda row: row.succeeded)
+
+    async def delete_range(self, first: str, end: str) -> Result[int, StoreError]:
+        """Deletes the keys from ``first`` up to but without ``end``; returns their number."""
+        body = {"key": gateway.encode_key(first), "range_end": gateway.encode_key(end)}
+        answer = await self._call("delete", "/v3/kv/deleterange", body, writes=True)
+        return answer.map(lambda row: int(row.get("deleted", 0)))
+
+    async def lease_grant(self, ttl_s: int) -> Result[int, StoreError]:
+        """Returns the id of a new lease."""
+        answer = await self._call(
+            "lease_grant", "/v3/lease/grant", {"TTL": str(ttl_s)}, writes=True
+        )
+        return answer.map(lambda row: int(row.get("ID", 0)))
+
+    async def lease_keepalive(self, lease_id: int) -> Result[float, StoreError]:
+        """Renews a lease; returns its seconds to live, 0 if it does not exist."""
+        body = {"ID": str(lease_id)}
+        answer = await self._call("lease_keepalive", "/v3/lease/keepalive", body, writes=True)
+        return answer.map(lambda row: float(row.get("result", row).get("TTL", 0)))
+
+    async def lease_revoke(self, lease_id: int) -> Result[None, StoreError]:
+        """Ends a lease and deletes its keys."""
+        body = {"ID": str(lease_id)}
+        answer = await self._call("lease_revoke", "/v3/lease/revoke", body, writes=True)
+        return answer.map(lambda row: None)
+
+    async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchEvent]:
+        """Yields the changes under a prefix from a revision on.
+
+        Close the generator (``aclose``) to end the watch.
+
+        Raises:
+            StoreUnavailableError: The watch broke; read the range and watch again.
+            StoreCompactedError: The revisions are gone; read the range and watch again.
+            StoreRecordError: A value does not parse.
+        """
+        while True:
+            stream = WatchStream(self._address, self._headers, self._call_timeout_s)
+            try:
+                await self._admit("watch")
+                await stream.start("/v3/watch", gateway.watch_body(prefix, from_revision))
+                now_s = asyncio.get_running_loop().time()
+                first_s, until_s = now_s + self._call_timeout_s, now_s + self._watch_renew_s
+                async with contextlib.aclosing(stream.lines(first_s, until_s)) as lines:
+                    async for line in lines:
+                        self._backoff.succeeded()
+                        for event in _parse_events(line):
+                            yield event
+                            from_revision = max(from_revision, event.revision)
+                        from_revision = _next_revision(line, from_revision)
+            except StoreUnavailableError as error:
+                self._note_failure("watch", error)
+                raise
+            finally:
+                await stream.close()
+
+    async def _call(
+        self, kind: str, path: str, body: dict[str, Any], *, writes: bool
+    ) -> Result[dict[str, Any], StoreError]:
+        try:
+            await self._admit(kind)
+        except StoreUnavailableError as error:
+            return Err(error)
+        answer = await self._transport.call(path, body, writes=writes)
+        if isinstance(answer, Ok):
+            self._backoff.succeeded()
+            return answer
+        self._note_failure(kind, answer.err_value)
+        return answer
+
+    async def _admit(self, kind: str) -> None:
+        """Waits until a call may be made, and counts it."""
+        await self._backoff.wait()
+        wait_s = self._bucket.reserve()
+        if wait_s > MAX_RATE_WAIT_S:
+            self._bucket.give_back()
+            count("store_calls_refused", kind=kind)
+            raise StoreUnavailableError("too many calls are waiting")
+        if wait_s > 0:
+            await asyncio.sleep(wait_s)
+        count("store_calls", kind=kind)
+
+    def _note_failure(self, kind: str, error: StoreError) -> None:
+        count("store_errors", kind=kind, error=type(error).__name__)
+        if isinstance(error, (StoreUnavailableError, StoreOutcomeUnknownError)):
+            self._backoff.failed()
+        else:
+            self._backoff.succeeded()
+
+
+def _parse_items(answer: dict[str, Any]) -> Result[list[KeyValue], StoreError]:
+    try:
+        return Ok([gateway.parse_item(row) for row in answer.get("kvs", [])])
+    except StoreRecordError as error:
+        count("store_bad_records")
+        log.error("A record does not parse. %s.", error)
+        return Err(error)
+
+
+def _parse_events(line: dict[str, Any]) -> list[WatchEvent]:
+    if line.get("canceled"):
+        raise StoreCompactedError(f"kept from revision {line.get('compact_revision', '?')} on")
+    return [gateway.parse_event(row) for row in line.get("events", [])]
+
+
+def _next_revision(line: dict[str, Any], from_revision: int) -> int:
+    """Returns the revision from which a watch goes on after a whole line of events."""
+    return from_revision + 1 if line.get("events") else from_revision
--- /dev/null
+++ b/greengagefall/store/watch_stream.py
@@ -0,0 +1,140 @@
+"""A streaming watch on one connection."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import logging
+from typing import TYPE_CHECKING, Any
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from greengagefall.store.exceptions import StoreUnavailableError
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from tornado.httputil import ResponseStartLine
+    from tornado.iostream import IOStream
+
+log = logging.getLogger(__name__)
+
+MAX_CHUNKS_WAITING = 64
+MAX_LINE_BYTES = 16 * 1024 * 1024
+
+
+class _ChunkReader(HTTPMessageDelegate):
+    """Hands the chunks of a response to a queue; None marks its end."""
+
+    def __init__(self) -> None:
+        self.chunks: asyncio.Queue[bytes | None] = asyncio.Queue(MAX_CHUNKS_WAITING)
+        self.status = 0
+
+    async def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        """Keeps the status."""
+        self.status = getattr(start_line, "code", 0)
+
+    async def data_received(self, chunk: bytes) -> None:
+        """Queues a chunk, which holds the connection back while the queue is full."""
+        await self.chunks.put(chunk)
+
+
+class WatchStream:
+    """Lines of one streaming call.
+
+    Args:
+        address: ``IP:port`` of the gateway.
+        headers: Headers of the call.
+        connect_timeout_s: Time to connect.
+    """
+
+    def __init__(self, address: str, headers: dict[str, str], connect_timeout_s: float) -> None:
+        self._address = address
+        self._headers = headers
+        self._connect_timeout_s = connect_timeout_s
+        self._reader = _ChunkReader()
+        self._stream: IOStream | None = None
+        self._reading: asyncio.Task[None] | None = None
+
+    async def start(self, path: str, body: dict[str, Any]) -> None:
+        """Connects and sends the call.
+
+        Raises:
+            StoreUnavailableError: The connection cannot be made.
+        """
+        host, _, port = self._address.rpartition(":")
+        payload = json.dumps(body).encode()
+        headers = HTTPHeaders(self._headers)
+        headers["Host"] = self._address
+        headers["Content-Length"] = str(len(payload))
+        try:
+            self._stream = await asyncio.wait_for(
+                TCPClient().connect(host, int(port)), self._connect_timeout_s
+            )
+            connection = HTTP1Connection(self._stream, is_client=True)
+            connection.write_headers(RequestStartLine("POST", path, "HTTP/1.1"), headers, payload)
+            connection.finish()
+        except (OSError, StreamClosedError, TimeoutError) as error:
+            raise StoreUnavailableError(f"{path}: {error!r}") from error
+        self._reading = asyncio.create_task(self._read(connection))
+
+    async def close(self) -> None:
+        """Closes the connection."""
+        if self._stream is not None:
+            self._stream.close()
+        if self._reading is not None:
+            self._reading.cancel()
+            await asyncio.gather(self._reading, return_exceptions=True)
+
+    async def lines(self, first_s: float, until_s: float) -> AsyncIterator[dict[str, Any]]:
+        """Yields the JSON objects until ``until_s`` of the event loop's clock.
+
+        Raises:
+            StoreUnavailableError: Nothing came until ``first_s``, the connection ended, or
+                what came is not understood.
+        """
+        chunk = await self._next_chunk(first_s)
+        if chunk is None:
+            raise StoreUnavailableError("the watch is not confirmed")
+        pending = b""
+        while chunk is not None:
+            *lines, pending = (pending + chunk).split(b"\n")
+            if len(pending) > MAX_LINE_BYTES:
+                raise StoreUnavailableError(f"a line is over {MAX_LINE_BYTES} bytes")
+            for line in lines:
+                if line.strip():
+                    yield self._parse(line)
+            chunk = await self._next_chunk(until_s)
+
+    async def _read(self, connection: HTTP1Connection) -> None:
+        with contextlib.suppress(StreamClosedError):
+            await connection.read_response(self._reader)
+        await self._reader.chunks.put(None)
+
+    async def _next_chunk(self, until_s: float) -> bytes | None:
+        left_s = until_s - asyncio.get_running_loop().time()
+        try:
+            chunk = await asyncio.wait_for(self._reader.chunks.get(), max(0.0, left_s))
+        except TimeoutError:
+            return None
+        if chunk is None:
+            raise StoreUnavailableError("the watch ended")
+        if self._reader.status != 200:
+            raise StoreUnavailableError(f"status {self._reader.status}")
+        return chunk
+
+    def _parse(self, line: bytes) -> dict[str, Any]:
+        try:
+            row = json.loads(line)
+            result = row["result"]
+        except (ValueError, KeyError, TypeError, RecursionError) as error:
+            raise StoreUnavailableError(f"the watch sent no result: {line[:200]!r}") from error
+        if not isinstance(result, dict):
+            raise StoreUnavailableError("the watch's result is not an object")
+        return result
--- /dev/null
+++ b/greengagefall/tests/store_client_tests.py
@@ -0,0 +1,251 @@
+"""Tests of the store client against the key-value service stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import unittest
+
+from greengagefall.standins.host_list import HostListService
+from greengagefall.standins.kv_service import KvFaults, KvService
+from greengagefall.standins.kv_state import PutOp
+from greengagefall.store import gateway
+from greengagefall.store.client import StoreClient
+from greengagefall.store.exceptions import (
+    HostListError,
+    StoreCompactedError,
+    StoreLeaseLostError,
+    StoreOutcomeUnknownError,
+    StoreRecordError,
+    StoreRefusedError,
+    StoreUnavailableError,
+)
+from greengagefall.store.host_list import HostListClient, ListedHost
+from greengagefall.store.model import Compare, Put, absent, exists, unchanged
+from greengagefall.store.pacing import BACKOFF_CAP_S, Backoff, TokenBucket
+from greengagefall.tests.waiting import eventually
+from greengagefall.utils.clock import ManualClock
+
+SHORT_TIMEOUT_S = 0.2
+
+
+class StoreClientTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.service = KvService("127.0.0.1:0")
+        await self.service.start()
+        self.addAsyncCleanup(self.service.close)
+        self.client = await self.make_client()
+
+    async def make_client(self, **options):
+        client = StoreClient(self.service.address, host="h1", zone="z1", **options)
+        await client.start()
+        self.addAsyncCleanup(client.close)
+        return client
+
+    def put_raw(self, key, value):
+        self.service.state.write([PutOp(key.encode(), value, 0)])
+
+    async def collect(self, watch, wanted):
+        seen = []
+        async with contextlib.aclosing(watch) as events:
+            async for event in events:
+                seen.append(event)
+                if len(seen) == wanted:
+                    break
+        return seen
+
+    async def test_create_get_replace_and_range(self):
+        self.assertIsNone((await self.client.get("a/1")).unwrap())
+        self.assertTrue((await self.client.create("a/1", {"n": 1})).unwrap())
+        self.assertFalse((await self.client.create("a/1", {"n": 2})).unwrap())
+        item = (await self.client.get("a/1")).unwrap()
+        self.assertEqual(item.value, {"n": 1})
+        self.assertTrue((await self.client.replace("a/1", {"n": 3}, item.mod_revision)).unwrap())
+        self.assertFalse((await self.client.replace("a/1", {"n": 4}, item.mod_revision)).unwrap())
+        await self.client.create("a/2", {})
+        await self.client.create("b/1", {})
+        items, revision = (await self.client.range("a/")).unwrap()
+        self.assertEqual([item.key for item in items], ["a/1", "a/2"])
+        self.assertEqual(items[0].value, {"n": 3})
+        self.assertEqual(revision, self.service.state.revision)
+
+    async def test_transactions_apply_all_or_nothing(self):
+        await self.client.create("a", {"n": 1})
+        revision = (await self.client.get("a")).unwrap().mod_revision
+        held = [exists("a"), absent("b"), unchanged("a", revision), Compare("a", "VALUE", {"n": 1})]
+        outcome = (await self.client.txn(held, [Put("b", {})], ["a"])).unwrap()
+        self.assertTrue(outcome.succeeded)
+        self.assertFalse((await self.client.txn(held, [Put("c", {})])).unwrap().succeeded)
+        items, _ = (await self.client.range("")).unwrap()
+        self.assertEqual([item.key for item in items], ["b"])
+
+    async def test_delete_range_leaves_out_the_end(self):
+        for key in ("d/1", "d/2", "d/3"):
+            await self.client.create(key, {})
+        self.assertEqual((await self.client.delete_range("d/1", "d/3")).unwrap(), 2)
+        self.assertIsNotNone((await self.client.get("d/3")).unwrap())
+
+    async def test_too_large_writes_are_refused_before_sending(self):
+        big = await self.client.create("a", {"text": "x" * gateway.MAX_VALUE_BYTES})
+        many = await self.client.txn([], [], ["k"] * (gateway.MAX_TXN_OPS + 1))
+        for refused in (big, many):
+            self.assertIsInstance(refused.unwrap_err(), StoreRefusedError)
+        self.assertEqual(self.service.counts["txn"], 0)
+
+    async def test_leases_lapse_and_take_their_keys(self):
+        lease_id = (await self.client.lease_grant(5)).unwrap()
+        self.assertTrue((await self.client.create("c", {}, lease_id)).unwrap())
+        self.assertEqual((await self.client.lease_keepalive(lease_id)).unwrap(), 5)
+        self.service.state.expire_leases(float("inf"))
+        self.assertIsNone((await self.client.get("c")).unwrap())
+        self.assertEqual((await self.client.lease_keepalive(lease_id)).unwrap(), 0)
+        lapsed = await self.client.create("c", {}, lease_id)
+        self.assertIsInstance(lapsed.unwrap_err(), StoreLeaseLostError)
+
+    async def test_lost_answers_are_unknown_though_the_write_took_effect(self):
+        self.service.faults = KvFaults(lose_answers=1)
+        lost = await self.client.create("a", {"n": 1})
+        self.assertIsInstance(lost.unwrap_err(), StoreOutcomeUnknownError)
+        self.assertEqual((await self.client.get("a")).unwrap().value, {"n": 1})
+
+    async def test_outages_are_unknown_for_writes_and_unavailable_for_reads(self):
+        client = await self.make_client(call_timeout_s=SHORT_TIMEOUT_S)
+        for faults in (KvFaults(outage="refuse"), KvFaults(outage="hang")):
+            with self.subTest(faults=faults):
+                self.service.set_faults(faults)
+                write, read = await client.create("a", {}), await client.get("a")
+                self.assertIsInstance(write.unwrap_err(), StoreOutcomeUnknownError)
+                self.assertIsInstance(read.unwrap_err(), StoreUnavailableError)
+
+    async def test_cut_hosts_and_zones_get_no_answer(self):
+        client = await self.make_client(call_timeout_s=SHORT_TIMEOUT_S)
+        for faults in (KvFaults(cut_hosts=("h1",)), KvFaults(cut_zones=("z1",))):
+            self.service.set_faults(faults)
+            self.assertTrue((await client.get("a")).is_err())
+        self.service.set_faults(KvFaults(cut_hosts=("h2",), cut_zones=("z2",)))
+        self.assertTrue((await client.get("a")).is_ok())
+
+    async def test_nothing_listens(self):
+        address = self.service.address
+        await self.service.close()
+        client = StoreClient(address)
+        closed = await client.create("a", {})
+        await client.start()
+        refused = await client.create("a", {})
+        await client.close()
+        self.assertIsInstance(closed.unwrap_err(), StoreUnavailableError)
+        self.assertIsInstance(refused.unwrap_err(), StoreUnavailableError)
+
+    async def test_records_that_do_not_parse_are_typed_errors(self):
+        for value in (b"{", b"[1]", b"\xff", b""):
+            self.put_raw("bad", value)
+            for read in (await self.client.get("bad"), await self.client.range("b")):
+                self.assertIsInstance(read.unwrap_err(), StoreRecordError)
+                self.assertEqual(read.unwrap_err().key, "bad")
+
+    async def test_calls_beyond_the_rate_are_refused_unsent(self):
+        client = await self.make_client(calls_per_s=2)
+        calls = [client.get("a") for _ in range(8)]
+        results = await asyncio.gather(*calls)
+        refused = [result for result in results if result.is_err()]
+        self.assertEqual(len(refused), 4)
+        self.assertEqual(self.service.counts["range"], 4)
+
+    async def test_watch_shows_past_and_new_changes_over_renewals(self):
+        client = await self.make_client(watch_renew_s=0.05)
+        await client.create("w/0", {})
+        start = self.service.state.revision
+        await client.create("x", {})
+        watching = asyncio.create_task(self.collect(client.watch("w/", start), 4))
+        await eventually(lambda: self.service.counts["watch"] >= 3)
+        await client.txn([], [Put("w/1", {"n": 1}), Put("w/2", {})], ["w/0"])
+        seen = [(event.kind, event.item.key, event.item.value) for event in await watching]
+        expected = [("put", "w/0", {}), ("put", "w/1", {"n": 1}), ("put", "w/2", {})]
+        self.assertEqual(seen, [*expected, ("delete", "w/0", {})])
+
+    async def test_broken_watches_raise_typed_errors(self):
+        self.put_raw("w/1", b"nonsense")
+        with self.assertRaises(StoreRecordError):
+            await anext(self.client.watch("w/", 1))
+        self.service.state._compacted_revision = 5
+        with self.assertRaises(StoreCompactedError):
+            await anext(self.client.watch("w/", 2))
+        waiting = asyncio.create_task(self.collect(self.client.watch("w/", 50), 1))
+        await eventually(lambda: self.service.watches)
+        self.service.set_faults(KvFaults(outage="refuse"))
+        with self.assertRaises(StoreUnavailableError):
+            await waiting
+
+    async def test_hanging_store_confirms_no_watch(self):
+        client = await self.make_client(call_timeout_s=SHORT_TIMEOUT_S)
+        self.service.set_faults(KvFaults(outage="hang"))
+        with self.assertRaises(StoreUnavailableError):
+            await anext(client.watch("w/", 1))
+
+    async def test_closed_watch_closes_its_connection(self):
+        watch = self.client.watch("w/", 1)
+        self.put_raw("w/1", b"{}")
+        await anext(watch)
+        self.assertEqual(len(self.service.watches), 1)
+        await watch.aclose()
+        await eventually(lambda: not self.service.watches)
+
+
+class PacingTests(unittest.TestCase):
+    def test_bucket_bounds_the_rate(self):
+        clock = ManualClock()
+        bucket = TokenBucket(10, 2, clock)
+        self.assertEqual([bucket.reserve() for _ in range(3)], [0.0, 0.0, 0.1])
+        clock.advance(0.2)
+        self.assertEqual(bucket.reserve(), 0.0)
+
+    def test_backoff_grows_to_its_cap_with_full_jitter(self):
+        backoff = Backoff(random.Random(1))
+        self.assertEqual(backoff.delay_s(), 0)
+        for _ in range(100):
+            backoff.failed()
+        delays = [backoff.delay_s() for _ in range(200)]
+        self.assertLess(max(delays), BACKOFF_CAP_S)
+        self.assertLess(min(delays), BACKOFF_CAP_S / 10)
+        self.assertGreater(max(delays), BACKOFF_CAP_S * 0.9)
+        backoff.succeeded()
+        self.assertEqual(backoff.delay_s(), 0)
+
+
+class HostListTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.service = HostListService("127.0.0.1:0")
+        await self.service.start()
+        self.addAsyncCleanup(self.service.close)
+        self.client = HostListClient(self.service.address)
+        await self.client.start()
+        self.addAsyncCleanup(self.client.close)
+
+    def register(self, host, state="live", now_s=0.0):
+        labels = {"host": host, "zone": "tanta", "state": state, "http": "127.0.0.1:2"}
+        self.service.register({"targets": ["127.0.0.1:1"], "labels": labels}, now_s)
+
+    async def test_live_and_leaving_hosts_are_listed(self):
+        self.register("e1")
+        self.register("e2", "leaving")
+        self.register("e3")
+        self.register("e3", "removed")
+        hosts = (await self.client.fetch()).unwrap()
+        first = ListedHost("e1", "tanta", "127.0.0.1:1", "127.0.0.1:2", "live")
+        self.assertEqual(hosts, [first, first._replace(host="e2", state="leaving")])
+
+    def test_list_lags(self):
+        self.service.faults = self.service.faults._replace(lag_s=5.0)
+        self.register("e1", now_s=10.0)
+        self.assertEqual(self.service.entries(14.9), [])
+        self.assertEqual(len(self.service.entries(15.0)), 1)
+
+    async def test_bad_entries_are_left_out_and_outages_are_errors(self):
+        self.register("e1")
+        self.register("e2", "asleep")
+        labels = {"host": "e3", "state": "live"}
+        self.service.register({"targets": [], "labels": labels}, 0.0)
+        self.assertEqual([host.host for host in (await self.client.fetch()).unwrap()], ["e1"])
+        self.service.faults = self.service.faults._replace(down=True)
+        self.assertIsInstance((await self.client.fetch()).unwrap_err(), HostListError)
