--- a/greengagefall/protocol/messages.py
+++ b/greengagefall/protocol/messages.py
@@ -156,6 +156,8 @@
         servers: Pairs of ``back end/server`` and the fence to store.
         map_versions: Slice map version under which it acts, by back end.
         resign: True gives the endorsements back.
+        round: Grows with each ``Endorse`` of this incarnation to this witness; a witness ignores
+            a request that arrives behind a later one.
     """
 
     call_id: int
@@ -165,6 +167,7 @@
     servers: list[list[Any]]
     map_versions: dict[str, int]
     resign: bool
+    round: int
 
 
 @message("endorsed")
@@ -291,6 +294,28 @@
     call_id: int
 
 
+class ServerStatus(NamedTuple):
+    """State of one backend server by its dispatcher; travels as an array.
+
+    Attributes:
+        server_key: ``back end/server``.
+        state: ``up``, ``cold``, ``suspect``, ``down`` or ``unknown``.
+        in_state_s: Time in that state.
+        busy_share: Share of its slots in use.
+        limit: Requests that may be in flight now.
+        offered_per_s: Requests that reached the dispatcher.
+        served_per_s: Requests that were answered.
+    """
+
+    server_key: str
+    state: str
+    in_state_s: float
+    busy_share: float
+    limit: int
+    offered_per_s: float
+    served_per_s: float
+
+
 @message("host_status")
 class HostStatus(NamedTuple):
     """What an entry host dispatches, for the coordinator and operators.
@@ -301,8 +326,7 @@
         incarnation: Its incarnation.
         epoch: Members epoch it acts under.
         resigning: Whether it is stopping.
-        servers: Rows of ``back end/server``, state (``up``, ``cold``, ``suspect``, ``down``),
-            seconds in that state, busy share of its slots, and the limit in force.
+        servers: The fields of a ``ServerStatus`` for each server.
         slice_load: Requests per second by ``back end/slice`` for the busiest slices.
         violations: Invariant violations by name.
     """
