Say in greengagefallctl why which host holds the dispatch right

In a trial with two of a zone's three hosts killed, keys were refused as dispatcher_unreachable and not_dispatcher while why named a dispatcher and no reason; after host lost for both, all requests were answered again.

--- a/greengagefall/commands/ctl_views.py
+++ b/greengagefall/commands/ctl_views.py
@@ -38,6 +38,9 @@
 MEMBER_HEADERS = ("Host", "Incarnation", "Zone", "Epoch", "Address", "Resigned")
 
 
+Answers = list[tuple[str, Result[Any, Exception]]]
+
+
 @click.command(help=STATUS_HELP)
 @click.pass_obj
 def status(session: CtlSession) -> None:
@@ -74,6 +77,8 @@
 def why(session: CtlSession, back_end: str, key: str) -> None:
     """Explains a key."""
     explained = session.ask_first("why", back_end=back_end, key=key)
+    if explained.get("owner"):
+        _add_holders(explained, session.ask_all("status"))
     if session.settings.json:
         print_json(explained)
         return
@@ -96,7 +101,7 @@
     return answer.ok_value if isinstance(answer, Ok) else {"error": str(answer.err_value)}
 
 
-def _print_status(answers: list[tuple[str, Result[Any, Exception]]]) -> None:
+def _print_status(answers: Answers) -> None:
     host_rows: list[tuple[object, ...]] = []
     server_rows: list[tuple[object, ...]] = []
     for address, answer in answers:
@@ -129,6 +134,22 @@
     return [(*key, *counts) for key, counts in sorted(owned.items())]
 
 
+def _add_holders(explained: dict[str, Any], answers: Answers) -> None:
+    """Adds which of the hosts that answer dispatch the owner of a key."""
+    server_key = f"{explained['back_end']}/{explained['owner']}"
+    rows = [
+        row
+        for _, answer in answers
+        if isinstance(answer, Ok)
+        for row in answer.ok_value.get("servers", [])
+        if row.get("server") == server_key
+    ]
+    explained["held_by"] = [row.get("dispatcher", "?") for row in rows]
+    explained["server_health"] = ", ".join(row.get("state", "?") for row in rows)
+    if not rows and not explained.get("why"):
+        explained["why"] = "no host that answered holds its dispatch right"
+
+
 def _fact(value: Any) -> str:
     text = ", ".join(value) if isinstance(value, list) else str(value)
     return text or "-"
--- a/greengagefall/commands/output.py
+++ b/greengagefall/commands/output.py
@@ -12,7 +12,7 @@
 
 def render_table(headers: tuple[str, ...], rows: list[tuple[object, ...]]) -> str:
     """Returns the rows in aligned columns below their headers."""
-    cells = [headers, *([str(cell) for cell in row] for row in rows)]
+    cells = [headers, *([_as_text(cell) for cell in row] for row in rows)]
     widths = [max(len(row[column]) for row in cells) for column in range(len(headers))]
     lines = (
         COLUMN_GAP.join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
@@ -33,3 +33,9 @@
         print_json([dict(zip(fields, row, strict=True)) for row in rows])
         return
     click.echo(render_table(headers, rows))
+
+
+def _as_text(cell: object) -> str:
+    if isinstance(cell, bool):
+        return "yes" if cell else "no"
+    return str(cell)
--- a/greengagefall/tests/ctl_commands_tests.py
+++ b/greengagefall/tests/ctl_commands_tests.py
@@ -233,9 +233,14 @@
         self.assertIn("releasing", self.invoke("slices", "--runs").output)
 
     def test_why_prints_the_facts(self):
-        page = "why?back_end=catalogue&key=a%2Fb"
-        self.put_page("127.0.0.1:1", page, {"owner": "c-1", "candidates": ["entry-1", "entry-2"]})
-        self.assertIn("entry-1, entry-2", self.invoke("why", "catalogue", "a/b").output)
+        facts = {"back_end": "catalogue", "owner": "c-1", "candidates": ["entry-1", "entry-2"]}
+        self.put_page("127.0.0.1:1", "why?back_end=catalogue&key=a%2Fb", facts)
+        output = self.invoke("why", "catalogue", "a/b").output
+        self.assertIn("entry-1, entry-2", output)
+        self.assertIn("no host that answered holds its dispatch right", output)
+        self.put_page("127.0.0.1:2", "status", STATUS)
+        explained = json.loads(self.invoke("--json", "why", "catalogue", "a/b").output)
+        self.assertEqual((explained["held_by"], explained["server_health"]), (["entry-1"], "up"))
         self.assert_fails(self.invoke("why", "catalogue", "x"), exit_codes.REFUSED, "refused")
 
     def test_hosts_lists_members(self):
