Balance zones apart from the servers inside them

Cause: one threshold had to serve both the churn of a zone's return (which needs about 0.25) and the imbalance (which needs 0.1). zone_imbalance and zone_settle_imbalance now bound moves between zones. Hot and cold are judged by the mean slice of the back end: by the server's own mean a hot slice moved once its neighbours had left, which the test of hot slices found.

--- a/greengagefall/balancing/loads.py
+++ b/greengagefall/balancing/loads.py
@@ -21,7 +21,7 @@
 IDLE_UTILISATION = 1e-6
 MIN_SERVED_PER_S = 1e-3
 MIN_CAPACITY = 1e-9
-DEFAULT_RATE_WEIGHT = 0.4
+DEFAULT_RATE_WEIGHT = 0.6
 
 Ranges = tuple[tuple[int, int], ...]
 
@@ -92,7 +92,7 @@
         rates: Requests per second by slice.
         cost: Share of its slots that one request per second takes, by server.
         rate_per_s: Requests per second by server, for the slices it owns now.
-        mean_slice_rate: Mean of ``rates`` by server.
+        mean_rate: Mean of ``rates``.
     """
 
     def __init__(
@@ -101,14 +101,11 @@
         self.rates = rates
         self.cost = cost
         self.rate_per_s = dict.fromkeys(cost, 0.0)
-        self.mean_slice_rate = dict.fromkeys(cost, 0.0)
+        self.mean_rate = sum(rates) / len(rates)
         for name, ranges in owned.items():
             if name not in cost:
                 continue
-            rate = sum(self.range_rate(first, last) for first, last in ranges)
-            count = sum(last - first + 1 for first, last in ranges)
-            self.rate_per_s[name] = rate
-            self.mean_slice_rate[name] = rate / count
+            self.rate_per_s[name] = sum(self.range_rate(first, last) for first, last in ranges)
 
     def range_rate(self, first: int, last: int) -> float:
         """Returns the requests per second of consecutive slices."""
--- a/greengagefall/balancing/placement.py
+++ b/greengagefall/balancing/placement.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from greengagefall.balancing.loads import (
     NO_LOADS,
@@ -27,7 +27,8 @@
 log = logging.getLogger(__name__)
 
 DEFAULT_MIN_IMBALANCE = 0.10
-SETTLE_SHARE_OF_MIN_IMBALANCE = 0.5
+DEFAULT_ZONE_IMBALANCE = 0.10
+SETTLE_SHARE = 0.5
 DEFAULT_CHURN_COST = 0.3
 DEFAULT_MAX_MOVES_PER_PLAN = 128
 DEFAULT_HOT_SLICE_FACTOR = 8.0
@@ -129,14 +130,71 @@
         return merge_moves(moves)
 
 
+class _Plan:
+    """Moves so far, and what they make of the servers' utilisation."""
+
+    def __init__(self, estimate: LoadEstimate, usable: list[str], most: int) -> None:
+        self.estimate = estimate
+        self.left = most
+        self.moves: list[Move] = []
+        self._planned: set[int] = set()
+        self._rate = {name: estimate.rate_per_s[name] for name in usable}
+
+    def utilisation(self, name: str) -> float:
+        """Returns the utilisation of a server after the moves so far."""
+        return self._rate[name] * self.estimate.cost[name]
+
+    def level(self, names: list[str]) -> float:
+        """Returns the utilisation that all of these servers would have when balanced."""
+        speed = sum(1.0 / self.estimate.cost[name] for name in names)
+        return sum(self._rate[name] for name in names) / speed
+
+    def move(self, candidates: Iterator[int], source: str, target: str, rate_wanted: float) -> bool:
+        """Plans candidates with rates up to ``rate_wanted``; returns whether there were any."""
+        rates = self.estimate.rates
+        taken = 0
+        for slice_id in candidates:
+            if self.left <= 0:
+                break
+            if slice_id in self._planned or rates[slice_id] > rate_wanted:
+                continue
+            rate_wanted -= rates[slice_id]
+            self._planned.add(slice_id)
+            self.moves.append(Move(slice_id, slice_id, source, target))
+            self._rate[source] -= rates[slice_id]
+            self._rate[target] += rates[slice_id]
+            self.left -= 1
+            taken += 1
+        return taken > 0
+
+
+class _Bounds(NamedTuple):
+    """Utilisations between which servers give and take slices.
+
+    Attributes:
+        start: Above it a server begins to give slices away.
+        settled: Down to it a server gives slices away.
+        filled: Up to it a server takes slices.
+    """
+
+    start: float
+    settled: float
+    filled: float
+
+
 @PLACEMENTS.register("load_aware")
 class LoadAwarePlacement:
     """Moves slices from servers with observed load above the balanced level.
 
+    Slices move between zones only if a whole zone is above the level, such as when another
+    zone has returned; then the servers of each zone are balanced among themselves.
+
     Tuning:
-        ``min_imbalance``: excess over the balanced utilisation that starts a move.
-        ``settle_imbalance``: excess at which a server stops giving slices away; half of
-        ``min_imbalance`` if not set.
+        ``zone_imbalance``: excess of a zone over the balanced utilisation that starts moves
+        to other zones.
+        ``zone_settle_imbalance``: excess at which such moves end; half of it if not set.
+        ``min_imbalance``: excess over the zone's utilisation that starts moves inside it.
+        ``settle_imbalance``: excess at which those end; half of ``min_imbalance`` if not set.
         ``churn_cost``: a slice moves only if its rate, relative to the mean slice, is at
         least this; larger values mean fewer moves.
         ``max_moves_per_plan``: slices per plan.
@@ -148,9 +206,9 @@
     def __init__(self, clock: Clock, tuning: Mapping[str, float] | None = None) -> None:
         tuning = tuning or {}
         self._min_imbalance = tuning.get("min_imbalance", DEFAULT_MIN_IMBALANCE)
-        self._settle_imbalance = tuning.get(
-            "settle_imbalance", self._min_imbalance * SETTLE_SHARE_OF_MIN_IMBALANCE
-        )
+        self._settle_imbalance = tuning.get("settle_imbalance", self._min_imbalance * SETTLE_SHARE)
+        self._zone_imbalance = tuning.get("zone_imbalance", DEFAULT_ZONE_IMBALANCE)
+        self._zone_settle = tuning.get("zone_settle_imbalance", self._zone_imbalance * SETTLE_SHARE)
         self._churn_cost = tuning.get("churn_cost", DEFAULT_CHURN_COST)
         self._max_moves = int(tuning.get("max_moves_per_plan", DEFAULT_MAX_MOVES_PER_PLAN))
         self._hot_factor = tuning.get("hot_slice_factor", DEFAULT_HOT_SLICE_FACTOR)
@@ -177,101 +235,75 @@
         runs = slice_map.runs()
         estimate = self._model.update(runs, servers, loads)
         usable = usable_servers(servers, loads, zones)
-        if len(usable) < 2:
+        if not usable:
             return []
-        balance = _Balance(usable, estimate, self._settle_imbalance)
         owned: dict[str, list[SliceRun]] = {}
         for run in runs:
             if run.state == SLICE_OWNED:
                 owned.setdefault(run.owner, []).append(run)
-        left = self._max_moves
-        moves: list[Move] = []
-        planned: set[int] = set()
-        sources = set(usable)
-        while left > 0:
-            pair = balance.widest(sources, self._min_imbalance)
-            if pair is None:
-                break
-            source, target, rate_wanted = pair
-            candidates = self._candidates(owned.get(source, []), servers[target].zone, estimate)
-            taken = _take(candidates, planned, estimate.rates, rate_wanted, left)
-            if not taken:
-                sources.discard(source)
-                continue
-            planned.update(taken)
-            left -= len(taken)
-            moves += [Move(slice_id, slice_id, source, target) for slice_id in taken]
-            balance.shift(source, target, sum(estimate.rates[item] for item in taken))
-        return merge_moves(moves)
+        plan = _Plan(estimate, usable, self._max_moves)
+        by_zone: dict[str, list[str]] = {}
+        for name in usable:
+            by_zone.setdefault(servers[name].zone, []).append(name)
+        self._balance_zones(plan, by_zone, servers, owned)
+        for names in by_zone.values():
+            level = plan.level(names)
+            start = level * (1.0 + self._min_imbalance)
+            bounds = _Bounds(start, level * (1.0 + self._settle_imbalance), level)
+            self._balance(plan, names, names, bounds, servers, owned)
+        return merge_moves(plan.moves)
+
+    def _balance_zones(
+        self,
+        plan: _Plan,
+        by_zone: Mapping[str, list[str]],
+        servers: Mapping[str, BackendServer],
+        owned: Mapping[str, list[SliceRun]],
+    ) -> None:
+        level = plan.level([name for names in by_zone.values() for name in names])
+        start = level * (1.0 + self._zone_imbalance)
+        full = [names for names in by_zone.values() if plan.level(names) > start]
+        empty = [names for names in by_zone.values() if plan.level(names) < level]
+        sources = [name for names in full for name in names]
+        targets = [name for names in empty for name in names]
+        settled = level * (1.0 + self._zone_settle)
+        self._balance(plan, sources, targets, _Bounds(settled, settled, level), servers, owned)
+
+    def _balance(
+        self,
+        plan: _Plan,
+        sources: list[str],
+        targets: list[str],
+        bounds: _Bounds,
+        servers: Mapping[str, BackendServer],
+        owned: Mapping[str, list[SliceRun]],
+    ) -> None:
+        """Plans moves from the fullest source to the emptiest target, again and again."""
+        cost = plan.estimate.cost
+        open_sources = list(sources)
+        while open_sources and targets and plan.left > 0:
+            source = max(open_sources, key=plan.utilisation)
+            target = min(targets, key=plan.utilisation)
+            if plan.utilisation(source) <= bounds.start:
+                return
+            excess = (plan.utilisation(source) - bounds.settled) / cost[source]
+            room = (bounds.filled - plan.utilisation(target)) / cost[target]
+            candidates = self._candidates(
+                owned.get(source, []), servers[target].zone, plan.estimate
+            )
+            if room <= 0.0 or not plan.move(candidates, source, target, min(excess, room)):
+                open_sources.remove(source)
 
     def _candidates(self, runs: list[SliceRun], zone: str, estimate: LoadEstimate) -> Iterator[int]:
         """Yields the slices that may move to ``zone``, those that suit best first."""
+        too_cold = self._churn_cost * estimate.mean_rate
+        too_hot = self._hot_factor * estimate.mean_rate
         for run in sorted(runs, key=lambda run: _order_of_leaving(run, zone)):
-            mean_rate = estimate.mean_slice_rate[run.owner]
-            too_cold = self._churn_cost * mean_rate
-            too_hot = self._hot_factor * mean_rate
             for slice_id in range(run.last, run.first - 1, -1):
                 if too_cold <= estimate.rates[slice_id] <= too_hot:
                     yield slice_id
 
 
-def _take(
-    candidates: Iterator[int],
-    planned: set[int],
-    rates: list[float],
-    rate_wanted: float,
-    most: int,
-) -> list[int]:
-    """Returns candidates whose rates add up to at most ``rate_wanted``."""
-    taken: list[int] = []
-    for slice_id in candidates:
-        if len(taken) >= most:
-            break
-        if slice_id in planned or rates[slice_id] > rate_wanted:
-            continue
-        taken.append(slice_id)
-        rate_wanted -= rates[slice_id]
-    return taken
-
-
 def _order_of_leaving(run: SliceRun, zone: str) -> tuple[bool, int, int]:
     """Slices that would come home go first, then short runs."""
     return run.home_zone != zone, run.last - run.first, run.first
-
-
-class _Balance:
-    """Utilisation of each usable server while moves are planned."""
-
-    def __init__(
-        self,
-        usable: list[str],
-        estimate: LoadEstimate,
-        settle_imbalance: float,
-    ) -> None:
-        self._cost = {name: estimate.cost[name] for name in usable}
-        self._rate = {name: estimate.rate_per_s[name] for name in usable}
-        speed = sum(1.0 / self._cost[name] for name in usable)
-        self._level = sum(self._rate.values()) / speed
-        self._settled_level = self._level * (1.0 + settle_imbalance)
-
-    def widest(self, sources: set[str], min_imbalance: float) -> tuple[str, str, float] | None:
-        """Returns the fullest source, the emptiest server and the rate to move."""
-        if not sources or self._level <= 0.0:
-            return None
-        source = max(sorted(sources), key=self._utilisation)
-        target = min(sorted(self._rate), key=self._utilisation)
-        if self._utilisation(source) <= self._level * (1.0 + min_imbalance):
-            return None
-        excess = (self._utilisation(source) - self._settled_level) / self._cost[source]
-        deficit = (self._level - self._utilisation(target)) / self._cost[target]
-        if deficit <= 0.0:
-            return None
-        return source, target, min(excess, deficit)
-
-    def shift(self, source: str, target: str, rate_per_s: float) -> None:
-        """Takes a planned move into account."""
-        self._rate[source] -= rate_per_s
-        self._rate[target] += rate_per_s
-
-    def _utilisation(self, name: str) -> float:
-        return self._rate[name] * self._cost[name]
--- a/greengagefall/bench/policies_deployments.py
+++ b/greengagefall/bench/policies_deployments.py
@@ -63,14 +63,26 @@
     ("ee-north-a", "ee-north-b", "ee-north-c"),
     6,
     0.0015,
-    {"min_imbalance": 0.27, "settle_imbalance": 0.25, "churn_cost": 0.5},
+    {
+        "min_imbalance": 0.10,
+        "settle_imbalance": 0.05,
+        "zone_imbalance": 0.30,
+        "zone_settle_imbalance": 0.27,
+        "churn_cost": 0.5,
+    },
 )
 HOOKWORKS = Deployment(
     "hookworks",
     ("tanta", "mansoura", "zagazig"),
     3,
     0.0005,
-    {"min_imbalance": 0.08, "settle_imbalance": 0.03, "churn_cost": 0.1},
+    {
+        "min_imbalance": 0.08,
+        "settle_imbalance": 0.03,
+        "zone_imbalance": 0.08,
+        "zone_settle_imbalance": 0.03,
+        "churn_cost": 0.1,
+    },
 )
 DEPLOYMENTS = (KAASIK, HOOKWORKS)
 
--- a/greengagefall/routing/policy_names.py
+++ b/greengagefall/routing/policy_names.py
@@ -86,6 +86,8 @@
     "max_ejected_share": TuningRange(0, 1, "Share of the servers left out at once, at most."),
     "min_imbalance": TuningRange(0, 10, "Excess over the balanced utilisation that starts moves."),
     "settle_imbalance": TuningRange(0, 10, "Excess at which a server stops giving slices away."),
+    "zone_imbalance": TuningRange(0, 10, "Excess of a zone that starts moves between zones."),
+    "zone_settle_imbalance": TuningRange(0, 10, "Excess of a zone at which such moves end."),
     "churn_cost": TuningRange(
         0, 100, "Rate of a slice, relative to the mean, below which it does not move."
     ),
--- a/greengagefall/tests/balancing_placement_tests.py
+++ b/greengagefall/tests/balancing_placement_tests.py
@@ -17,7 +17,7 @@
 SLICES = 256
 ZONES = ("a", "b", "c")
 MAX_PLANS = 60
-TUNING = {"min_imbalance": 0.26, "settle_imbalance": 0.25}
+TUNING = {"zone_imbalance": 0.26, "zone_settle_imbalance": 0.25}
 
 
 class Map:
