--- a/greengagefall/entry/targets.py
+++ b/greengagefall/entry/targets.py
@@ -94,6 +94,7 @@
             del self._known[target.server_key]
             self._turn[target.server_key] = 0
         elif self._last_tried.get(target.server_key) == target.host:
+            del self._last_tried[target.server_key]
             self._turn[target.server_key] = self._turn.get(target.server_key, 0) + 1
 
     def dispatcher(self, server_key: str, zone: str) -> str | None:
