Add the oracle over the stand-ins' records and the callers' rows

Pure functions check owners of slices over time, run counts, truth of every not_run, answers, work at servers that are out, cold starts and configuration versions; soak_check feeds them from the journals and the store's data file, which now tells when each write was accepted.

--- /dev/null
+++ b/greengagefall/bench/configuration_log.py
@@ -0,0 +1,111 @@
+"""When configurations were accepted and what they took out, from the store's data file."""
+
+from __future__ import annotations
+
+import base64
+import json
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from greengagefall.bench.oracle import AcceptedVersion, OutInterval
+from greengagefall.routing.model import SERVER_DRAINING, ZONE_IN
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from greengagefall.bench.server_logs import ServerInfo
+
+CONFIG_PREFIX = "config/"
+
+WHY_ZONE = "zone_out"
+WHY_DRAINING = "draining"
+
+# Faults during which hosts cannot learn of a configuration.
+BLINDING_FAULTS = (
+    "store_outage",
+    "store_slow",
+    "kill_store",
+    "cut_zones",
+    "cut_host",
+)
+
+FaultRow = tuple[float, float, str, str]
+
+
+class ConfigurationRow(NamedTuple):
+    """A configuration document and when the store accepted it, in ``time.time()``."""
+
+    version: int
+    at_s: float
+    document: dict[str, Any]
+
+
+def read_configurations(data_file: str | Path) -> list[ConfigurationRow]:
+    """Returns the configurations in the data file of the key-value service stand-in."""
+    rows = []
+    for line in Path(data_file).read_bytes().splitlines():
+        try:
+            written = json.loads(line)
+        except ValueError:
+            continue
+        for kind, key, value, *_ in written.get("events", []):
+            name = base64.b64decode(key).decode()
+            if kind == "PUT" and name.startswith(CONFIG_PREFIX):
+                document = json.loads(base64.b64decode(value))
+                version = int(name.removeprefix(CONFIG_PREFIX))
+                rows.append(ConfigurationRow(version, written["at_s"], document))
+    return rows
+
+
+def knowable_s(at_s: float, faults: Iterable[FaultRow], bound_s: float) -> float:
+    """Returns from when something written at ``at_s`` can be known everywhere.
+
+    A fault that keeps hosts from learning of it, and that begins before the bound after
+    that moment is over, moves it to the fault's end.
+    """
+    for begun_s, ended_s, kind, _ in sorted(faults):
+        if kind in BLINDING_FAULTS and begun_s < at_s + bound_s and ended_s > at_s:
+            at_s = ended_s
+    return at_s
+
+
+def accepted_versions(
+    rows: Iterable[ConfigurationRow], faults: Sequence[FaultRow], bound_s: float
+) -> list[AcceptedVersion]:
+    """Returns the versions with the time from which they can be known everywhere."""
+    return [AcceptedVersion(row.version, knowable_s(row.at_s, faults, bound_s)) for row in rows]
+
+
+def out_intervals(
+    rows: Iterable[ConfigurationRow],
+    servers: Sequence[ServerInfo],
+    faults: Sequence[FaultRow],
+    bound_s: float,
+) -> list[OutInterval]:
+    """Returns the times in which servers are to get no new work."""
+    outs: list[OutInterval] = []
+    since: dict[str, tuple[float, str]] = {}
+    for row in rows:
+        for server in servers:
+            why = _why_out(row.document, server)
+            if why and server.name not in since:
+                since[server.name] = row.at_s, why
+            if not why and server.name in since:
+                outs.append(_interval(server.name, since.pop(server.name), row.at_s))
+    outs += [_interval(name, began, float("inf")) for name, began in since.items()]
+    moved = [out._replace(from_s=knowable_s(out.from_s, faults, bound_s)) for out in outs]
+    return [out for out in moved if out.from_s + bound_s < out.until_s]
+
+
+def _interval(server: str, began: tuple[float, str], until_s: float) -> OutInterval:
+    from_s, why = began
+    return OutInterval(server, from_s, until_s, why)
+
+
+def _why_out(document: dict[str, Any], server: ServerInfo) -> str:
+    zone = document.get("zones", {}).get(server.zone, {})
+    if zone.get("state", ZONE_IN) != ZONE_IN:
+        return WHY_ZONE
+    back_end = document.get("back_ends", {}).get(server.back_end, {})
+    row = back_end.get("servers", {}).get(server.name, {})
+    return WHY_DRAINING if row.get("state") == SERVER_DRAINING else ""
--- /dev/null
+++ b/greengagefall/bench/oracle_versions.py
@@ -0,0 +1,49 @@
+"""Checks of configuration versions: they never fall, and are in force within seconds."""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from greengagefall.bench.oracle import AcceptedVersion, CheckReport, VersionRow
+
+NO_VERSION = 0
+
+
+def check_never_falls(rows: Sequence[VersionRow], report: CheckReport) -> None:
+    """Checks that no version falls while a host's process lives."""
+    highest: dict[tuple[str, str], int] = {}
+    for row in rows:
+        process = (row.host, row.incarnation)
+        before = highest.get(process, NO_VERSION)
+        facts = {"host": row.host, "before": before, "now": row.version, "at_s": row.at_s}
+        report.check(row.version >= before, "config_never_reverts", **facts)
+        highest[process] = max(before, row.version)
+
+
+def check_spread(
+    rows: Sequence[VersionRow],
+    accepted: Sequence[AcceptedVersion],
+    bound_s: float,
+    report: CheckReport,
+) -> None:
+    """Checks that hosts have each accepted version within a bound.
+
+    A host counts from ``bound_s`` after its process was first seen.
+    """
+    in_order = sorted(accepted, key=lambda one: one.at_s)
+    times_s = [one.at_s for one in in_order]
+    highest = [NO_VERSION]
+    for one in in_order:
+        highest.append(max(highest[-1], one.version))
+    first_seen_s: dict[tuple[str, str], float] = {}
+    for row in rows:
+        seen_s = first_seen_s.setdefault((row.host, row.incarnation), row.at_s)
+        if row.at_s < seen_s + bound_s:
+            continue
+        wanted = highest[bisect_right(times_s, row.at_s - bound_s)]
+        facts = {"host": row.host, "has": row.version, "wanted": wanted, "at_s": row.at_s}
+        report.check(row.version >= wanted, "config_in_force", **facts)
--- /dev/null
+++ b/greengagefall/bench/soak_check.py
@@ -0,0 +1,56 @@
+"""Gathers what a soak recorded and hands it to the oracle."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from greengagefall.bench.configuration_log import (
+    accepted_versions,
+    out_intervals,
+    read_configurations,
+)
+from greengagefall.bench.oracle import Bounds, CheckReport, check_all
+from greengagefall.bench.server_logs import ServerInfo, read_journal, server_log
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from greengagefall.bench.caller import CallRow
+    from greengagefall.bench.fleet import Fleet
+    from greengagefall.bench.soak import SoakLog
+
+__all__ = ["CheckReport", "check_run"]
+
+STORE_DATA_FILE = "store.data"
+
+
+def check_run(
+    fleet: Fleet, rows: Sequence[CallRow], log: SoakLog, bounds: Bounds | None = None
+) -> CheckReport:
+    """Checks a run after its end.
+
+    Args:
+        fleet: The fleet; its log folder holds the journals of the stand-ins.
+        rows: What the callers saw.
+        log: Faults and versions over time.
+        bounds: Times within which the system has to react.
+    """
+    bounds = bounds or Bounds()
+    checks = {back_end.name: back_end.checks_orders for back_end in fleet.spec.back_ends}
+    servers = [
+        ServerInfo(server.name, server.back_end, server.zone, checks[server.back_end])
+        for server in fleet.servers.values()
+    ]
+    folder = fleet.processes.log_dir
+    logs = [
+        server_log(server, read_journal(folder / f"{server.name}.journal")) for server in servers
+    ]
+    configurations = read_configurations(folder / STORE_DATA_FILE)
+    return check_all(
+        logs,
+        rows,
+        out_intervals(configurations, servers, log.faults, bounds.out_s),
+        log.versions,
+        accepted_versions(configurations, log.faults, bounds.spread_s),
+        bounds,
+    )
--- a/greengagefall/standins/backend_records.py
+++ b/greengagefall/standins/backend_records.py
@@ -57,16 +57,27 @@
 
 
 class ColdRecord(TypedDict):
-    """A cold start from ``from_s`` to ``until_s``; ``refused_s`` is its first refusal or 0."""
+    """A cold start from ``from_s`` to ``until_s``; ``refused_s`` is its first refusal or 0.
+
+    ``at_start`` tells the one after the process started from a later one.
+    """
 
     from_s: float
     until_s: float
     cold_slots: int
     announced: bool
+    at_start: bool
     refused_s: float
     incarnation: str
 
 
+class StartRecord(TypedDict):
+    """Start of a server process, in ``time.time()``."""
+
+    at_s: float
+    incarnation: str
+
+
 class Records:
     """Bounded records of one server process.
 
@@ -85,7 +96,9 @@
         self.grants: list[GrantRecord] = []
         self.colds: list[ColdRecord] = []
         self._wall_offset_s = time.time() - time.monotonic()
+        self.start = StartRecord(at_s=time.time(), incarnation=incarnation)
         self._journal_fd = os.open(journal, JOURNAL_FLAGS, 0o644) if journal else -1
+        self.note("start", self.start)
 
     def close(self) -> None:
         """Closes the journal."""
@@ -140,6 +153,7 @@
             "server": self.server,
             "incarnation": self.incarnation,
             "dropped": self.dropped,
+            "starts": [self.start],
             "requests": list(self.requests),
             "grants": self.grants,
             "colds": self.colds,
--- a/greengagefall/standins/backend_work.py
+++ b/greengagefall/standins/backend_work.py
@@ -149,6 +149,7 @@
             until_s=self.records.wall_s(self._cold_until_s),
             cold_slots=self.settings.cold_slots,
             announced=announced,
+            at_start=not self.records.requests and not self.records.colds,
             refused_s=0.0,
             incarnation=self.incarnation,
         )
--- a/greengagefall/standins/kv_state.py
+++ b/greengagefall/standins/kv_state.py
@@ -5,6 +5,7 @@
 import base64
 import json
 import os
+import time
 from collections import deque
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple
@@ -215,7 +216,8 @@
             if len(self._history) == self._history.maxlen:
                 self._compacted_revision = self._history[0].item.mod_revision
             self._history.append(event)
-        self._append({"revision": self.revision, "events": [_event_row(event) for event in events]})
+        rows = [_event_row(event) for event in events]
+        self._append({"revision": self.revision, "at_s": time.time(), "events": rows})
         for callback in list(self._watchers):
             callback(events)
 
