--- a/greengagefall/standins/backend_server.py
+++ b/greengagefall/standins/backend_server.py
@@ -183,14 +183,18 @@
     """Sets faults."""
 
     def post(self) -> None:
-        """Sets the faults named in the body."""
+        """Sets the faults named in the body.
+
+        ``cold_s`` begins a cold start, which ``announce`` lets the server tell;
+        ``freeze_s`` freezes the process.
+        """
         body = self.json_body()
-        cold_s = float(body.pop("cold_s", 0))
-        announced = bool(body.pop("announce", False))
-        freeze_s = float(body.pop("freeze_s", 0))
         try:
+            cold_s = float(body.pop("cold_s", 0))
+            announced = bool(body.pop("announce", False))
+            freeze_s = float(body.pop("freeze_s", 0))
             self.work.faults = change_faults(self.work.faults, body)
-        except ValueError as error:
+        except (TypeError, ValueError) as error:
             raise tornado.web.HTTPError(400, str(error)) from error
         if cold_s > 0:
             self.work.turn_cold(cold_s, announced=announced)
