--- a/greengagefall/balancing/load_meter.py
+++ b/greengagefall/balancing/load_meter.py
@@ -13,7 +13,7 @@
 
 log = logging.getLogger(__name__)
 
-DEFAULT_WINDOW_S = 4.0
+DEFAULT_WINDOW_S = 8.0
 SKETCH_SLICES = 64
 REPORTED_SLICES = 8
 NO_SLICE = -1
--- a/greengagefall/bench/policies_deployments.py
+++ b/greengagefall/bench/policies_deployments.py
@@ -66,8 +66,8 @@
     {
         "min_imbalance": 0.10,
         "settle_imbalance": 0.05,
-        "zone_imbalance": 0.30,
-        "zone_settle_imbalance": 0.27,
+        "zone_imbalance": 0.33,
+        "zone_settle_imbalance": 0.3,
         "churn_cost": 0.5,
     },
 )
@@ -82,6 +82,7 @@
         "zone_imbalance": 0.08,
         "zone_settle_imbalance": 0.03,
         "churn_cost": 0.1,
+        "max_moves_per_plan": 256,
     },
 )
 DEPLOYMENTS = (KAASIK, HOOKWORKS)
