--- a/greengagefall/coordinator/slices.py
+++ b/greengagefall/coordinator/slices.py
@@ -14,7 +14,9 @@
 from greengagefall.coordination.model import SLICE_FREE, SLICE_RELEASING, SliceRun
 from greengagefall.coordination.slice_map_changes import begin_release, initial_map, next_delta
 from greengagefall.coordinator import slice_decisions as decisions
+from greengagefall.coordinator.guard import guarded
 from greengagefall.coordinator.releases import Releases
+from greengagefall.coordinator.write_retry import WriteRetry
 from greengagefall.routing.model import KIND_KEYED, ZONE_IN, ZONE_LOST
 from greengagefall.utils.metrics import count
 
@@ -26,8 +28,9 @@
     from greengagefall.coordination.slice_map import SliceMap
     from greengagefall.coordinator.contacts import HostContacts
     from greengagefall.coordinator.records import Records
-    from greengagefall.coordinator.slice_decisions import Bounds, ServerReport
+    from greengagefall.coordinator.slice_decisions import Bounds
     from greengagefall.coordinator.wakeup import Wakeup
+    from greengagefall.protocol.messages import ServerStatus
     from greengagefall.routing.model import BackEnd, RoutingConfig
     from greengagefall.utils.clock import Clock
 
@@ -82,6 +85,7 @@
         self._policies: tuple[dict[str, str], dict[str, float]] | None = None
         self._placement: Placement | None = None
         self._zone_moves: ZoneMoves | None = None
+        self._retry = WriteRetry()
         self._task: asyncio.Task | None = None
 
     async def start(self) -> None:
@@ -99,8 +103,8 @@
         while True:
             await self._wakeup.wait(CHECK_INTERVAL_S)
             if self._records.complete:
-                await self.step()
-            await asyncio.sleep(STEP_PAUSE_S)
+                await guarded("slices", self.step())
+            await asyncio.sleep(STEP_PAUSE_S + self._retry.delay_s())
 
     async def step(self) -> None:
         """Makes the next change of the map, if one is due."""
@@ -131,7 +135,7 @@
         self._drive_releases(config, back_end, slice_map, zones)
         await self._records.compact(self._name)
 
-    def _observe(self, reports: dict[str, ServerReport]) -> Loads:
+    def _observe(self, reports: dict[str, ServerStatus]) -> Loads:
         """Returns loads that are renewed each ``LOADS_INTERVAL_S``, with states of now."""
         now_s = self._clock.now_s()
         fresh = decisions.loads_of(reports, self._contacts.statuses(), self._name, now_s)
@@ -150,6 +154,7 @@
         created = await self._records.create_slice_map(
             initial_map(self._name, back_end.slice_count)
         )
+        self._retry.note(created)
         if isinstance(created, Err):
             log.warning("The slice map is not created: %s.", created.err_value)
 
@@ -204,7 +209,7 @@
         back_end: BackEnd,
         slice_map: SliceMap,
         zones: set[str],
-        reports: dict[str, ServerReport],
+        reports: dict[str, ServerStatus],
         loads: Loads,
     ) -> bool:
         """Begins the releases that are due; returns whether it tried."""
@@ -265,6 +270,7 @@
     async def _write(self, slice_map: SliceMap, entries: Iterable[SliceRun]) -> bool:
         delta = next_delta(slice_map, entries)
         written = await self._records.write_delta(delta)
+        self._retry.note(written)
         if isinstance(written, Err):
             log.warning("Delta %d of %s: %s.", delta.version, self._name, written.err_value)
             return False
@@ -287,7 +293,7 @@
         self,
         config: RoutingConfig,
         slice_map: SliceMap,
-        reports: dict[str, ServerReport],
+        reports: dict[str, ServerStatus],
     ) -> bool:
         if config.zones.get(self._zone, ZONE_IN) != ZONE_IN:
             return False
--- a/greengagefall/dispatch/server_dispatcher.py
+++ b/greengagefall/dispatch/server_dispatcher.py
@@ -11,6 +11,12 @@
 from result import Err
 
 from greengagefall.balancing.load_meter import LoadMeter
+from greengagefall.coordination.grants import (
+    HOW_CONFIRMED,
+    NOT_YET,
+    ReleaseState,
+    release_answer,
+)
 from greengagefall.dispatch.answer_memory import AnswerMemory
 from greengagefall.dispatch.connection_pool import ConnectionPool, HttpAnswer, HttpRequest
 from greengagefall.dispatch.exceptions import (
@@ -27,7 +33,7 @@
 from greengagefall.entry.refusals import REFUSALS
 from greengagefall.limits.admission import QUEUES, Waiting
 from greengagefall.limits.concurrency import LIMITS
-from greengagefall.protocol.messages import Answer, Forward, Refusal
+from greengagefall.protocol.messages import Answer, Forward, Refusal, ServerStatus
 from greengagefall.routing.model import KIND_KEYED, SERVER_DRAINING
 from greengagefall.utils.invariants import check
 from greengagefall.utils.metrics import count, observe_ms
@@ -51,6 +57,8 @@
 INCARNATION_HEADER = "X-Server-Incarnation"
 HTTP_UNAVAILABLE = 503
 MS_PER_S = 1000.0
+HOW_IN_FLIGHT = "in_flight"
+HOW_EARLIER_DISPATCHER = "earlier_dispatcher"
 
 Outcome = Answer | Refusal
 
@@ -98,11 +106,13 @@
             self.health,
             slice_map,
             back_end.kind == KIND_KEYED,
+            back_end.checks_orders,
             self._on_reading,
             clock,
         )
         limit_policy = back_end.policies.get("limit", DEFAULT_LIMIT_POLICY)
         self.limit = LIMITS[limit_policy](server.slots, server.cold_slots, clock, back_end.tuning)
+        self.meter = LoadMeter(server.slots, clock)
         queue_policy = back_end.policies.get("queue", DEFAULT_QUEUE_POLICY)
         self._queue = QUEUES[queue_policy](back_end.queue_limit, clock, back_end.tuning)
         self.load = LoadMeter(server.slots, clock)
@@ -149,12 +159,22 @@
         """Returns the number of requests that wait or run."""
         return self.limit.in_flight + len(self._waiting)
 
-    def busy_share(self) -> float:
-        """Returns the share of slots that run a request."""
-        return self.limit.in_flight / self.server.slots
+    def status(self) -> ServerStatus:
+        """Returns what the coordinator and operators are told of the server."""
+        load = self.meter.load(self.health.usable())
+        return ServerStatus(
+            self.key,
+            self.health.state,
+            self.health.in_state_s(),
+            load.busy_share,
+            self.limit.limit,
+            load.offered_per_s,
+            load.served_per_s,
+        )
 
     async def submit(self, forward: Forward) -> Outcome:
         """Runs a request and returns its outcome; never raises for an expected failure."""
+        self.meter.on_arrival(forward.slice_id)
         if forward.repeatable:
             return await self._submit_repeatable(forward)
         known = self._memory.find(forward.request_id)
@@ -189,29 +209,26 @@
             runs: Pairs of first and last slice, all ``releasing`` in ``map_version``.
             map_version: The slice map version that says so.
         """
-        slice_map = self._slice_map()
-        if not self.right.may_send():
-            return False, "not_dispatcher"
-        if slice_map is None or slice_map.version < map_version:
-            return False, "map_behind"
         if self._any_in_flight(runs):
-            return False, "in_flight"
-        if self.right.stored_map_version() < map_version:
-            return False, "floor_not_stored"
-        if self.grants.released_since(map_version):
-            return True, "confirmed"
-        if not self.grants.checks:
+            return False, HOW_IN_FLIGHT
+        slice_map = self._slice_map()
+        state = ReleaseState(
+            may_send=self.right.may_send(),
+            stored_version=self.right.stored_map_version(),
+            map_version=slice_map.version if slice_map else 0,
+        )
+        bounds = [(first, last) for first, last in runs]
+        released, how = release_answer(self._ledger, state, bounds, map_version)
+        if how == NOT_YET and not self.grants.checks:
             return self._unchecked_released()
-        if self._ledger.surely_ended(map_version, self.grants.held_since_s):
-            return True, "ran_out"
-        return False, "grant_running"
+        return released, how
 
     def _unchecked_released(self) -> tuple[bool, str]:
         # Such a server keeps no grant: what an earlier dispatcher sent must have ended.
         quiet_s = self._clock.now_s() - self.grants.held_since_s
         if quiet_s * MS_PER_S >= self._limits.timeout_ms:
-            return True, "confirmed"
-        return False, "earlier_dispatcher"
+            return True, HOW_CONFIRMED
+        return False, HOW_EARLIER_DISPATCHER
 
     def _any_in_flight(self, runs: list[list[int]]) -> bool:
         return any(
@@ -340,7 +357,7 @@
         if not self.limit.can_start():
             return self._refuse(forward, refusals.QUEUE_FULL)
         self.limit.on_start()
-        self.load.on_start()
+        self.meter.on_start()
         self._enter(forward.slice_id)
         started_s = self._clock.now_s()
         outcome: Outcome | None = None
@@ -355,6 +372,7 @@
             self._pump()
 
     def _finish(self, outcome: Outcome | None, latency_ms: float) -> None:
+        self.meter.on_finish(isinstance(outcome, Answer))
         shed = isinstance(outcome, Refusal) and outcome.reason == refusals.SERVER_REFUSED
         if shed:
             self.limit.on_shed()
--- a/greengagefall/tests/ctl_commands_tests.py
+++ b/greengagefall/tests/ctl_commands_tests.py
@@ -8,12 +8,16 @@
 
 from click.testing import CliRunner, Result
 from result import Err, Ok
+from tornado.testing import AsyncHTTPTestCase, gen_test
+from tornado.web import Application, RequestHandler
 
 from greengagefall.commands import exit_codes
 from greengagefall.commands.ctl import main
-from greengagefall.commands.ctl_session import EntryError
+from greengagefall.commands.ctl_session import Connections, EntryError
 from greengagefall.coordination.epochs import first_record, record_to_json
-from greengagefall.coordination.model import Member
+from greengagefall.coordination.model import Member, SliceRun
+from greengagefall.coordination.slice_map import delta_to_json
+from greengagefall.coordination.slice_map_changes import initial_map, next_delta
 from greengagefall.standins.memory_store import MemoryStore
 from greengagefall.tests.routing_parse_tests import DOCUMENT
 
@@ -115,7 +119,8 @@
         outcome = self.invoke("config", "apply", "-", "--base-version", "1", text="{")
         self.assert_fails(outcome, exit_codes.REFUSED, "not JSON")
         self.connections.memory.down = True
-        self.assert_fails(self.invoke("config", "show"), exit_codes.STORE_UNAVAILABLE)
+        outcome = self.invoke("config", "show")
+        self.assert_fails(outcome, exit_codes.STORE_UNAVAILABLE, "the store at 127.0.0.1:2379")
 
     def test_dry_run_changes_nothing(self):
         self.apply(0, MERGE)
@@ -133,6 +138,29 @@
             self.assertIn(f"{code} {meaning}", text)
 
 
+class RemovalTests(CtlTestCase):
+    def put(self, key: str, document: dict) -> None:
+        self.connections.memory.put_raw(key, json.dumps(document).encode())
+
+    def test_server_that_owns_slices_stays(self):
+        removal = {"back_ends": {"catalogue": {"servers": {"c-1": None}}}}
+        self.apply(0, MERGE)
+        self.invoke("server", "drain", "catalogue", "c-1")
+        slice_map = initial_map("catalogue", 64)
+        self.put("backends/catalogue/slices", slice_map.to_json())
+        owner = next_delta(slice_map, [SliceRun(0, 9, "owned", "c-1", 1, "tanta")])
+        self.put("backends/catalogue/deltas/0000000001", delta_to_json(owner))
+        self.assert_fails(self.apply(2, removal), exit_codes.REFUSED, "c-1: still owns 10 slices")
+        slice_map.apply(owner)
+        release = next_delta(slice_map, [SliceRun(0, 9, "releasing", "c-1", 1, "tanta")])
+        self.put("backends/catalogue/deltas/0000000002", delta_to_json(release))
+        self.assert_fails(self.apply(2, removal), exit_codes.REFUSED, "c-1: still owns 10 slices")
+        slice_map.apply(release)
+        moved = next_delta(slice_map, [SliceRun(0, 9, "owned", "c-2", 3, "tanta")])
+        self.put("backends/catalogue/deltas/0000000003", delta_to_json(moved))
+        self.assertEqual(self.apply(2, removal).exit_code, 0)
+
+
 class ChangeCommandTests(CtlTestCase):
     def setUp(self):
         super().setUp()
@@ -205,9 +233,14 @@
         self.assertIn("releasing", self.invoke("slices", "--runs").output)
 
     def test_why_prints_the_facts(self):
-        page = "why?back_end=catalogue&key=a%2Fb"
-        self.put_page("127.0.0.1:1", page, {"owner": "c-1", "candidates": ["entry-1", "entry-2"]})
-        self.assertIn("entry-1, entry-2", self.invoke("why", "catalogue", "a/b").output)
+        facts = {"back_end": "catalogue", "owner": "c-1", "candidates": ["entry-1", "entry-2"]}
+        self.put_page("127.0.0.1:1", "why?back_end=catalogue&key=a%2Fb", facts)
+        output = self.invoke("why", "catalogue", "a/b").output
+        self.assertIn("entry-1, entry-2", output)
+        self.assertIn("no host that answered holds its dispatch right", output)
+        self.put_page("127.0.0.1:2", "status", STATUS)
+        explained = json.loads(self.invoke("--json", "why", "catalogue", "a/b").output)
+        self.assertEqual((explained["held_by"], explained["server_health"]), (["entry-1"], "up"))
         self.assert_fails(self.invoke("why", "catalogue", "x"), exit_codes.REFUSED, "refused")
 
     def test_hosts_lists_members(self):
@@ -217,5 +250,31 @@
         self.assertIn("abc", self.invoke("hosts").output)
 
 
+class FetchTests(AsyncHTTPTestCase):
+    def get_app(self) -> Application:
+        class Page(RequestHandler):
+            def get(self, code: str, text: str) -> None:
+                self.set_status(int(code))
+                self.write(text)
+
+        return Application([(r"/(\d+)/(.*)", Page)])
+
+    async def fetch_text(self, path: str, address: str = "") -> str:
+        address = address or f"127.0.0.1:{self.get_http_port()}"
+        fetched = await Connections().fetch(address, path, 5.0)
+        return str(fetched.ok_value if isinstance(fetched, Ok) else fetched.err_value)
+
+    @gen_test
+    async def test_only_json_objects_are_answers(self):
+        for path, part in [
+            ("/200/{}", "{}"),
+            ("/200/[]", "status 200, no JSON object"),
+            ("/502/oops", "status 502, no JSON object"),
+            ('/404/{"error":"no-page"}', "no-page"),
+        ]:
+            self.assertIn(part, await self.fetch_text(path))
+        self.assertIn("refused", await self.fetch_text("/", address="127.0.0.1:1"))
+
+
 if __name__ == "__main__":
     unittest.main()
