--- a/greengagefall/coordinator/slice_decisions.py
+++ b/greengagefall/coordinator/slice_decisions.py
@@ -79,6 +79,17 @@
     return Loads(servers, slices, observed_s)
 
 
+def only_reported(
+    loads: Loads, reports: Mapping[str, ServerStatus], back_end: BackEnd, own_zone: str
+) -> Loads:
+    """Returns loads in which servers of the own zone without a dispatcher are not up."""
+    servers = dict(loads.servers)
+    for name, server in back_end.servers.items():
+        if server.zone == own_zone and name not in reports:
+            servers[name] = ServerLoad(0.0, 0.0, 0.0, up=False)
+    return loads._replace(servers=servers)
+
+
 def driven_zones(
     config: RoutingConfig, own_zone: str, lost_for_s: Mapping[str, float], patience_s: float
 ) -> set[str]:
--- a/greengagefall/coordinator/slices.py
+++ b/greengagefall/coordinator/slices.py
@@ -40,6 +40,7 @@
 STEP_PAUSE_S = 0.1
 PATIENCE_S = 2.0
 PLAN_TIMEOUT_S = 2.0
+REPORTS_TIMEOUT_S = 1.5
 BALANCE_INTERVAL_S = 10.0
 LOADS_INTERVAL_S = 5.0
 MAX_BALANCED_SHARE = 0.07
@@ -81,6 +82,7 @@
         self._lost_since_s: dict[str, float] = {}
         self._planned_s = float("-inf")
         self._loads: Loads | None = None
+        self._started_s = clock.now_s()
         self._balanced_s = clock.now_s()
         self._policies: tuple[dict[str, str], dict[str, float]] | None = None
         self._placement: Placement | None = None
@@ -124,17 +126,28 @@
         await self._change(config, back_end, slice_map)
 
     async def _change(self, config: RoutingConfig, back_end: BackEnd, slice_map: SliceMap) -> None:
+        if slice_map.version > 0 and not self._reports_are_in():
+            return
         lost_for_s = self._lost_for_s()
         zones = decisions.driven_zones(config, self._zone, lost_for_s, PATIENCE_S)
         reports = decisions.server_reports(self._contacts.statuses(), self._name)
         loads = self._observe(reports)
-        if await self._assign(config, back_end, slice_map, zones, loads):
+        targets = decisions.only_reported(loads, reports, back_end, self._zone)
+        if await self._assign(config, back_end, slice_map, zones, targets):
             return
         if await self._begin_releases(config, back_end, slice_map, zones, reports, loads):
             return
         self._drive_releases(config, back_end, slice_map, zones)
         await self._records.compact(self._name)
 
+    def _reports_are_in(self) -> bool:
+        """Returns whether each member reported, or had its time to."""
+        if self._clock.now_s() - self._started_s >= REPORTS_TIMEOUT_S:
+            return True
+        record = self._records.members
+        reported = {status.host for status in self._contacts.statuses()}
+        return record is not None and all(member.host in reported for member in record.members)
+
     def _observe(self, reports: dict[str, ServerStatus]) -> Loads:
         """Returns loads that are renewed each ``LOADS_INTERVAL_S``, with states of now."""
         now_s = self._clock.now_s()
