--- a/greengagefall/dispatch/server_dispatcher.py
+++ b/greengagefall/dispatch/server_dispatcher.py
@@ -34,7 +34,7 @@
 from greengagefall.limits.admission import QUEUES, Waiting
 from greengagefall.limits.concurrency import LIMITS
 from greengagefall.protocol.messages import Answer, Forward, Refusal, ServerStatus
-from greengagefall.routing.model import KIND_KEYED, SERVER_DRAINING
+from greengagefall.routing.model import KIND_KEYED
 from greengagefall.utils.invariants import check
 from greengagefall.utils.metrics import count, observe_ms
 
@@ -57,6 +57,7 @@
 INCARNATION_HEADER = "X-Server-Incarnation"
 HTTP_UNAVAILABLE = 503
 MS_PER_S = 1000.0
+LEAVE_S = 4.0
 HOW_IN_FLIGHT = "in_flight"
 HOW_EARLIER_DISPATCHER = "earlier_dispatcher"
 
@@ -125,7 +126,7 @@
         self._foreign_busy = 0
         self._reserved = 0
         self._upkeep: asyncio.Task | None = None
-        self.draining = server.state == SERVER_DRAINING
+        self._leaving_since_s: float | None = None
         self.taking = True
 
     def start(self) -> None:
@@ -153,7 +154,21 @@
         self.back_end = back_end
         self.server = server
         self._limits = limits
-        self.draining = server.state == SERVER_DRAINING
+
+    def set_leaving(self, leaving: bool) -> None:
+        """Notes whether the server is draining or its zone is out.
+
+        It goes on serving for ``LEAVE_S``, in which its slices find other owners.
+        """
+        if not leaving:
+            self._leaving_since_s = None
+        elif self._leaving_since_s is None:
+            self._leaving_since_s = self._clock.now_s()
+
+    def has_left(self) -> bool:
+        """Returns whether the server must get no new work."""
+        since_s = self._leaving_since_s
+        return since_s is not None and self._clock.now_s() - since_s >= LEAVE_S
 
     def in_flight(self) -> int:
         """Returns the number of requests that wait or run."""
@@ -273,7 +288,7 @@
     def _reason_against(self, forward: Forward) -> str:
         if not self.right.may_send():
             return refusals.NOT_DISPATCHER
-        if self.draining:
+        if self.has_left():
             return refusals.SERVER_DRAINING
         if self.health.state == DOWN:
             return refusals.SERVER_UNREACHABLE
@@ -413,6 +428,7 @@
             server=self.key,
             in_flight=self.limit.in_flight,
         )
+        check(not self.has_left(), "no_work_after_leaving", server=self.key)
         return check(self.right.may_send(), "no_send_without_right", server=self.key)
 
     def _request(self, forward: Forward, left_s: float) -> HttpRequest:
--- a/greengagefall/entry/dispatch_table.py
+++ b/greengagefall/entry/dispatch_table.py
@@ -10,6 +10,7 @@
 from greengagefall.dispatch.server_dispatcher import ServerDispatcher
 from greengagefall.entry import refusals
 from greengagefall.entry.refuse import refuse
+from greengagefall.routing.model import SERVER_ACTIVE, ZONE_IN
 from greengagefall.utils.waiting import wait_until
 
 if TYPE_CHECKING:
@@ -136,6 +137,7 @@
         held = self._dispatchers.get(key)
         if held is not None and held.can_take(back_end, server):
             held.update(back_end, server, config.limits)
+            held.set_leaving(_is_leaving(server, config))
             return
         if held is not None:
             self._close_later(held)
@@ -149,9 +151,15 @@
             self._clock,
         )
         self._dispatchers[key] = dispatcher
+        dispatcher.set_leaving(_is_leaving(server, config))
         dispatcher.start()
 
     def _close_later(self, dispatcher: ServerDispatcher) -> None:
         task = asyncio.create_task(dispatcher.close())
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
+
+
+def _is_leaving(server: BackendServer, config: RoutingConfig) -> bool:
+    zone_state = config.zones.get(server.zone, ZONE_IN)
+    return server.state != SERVER_ACTIVE or zone_state != ZONE_IN
