--- a/greengagefall/bench/fleet.py
+++ b/greengagefall/bench/fleet.py
@@ -156,14 +156,16 @@
         return json.loads(answer.body)
 
     async def post_json(self, address: str, path: str, body: dict[str, Any]) -> Any:
-        """Posts a JSON document, as to a fault endpoint, and returns the answer."""
-        answer = await self._http.fetch(
-            f"http://{address}{path}",
-            method="POST",
-            body=json.dumps(body),
-            request_timeout=5.0,
-            raise_error=False,
-        )
+        """Posts a JSON document, as to a fault endpoint; None if there is no answer."""
+        try:
+            answer = await self._http.fetch(
+                f"http://{address}{path}",
+                method="POST",
+                body=json.dumps(body),
+                request_timeout=5.0,
+            )
+        except (HTTPError, OSError):
+            return None
         return json.loads(answer.body) if answer.body else None
 
     async def patch(self, merge: dict[str, Any]) -> int:
--- a/greengagefall/bench/soak.py
+++ b/greengagefall/bench/soak.py
@@ -22,9 +22,9 @@
 from greengagefall.bench.soak_faults import FAULTS, Fault
 from greengagefall.bench.unavailable import recovery_times_s
 
-MAX_FAULTS = 2
+MAX_FAULTS = 3
 MIN_PAUSE_S = 0.5
-MAX_PAUSE_S = 3.0
+MAX_PAUSE_S = 2.0
 QUIET_S = 4.0
 VERSION_PERIOD_S = 0.5
 RATE_PER_S = 120.0
--- a/greengagefall/bench/soak_faults.py
+++ b/greengagefall/bench/soak_faults.py
@@ -210,10 +210,7 @@
 
 
 async def _set_cut(fleet: Fleet, address: str, cut: dict) -> None:
-    try:
-        await fleet.post_json(address, "/.greengagefall/faults", cut)
-    except OSError:
-        return
+    await fleet.post_json(address, "/.greengagefall/faults", cut)
 
 
 @FAULTS.register("zone_out")
@@ -267,10 +264,7 @@
 
 
 async def _set_server_fault(fleet: Fleet, address: str, fault: dict) -> None:
-    try:
-        await fleet.post_json(address, "/fault", fault)
-    except OSError:
-        return
+    await fleet.post_json(address, "/fault", fault)
 
 
 FAULTS.register("slow_server")(
