--- /dev/null
+++ b/greengagefall/standins/backend_cold.py
@@ -0,0 +1,75 @@
+"""Cold starts of a backend server stand-in."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from greengagefall.standins.backend_records import ColdRecord
+
+if TYPE_CHECKING:
+    from greengagefall.standins.backend_records import Records
+
+COLD_SERVICE_FACTOR = 2.0
+FALL_OVER_FACTOR = 4.0
+FALL_OVER_S = 0.5
+
+
+class ColdStart:
+    """Whether the server is cold, and what that does to its work.
+
+    Args:
+        cold_slots: Requests it bears at once in cold start.
+        records: Gets a record of each cold start.
+    """
+
+    def __init__(self, cold_slots: int, records: Records) -> None:
+        self._cold_slots = cold_slots
+        self._records = records
+        self._until_s = 0.0
+        self._announced = True
+        self._fallen_until_s = 0.0
+
+    def begin(self, cold_s: float, *, announced: bool, at_start: bool = False) -> None:
+        """Starts a cold start of ``cold_s`` seconds."""
+        now_s = time.monotonic()
+        self._until_s = now_s + cold_s
+        self._announced = announced
+        record = ColdRecord(
+            from_s=self._records.wall_s(now_s),
+            until_s=self._records.wall_s(self._until_s),
+            cold_slots=self._cold_slots,
+            announced=announced,
+            at_start=at_start,
+            refused_s=0.0,
+            incarnation=self._records.incarnation,
+        )
+        self._records.colds.append(record)
+        self._records.note("cold", record)
+
+    def is_cold(self) -> bool:
+        """Returns whether the server is in cold start."""
+        return time.monotonic() < self._until_s
+
+    def is_announced(self) -> bool:
+        """Returns whether the server says that it is in cold start."""
+        return self._announced and self.is_cold()
+
+    def takes(self, in_flight: int) -> bool:
+        """Returns whether a request may join ``in_flight`` others; if not, falls over."""
+        if not self.is_cold() or in_flight < self._cold_slots:
+            return True
+        now_s = time.monotonic()
+        self._fallen_until_s = now_s + FALL_OVER_S
+        record = self._records.colds[-1]
+        if record["refused_s"] == 0.0:
+            record["refused_s"] = self._records.wall_s(now_s)
+            self._records.note("cold", record)
+        return False
+
+    def service_factor(self) -> float:
+        """Returns by how much requests take longer now."""
+        factor = COLD_SERVICE_FACTOR if self.is_cold() else 1.0
+        if time.monotonic() < self._fallen_until_s:
+            factor *= FALL_OVER_FACTOR
+        return factor
--- a/greengagefall/standins/backend_server.py
+++ b/greengagefall/standins/backend_server.py
@@ -98,7 +98,7 @@
                 "grant": grant,
                 "busy": work.busy,
                 "slots": work.settings.slots,
-                "cold": work.says_cold(),
+                "cold": work.cold.is_announced(),
                 "draining": work.faults.draining,
             }
         )
@@ -127,7 +127,7 @@
                 "now_ms": work.now_ms(),
                 "released": work.has_released(),
                 "busy": work.busy,
-                "cold": work.says_cold(),
+                "cold": work.cold.is_announced(),
             }
         )
 
@@ -197,7 +197,7 @@
         except (TypeError, ValueError) as error:
             raise tornado.web.HTTPError(400, str(error)) from error
         if cold_s > 0:
-            self.work.turn_cold(cold_s, announced=announced)
+            self.work.cold.begin(cold_s, announced=announced)
         if freeze_s > 0:
             asyncio.get_running_loop().call_later(FREEZE_DELAY_S, time.sleep, freeze_s)
         self.finish(self.work.faults._asdict())
@@ -242,7 +242,7 @@
             "X-Request-Id": request.request_id,
             "X-Server-Incarnation": self.work.incarnation,
         }
-        if self.work.says_cold():
+        if self.work.cold.is_announced():
             headers["X-Server-Cold"] = "1"
         body: dict[str, Any] = {"request_id": request.request_id, "key_path": request.path}
         if result.outcome == OUTCOME_NOT_RUN:
--- a/greengagefall/standins/backend_work.py
+++ b/greengagefall/standins/backend_work.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 from uuid import uuid4
 
+from greengagefall.standins.backend_cold import ColdStart
 from greengagefall.standins.backend_faults import BackendFaults
 from greengagefall.standins.backend_grants import Grant, refusal_of_grant, refusal_of_request
 from greengagefall.standins.backend_records import (
@@ -16,14 +17,10 @@
     OUTCOME_RUN,
     OUTCOME_RUNNING,
     OUTCOME_STOPPED,
-    ColdRecord,
     Records,
     RequestRecord,
 )
 
-COLD_SERVICE_FACTOR = 2.0
-FALL_OVER_FACTOR = 4.0
-FALL_OVER_S = 0.5
 LOAD_SAMPLES = 4096
 
 
@@ -92,7 +89,16 @@
 
 
 class BackendWork:
-    """The server's state: its grant, its slots and what it runs."""
+    """The server's state: its grant, its slots and what it runs.
+
+    Attributes:
+        settings: Its settings.
+        incarnation: Id of this process.
+        grant: Grant that it took last.
+        faults: Faults in force.
+        records: What the oracle needs.
+        cold: Its cold start.
+    """
 
     def __init__(self, settings: BackendSettings) -> None:
         self.settings = settings
@@ -110,12 +116,10 @@
         self._by_id: dict[str, _Work] = {}
         self._runs: Counter[str] = Counter()
         self._values: Counter[str] = Counter()
-        self._cold_until_s = 0.0
-        self._cold_announced = True
-        self._fallen_until_s = 0.0
+        self.cold = ColdStart(settings.cold_slots, self.records)
         self._load: deque[tuple[float, int]] = deque(maxlen=LOAD_SAMPLES)
         if settings.cold_s > 0:
-            self.turn_cold(settings.cold_s, announced=True)
+            self.cold.begin(settings.cold_s, announced=True, at_start=True)
 
     @property
     def busy(self) -> int:
@@ -131,31 +135,6 @@
         """Returns the server's monotonic clock."""
         return int(time.monotonic() * 1000)
 
-    def is_cold(self) -> bool:
-        """Returns whether the server is in cold start."""
-        return time.monotonic() < self._cold_until_s
-
-    def says_cold(self) -> bool:
-        """Returns whether the server announces that it is in cold start."""
-        return self._cold_announced and self.is_cold()
-
-    def turn_cold(self, cold_s: float, *, announced: bool) -> None:
-        """Starts a cold start of ``cold_s`` seconds."""
-        now_s = time.monotonic()
-        self._cold_until_s = now_s + cold_s
-        self._cold_announced = announced
-        record = ColdRecord(
-            from_s=self.records.wall_s(now_s),
-            until_s=self.records.wall_s(self._cold_until_s),
-            cold_slots=self.settings.cold_slots,
-            announced=announced,
-            at_start=not self.records.requests and not self.records.colds,
-            refused_s=0.0,
-            incarnation=self.incarnation,
-        )
-        self.records.colds.append(record)
-        self.records.note("cold", record)
-
     async def wait_idle(self) -> None:
         """Waits until no request runs or waits."""
         await self._idle.wait()
@@ -250,7 +229,7 @@
             outcome=OUTCOME_PENDING,
             reason="",
             in_flight=self.busy + self.waiting,
-            cold=self.is_cold(),
+            cold=self.cold.is_cold(),
             incarnation=self.incarnation,
         )
         self.records.add_request(record)
@@ -271,8 +250,7 @@
             return "draining"
         if self.faults.shedding:
             return "shedding"
-        if self.is_cold() and record["in_flight"] >= self.settings.cold_slots:
-            self._fall_over()
+        if not self.cold.takes(record["in_flight"]):
             return "cold"
         if self.waiting >= self.settings.backlog and self.busy >= self.settings.slots:
             return "shedding"
@@ -291,14 +269,6 @@
             request.slice_fence,
         )
 
-    def _fall_over(self) -> None:
-        now_s = time.monotonic()
-        self._fallen_until_s = now_s + FALL_OVER_S
-        record = self.records.colds[-1]
-        if record["refused_s"] == 0.0:
-            record["refused_s"] = self.records.wall_s(now_s)
-            self.records.note("cold", record)
-
     async def _wait_for_slot(self, work: _Work) -> str:
         """Waits until a slot is free and takes it; returns why the request may not start."""
         while self.busy >= self.settings.slots and not work.cancelled:
@@ -343,12 +313,7 @@
         return WorkResult(record["outcome"], stopped, run, value)
 
     def _service_s(self, request: WorkRequest) -> float:
-        service_s = request.work_ms / 1000 * self.faults.slow_factor
-        if self.is_cold():
-            service_s *= COLD_SERVICE_FACTOR
-        if time.monotonic() < self._fallen_until_s:
-            service_s *= FALL_OVER_FACTOR
-        return service_s
+        return request.work_ms / 1000 * self.faults.slow_factor * self.cold.service_factor()
 
     async def _work_until(self, work: _Work, end_s: float) -> str:
         """Works until ``end_s``; returns why it stopped early.
--- a/greengagefall/standins/kv_state.py
+++ b/greengagefall/standins/kv_state.py
@@ -120,7 +120,9 @@
 
         Raises:
             LeaseNotFoundError: A put names a lease that does not exist.
+            ValueError: A key is written twice.
         """
+        _check_duplicates(ops)
         for op in ops:
             if isinstance(op, PutOp) and op.lease_id and op.lease_id not in self.leases:
                 raise LeaseNotFoundError
@@ -255,6 +257,14 @@
                 self.items.pop(item.key, None)
 
 
+def _check_duplicates(ops: list[PutOp | DeleteOp]) -> None:
+    puts = [op.key for op in ops if isinstance(op, PutOp)]
+    deletes = [op for op in ops if isinstance(op, DeleteOp)]
+    twice = len(puts) != len(set(puts))
+    if twice or any(in_range(key, op.key, op.end) for key in puts for op in deletes):
+        raise ValueError("etcdserver: duplicate key given in txn request")
+
+
 def _event_row(event: Event) -> list[Any]:
     key, value, *numbers = event.item
     return [event.kind, base64.b64encode(key).decode(), base64.b64encode(value).decode(), *numbers]
--- a/greengagefall/standins/memory_store.py
+++ b/greengagefall/standins/memory_store.py
@@ -197,6 +197,8 @@
             outcome = apply()
         except StoreUnavailableError as error:
             return Err(error)
+        except ValueError as error:
+            return Err(StoreRefusedError(str(error)))
         except LeaseNotFoundError:
             return Err(StoreLeaseLostError("the lease does not exist"))
         if self.lose_next_answer > 0:
--- a/greengagefall/tests/standins_backend_tests.py
+++ b/greengagefall/tests/standins_backend_tests.py
@@ -181,7 +181,7 @@
         self.assertGreater(cold["refused_s"], cold["from_s"])
         await self.control("POST", "/fault", {"cold_s": 3600})
         self.assertFalse((await self.control("GET", "/.server/status"))[1]["cold"])
-        self.assertTrue(self.server.work.is_cold())
+        self.assertTrue(self.server.work.cold.is_cold())
 
     async def test_drain_refuses_new_requests_and_finishes_others(self):
         running = asyncio.create_task(self.work("r1", {"X-Work-Ms": "100"}))
--- a/greengagefall/tests/store_client_tests.py
+++ b/greengagefall/tests/store_client_tests.py
@@ -10,6 +10,7 @@
 from greengagefall.standins.host_list import HostListService
 from greengagefall.standins.kv_service import KvFaults, KvService
 from greengagefall.standins.kv_state import PutOp
+from greengagefall.standins.memory_store import MemoryStore
 from greengagefall.store import gateway
 from greengagefall.store.client import StoreClient
 from greengagefall.store.exceptions import (
@@ -80,6 +81,13 @@
         items, _ = (await self.client.range("")).unwrap()
         self.assertEqual([item.key for item in items], ["b"])
 
+    async def test_key_written_twice_is_refused(self):
+        for store in (self.client, MemoryStore()):
+            puts = await store.txn([], [Put("a", {}), Put("a", {})])
+            delete = await store.txn([], [Put("a", {})], ["a"])
+            for refused in (puts, delete):
+                self.assertIsInstance(refused.unwrap_err(), StoreRefusedError)
+
     async def test_delete_range_leaves_out_the_end(self):
         for key in ("d/1", "d/2", "d/3"):
             await self.client.create(key, {})
