--- /dev/null
+++ b/greengagefall/bench/measure_coordinator.py
@@ -0,0 +1,179 @@
+"""What a zone's coordinators cost at rest: store calls, processor time, memory.
+
+Run with ``python -m greengagefall.bench.measure_coordinator``. The store, the host list and
+the entry hosts are stand-ins in this process; the coordinators are processes of their own.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+
+import click
+
+from greengagefall.bench.processes import ProcessGroup, ProcessSpec
+from greengagefall.bench.usage import Usage, usage_of
+from greengagefall.routing.registry import config_key
+from greengagefall.standins.entry_host import StandInHost
+from greengagefall.standins.host_list import HostListService
+from greengagefall.standins.kv_service import KvService
+from greengagefall.standins.kv_state import PutOp
+from greengagefall.utils.logs import setup_logging
+
+ZONE = "ee-north-a"
+BACK_END = "proofdesk"
+COORDINATORS = 2
+SLICES = 4096
+SERVERS_PER_HOST = 3
+SETTLE_S = 5.0
+POLL_S = 0.2
+MAX_POLLS = 600
+
+
+class Cost(NamedTuple):
+    """Cost of a zone's coordinators over some seconds at rest.
+
+    Attributes:
+        host_count: Entry hosts of the zone.
+        store_calls_per_s: Calls that ended, of all coordinators together.
+        watches: Waiting watches.
+        active: Usage of the active coordinator; processor time is a share of one core.
+        standby: Usage of a standby coordinator.
+    """
+
+    host_count: int
+    store_calls_per_s: float
+    watches: int
+    active: Usage
+    standby: Usage
+
+
+def config_bytes(host_count: int) -> bytes:
+    """Returns a configuration whose servers grow with the hosts."""
+    servers = ",".join(
+        f'"p{number}": {{"address": "127.0.0.1:{1000 + number}", "zone": "{ZONE}", "slots": 6}}'
+        for number in range(SERVERS_PER_HOST * host_count)
+    )
+    back_end = f'{{"kind": "keyed", "slices": {SLICES}, "servers": {{{servers}}}}}'
+    return (
+        f'{{"version": 1, "patch_id": "p", "zones": {{"{ZONE}": {{"state": "in"}}}},'
+        f' "back_ends": {{"{BACK_END}": {back_end}}}}}'
+    ).encode()
+
+
+class Zone:
+    """Stand-ins of one zone with coordinators as processes."""
+
+    def __init__(self, host_count: int) -> None:
+        self.store = KvService("127.0.0.1:0")
+        self.processes = ProcessGroup()
+        self._host_list = HostListService("127.0.0.1:0")
+        self._hosts = [StandInHost(f"a{number}", ZONE) for number in range(host_count)]
+
+    async def start(self) -> None:
+        """Starts the stand-ins and the coordinators."""
+        await self.store.start()
+        await self._host_list.start()
+        for number, host in enumerate(self._hosts):
+            await host.start()
+            first = number * SERVERS_PER_HOST
+            numbers = range(first, first + SERVERS_PER_HOST)
+            host.servers = {f"{BACK_END}/p{one}": "up" for one in numbers}
+            labels = {"host": host.host, "zone": ZONE, "state": "live", "http": ""}
+            self._host_list.register({"targets": [host.address], "labels": labels}, 0.0)
+        key = config_key(1).encode()
+        self.store.state.write([PutOp(key, config_bytes(len(self._hosts)), 0)])
+        for host in self._hosts[:COORDINATORS]:
+            self._start_coordinator(host)
+
+    async def close(self) -> None:
+        """Ends the coordinators and the stand-ins."""
+        await asyncio.to_thread(self.processes.close)
+        for host in self._hosts:
+            await host.close()
+        await self._host_list.close()
+        await self.store.close()
+
+    def _start_coordinator(self, host: StandInHost) -> None:
+        arguments = (
+            *("--host", host.host, "--zone", ZONE, "--entry-peer", host.address),
+            *("--store", self.store.address, "--host-list", self._host_list.address),
+        )
+        self.processes.start(
+            ProcessSpec(host.host, "greengagefall.commands.coordinator", arguments)
+        )
+
+    async def wait_active(self) -> None:
+        """Waits for a coordinator; the turns of hosts without one go by first."""
+        for _ in range(MAX_POLLS):
+            if self.active:
+                return
+            await asyncio.sleep(POLL_S)
+        raise TimeoutError("no coordinator became active")
+
+    @property
+    def active(self) -> str:
+        """Host of the active coordinator."""
+        return self._hosts[0].seen.seen().host
+
+    @property
+    def standby(self) -> str:
+        """Host of a standby coordinator."""
+        return next(host.host for host in self._hosts[:COORDINATORS] if host.host != self.active)
+
+    def usage(self, host: str) -> Usage:
+        """Returns what a coordinator has used."""
+        return usage_of(self.processes.pid(host))
+
+
+def spent(before: Usage, after: Usage, seconds: float) -> Usage:
+    """Returns the processor share over some seconds, and the memory at their end."""
+    return Usage((after.cpu_s - before.cpu_s) / seconds, after.resident_mib)
+
+
+async def measure(host_count: int, seconds: float) -> Cost:
+    """Returns the cost at rest in a zone with this many entry hosts."""
+    zone = Zone(host_count)
+    await zone.start()
+    try:
+        await zone.wait_active()
+        await asyncio.sleep(SETTLE_S)
+        active, standby = zone.active, zone.standby
+        calls = zone.store.counts.total()
+        before = zone.usage(active), zone.usage(standby)
+        await asyncio.sleep(seconds)
+        return Cost(
+            host_count,
+            (zone.store.counts.total() - calls) / seconds,
+            len(zone.store.watches),
+            spent(before[0], zone.usage(active), seconds),
+            spent(before[1], zone.usage(standby), seconds),
+        )
+    finally:
+        await zone.close()
+
+
+async def measure_all(host_counts: tuple[int, ...], seconds: float) -> None:
+    """Prints the cost for each number of hosts."""
+    print("hosts  store calls/s  watches  active: core share, MiB  standby: core share, MiB")
+    for host_count in host_counts:
+        cost = await measure(host_count, seconds)
+        print(
+            f"{cost.host_count:5d}  {cost.store_calls_per_s:13.2f}  {cost.watches:7d}"
+            f"  {cost.active.cpu_s:18.4f}, {cost.active.resident_mib:5.1f}"
+            f"  {cost.standby.cpu_s:19.4f}, {cost.standby.resident_mib:5.1f}",
+            flush=True,
+        )
+
+
+@click.command()
+@click.option("--hosts", multiple=True, type=int, default=(4, 20, 87), show_default=True)
+@click.option("--seconds", default=20.0, show_default=True, help="Length of each measurement.")
+def main(hosts: tuple[int, ...], seconds: float) -> None:
+    """Measures a zone's coordinators at rest."""
+    setup_logging("ERROR")
+    asyncio.run(measure_all(hosts, seconds))
+
+
+if __name__ == "__main__":
+    main()
