--- a/greengagefall/bench/fleet.py
+++ b/greengagefall/bench/fleet.py
@@ -128,6 +128,7 @@
         arguments = [
             *self._host_arguments(entry),
             *("--http-listen", entry.http, "--peer-listen", entry.peer),
+            *("--host-list", self.host_list_address),
         ]
         if self.spec.allow_faults:
             arguments.append("--allow-faults")
--- a/greengagefall/config/entry.py
+++ b/greengagefall/config/entry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from greengagefall.config.common import HostSettings, check_advertised
-from greengagefall.config.options import DurationS, Integer, IpPort, Switch
+from greengagefall.config.options import DurationS, Integer, IpPort, IpPorts, Switch
 
 
 class EntrySettings(HostSettings):
@@ -13,6 +13,8 @@
     peer_listen = IpPort(help="Address for the other processes of the system.")
     http_advertise = IpPort("", help="Address for callers as others reach it; else --http-listen.")
     peer_advertise = IpPort("", help="Address for peers as others reach it; else --peer-listen.")
+    host_list = IpPort("", help="Address of the platform's host list; none if not given.")
+    seeds = IpPorts((), help="Peer addresses of other entry hosts, asked first at start.")
     lease_ms = Integer(
         1000,
         least=200,
--- a/greengagefall/entry/host.py
+++ b/greengagefall/entry/host.py
@@ -12,6 +12,7 @@
 from greengagefall.coordination.dispatch_right import Terms
 from greengagefall.coordination.witness import Witness
 from greengagefall.entry.admin import Admin
+from greengagefall.entry.bootstrap import Bootstrap
 from greengagefall.entry.caller_interface import CallerInterface
 from greengagefall.entry.control import Control
 from greengagefall.entry.coordinator_watch import CoordinatorWatch
@@ -90,6 +91,13 @@
             self.state, self.table, self.targets, self.why_not_ready, settings.allow_faults
         )
         self.callers = CallerInterface(settings.http_listen, self.state, self.forwarder, admin)
+        self.bootstrap = Bootstrap(
+            self.state,
+            hello,
+            settings.seeds,
+            settings.host_list,
+            lambda: not self.why_not_ready(),
+        )
         self.stopping = False
         self.state.config_holder.subscribe(self._on_config)
         self.state.on_members(self._on_members)
@@ -100,6 +108,7 @@
         await self.peer_server.start()
         self.callers.start()
         self.control.start()
+        await self.bootstrap.start()
         log.info("Started. Callers: %s.", self._settings.http_listen)
 
     async def stop(self) -> None:
@@ -116,6 +125,7 @@
     async def close(self) -> None:
         """Closes everything at once."""
         await self.callers.close()
+        await self.bootstrap.close()
         await self.control.close()
         await self.table.close()
         await self.peer_server.close()
--- /dev/null
+++ b/greengagefall/tests/end_to_end_tests.py
@@ -0,0 +1,89 @@
+"""The whole path as processes on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+
+from greengagefall.bench.caller import ANSWER_BYTES
+from greengagefall.bench.fleet import STORE, BackEndSpec, Fleet, FleetSpec
+from greengagefall.dispatch.connection_pool import ConnectionPool, HttpRequest
+
+SPEC = FleetSpec(
+    ("zone-a",),
+    3,
+    (
+        BackEndSpec("proofdesk", "keyed", 2, 6, 1.0, slices=64),
+        BackEndSpec("benchline", "pooled", 1, 6, 1.0),
+    ),
+)
+TIMEOUT_S = 5.0
+HOST = "zone-a-entry-1"
+
+
+class EndToEndTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.fleet = Fleet(SPEC)
+        await self.fleet.start()
+
+    async def asyncTearDown(self):
+        await self.fleet.close()
+
+    async def ask(self, host, path, request_id, method="GET", headers=()):
+        pool = ConnectionPool(self.fleet.entries[host].http, ANSWER_BYTES)
+        rows = [["X-Request-Id", request_id], *headers]
+        try:
+            return await pool.exchange(
+                HttpRequest(method, path, rows, b""), TIMEOUT_S, lambda: True
+            )
+        finally:
+            pool.close()
+
+    async def answered(self, host, path, request_id, method="GET"):
+        """Repeats a request until it is answered, as a caller told "not run" may."""
+        while True:
+            answer = await self.ask(host, path, request_id, method)
+            body = json.loads(answer.body)
+            if answer.status == 200:
+                return body
+            self.assertTrue(body["not_run"], body)
+            await asyncio.sleep(0.1)
+
+    async def test_path_through_losses(self):
+        for host in self.fleet.entries:
+            body = await self.answered(host, "/proofdesk/order-7/item", f"keyed-{host}")
+            self.assertEqual(body["request_id"], f"keyed-{host}")
+            await self.answered(host, "/benchline/item", f"pooled-{host}")
+        await self._same_id_runs_once()
+        await self._bad_requests_are_refused()
+        await self._restart_without_store()
+        self.assertEqual(self.fleet.processes.stop(f"entry-{HOST}"), 0)
+        other = next(host for host in self.fleet.entries if host != HOST)
+        await self.answered(other, "/proofdesk/order-7/item", "after-stop")
+        statuses = await self.fleet.statuses()
+        self.assertEqual([one["violations"] for one in statuses.values() if one], [{}, {}])
+
+    async def _same_id_runs_once(self):
+        first = await self.answered(HOST, "/proofdesk/order-8/item", "once", "POST")
+        again = await self.answered(HOST, "/proofdesk/order-8/item", "once", "POST")
+        self.assertEqual(first, again)
+
+    async def _bad_requests_are_refused(self):
+        refused = await self.ask(HOST, "/nowhere/k", "r1")
+        self.assertEqual(refused.status, 404)
+        self.assertEqual(json.loads(refused.body)["reason"], "unknown_back_end")
+        refused = await self.ask(HOST, "/benchline/", "r2", headers=[["X-Timeout-Ms", "never"]])
+        self.assertEqual(json.loads(refused.body)["reason"], "bad_timeout")
+
+    async def _restart_without_store(self):
+        """A host that starts while the store is down learns everything from its peers."""
+        self.fleet.processes.kill(STORE)
+        self.fleet.processes.kill(f"entry-{HOST}")
+        self.fleet.processes.restart(f"entry-{HOST}")
+        await self.fleet.wait_ready()
+        await self.answered(HOST, "/proofdesk/order-7/item", "without-store")
+
+
+if __name__ == "__main__":
+    unittest.main()
