--- a/greengagefall/bench/oracle_owners.py
+++ b/greengagefall/bench/oracle_owners.py
@@ -81,6 +81,8 @@
     spans: SliceSpans = defaultdict(list)
     for log in logs:
         for grant in log.grants:
+            if grant["until_s"] <= grant["from_s"]:
+                continue
             for first, last, fence in grant["runs"]:
                 span = Span(
                     grant["from_s"],
--- a/greengagefall/standins/backend_records.py
+++ b/greengagefall/standins/backend_records.py
@@ -126,7 +126,10 @@
     def hold_grant(
         self, fence: int, map_version: int, runs: tuple[GrantRun, ...], now_s: float, until_s: float
     ) -> None:
-        """Records that a grant was accepted; a renewal extends the last record."""
+        """Records that a grant was accepted; a renewal extends the last record.
+
+        One that is over already, as it came late, only ends the one before.
+        """
         from_s, end_s = self.wall_s(now_s), self.wall_s(until_s)
         rows = [list(run) for run in runs]
         last = self.grants[-1] if self.grants else None
@@ -136,6 +139,8 @@
             self.note("grant", last)
             if same:
                 return
+        if until_s <= now_s:
+            return
         record = GrantRecord(
             fence=fence,
             map_version=map_version,
--- a/greengagefall/tests/standins_backend_tests.py
+++ b/greengagefall/tests/standins_backend_tests.py
@@ -103,6 +103,14 @@
         await self.grant(until_ms=10)
         self.assertEqual(self.server.work.grant.until_ms, until_ms)
 
+    async def test_grant_that_comes_too_late_holds_nothing(self):
+        await self.grant()
+        await self.grant(map_version=8, until_ms=0)
+        await self.assert_not_run("not_owner", "r1", SLICE)
+        grants = self.server.work.records.grants
+        self.assertEqual([row["map_version"] for row in grants], [7])
+        self.assertLess(grants[0]["until_s"], self.server.work.records.requests[0]["arrived_s"])
+
     async def test_ended_grant_stops_work_and_refuses_more(self):
         await self.grant(until_ms=500)
         stopped = await self.begin("r1", SLICE)
