--- a/greengagefall/bench/soak_faults.py
+++ b/greengagefall/bench/soak_faults.py
@@ -288,6 +288,18 @@
         {"late_answers": 0, "late_s": 0.0},
     )
 )
+
+
+@FAULTS.register("cold_server")
+async def cold_server(fleet: Fleet, rng: random.Random) -> Fault:
+    """Turns a backend server cold again, announced or not."""
+    server = fleet.servers[_pick_server(fleet, rng)]
+    seconds = rng.uniform(2.0, 5.0)
+    fault = {"cold_s": seconds, "announce": rng.random() < 0.5}
+    await _set_server_fault(fleet, server.address, fault)
+    return Fault("cold_server", server.name, seconds, _nothing)
+
+
 FAULTS.register("shedding_server")(
     _server_fault("shedding_server", lambda rng: {"shedding": True}, {"shedding": False})
 )
