Probe a silent link before its calls' deadlines; add planted faults for the soak

Cause: in a cut every call waited for its own deadline, and each next one was sent into the same silence. Now a link with waiting calls and no frame for 0.4 s is probed, and calls are not sent while a probe stays unanswered for 0.15 s.

--- /dev/null
+++ b/greengagefall/bench/check_planted.py
@@ -0,0 +1,75 @@
+"""``make soak-planted``: shows which check of the soak catches each planted fault."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections import Counter
+from typing import NamedTuple
+
+import click
+
+from greengagefall.bench.planted import PLANTS
+from greengagefall.bench.soak import FaultPlan, SoakOutcome, run_soak, soak_spec
+
+SECONDS = 40.0
+
+
+class PlantedRun(NamedTuple):
+    """How a planted fault is brought out.
+
+    Attributes:
+        faults: Faults of the soak that are injected.
+        checks_orders: Whether backend servers check grants and fences.
+    """
+
+    faults: tuple[str, ...]
+    checks_orders: bool = True
+
+
+RUNS = {
+    "release_without_proof": PlantedRun(("drain_server", "freeze_server")),
+    "no_lease_check": PlantedRun(("freeze_entry", "cut_host"), checks_orders=False),
+    "retry_after_unknown_outcome": PlantedRun(("kill_server", "late_answers", "freeze_server")),
+    "unknown_called_not_run": PlantedRun(("kill_server", "late_answers", "freeze_server")),
+    "no_cold_ramp": PlantedRun(("kill_server", "cold_server")),
+    "no_answer_check": PlantedRun(("crossed_answers",)),
+    "work_after_leaving": PlantedRun(("drain_server", "zone_out")),
+}
+
+
+def caught_by(outcome: SoakOutcome) -> Counter[str]:
+    """Returns the number of violations by check, those inside the processes included."""
+    caught = Counter(violation.check for violation in outcome.report.violations)
+    for name, number in outcome.log.violations.items():
+        caught[f"inside: {name.partition(' at ')[0]}"] += number
+    return +caught
+
+
+async def check_plant(name: str, seed: int, seconds: float) -> bool:
+    """Runs a soak with a planted fault; returns whether a check caught it."""
+    run = RUNS[name]
+    spec = soak_spec()._replace(planted=name)
+    back_ends = tuple(one._replace(checks_orders=run.checks_orders) for one in spec.back_ends)
+    spec = spec._replace(back_ends=back_ends)
+    outcome = await run_soak(spec, seed, seconds, FaultPlan(run.faults, 3, 2.0))
+    caught = caught_by(outcome)
+    shown = ", ".join(f"{check} ({number})" for check, number in caught.most_common())
+    print(f"| {name} | {', '.join(run.faults)} | {shown or 'not caught'} |", flush=True)
+    return bool(caught)
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True, help="Seed of faults and requests.")
+@click.option("--seconds", default=SECONDS, show_default=True, help="Length of each soak.")
+@click.option("--only", default="", help="Check this planted fault alone.")
+def main(seed: int, seconds: float, only: str) -> None:
+    """Runs a soak for each planted fault; exits 1 if one is not caught."""
+    print("| planted fault | faults injected | caught by |\n| --- | --- | --- |")
+    names = [only] if only else PLANTS.names()
+    caught = [asyncio.run(check_plant(name, seed, seconds)) for name in names]
+    sys.exit(0 if all(caught) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/greengagefall/bench/fleet.py
+++ b/greengagefall/bench/fleet.py
@@ -61,12 +61,14 @@
         entries_per_zone: Entry hosts in each zone.
         back_ends: The back ends.
         allow_faults: Whether entry hosts take fault switches.
+        planted: Planted fault of the entry hosts, empty for none.
     """
 
     zones: tuple[str, ...]
     entries_per_zone: int
     back_ends: tuple[BackEndSpec, ...]
     allow_faults: bool = True
+    planted: str = ""
 
 
 class EntryAddress(NamedTuple):
@@ -132,9 +134,11 @@
         ]
         if self.spec.allow_faults:
             arguments.append("--allow-faults")
-        self.processes.start(
-            ProcessSpec(f"entry-{host}", "greengagefall.commands.entry", tuple(arguments))
-        )
+        module = "greengagefall.commands.entry"
+        if self.spec.planted:
+            module = "greengagefall.bench.planted"
+            arguments.insert(0, self.spec.planted)
+        self.processes.start(ProcessSpec(f"entry-{host}", module, tuple(arguments)))
 
     def start_coordinator(self, host: str) -> None:
         """Starts the coordinator's process of an entry host."""
--- a/greengagefall/entry/peer_table.py
+++ b/greengagefall/entry/peer_table.py
@@ -75,6 +75,8 @@
         """
         link = await self._link(host)
         await self._wait_first_connection(host, link, timeout_s)
+        if link.suspect:
+            raise PeerUnreachableError(f"host {host} answers no probe")
         return await link.call(message, timeout_s)
 
     async def _link(self, host: str) -> PeerLink:
--- a/greengagefall/protocol/link.py
+++ b/greengagefall/protocol/link.py
@@ -40,7 +40,10 @@
 log = logging.getLogger(__name__)
 
 MAX_OUTSTANDING_CALLS = 4096
-PROBE_TIMEOUT_S = 1.5
+PROBE_TIMEOUT_S = 0.6
+# A call without any frame from the peer for this long has the link probed.
+SILENCE_S = 0.4
+SUSPECT_AFTER_S = 0.15
 STABLE_AFTER_S = 1.0
 RECONNECT_BASE_MS = 50.0
 RECONNECT_CAP_MS = 1000.0
@@ -91,6 +94,9 @@
         self._rng = random.Random()
         self._task: asyncio.Task | None = None
         self._probe_task: asyncio.Task | None = None
+        self._silence_timer: asyncio.TimerHandle | None = None
+        self._received_at_s = 0.0
+        self._probed_at_s = 0.0
 
     async def start(self) -> None:
         """Starts the task that keeps the connection; does not wait for it."""
@@ -101,6 +107,9 @@
         tasks = [task for task in (self._task, self._probe_task) if task is not None]
         self._task = None
         self._probe_task = None
+        if self._silence_timer is not None:
+            self._silence_timer.cancel()
+            self._silence_timer = None
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -112,8 +121,10 @@
 
     @property
     def suspect(self) -> bool:
-        """Whether a call timed out and the peer has not answered a probe since."""
-        return self._probe_task is not None
+        """Whether a probe has been without an answer for longer than usual."""
+        if self._probe_task is None:
+            return False
+        return asyncio.get_running_loop().time() - self._probed_at_s >= SUSPECT_AFTER_S
 
     @property
     def outstanding(self) -> int:
@@ -150,6 +161,7 @@
         loop = asyncio.get_running_loop()
         waiter = self._waiting[call_id] = loop.create_future()
         timer = loop.call_later(timeout_s, self._expire, call_id)
+        self._watch_silence(loop)
         try:
             return await waiter
         except asyncio.CancelledError:
@@ -195,20 +207,39 @@
         host = self.peer.host if self.peer else ""
         return self.blocked or faults.drops_inbound(host, self.address)
 
+    def _watch_silence(self, loop: asyncio.AbstractEventLoop) -> None:
+        if self._silence_timer is None:
+            self._silence_timer = loop.call_later(SILENCE_S, self._on_silence)
+
+    def _on_silence(self) -> None:
+        """Probes a link on which calls wait and nothing has come for a while."""
+        self._silence_timer = None
+        if not self._waiting or self._connection is None:
+            return
+        loop = asyncio.get_running_loop()
+        if loop.time() - self._received_at_s >= SILENCE_S:
+            self._start_probe()
+        self._watch_silence(loop)
+
+    def _start_probe(self) -> None:
+        if self._connection is not None and self._probe_task is None:
+            self._probed_at_s = asyncio.get_running_loop().time()
+            probe = self._probe(self._connection)
+            self._probe_task = asyncio.create_task(probe, name=f"probe {self.address}")
+
     def _expire(self, call_id: int) -> None:
         waiter = self._waiting.get(call_id)
         if waiter is None or waiter.done():
             return
         waiter.set_exception(PeerTimeoutError(f"no reply from {self.address}"))
         count("peer_call_timeouts")
-        if self._connection is not None and self._probe_task is None:
-            probe = self._probe(self._connection)
-            self._probe_task = asyncio.create_task(probe, name=f"probe {self.address}")
+        self._start_probe()
 
     async def _probe(self, connection: ClientConnection) -> None:
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 await (await connection.ping())
+            self._received_at_s = asyncio.get_running_loop().time()
             if self._drops_outbound() or self._drops_inbound():
                 self._abort(connection)
         except TimeoutError:
@@ -255,7 +286,10 @@
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 write_message(connection, self._hello)
-                peer = await read_hello(connection)
+                hello = await read_hello(connection)
+            if faults.drops_outbound(hello.host) or faults.drops_inbound(hello.host):
+                raise PeerUnreachableError("cut by a fault switch")
+            peer = hello
             self._opened(connection, peer)
             await self._read(connection)
         finally:
@@ -295,6 +329,7 @@
                 return
             if self._drops_inbound():
                 continue
+            self._received_at_s = asyncio.get_running_loop().time()
             self._receive(decode(frame))
 
     def _receive(self, message: Any) -> None:
--- a/greengagefall/tests/link_tests.py
+++ b/greengagefall/tests/link_tests.py
@@ -127,6 +127,14 @@
         await eventually(lambda: self.link.connected)
         self.assertIsInstance(await self.link.call(heartbeat(), 20), HeartbeatReply)
 
+    async def test_silent_peer_fails_waiting_calls_before_their_deadline(self):
+        # In a cut every call once waited for its deadline, with an unknown outcome.
+        call = asyncio.create_task(self.link.call(forward("1"), 3600))
+        await eventually(lambda: self.seen)
+        self.link.blocked = True
+        with self.assertRaises(PeerLostError):
+            await call
+
     async def test_late_reply_is_dropped_and_counted(self):
         before = counted("peer_late_replies")
         with self.assertRaises(PeerTimeoutError):
