--- a/greengagefall/limits/cold_ramp.py
+++ b/greengagefall/limits/cold_ramp.py
@@ -13,6 +13,7 @@
 log = logging.getLogger(__name__)
 
 DEFAULT_HOLD_S = 1.0
+MAX_HOLD_S = 30.0
 DEFAULT_STEP_S = 0.3
 DEFAULT_STEP_SUCCESSES = 3
 
@@ -22,7 +23,8 @@
 
     The bound stays at ``cold_slots`` until ``cold_hold_s`` have passed without a sign
     of cold start. Each further step takes ``cold_step_successes`` answers in a row
-    for each request in flight and at least ``cold_step_s``.
+    for each request in flight and at least ``cold_step_s``. A step that the server answers
+    with a refusal doubles the hold, up to ``MAX_HOLD_S``, until all slots were reached.
     """
 
     def __init__(self, slots: int, clock: Clock, tuning: Mapping[str, float] | None = None) -> None:
@@ -35,6 +37,7 @@
         self._bound = slots
         self._successes = 0
         self._next_step_s = 0.0
+        self._hold_factor = 1
 
     @property
     def cold(self) -> bool:
@@ -50,7 +53,8 @@
         """Goes down to ``cold_slots`` after a sign of cold start."""
         self._bound = max(1, min(cold_slots, self._slots))
         self._successes = 0
-        self._next_step_s = self._clock.now_s() + self._hold_s
+        hold_s = min(max(MAX_HOLD_S, self._hold_s), self._hold_s * self._hold_factor)
+        self._next_step_s = self._clock.now_s() + hold_s
 
     def on_success(self) -> None:
         """Counts an answer and raises the bound by one when it is due."""
@@ -65,6 +69,12 @@
         self._bound += 1
         self._successes = 0
         self._next_step_s = now_s + self._step_s
+        if not self.cold:
+            self._hold_factor = 1
+
+    def on_step_refused(self) -> None:
+        """Lengthens the hold, since the last step was too early."""
+        self._hold_factor *= 2
 
     def on_failure(self) -> None:
         """Demands a new row of answers."""
--- a/greengagefall/limits/concurrency.py
+++ b/greengagefall/limits/concurrency.py
@@ -129,6 +129,8 @@
         self.in_flight -= 1
         self._sheds += 1
         self._ramp.on_failure()
+        if self.cold and self._ramp.bound > self._cold_slots:
+            self._ramp.on_step_refused()
         self._decrease()
         if self.cold or self._sheds >= self._cold_sheds:
             self.on_cold(self._cold_slots)
--- a/greengagefall/routing/parse.py
+++ b/greengagefall/routing/parse.py
@@ -75,7 +75,7 @@
     "caller_in_flight": (64, 1, 100_000),
     "entry_in_flight": (1_024, 1, 100_000),
 }
-DEFAULT_RETRY_RATIO = 0.1
+DEFAULT_RETRY_RATIO = 0.08
 
 
 def parse_config(document: object) -> Result[RoutingConfig, ConfigError]:
