Prove a member's end only by fresh answers on its own address

Two faults of the proof "another incarnation answers": (1) a coordinator that takes over may still remember a former incarnation that the record has replaced since; it then wrote the living member as gone and the dead one as member. (2) A host replaced under its name on another address proves nothing about the old process. Now an answer counts only if its heartbeat was sent after the present record was read (the member existed before that, so another process answering later is a later one), and only on the same address; epochs.HostAnswer carries both.

--- a/greengagefall/coordination/epochs.py
+++ b/greengagefall/coordination/epochs.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from result import Err, Ok, Result
 
@@ -18,11 +18,28 @@
 from greengagefall.coordination.ring import Members, ring, window
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Collection, Iterable, Mapping
 
 FIRST_EPOCH = 1
 
 
+class HostAnswer(NamedTuple):
+    """A host's answer to a question that was sent after the present record was read.
+
+    An answer to an earlier question may come from a process that ended before the member in
+    the record began, and then proves nothing.
+
+    Attributes:
+        incarnation: Incarnation of the process that answered.
+        epoch: Epoch it acts under.
+        address: ``IP:port`` where it was asked.
+    """
+
+    incarnation: str
+    epoch: int
+    address: str
+
+
 def member_id(host: str, incarnation: str) -> str:
     """Returns the id under which a record lists a member that has ended."""
     return f"{host}/{incarnation}"
@@ -45,8 +62,10 @@
 
     Args:
         record: The present record, complete.
-        seen: Members that answered with this incarnation, or whose ``resigned`` changed. One
-            that replaces another incarnation on the same host proves the end of the other.
+        seen: Members that answered with this incarnation, or whose ``resigned`` changed. They
+            answered a question that was sent after ``record`` was read, see ``HostAnswer``, so
+            that another incarnation on the same address proves the end of the member's. On
+            another address it only takes the member's place.
         leaving: Hosts to take out; they still count as previous members that have to move.
         ended: ``host/incarnation`` that operators attested as lost; they are taken out.
         map_floors: Newest slice map version of each back end, read from the store after the
@@ -56,7 +75,7 @@
     gone = {member_id(*member[:2]) for member in record.members} & set(ended)
     for member in seen:
         known = members.get(member.host)
-        if known and known.incarnation != member.incarnation:
+        if known and known.incarnation != member.incarnation and known.address == member.address:
             gone.add(member_id(*known[:2]))
         members[member.host] = member
     for host in leaving:
@@ -83,7 +102,7 @@
 
 
 def is_complete(
-    record: MembersRecord, moved: dict[str, tuple[str, int]], ended: Collection[str] = ()
+    record: MembersRecord, answers: Mapping[str, HostAnswer], ended: Collection[str] = ()
 ) -> bool:
     """Returns whether the next epoch may be written.
 
@@ -92,15 +111,15 @@
 
     Args:
         record: The present record.
-        moved: Incarnation and epoch that each host answered with last. Another incarnation
-            than the previous member's proves that this one has ended.
+        answers: Answer of each host. Another incarnation than the previous member's on the
+            same address proves that this one has ended.
         ended: ``host/incarnation`` that operators attested as lost.
     """
-    return not blocked_windows(record, moved, ended)
+    return not blocked_windows(record, answers, ended)
 
 
 def blocked_windows(
-    record: MembersRecord, moved: dict[str, tuple[str, int]], ended: Collection[str] = ()
+    record: MembersRecord, answers: Mapping[str, HostAnswer], ended: Collection[str] = ()
 ) -> list[Members]:
     """Returns the changed windows of which no majority has moved or ended."""
     order = ring(record.previous)
@@ -111,7 +130,8 @@
         group
         for group in windows
         if identities(group) not in unchanged
-        and 2 * sum(_has_moved(record.epoch, member, moved, gone) for member in group) <= len(group)
+        and 2 * sum(_has_moved(record.epoch, member, answers, gone) for member in group)
+        <= len(group)
     ]
 
 
@@ -131,15 +151,16 @@
 
 
 def _has_moved(
-    epoch: int, member: Member, moved: dict[str, tuple[str, int]], gone: Collection[str]
+    epoch: int, member: Member, answers: Mapping[str, HostAnswer], gone: Collection[str]
 ) -> bool:
     if member_id(member.host, member.incarnation) in gone:
         return True
-    answered = moved.get(member.host)
-    if answered is None:
+    answer = answers.get(member.host)
+    if answer is None:
         return False
-    incarnation, answered_epoch = answered
-    return incarnation != member.incarnation or answered_epoch >= epoch
+    if answer.incarnation == member.incarnation:
+        return answer.epoch >= epoch
+    return answer.address == member.address
 
 
 def _sorted(members: Iterable[Member]) -> Members:
--- a/greengagefall/coordinator/contacts.py
+++ b/greengagefall/coordinator/contacts.py
@@ -92,6 +92,7 @@
         self._on_change = on_change
         self._versions: dict[str, int] | None = None
         self._heard_at_s: float | None = None
+        self._asked_at_s = 0.0
         self._sight: HostSight | None = None
         self._task: asyncio.Task | None = None
 
@@ -113,6 +114,10 @@
             return None
         return self._sight
 
+    def asked_at_s(self) -> float:
+        """Returns when the heartbeat was sent that ``sight`` answers."""
+        return self._asked_at_s
+
     def push(self) -> None:
         """Sends the documents that the host does not have yet."""
         if self._versions is None:
@@ -137,17 +142,18 @@
         heartbeat = Heartbeat(
             0, self._hello.host, 0, claim.host, claim.term, 0, self._book.versions()
         )
+        asked_at_s = self._clock.now_s()
         try:
             reply = await self.link.call(heartbeat, CALL_TIMEOUT_S)
             if isinstance(reply, HeartbeatReply):
-                self._note_reply(reply)
+                self._note_reply(reply, asked_at_s)
             status = await self.link.call(HostReport(0), CALL_TIMEOUT_S)
             if isinstance(status, HostStatus):
                 self._note_status(status)
         except ProtocolError as error:
             log.debug("No answer from %s: %s.", self.address, error)
 
-    def _note_reply(self, reply: HeartbeatReply) -> None:
+    def _note_reply(self, reply: HeartbeatReply, asked_at_s: float) -> None:
         self._versions = dict(reply.versions)
         self.push()
         peer = self.link.peer
@@ -160,6 +166,7 @@
         sight = HostSight(
             reply.host, reply.incarnation, self.address, peer.http_address, reply.epoch, resigning
         )
+        self._asked_at_s = asked_at_s
         self._see(sight)
 
     def _note_status(self, status: HostStatus) -> None:
@@ -225,9 +232,14 @@
         for contact in self._contacts.values():
             contact.push()
 
-    def sights(self) -> dict[str, HostSight]:
-        """Returns what is known of the hosts that answered lately, by host."""
-        sights = (contact.sight() for contact in self._contacts.values())
+    def sights(self, asked_since_s: float = float("-inf")) -> dict[str, HostSight]:
+        """Returns what is known of the hosts that answered lately, by host.
+
+        Args:
+            asked_since_s: Answers to heartbeats sent before this time are left out.
+        """
+        contacts = self._contacts.values()
+        sights = (one.sight() for one in contacts if one.asked_at_s() >= asked_since_s)
         return {sight.host: sight for sight in sights if sight is not None}
 
     def statuses(self) -> list[HostStatus]:
--- a/greengagefall/coordinator/members.py
+++ b/greengagefall/coordinator/members.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from greengagefall.coordination.epochs import (
+    HostAnswer,
     first_record,
     is_complete,
     member_id,
@@ -139,7 +140,9 @@
         self._listed = listed
         self._clock = clock
         self._wakeup = wakeup
-        self._answered: dict[str, tuple[str, int]] = {}
+        self._known_record: MembersRecord | None = None
+        self._known_at_s = 0.0
+        self._answered: dict[str, HostAnswer] = {}
         self._last_seen_s: dict[str, float] = {}
         self._first_seen_s: float | None = None
         self._changed_s: float | None = None
@@ -183,10 +186,17 @@
         await self._write_next(record, change)
 
     def _note_sights(self, record: MembersRecord | None) -> dict[str, HostSight]:
+        """Takes the answers to heartbeats that were sent after the record was read.
+
+        Only these prove that a member has ended, see ``HostAnswer``.
+        """
         now_s = self._clock.now_s()
-        sights = self._contacts.sights()
+        if record != self._known_record:
+            self._known_record, self._known_at_s = record, now_s
+            self._answered.clear()
+        sights = self._contacts.sights(asked_since_s=self._known_at_s)
         for host, sight in sights.items():
-            self._answered[host] = (sight.incarnation, sight.epoch)
+            self._answered[host] = HostAnswer(sight.incarnation, sight.epoch, sight.address)
             self._last_seen_s[host] = now_s
         members = record.members if record else ()
         for member in members:
