--- a/greengagefall/bench/measure_rights.py
+++ b/greengagefall/bench/measure_rights.py
@@ -265,6 +265,20 @@
     ]
 
 
+def measure_planned_stops(zone: ZoneModel, episodes: int) -> str:
+    """Lets one dispatching host after the other resign and restart."""
+    own: list[Gap] = []
+    for _ in range(episodes):
+        zone.gaps.clear()
+        host = zone.hosts[zone.rng.choice(sorted(set(zone.holders.values())))]
+        host.candidate.resign()
+        zone.run(SETTLE_S)
+        own += [gap for gap in zone.gaps if gap.holder == host.name]
+        zone.restart(host)
+        zone.run(EPISODE_S)
+    return describe_gaps("after a planned stop, servers of the stopping host", own, episodes)
+
+
 def measure_pauses(zone: ZoneModel, episodes: int, pause_s: float) -> str:
     """Pauses one dispatching host after the other."""
     lost = 0
@@ -303,6 +317,7 @@
         click.echo(line)
     for line in measure_restarts(zone, episodes):
         click.echo(line)
+    click.echo(measure_planned_stops(zone, episodes))
     for pause_s in (0.3, 0.5, 0.8, 1.5):
         click.echo(measure_pauses(zone, episodes, pause_s))
     spikes = [Delays(0.05, 0.3), Delays(0.2, 0.3), Delays(0.1, 1.0), Delays(loss=0.1)]
