Count no reply from before a right was made anew

A right that was given back and whose server left and came back (configuration, or rank lost and gained) is a new object and forgot since when replies count; a late reply to a request from before the give-back would have counted an endorsement that no longer stands. The focused test fails without the change and passes with it; 14 tests of rights and hand-back pass.

--- a/greengagefall/coordination/dispatch_right.py
+++ b/greengagefall/coordination/dispatch_right.py
@@ -72,6 +72,9 @@
 class DispatchRight:
     """One candidate's right to dispatch one backend server.
 
+    Replies to requests from before its making do not count: an earlier right of this process may
+    have given back what they endorse.
+
     Attributes:
         server_key: ``back end/server``.
         fence: Fence drawn for the right, 0 for none.
@@ -108,7 +111,7 @@
         self._open_at_s: float | None = None
         self._tail_until_s = NEVER_S
         self._valid_until_s = NEVER_S
-        self._ignore_until_s = NEVER_S
+        self._ignore_until_s = clock.now_s()
         self._seen_fence = 0
         self._map_floor = 0
 
--- a/greengagefall/tests/coordination_rights_tests.py
+++ b/greengagefall/tests/coordination_rights_tests.py
@@ -196,20 +196,54 @@
         self.assertFalse(restarted.handle(endorse("b", 1)).results[0][1])
 
 
-class PauseTests(unittest.TestCase):
-    def test_right_ends_without_a_step_of_its_holder(self) -> None:
-        clock = ManualClock()
+class SingleHostTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
         record = epochs.first_record("tanta", [epochs.Member("a", "i1", "", "", False)])
-        candidate = Candidate(Witness("a", "i1", clock), clock, random.Random(0))
-        candidate.set_servers([SERVER_KEY])
-        candidate.set_members(record)
-        for _ in range(3):
-            candidate.build_requests({})
-            clock.advance(0.05)
-        right = candidate.right(SERVER_KEY)
-        self.assertTrue(right.may_send())
-        clock.advance(Terms().usable_s())
-        self.assertFalse(right.may_send())
+        self.candidate = Candidate(Witness("a", "i1", self.clock), self.clock, random.Random(0))
+        self.candidate.set_servers([SERVER_KEY])
+        self.candidate.set_members(record)
+        self.right = self.candidate.right(SERVER_KEY)
+
+    def run_for(self, seconds: float) -> None:
+        for _ in range(round(seconds / TICK_S)):
+            self.clock.advance(TICK_S)
+            self.candidate.build_requests({})
+
+    def test_right_ends_without_a_step_of_its_holder(self) -> None:
+        self.run_for(0.5)
+        self.assertTrue(self.right.may_send())
+        self.clock.advance(Terms().usable_s())
+        self.assertFalse(self.right.may_send())
+
+    def test_gained_again_with_a_higher_fence(self) -> None:
+        self.run_for(0.5)
+        fence = self.right.fence
+        self.clock.advance(2.0)
+        self.run_for(0.5)
+        self.assertTrue(self.right.may_send())
+        self.assertGreater(self.right.fence, fence)
+
+    def test_reply_from_before_a_give_back_does_not_count(self) -> None:
+        self.run_for(0.5)
+        asked_at_s = self.clock.now_s()
+        request = endorse("a", 100, servers=[[SERVER_KEY, self.right.fence]])
+        reply = Witness("a", "i1", self.clock).handle(request)
+        reply = reply._replace(epoch=1, results=[[SERVER_KEY, True, self.right.fence, False]])
+        for again in ([SERVER_KEY], []):
+            self.candidate.set_servers(again)
+            self.candidate.give_back(SERVER_KEY)
+        self.candidate.set_servers([SERVER_KEY])
+        self.candidate.on_reply(reply, asked_at_s)
+        self.assertFalse(self.candidate.right(SERVER_KEY).has_support())
+
+    def test_resigned_host_gives_back_and_asks_no_more(self) -> None:
+        self.run_for(0.5)
+        self.candidate.resign()
+        self.assertFalse(self.right.may_send())
+        self.run_for(2.0)
+        self.assertEqual(self.candidate.held(), [])
+        self.assertEqual(self.candidate.holder_host(SERVER_KEY), "")
 
 
 if __name__ == "__main__":
