Fuzz request outcomes: runs against what callers are told

A stateful machine drives the real dispatcher with a scripted server (lost, late, crossed, too large answers, lost rights, restarts, callers that leave, resent ids); a property test drives the real forwarder.

--- /dev/null
+++ b/greengagefall/tests/request_outcome_tests.py
@@ -0,0 +1,266 @@
+"""Runs of requests against what callers are told, through the real dispatcher and forwarder."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections import Counter
+from types import SimpleNamespace
+from typing import ClassVar
+
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from result import Ok
+from tornado.httputil import HTTPHeaders
+
+from greengagefall.coordination.grants import GrantLedger
+from greengagefall.dispatch.connection_pool import HttpAnswer
+from greengagefall.dispatch.exceptions import (
+    AnswerLostError,
+    AnswerTimeoutError,
+    AnswerTooLargeError,
+    NotSentError,
+    SendRefusedError,
+)
+from greengagefall.dispatch.server_control import ServerReading
+from greengagefall.dispatch.server_dispatcher import ServerDispatcher
+from greengagefall.entry import refusals
+from greengagefall.entry.forwarder import Forwarder
+from greengagefall.entry.refuse import refuse
+from greengagefall.entry.targets import Target
+from greengagefall.protocol.messages import Answer, Forward
+from greengagefall.routing.parse import parse_config
+from greengagefall.utils import invariants
+from greengagefall.utils.clock import SystemClock
+
+IDS = [f"{kind}-{number}" for kind in ("read", "write") for number in range(3)]
+RESULTS = ["ok", "refused", "lost_ran", "lost_not_run", "timeout", "crossed", "large", "not_sent"]
+RAN = {"ok", "lost_ran", "timeout", "crossed", "large"}
+DOCUMENT = {
+    "zones": {"a": {"state": "in"}},
+    "back_ends": {
+        "benchline": {
+            "kind": "pooled",
+            "queue_limit": 2,
+            "servers": {"b1": {"address": "127.0.0.1:9", "zone": "a", "slots": 2}},
+        }
+    },
+}
+CONFIG = parse_config(DOCUMENT).ok_value
+BACK_END = CONFIG.back_ends["benchline"]
+
+
+def forward(request_id):
+    repeatable = request_id.startswith("read")
+    names = ("benchline", "b1", -1, 0, 0, "GET" if repeatable else "POST", "/", [], b"")
+    return Forward(0, request_id, *names, 60_000, repeatable, 0, "caller", "")
+
+
+class FakePool:
+    """A server whose results the test chooses; counts what ran."""
+
+    def __init__(self):
+        self.waiting = []
+        self.runs = Counter()
+
+    async def exchange(self, request, timeout_s, may_send):
+        if not may_send():
+            raise SendRefusedError("no right")
+        request_id = dict(map(tuple, request.headers))["X-Request-Id"]
+        future = asyncio.get_running_loop().create_future()
+        self.waiting.append((request_id, future))
+        result = await future
+        return answer_of(request_id, result)
+
+    def finish(self, index, result):
+        request_id, future = self.waiting.pop(index % len(self.waiting))
+        if future.done():
+            # The dispatcher closed the connection; the server may run it all the same.
+            self.runs[request_id] += result in RAN
+            return
+        self.runs[request_id] += result in RAN
+        future.set_result(result)
+
+    def close(self):
+        self.waiting.clear()
+
+
+def answer_of(request_id, result):
+    errors = {
+        "lost_ran": AnswerLostError,
+        "lost_not_run": AnswerLostError,
+        "timeout": AnswerTimeoutError,
+        "large": AnswerTooLargeError,
+        "not_sent": NotSentError,
+    }
+    if result in errors:
+        raise errors[result](result)
+    if result == "refused":
+        headers = HTTPHeaders({"X-Request-Id": request_id, "X-Not-Run": "shedding"})
+        return HttpAnswer(503, headers, b"")
+    answered = "another" if result == "crossed" else request_id
+    return HttpAnswer(200, HTTPHeaders({"X-Request-Id": answered}), answered.encode())
+
+
+class DispatcherMachine(RuleBasedStateMachine):
+    """Requests, resent ids, lost rights, restarts and callers that leave."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.right = SimpleNamespace(fence=7, held=True)
+        self.right.may_send = lambda: self.right.held
+        self.pool = FakePool()
+        self.tasks = []
+        self.violations = Counter(invariants.violations())
+        self.loop.run_until_complete(self.start())
+
+    async def start(self):
+        clock = SystemClock()
+        ledger = GrantLedger("benchline/b1", clock)
+        self.dispatcher = ServerDispatcher(
+            BACK_END, BACK_END.servers["b1"], CONFIG.limits, self.right, ledger, lambda: None, clock
+        )
+        self.dispatcher._pool = self.pool
+        self.read("i1")
+
+    def read(self, incarnation):
+        busy = self.dispatcher.limit.in_flight
+        self.dispatcher.health.on_answer(False)
+        self.dispatcher._on_reading(ServerReading(incarnation, 1, False, busy, True, "", 0, 0))
+
+    def step(self):
+        async def settle():
+            for _ in range(6):
+                await asyncio.sleep(0)
+
+        self.loop.run_until_complete(settle())
+        for task, request_id in list(self.tasks):
+            if task.done():
+                self.tasks.remove((task, request_id))
+                if not task.cancelled():
+                    self.judge(request_id, task.result())
+
+    def judge(self, request_id, outcome):
+        assert outcome.request_id == request_id
+        if isinstance(outcome, Answer):
+            assert outcome.body == request_id.encode()
+            assert self.pool.runs[request_id] >= 1
+        elif outcome.not_run and request_id.startswith("write"):
+            assert self.pool.runs[request_id] == 0, "told not run, but it ran"
+
+    @rule(request_id=st.sampled_from(IDS))
+    def submit(self, request_id):
+        task = self.loop.create_task(self.dispatcher.submit(forward(request_id)))
+        self.tasks.append((task, request_id))
+        self.step()
+
+    @rule(index=st.integers(0, 9), result=st.sampled_from(RESULTS))
+    def server_finishes(self, index, result):
+        if self.pool.waiting:
+            self.pool.finish(index, result)
+            self.step()
+
+    @rule(index=st.integers(0, 9))
+    def caller_leaves(self, index):
+        if self.tasks:
+            self.tasks[index % len(self.tasks)][0].cancel()
+            self.step()
+
+    @rule(held=st.booleans())
+    def right_changes(self, held):
+        self.right.held = held
+
+    @rule(incarnation=st.sampled_from(["i1", "i2"]))
+    def server_answers_control(self, incarnation):
+        self.read(incarnation)
+        self.step()
+
+    @invariant()
+    def runs_at_most_once(self):
+        for request_id, runs in self.pool.runs.items():
+            assert request_id.startswith("read") or runs <= 1, f"{request_id} ran {runs} times"
+
+    @invariant()
+    def slots_and_inner_invariants_hold(self):
+        assert self.dispatcher.limit.in_flight <= 2
+        assert Counter(invariants.violations()) == self.violations
+
+    def teardown(self):
+        for task, _ in self.tasks:
+            task.cancel()
+        self.loop.run_until_complete(self.end_all())
+        self.loop.close()
+
+    async def end_all(self):
+        pending = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in pending:
+            task.cancel()
+        await asyncio.gather(*pending, return_exceptions=True)
+
+
+DispatcherOutcomeTests = DispatcherMachine.TestCase
+
+
+class ForwarderOutcomeTests(unittest.TestCase):
+    @given(results=st.lists(st.sampled_from(RESULTS), max_size=12), repeatable=st.booleans())
+    def test_outcome_told_is_true(self, results, repeatable):
+        runs, outcome = asyncio.run(self.drive(list(results), repeatable))
+        if not repeatable:
+            self.assertLessEqual(runs, 1)
+        if isinstance(outcome, Answer):
+            self.assertGreaterEqual(runs, 1)
+        elif outcome.not_run and not repeatable:
+            self.assertEqual(runs, 0)
+
+    async def drive(self, results, repeatable):
+        transport = ScriptedTransport(results)
+        targets = SimpleNamespace(
+            find=lambda request, tried: Ok(Target("p/s", "s", "h", 1, 1, 1)),
+            learn=lambda target, outcome: None,
+        )
+        forwarder = Forwarder(targets, transport, None, SystemClock(), 10.0)
+        forwarder._pause = no_pause
+        request = SimpleNamespace(
+            request_id="r",
+            back_end=BACK_END._replace(kind="keyed"),
+            request_class=SimpleNamespace(repeatable=repeatable, priority=0),
+            method="POST",
+            path="/",
+            headers=[],
+            body=b"",
+            timeout_ms=60_000,
+            caller="c",
+        )
+        outcome = await forwarder.forward(request)
+        return transport.runs, outcome
+
+
+class ScriptedTransport:
+    """Gives the scripted results one after the other, then answers."""
+
+    REASONS: ClassVar = {
+        "refused": refusals.SERVER_REFUSED,
+        "lost_ran": refusals.OUTCOME_UNKNOWN,
+        "lost_not_run": refusals.OUTCOME_UNKNOWN,
+        "timeout": refusals.TIMED_OUT,
+        "crossed": refusals.CROSSED_ANSWER,
+        "large": refusals.ANSWER_TOO_LARGE,
+        "not_sent": refusals.SERVER_UNREACHABLE,
+    }
+
+    def __init__(self, results):
+        self.results = results
+        self.runs = 0
+
+    async def send(self, target, message):
+        result = self.results.pop(0) if self.results else "ok"
+        self.runs += result in RAN
+        if result == "ok":
+            return Answer(0, message.request_id, 200, [], b"", 0, 0.0)
+        return refuse(message.request_id, self.REASONS[result])
+
+
+async def no_pause(attempt, outcome, redirected, deadline_s):
+    return True
