--- a/greengagefall/tests/end_to_end_tests.py
+++ b/greengagefall/tests/end_to_end_tests.py
@@ -25,11 +25,9 @@
 class EndToEndTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.fleet = Fleet(SPEC)
+        self.addAsyncCleanup(self.fleet.close)
         await self.fleet.start()
 
-    async def asyncTearDown(self):
-        await self.fleet.close()
-
     async def ask(self, host, path, request_id, method="GET", headers=()):
         pool = ConnectionPool(self.fleet.entries[host].http, ANSWER_BYTES)
         rows = [["X-Request-Id", request_id], *headers]
