--- a/greengagefall/bench/policies_keyed_figures.py
+++ b/greengagefall/bench/policies_keyed_figures.py
@@ -23,7 +23,8 @@
 ZONE_UTILISATION = 0.5
 ZONE_OUT_S = 10.0
 ZONE_IN_S = 30.0
-ZONE_RUN_S = 110.0
+ZONE_SETTLED_S = 90.0
+ZONE_RUN_S = 115.0
 NO_NEW_WORK_AFTER_S = 5.0
 
 
@@ -94,6 +95,7 @@
     during = [end for end in run.ends if end.request.start_s >= ZONE_OUT_S]
     leaving = [end for end in during if end.request.start_s < ZONE_IN_S]
     back = [end for end in during if end.request.start_s >= ZONE_IN_S]
+    settled = [end for end in back if end.request.start_s >= ZONE_SETTLED_S]
     gaps_s = run.planner.unavailable_s
     return {
         "churn_leave": (moved[1] - moved[0]) / home,
@@ -102,6 +104,7 @@
         "served_return": _served(back),
         "p99_leave_ms": quantile([end.took_ms for end in leaving], 0.99),
         "p99_return_ms": quantile([end.took_ms for end in back], 0.99),
+        "p99_settled_ms": quantile([end.took_ms for end in settled], 0.99),
         "unavailable_slice_s": sum(gaps_s),
         "longest_gap_s": max(gaps_s, default=0.0),
         "late_work": float(late_work),
