Race coordinators in a state machine; test single decisions

Two coordinators of one zone and one of another act on one store, each on what it knows, with answers lost after and before writes took effect, restarts, zones out and in, servers down and up, and compaction after two deltas.

--- a/greengagefall/coordinator/releases.py
+++ b/greengagefall/coordinator/releases.py
@@ -88,6 +88,17 @@
             return []
         return [run for run in slice_map.releasing_from(server) if not self._is_proved(run)]
 
+    async def ask_once(self, server: str) -> bool:
+        """Asks once whether the server released what it has to; keeps the proof if so."""
+        runs = self.unproved(server)
+        if not runs:
+            return False
+        version = self._records.slice_map(self._back_end).version
+        if not await self._ask(server, runs, version):
+            return False
+        self._prove(runs)
+        return True
+
     def _is_proved(self, run: SliceRun) -> bool:
         proof = Proof(run.owner, run.fence)
         return all(self.proofs.get(number) == proof for number in range(run.first, run.last + 1))
@@ -99,12 +110,9 @@
         self._tasks[server] = asyncio.create_task(work(server), name=f"release {server}")
 
     async def _ask_until_released(self, server: str) -> None:
-        while runs := self.unproved(server):
-            version = self._records.slice_map(self._back_end).version
-            if await self._ask(server, runs, version):
-                self._prove(runs)
-                continue
-            await asyncio.sleep(random.uniform(0.8, 1.2) * ASK_INTERVAL_S)
+        while self.unproved(server):
+            if not await self.ask_once(server):
+                await asyncio.sleep(random.uniform(0.8, 1.2) * ASK_INTERVAL_S)
 
     async def _wait_until_run_out(self, server: str) -> None:
         while runs := self.unproved(server):
--- /dev/null
+++ b/greengagefall/tests/coordinator_decisions_tests.py
@@ -0,0 +1,116 @@
+"""Tests of single decisions of the coordinator."""
+
+from __future__ import annotations
+
+import unittest
+
+from result import Ok
+
+from greengagefall.balancing.loads import NO_LOADS
+from greengagefall.coordination.epochs import first_record
+from greengagefall.coordination.model import SLICE_OWNED, SLICE_RELEASING, Member, SliceRun
+from greengagefall.coordination.slice_map import SliceMap
+from greengagefall.coordinator import slice_decisions as decisions
+from greengagefall.coordinator.contacts import HostSight
+from greengagefall.coordinator.members import LEAVE_AFTER_S, plan_change
+from greengagefall.coordinator.slice_decisions import Proof
+from greengagefall.protocol.messages import HostStatus
+from greengagefall.routing.parse import parse_config
+from greengagefall.tests.coordinator_settings import BACK_END, config_document, servers_of
+
+ZONE_A = "ee-north-a"
+ZONE_B = "ee-north-b"
+SERVERS = servers_of(ZONE_A, "p1", "p2") | servers_of(ZONE_B, "q1")
+
+
+def config_of(**changes):
+    parsed = parse_config(config_document(1, SERVERS, **changes))
+    assert isinstance(parsed, Ok), parsed
+    return parsed.ok_value
+
+
+def map_of(*runs: SliceRun) -> SliceMap:
+    return SliceMap(BACK_END, 64, 9, runs)
+
+
+def report(server: str, state: str, host: str = "a0") -> HostStatus:
+    row = [f"{BACK_END}/{server}", state, 1.0, 0.0, 6, 0.0, 0.0]
+    return HostStatus(0, host, "1", 1, False, [row], {}, {})
+
+
+class SliceDecisionTests(unittest.TestCase):
+    def setUp(self):
+        self.back_end = config_of().back_ends[BACK_END]
+        self.map = map_of(
+            SliceRun(0, 31, SLICE_RELEASING, "p1", 5, ZONE_A),
+            SliceRun(32, 63, SLICE_OWNED, "q1", 1, ZONE_B),
+        )
+
+    def assignable(self, proofs: dict[int, Proof]) -> list[tuple[int, int]]:
+        runs = decisions.assignable_runs(self.map, self.back_end, {ZONE_A}, proofs, False)
+        return [(run.first, run.last) for run in runs]
+
+    def test_proof_of_an_earlier_appointment_or_owner_does_not_count(self):
+        self.assertEqual(self.assignable({}), [])
+        self.assertEqual(self.assignable({3: Proof("p1", 4), 4: Proof("p2", 5)}), [])
+        proofs = {number: Proof("p1", 5) for number in (3, 4, 5, 31, 32)}
+        self.assertEqual(self.assignable(proofs), [(3, 5), (31, 31)])
+
+    def test_other_zones_releases_are_left_alone(self):
+        proofs = {number: Proof("p1", 5) for number in range(32)}
+        runs = decisions.assignable_runs(self.map, self.back_end, {ZONE_B}, proofs, False)
+        self.assertEqual(runs, [])
+
+    def test_best_report_counts_when_two_dispatchers_report_a_server(self):
+        statuses = [report("p1", "down"), report("p1", "up", "a1"), report("p1", "down", "a2")]
+        self.assertEqual(decisions.server_reports(statuses, BACK_END)["p1"].state, "up")
+
+    def test_planned_owner_is_dropped_when_it_is_down(self):
+        reports = decisions.server_reports([report("p1", "up"), report("p2", "down")], BACK_END)
+        loads = decisions.loads_of(reports, [], BACK_END, 0.0)
+        runs = [SliceRun(0, 31, SLICE_RELEASING, "p1", 5, ZONE_A)]
+        zones = {ZONE_A: "in", ZONE_B: "in"}
+        wanted = dict.fromkeys(range(32), "p2")
+        moves = decisions.choose_owners(runs, self.map, self.back_end, loads, zones, wanted)
+        self.assertEqual({move.target for move in moves}, {"p1"})
+        moves = decisions.choose_owners(runs, self.map, self.back_end, NO_LOADS, zones, wanted)
+        self.assertEqual([move[:4] for move in moves], [(0, 31, "p1", "p2")])
+
+    def test_lost_zone_is_driven_by_the_first_zone_that_is_in(self):
+        zones = {ZONE_A: {"state": "in"}, ZONE_B: {"state": "in"}, "x": {"state": "lost"}}
+        config = config_of(zones=zones)
+        driven = [
+            decisions.driven_zones(config, ZONE_A, {"x": 0.0}, 2.0),
+            decisions.driven_zones(config, ZONE_B, {"x": 0.0}, 2.0),
+            decisions.driven_zones(config, ZONE_B, {"x": 2.0}, 2.0),
+            decisions.driven_zones(config, "x", {"x": 9.0}, 2.0),
+        ]
+        self.assertEqual(driven, [{ZONE_A, "x"}, {ZONE_B}, {ZONE_B, "x"}, {"x"}])
+
+
+class MembersDecisionTests(unittest.TestCase):
+    def setUp(self):
+        members = [Member(name, "1", name, "", False) for name in ("a0", "a1", "a2")]
+        self.record = first_record(ZONE_A, members)
+        self.sights = {name: HostSight(name, "1", name, "", 1, False) for name in ("a0", "a1")}
+
+    def plan(self, listed, silent_s=LEAVE_AFTER_S, lost=()):
+        return plan_change(self.record, self.sights, {"a2": silent_s}, listed, lost)
+
+    def test_silence_alone_removes_nobody(self):
+        self.assertTrue(self.plan(None).empty)
+        self.assertTrue(self.plan({"a2": "live"}).empty)
+        self.assertTrue(self.plan({"a2": "leaving"}, silent_s=0.0).empty)
+        self.assertEqual(self.plan({"a2": "leaving"}).leaving, ("a2",))
+        self.assertEqual(self.plan({}).leaving, ("a2",))
+
+    def test_attested_incarnation_is_ended_and_not_seen_again(self):
+        self.assertEqual(self.plan(None, lost=("a2/1", "b/1")).ended, ("a2/1",))
+        change = self.plan(None, lost=("a0/1",))
+        self.assertEqual((change.seen, change.ended), ((), ("a0/1",)))
+
+    def test_resigning_stranger_does_not_join(self):
+        self.sights["a9"] = HostSight("a9", "1", "a9", "", 0, True)
+        self.assertTrue(self.plan(None).empty)
+        self.sights["a9"] = self.sights["a9"]._replace(resigning=False)
+        self.assertEqual([member.host for member in self.plan(None).seen], ["a9"])
--- /dev/null
+++ b/greengagefall/tests/coordinator_machine_tests.py
@@ -0,0 +1,250 @@
+"""Coordinators that race with each other, with lost answers, against an oracle of grants."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from greengagefall.coordinator import records as coordinator_records
+from greengagefall.coordinator.records import BACKENDS_PREFIX, PREFIXES, Records
+from greengagefall.coordinator.releases import Releases
+from greengagefall.coordinator.slices import SliceKeeper
+from greengagefall.coordinator.wakeup import Wakeup
+from greengagefall.protocol.messages import HostStatus, Release, Released
+from greengagefall.routing.registry import config_key
+from greengagefall.standins.kv_state import KvState
+from greengagefall.standins.memory_store import MemoryStore
+from greengagefall.tests.coordinator_settings import BACK_END, config_document, servers_of
+from greengagefall.utils import invariants
+from greengagefall.utils.clock import ManualClock
+
+if TYPE_CHECKING:
+    from greengagefall.coordination.model import SliceRun
+
+ZONE_A = "ee-north-a"
+ZONE_B = "ee-north-b"
+SERVERS = servers_of(ZONE_A, "p1", "p2") | servers_of(ZONE_B, "q1", "q2")
+ZONE_SERVERS = {ZONE_A: ("p1", "p2"), ZONE_B: ("q1", "q2")}
+SLICE_COUNT = 64
+COMPACT_AFTER_DELTAS = 2
+COORDINATOR_ZONES = (ZONE_A, ZONE_A, ZONE_B)
+
+coordinators = st.sampled_from(range(len(COORDINATOR_ZONES)))
+server_names = st.sampled_from(sorted(SERVERS))
+
+
+class IdleReleases(Releases):
+    """Starts no tasks: the machine asks for releases itself."""
+
+    def drive(self, servers: Any, lost: Any) -> None:
+        """Starts nothing."""
+
+
+class Dispatcher:
+    """Grants a server its slices by the map version that it knows, never by an older one."""
+
+    def __init__(self, server: str) -> None:
+        self.server = server
+        self.version = -1
+        self.granted: dict[int, int] = {}
+        self.state = "up"
+
+    def follow(self, newest: Records) -> None:
+        """Takes the newest map over, and grants by it."""
+        slice_map = newest.slice_map(BACK_END)
+        if slice_map is None or slice_map.version < self.version:
+            return
+        self.version = slice_map.version
+        self.granted = {
+            number: run.fence
+            for run in slice_map.owned_by(self.server)
+            for number in range(run.first, run.last + 1)
+        }
+
+    def released(self, message: Release) -> bool:
+        """Returns whether the slices are certainly not granted any more."""
+        wanted = {n for first, last in message.runs for n in range(first, last + 1)}
+        return self.version >= message.map_version and not wanted & self.granted.keys()
+
+
+class Contacts:
+    """Connections of one coordinator with the hosts of its zone; a host is its server."""
+
+    def __init__(self, zone: str, dispatchers: dict[str, Dispatcher]) -> None:
+        self._dispatchers = {name: dispatchers[name] for name in ZONE_SERVERS[zone]}
+
+    def statuses(self) -> list[HostStatus]:
+        """Returns the state of each server of the zone."""
+        return [
+            HostStatus(
+                0, name, "1", 1, False, [[f"{BACK_END}/{name}", one.state, 1, 0, 6, 0, 0]], {}, {}
+            )
+            for name, one in self._dispatchers.items()
+        ]
+
+    def link_to(self, host: str) -> Any:
+        """Returns the connection with a host."""
+        return Link(self._dispatchers[host])
+
+
+class Link:
+    """Connection with a dispatcher."""
+
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        self._dispatcher = dispatcher
+
+    async def call(self, message: Release, timeout_s: float) -> Released:
+        """Answers a release."""
+        return Released(0, self._dispatcher.released(message), "", 1)
+
+
+class CoordinatorsMachine(RuleBasedStateMachine):
+    """Two coordinators of one zone and one of another, on one store."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        invariants.reset_violations()
+        self.loop = asyncio.new_event_loop()
+        self.compact_after = coordinator_records.COMPACT_AFTER_DELTAS
+        coordinator_records.COMPACT_AFTER_DELTAS = COMPACT_AFTER_DELTAS
+        self.state = KvState()
+        self.clock = ManualClock(100.0)
+        self.config_version = 0
+        self.fences: dict[int, int] = {}
+        self.history: dict[int, list[SliceRun]] = {}
+        self.dispatchers = {name: Dispatcher(name) for name in SERVERS}
+        self.stores = [MemoryStore(self.state) for _ in COORDINATOR_ZONES]
+        self.records: list[Records] = [None] * len(COORDINATOR_ZONES)
+        self.keepers: list[SliceKeeper] = [None] * len(COORDINATOR_ZONES)
+        self.configure("in")
+        for number in range(len(COORDINATOR_ZONES)):
+            self.restart(number)
+        self.settle()
+
+    def teardown(self) -> None:
+        coordinator_records.COMPACT_AFTER_DELTAS = self.compact_after
+        self.loop.close()
+
+    def run(self, work: Any) -> Any:
+        return self.loop.run_until_complete(work)
+
+    @rule(state=st.sampled_from(("in", "out")))
+    def configure(self, state: str) -> None:
+        """Takes zone A out or in."""
+        self.config_version += 1
+        zones = {ZONE_A: {"state": state}, ZONE_B: {"state": "in"}}
+        document = config_document(self.config_version, SERVERS, zones=zones)
+        store = MemoryStore(self.state)
+        self.run(store.create(config_key(self.config_version), document))
+
+    @rule(number=coordinators)
+    def restart(self, number: int) -> None:
+        """Starts a coordinator without memory; the other goes on unaware."""
+        zone, store = COORDINATOR_ZONES[number], self.stores[number]
+        records = Records(store, zone, lambda: None)
+        contacts = Contacts(zone, self.dispatchers)
+        keeper = SliceKeeper(BACK_END, zone, records, contacts, self.clock, Wakeup())
+        keeper.releases = IdleReleases(BACK_END, records, contacts, lambda: None)
+        self.records[number], self.keepers[number] = records, keeper
+        for prefix in PREFIXES:
+            self.run(records.read(prefix))
+
+    @rule(number=coordinators, fault=st.sampled_from(("", "answer", "write")), asks=st.booleans())
+    def act(self, number: int, fault: str, asks: bool) -> None:
+        """Lets a coordinator act on what it knows, be that old."""
+        self.clock.advance(0.5)
+        if asks:
+            self.ask(number)
+        store = self.stores[number]
+        store.lose_next_answer = int(fault == "answer")
+        store.lose_next_write = int(fault == "write")
+        self.run(self.keepers[number].step())
+        store.lose_next_answer = store.lose_next_write = 0
+
+    @rule(number=coordinators, fault=st.sampled_from(("", "", "answer", "write")))
+    def follow_and_act(self, number: int, fault: str) -> None:
+        """Lets a coordinator see the newest records, ask for releases and act."""
+        for prefix in PREFIXES:
+            self.run(self.records[number].read(prefix))
+        self.act(number, fault, asks=True)
+
+    def ask(self, number: int) -> None:
+        """Lets a coordinator ask for the releases of its own zone."""
+        for server in ZONE_SERVERS[COORDINATOR_ZONES[number]]:
+            self.run(self.keepers[number].releases.ask_once(server))
+
+    @rule(server=server_names)
+    def dispatcher_follows(self, server: str) -> None:
+        """Lets a dispatcher learn the newest map and grant by it."""
+        self.dispatchers[server].follow(self.newest())
+
+    @rule(server=server_names, state=st.sampled_from(("up", "down")))
+    def report(self, server: str, state: str) -> None:
+        """Changes a server's state."""
+        self.dispatchers[server].state = state
+
+    @rule(quiet=st.sampled_from((True, False, False, False)))
+    def settle_or_not(self, quiet: bool) -> None:
+        """Settles now and then only, so that most steps race."""
+        if quiet:
+            self.settle()
+
+    def settle(self) -> None:
+        """Lets all coordinators and dispatchers follow, ask and act for a while."""
+        for _ in range(4):
+            self.clock.advance(3.0)
+            for number in range(len(COORDINATOR_ZONES)):
+                for server in SERVERS:
+                    self.dispatcher_follows(server)
+                self.follow_and_act(number, "")
+                self.coordinators_agree_on_each_version()
+
+    def newest(self) -> Records:
+        """Returns the records of a fresh reader of the store."""
+        fresh = Records(MemoryStore(self.state), ZONE_A, lambda: None)
+        self.run(fresh.read(BACKENDS_PREFIX))
+        return fresh
+
+    @invariant()
+    def no_slice_has_two_owners(self) -> None:
+        granted: dict[int, str] = {}
+        for name, dispatcher in self.dispatchers.items():
+            for number in dispatcher.granted:
+                assert number not in granted, (number, name, granted[number])
+                granted[number] = name
+
+    @invariant()
+    def fences_only_grow_and_all_slices_are_covered(self) -> None:
+        slice_map = self.newest().slice_map(BACK_END)
+        if slice_map is None:
+            return
+        for run in slice_map.runs():
+            for number in range(run.first, run.last + 1):
+                assert run.fence >= self.fences.get(number, 0)
+                self.fences[number] = run.fence
+        assert slice_map.runs()[-1].last == SLICE_COUNT - 1
+
+    @invariant()
+    def coordinators_agree_on_each_version(self) -> None:
+        newest = self.newest().slice_map(BACK_END)
+        if newest is None:
+            return
+        known = self.history.setdefault(newest.version, newest.runs())
+        assert known == newest.runs()
+        for records in self.records:
+            held = records.slice_map(BACK_END)
+            if held is not None:
+                assert held.version <= newest.version
+                assert held.runs() == self.history.get(held.version, held.runs())
+
+    @invariant()
+    def no_invariant_is_violated(self) -> None:
+        assert invariants.violations() == {}
+
+
+class CoordinatorsMachineTests(CoordinatorsMachine.TestCase):
+    settings = settings(max_examples=80, stateful_step_count=50, deadline=None)
