--- a/greengagefall/bench/fleet.py
+++ b/greengagefall/bench/fleet.py
@@ -22,6 +22,7 @@
 READY_TIMEOUT_S = 40.0
 POLL_S = 0.1
 PATCH_TRIES = 100
+PLANTED_PROGRAM = "greengagefall.tests.planted_program"
 PATCH_PAUSE_S = 0.3
 
 
@@ -61,12 +62,14 @@
         entries_per_zone: Entry hosts in each zone.
         back_ends: The back ends.
         allow_faults: Whether entry hosts take fault switches.
+        plant: Planted fault in entry hosts and backend servers, empty for none.
     """
 
     zones: tuple[str, ...]
     entries_per_zone: int
     back_ends: tuple[BackEndSpec, ...]
     allow_faults: bool = True
+    plant: str = ""
 
 
 class EntryAddress(NamedTuple):
@@ -132,9 +135,7 @@
         ]
         if self.spec.allow_faults:
             arguments.append("--allow-faults")
-        self.processes.start(
-            ProcessSpec(f"entry-{host}", "greengagefall.commands.entry", tuple(arguments))
-        )
+        self._start_program(f"entry-{host}", "greengagefall.commands.entry", tuple(arguments))
 
     def start_coordinator(self, host: str) -> None:
         """Starts the coordinator's process of an entry host."""
@@ -286,9 +287,14 @@
             *("--cold-s", str(back_end.cold_s), checks),
             *("--journal", str(self.processes.log_dir / f"{server.name}.journal")),
         )
-        self.processes.start(
-            ProcessSpec(server.name, "greengagefall.standins.backend_server", arguments)
-        )
+        self._start_program(server.name, "greengagefall.standins.backend_server", arguments)
+
+    def _start_program(self, name: str, module: str, arguments: tuple[str, ...]) -> None:
+        """Starts a program, with the planted fault if there is one."""
+        if self.spec.plant:
+            arguments = (self.spec.plant, module, *arguments)
+            module = PLANTED_PROGRAM
+        self.processes.start(ProcessSpec(name, module, arguments))
 
     async def _wait_for_stand_ins(self) -> None:
         waiting = {server.address: "/.server/status" for server in self.servers.values()}
--- a/greengagefall/bench/soak.py
+++ b/greengagefall/bench/soak.py
@@ -111,6 +111,16 @@
         self._log.faults.append((begun_s, time.time(), fault.kind, fault.target))
 
 
+class SoakRun(NamedTuple):
+    """A soak after its end, with what it recorded and what the oracle found."""
+
+    fleet: Fleet
+    injector: FaultInjector
+    caller: Caller
+    log: SoakLog
+    report: CheckReport
+
+
 async def watch_versions(fleet: Fleet, log: SoakLog) -> None:
     """Notes the configuration version in force at each host until cancelled."""
     while True:
@@ -129,9 +139,13 @@
 async def soak(seed: int, seconds: float, kinds: tuple[str, ...]) -> int:
     """Runs a soak, prints its report, and returns the exit code."""
     print(f"seed {seed}, {seconds:.0f} s, faults: {', '.join(kinds)}")
-    fleet = Fleet(soak_spec({}))
+    run = await run_soak(Fleet(soak_spec({})), seed, seconds, kinds)
+    return print_report(run.injector, run.caller, run.log, run.report, run.fleet)
+
+
+async def run_soak(fleet: Fleet, seed: int, seconds: float, kinds: tuple[str, ...]) -> SoakRun:
+    """Runs a soak on a fleet, closes the fleet, and checks what was recorded."""
     log = SoakLog([], [], Counter())
-    caller: Caller | None = None
     try:
         await fleet.start()
         print("fault trace:")
@@ -141,7 +155,7 @@
     finally:
         await fleet.close()
     report = check_run(fleet, caller.rows, log)
-    return print_report(injector, caller, log, report, fleet)
+    return SoakRun(fleet, injector, caller, log, report)
 
 
 async def _run_load(
