--- a/greengagefall/bench/planted.py
+++ b/greengagefall/bench/planted.py
@@ -11,8 +11,7 @@
 
 from greengagefall.commands.entry import main as entry_main
 from greengagefall.coordination.dispatch_right import DispatchRight
-from greengagefall.dispatch import server_dispatcher
-from greengagefall.dispatch.server_dispatcher import ServerDispatcher
+from greengagefall.dispatch.server_dispatcher import REQUEST_ID_HEADER, ServerDispatcher
 from greengagefall.entry import forwarder, refusals
 from greengagefall.entry.dispatch_table import DispatchTable
 from greengagefall.limits.cold_ramp import ColdRamp
@@ -22,6 +21,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from greengagefall.dispatch.connection_pool import HttpAnswer
+    from greengagefall.protocol.messages import Answer, Forward, Refusal
+
 PLANTS: Registry[Callable[[], None]] = Registry("planted fault")
 
 
@@ -70,14 +72,13 @@
 
 @PLANTS.register("no_answer_check")
 def no_answer_check() -> None:
-    """Passes on whatever a server answers."""
-    server_dispatcher.REQUEST_ID_HEADER = "X-Request-Id-Unchecked"
-
+    """Takes whatever answer comes for that of the request."""
     real = ServerDispatcher._outcome
 
-    def outcome(self: ServerDispatcher, forward: object, answer: object) -> object:
-        answer.headers["X-Request-Id-Unchecked"] = forward.request_id
-        return real(self, forward, answer)
+    def outcome(self: ServerDispatcher, forward: Forward, answer: HttpAnswer) -> Answer | Refusal:
+        answered_id = answer.headers.get(REQUEST_ID_HEADER)
+        unmatched = real(self, forward._replace(request_id=answered_id), answer)
+        return unmatched._replace(request_id=forward.request_id)
 
     ServerDispatcher._outcome = outcome
 
