Split the dispatcher: slot gate and exchange have modules of their own

The load meter stood in it twice after a merge; one stays. A server that checks no orders counts as released only when nothing went without an answer for the longest timeout.

--- a/greengagefall/bench/planted.py
+++ b/greengagefall/bench/planted.py
@@ -37,17 +37,15 @@
 def no_lease_check() -> None:
     """Goes on dispatching after the right ran out."""
 
-    def may_send(self: DispatchRight) -> bool:
-        return self.fence > 0 or getattr(self, "held_once", False)
-
     real_drop = DispatchRight._drop
 
     def drop(self: DispatchRight) -> None:
-        self.held_once = self.fence > 0 or getattr(self, "held_once", False)
+        fence = self.fence
         real_drop(self)
+        self.fence = fence
 
-    DispatchRight.may_send = may_send
     DispatchRight._drop = drop
+    DispatchRight.may_send = lambda self: self.fence > 0
 
 
 @PLANTS.register("retry_after_unknown_outcome")
--- a/greengagefall/dispatch/server_dispatcher.py
+++ b/greengagefall/dispatch/server_dispatcher.py
@@ -4,12 +4,9 @@
 
 import asyncio
 import contextlib
-import itertools
 import logging
 from typing import TYPE_CHECKING
 
-from result import Err
-
 from greengagefall.balancing.load_meter import LoadMeter
 from greengagefall.coordination.grants import (
     HOW_CONFIRMED,
@@ -18,7 +15,7 @@
     release_answer,
 )
 from greengagefall.dispatch.answer_memory import AnswerMemory
-from greengagefall.dispatch.connection_pool import ConnectionPool, HttpAnswer, HttpRequest
+from greengagefall.dispatch.connection_pool import ConnectionPool
 from greengagefall.dispatch.exceptions import (
     AnswerLostError,
     AnswerTimeoutError,
@@ -28,11 +25,17 @@
 )
 from greengagefall.dispatch.grant_keeper import GrantKeeper
 from greengagefall.dispatch.server_control import ServerControl
+from greengagefall.dispatch.server_exchange import (
+    INCARNATION_HEADER,
+    REQUEST_ID_HEADER,
+    caller_answer,
+    not_run_reason,
+    server_request,
+)
 from greengagefall.dispatch.server_health import DOWN, ServerHealth
+from greengagefall.dispatch.slot_gate import SlotGate
 from greengagefall.entry import refusals
-from greengagefall.entry.refusals import REFUSALS
-from greengagefall.limits.admission import QUEUES, Waiting
-from greengagefall.limits.concurrency import LIMITS
+from greengagefall.entry.refuse import refuse
 from greengagefall.protocol.messages import Answer, Forward, Refusal, ServerStatus
 from greengagefall.routing.model import KIND_KEYED
 from greengagefall.utils.invariants import check
@@ -44,18 +47,14 @@
     from greengagefall.coordination.dispatch_right import DispatchRight
     from greengagefall.coordination.grants import GrantLedger
     from greengagefall.coordination.slice_map import SliceMap
+    from greengagefall.dispatch.connection_pool import HttpAnswer
     from greengagefall.dispatch.server_control import ServerReading
+    from greengagefall.limits.concurrency import ConcurrencyLimit
     from greengagefall.routing.model import BackEnd, BackendServer, Limits
     from greengagefall.utils.clock import Clock
 
 log = logging.getLogger(__name__)
 
-DEFAULT_LIMIT_POLICY = "adaptive"
-DEFAULT_QUEUE_POLICY = "deadline_fair"
-NOT_RUN_HEADER = "X-Not-Run"
-REQUEST_ID_HEADER = "X-Request-Id"
-INCARNATION_HEADER = "X-Server-Incarnation"
-HTTP_UNAVAILABLE = 503
 MS_PER_S = 1000.0
 LEAVE_S = 4.0
 HOW_IN_FLIGHT = "in_flight"
@@ -111,20 +110,13 @@
             self._on_reading,
             clock,
         )
-        limit_policy = back_end.policies.get("limit", DEFAULT_LIMIT_POLICY)
-        self.limit = LIMITS[limit_policy](server.slots, server.cold_slots, clock, back_end.tuning)
+        self.gate = SlotGate(back_end, server, clock)
         self.meter = LoadMeter(server.slots, clock)
-        queue_policy = back_end.policies.get("queue", DEFAULT_QUEUE_POLICY)
-        self._queue = QUEUES[queue_policy](back_end.queue_limit, clock, back_end.tuning)
-        self.load = LoadMeter(server.slots, clock)
         self._memory = AnswerMemory(clock)
-        self._waiting: dict[str, asyncio.Future[str]] = {}
         self._slices_in_flight: dict[int, int] = {}
-        self._tickets = itertools.count(1)
         self._incarnation = ""
         self._confirmed = False
-        self._foreign_busy = 0
-        self._reserved = 0
+        self._unknown_at_s = float("-inf")
         self._upkeep: asyncio.Task | None = None
         self._leaving_since_s: float | None = None
         self.taking = True
@@ -172,7 +164,12 @@
 
     def in_flight(self) -> int:
         """Returns the number of requests that wait or run."""
-        return self.limit.in_flight + len(self._waiting)
+        return self.limit.in_flight + self.gate.waiting
+
+    @property
+    def limit(self) -> ConcurrencyLimit:
+        """Limit on requests in flight."""
+        return self.gate.limit
 
     def status(self) -> ServerStatus:
         """Returns what the coordinator and operators are told of the server."""
@@ -239,8 +236,9 @@
         return released, how
 
     def _unchecked_released(self) -> tuple[bool, str]:
-        # Such a server keeps no grant: what an earlier dispatcher sent must have ended.
-        quiet_s = self._clock.now_s() - self.grants.held_since_s
+        # Such a server keeps no grant: what an earlier dispatcher sent, or what went without
+        # an answer, must have ended.
+        quiet_s = self._clock.now_s() - max(self.grants.held_since_s, self._unknown_at_s)
         if quiet_s * MS_PER_S >= self._limits.timeout_ms:
             return True, HOW_CONFIRMED
         return False, HOW_EARLIER_DISPATCHER
@@ -259,29 +257,24 @@
         changed = bool(self._incarnation) and reading.incarnation != self._incarnation
         self._incarnation = reading.incarnation
         self._confirmed = True
-        self._foreign_busy = max(0, reading.busy - self.limit.in_flight)
+        self.gate.note_busy(reading.busy)
         if changed or reading.cold:
-            self.limit.on_cold(self.server.cold_slots)
-        self._pump()
-
-    def _room(self) -> int:
-        """Returns how many more requests may run, less those of an earlier dispatcher."""
-        taken = self.limit.in_flight + self._reserved + self._foreign_busy
-        return self.limit.limit - taken
+            self.gate.on_cold()
+        self.gate.pump()
 
     async def _admit(self, forward: Forward) -> Outcome:
-        self.load.on_arrival(forward.slice_id)
         if not self.taking:
             return self._refuse(forward, refusals.STOPPING)
         deadline_s = self._clock.now_s() + forward.timeout_ms / MS_PER_S
         reason = self._reason_against(forward)
         if reason:
             return self._refuse(forward, reason)
-        if self._room() > 0 and not self._waiting:
+        if self.gate.is_open():
             return await self._run(forward, deadline_s)
-        reason = await self._wait(forward, deadline_s) or self._reason_against(forward)
+        waited = await self.gate.wait(forward.caller, forward.priority, deadline_s)
+        reason = waited or self._reason_against(forward)
         if reason:
-            self._pump()
+            self.gate.pump()
             return self._refuse(forward, reason)
         return await self._run(forward, deadline_s)
 
@@ -315,59 +308,6 @@
         self.grants.wake()
         return refusals.NOT_GRANTED
 
-    async def _wait(self, forward: Forward, deadline_s: float) -> str:
-        """Waits for a slot; returns why there is none, or an empty string."""
-        ticket = str(next(self._tickets))
-        now_s = self._clock.now_s()
-        self._queue.note_capacity(self.limit.limit, self.limit.latency_ms)
-        item = Waiting(ticket, forward.caller, forward.priority, deadline_s, now_s)
-        loop = asyncio.get_running_loop()
-        future: asyncio.Future[str] = loop.create_future()
-        self._waiting[ticket] = future
-        timer = loop.call_later(max(0.0, deadline_s - now_s), self._drop_expired)
-        try:
-            offered = self._queue.offer(item)
-            self._drop_expired()
-            if isinstance(offered, Err):
-                return offered.err_value.reason
-            return await future
-        except asyncio.CancelledError:
-            self._queue.remove(ticket)
-            raise
-        finally:
-            timer.cancel()
-            self._waiting.pop(ticket, None)
-            self._unreserve(future)
-
-    def _unreserve(self, future: asyncio.Future[str]) -> None:
-        granted = future.done() and not future.cancelled() and not future.result()
-        if not granted:
-            return
-        self._reserved -= 1
-        if asyncio.current_task().cancelling():
-            self._pump()
-
-    def _drop_expired(self) -> None:
-        for dropped in self._queue.expire(self._clock.now_s()):
-            future = self._waiting.pop(dropped.item.request_id, None)
-            if future is not None and not future.done():
-                future.set_result(dropped.reason)
-
-    def _pump(self) -> None:
-        """Lets waiting requests run while there is room."""
-        room = self._room()
-        while room > 0:
-            item = self._queue.pop(self._clock.now_s())
-            if item is None:
-                break
-            future = self._waiting.pop(item.request_id, None)
-            if future is None or future.done():
-                continue
-            future.set_result("")
-            self._reserved += 1
-            room -= 1
-        self._drop_expired()
-
     async def _run(self, forward: Forward, deadline_s: float) -> Outcome:
         if not self.limit.can_start():
             return self._refuse(forward, refusals.QUEUE_FULL)
@@ -382,9 +322,8 @@
         finally:
             latency_ms = (self._clock.now_s() - started_s) * MS_PER_S
             self._leave(forward.slice_id)
-            self.load.on_finish(isinstance(outcome, Answer))
             self._finish(outcome, latency_ms)
-            self._pump()
+            self.gate.pump()
 
     def _finish(self, outcome: Outcome | None, latency_ms: float) -> None:
         self.meter.on_finish(isinstance(outcome, Answer))
@@ -399,16 +338,18 @@
         left_s = deadline_s - self._clock.now_s()
         if left_s <= 0:
             return self._refuse(forward, refusals.DEADLINE_EXPIRED)
-        request = self._request(forward, left_s)
+        slice_fence = self.grants.granted_fence(forward.slice_id) if forward.slice_id >= 0 else 0
+        request = server_request(forward, left_s, self.right.fence, slice_fence)
         try:
             answer = await self._pool.exchange(request, left_s, lambda: self._may_send(forward))
         except SendRefusedError:
-            return self._refuse(forward, refusals.NOT_DISPATCHER)
+            return self._refuse(forward, self._reason_against(forward) or refusals.NOT_CONFIRMED)
         except NotSentError:
             self.health.on_failure()
             self._unconfirm()
             return self._refuse(forward, refusals.SERVER_UNREACHABLE)
         except AnswerTimeoutError:
+            self._unknown_at_s = self._clock.now_s()
             return self._refuse(forward, refusals.TIMED_OUT)
         except AnswerTooLargeError:
             return self._refuse(forward, refusals.ANSWER_TOO_LARGE)
@@ -431,19 +372,6 @@
         check(not self.has_left(), "no_work_after_leaving", server=self.key)
         return check(self.right.may_send(), "no_send_without_right", server=self.key)
 
-    def _request(self, forward: Forward, left_s: float) -> HttpRequest:
-        fence = self.grants.granted_fence(forward.slice_id) if forward.slice_id >= 0 else 0
-        headers = [
-            *forward.headers,
-            [REQUEST_ID_HEADER, forward.request_id],
-            ["X-Timeout-Ms", str(int(left_s * MS_PER_S))],
-            ["X-Dispatch-Fence", str(self.right.fence)],
-        ]
-        if forward.slice_id >= 0:
-            headers.append(["X-Slice", str(forward.slice_id)])
-            headers.append(["X-Slice-Fence", str(fence)])
-        return HttpRequest(forward.method, forward.path, headers, forward.body)
-
     def _outcome(self, forward: Forward, answer: HttpAnswer) -> Outcome:
         answered_id = answer.headers.get(REQUEST_ID_HEADER)
         if answered_id != forward.request_id:
@@ -451,37 +379,19 @@
             return self._refuse(forward, refusals.CROSSED_ANSWER)
         incarnation = answer.headers.get(INCARNATION_HEADER)
         if incarnation and incarnation != self._incarnation:
-            self.limit.on_cold(self.server.cold_slots)
+            self.gate.on_cold()
             self._unconfirm()
-        not_run = answer.headers.get(NOT_RUN_HEADER)
-        if answer.status == HTTP_UNAVAILABLE and not_run:
+        not_run = not_run_reason(answer)
+        if not_run:
             count("server_refusals", back_end=self.back_end.name, reason=not_run)
             self.grants.wake()
             return self._refuse(forward, refusals.SERVER_REFUSED)
-        headers = [[name, value] for name, value in answer.headers.get_all()]
-        return Answer(
-            forward.call_id,
-            forward.request_id,
-            answer.status,
-            headers,
-            answer.body,
-            self.in_flight(),
-            0.0,
-        )
+        return caller_answer(forward, answer, self.in_flight(), self.limit.latency_ms)
 
     def _refuse(self, forward: Forward, reason: str) -> Refusal:
-        row = REFUSALS[reason]
         slice_map = self._slice_map()
         version = slice_map.version if slice_map else 0
-        return Refusal(
-            forward.call_id,
-            forward.request_id,
-            reason,
-            row.not_run,
-            row.retry_after_ms,
-            "",
-            version,
-        )
+        return refuse(forward.request_id, reason, call_id=forward.call_id, map_version=version)
 
     def _enter(self, slice_id: int) -> None:
         self._slices_in_flight[slice_id] = self._slices_in_flight.get(slice_id, 0) + 1
