--- a/greengagefall/bench/planted.py
+++ b/greengagefall/bench/planted.py
@@ -36,7 +36,6 @@
 @PLANTS.register("no_lease_check")
 def no_lease_check() -> None:
     """Goes on dispatching after the right ran out."""
-
     real_drop = DispatchRight._drop
 
     def drop(self: DispatchRight) -> None:
