Plant a release without a wait and a fence that is not kept

releases_at_once now also tells the server late: a server that is told at once has let go before the next owner holds the slices. no_fence keeps a right that ended: a dispatcher whose right fell back to fence 0 sends no grant.

--- a/greengagefall/tests/planted_program.py
+++ b/greengagefall/tests/planted_program.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from greengagefall.coordination.dispatch_right import DispatchRight
+from greengagefall.dispatch.grant_keeper import GrantKeeper
 from greengagefall.dispatch.server_dispatcher import REQUEST_ID_HEADER, ServerDispatcher
 from greengagefall.entry.refusals import REFUSALS
 from greengagefall.limits.cold_ramp import ColdRamp
@@ -63,7 +64,8 @@
 
 @PLANTS.register("releases_at_once")
 def releases_at_once() -> None:
-    """Reports slices released without waiting for the server or its grant."""
+    """Reports slices released at once, and tells the server with the next renewal only."""
+    GrantKeeper.wake = lambda self: None
     ServerDispatcher.released = lambda self, runs, map_version: (True, "confirmed")
 
 
@@ -80,7 +82,7 @@
 
 @PLANTS.register("no_fence")
 def no_fence() -> None:
-    """Lets dispatchers act without a right and servers take any fence."""
+    """Lets dispatchers keep a right that ended, and servers take any fence."""
     may_send = DispatchRight.may_send
 
     def may_send_once_held(self):
@@ -88,6 +90,7 @@
         return self.planted_held
 
     DispatchRight.may_send = may_send_once_held
+    DispatchRight._drop = lambda self: None
     backend_work.refusal_of_grant = lambda held, offered: ""
     backend_work.refusal_of_request = lambda *facts: ""
 
--- a/greengagefall/tests/planted_soaks.py
+++ b/greengagefall/tests/planted_soaks.py
@@ -28,7 +28,11 @@
     Planted("claims_not_run", ("crossed_answers", "late_answers"), frozenset({"not_run_true"})),
     Planted("matches_no_answers", ("crossed_answers",), frozenset({"own_answer"})),
     Planted("ignores_cold", ("cold_server",), frozenset({"cold_bound", "cold_probe"})),
-    Planted("releases_at_once", ("freeze_server",), frozenset({"one_owner", "one_runner"})),
+    Planted(
+        "releases_at_once",
+        ("zone_out", "drain_server"),
+        frozenset({"one_owner", "one_runner"}),
+    ),
     Planted(
         "keeps_configuration",
         ("zone_out", "drain_server"),
