--- a/greengagefall/coordinator/keys.py
+++ b/greengagefall/coordinator/keys.py
@@ -4,12 +4,11 @@
 
 from typing import NamedTuple
 
-CONFIG_PREFIX = "config/"
+from greengagefall.routing.records import VERSION_DIGITS
+
 ZONES_PREFIX = "zones/"
 BACKENDS_PREFIX = "backends/"
 
-VERSION_DIGITS = 10
-
 
 class SliceKey(NamedTuple):
     """A key under ``backends/``.
--- a/greengagefall/coordinator/records.py
+++ b/greengagefall/coordinator/records.py
@@ -17,7 +17,6 @@
 from greengagefall.coordinator.exceptions import CoordinatorError, WriteError
 from greengagefall.coordinator.keys import (
     BACKENDS_PREFIX,
-    CONFIG_PREFIX,
     ZONES_PREFIX,
     base_key,
     delta_key,
@@ -26,7 +25,7 @@
     zone_of_members_key,
 )
 from greengagefall.routing.holder import ConfigHolder
-from greengagefall.routing.registry import parse_record
+from greengagefall.routing.records import CONFIG_PREFIX, parse_record
 from greengagefall.store.exceptions import StoreError, StoreOutcomeUnknownError
 from greengagefall.store.model import Put, absent, unchanged
 from greengagefall.utils.metrics import count
