--- a/greengagefall/bench/check_planted.py
+++ b/greengagefall/bench/check_planted.py
@@ -34,6 +34,7 @@
     "unknown_called_not_run": PlantedRun(("kill_server", "late_answers", "freeze_server")),
     "no_cold_ramp": PlantedRun(("kill_server", "cold_server")),
     "no_answer_check": PlantedRun(("crossed_answers",)),
+    "keeps_configuration": PlantedRun(("racing_patches",)),
     "work_after_leaving": PlantedRun(("drain_server", "zone_out")),
 }
 
--- a/greengagefall/bench/planted.py
+++ b/greengagefall/bench/planted.py
@@ -16,6 +16,7 @@
 from greengagefall.entry import forwarder, refusals
 from greengagefall.entry.dispatch_table import DispatchTable
 from greengagefall.limits.cold_ramp import ColdRamp
+from greengagefall.routing.holder import ConfigHolder
 from greengagefall.utils.registry import Registry
 
 if TYPE_CHECKING:
@@ -88,6 +89,17 @@
     ServerDispatcher.released = lambda self, runs, map_version: (False, "planted")
 
 
+@PLANTS.register("keeps_configuration")
+def keeps_configuration() -> None:
+    """Keeps the first configuration for good."""
+    real = ConfigHolder.offer
+
+    def offer(self: ConfigHolder, config: object) -> bool:
+        return not self.current.version and real(self, config)
+
+    ConfigHolder.offer = offer
+
+
 def main() -> None:
     """Plants the fault named first and runs the entry host with the other arguments."""
     PLANTS[sys.argv.pop(1)]()
