Let a server give slices away only after two observations of excess

Cause: sampling noise started moves near saturation. The test's planning loop stamps each observation and ends after three idle plans, since the first plan of an excess is now idle.

--- a/greengagefall/balancing/placement.py
+++ b/greengagefall/balancing/placement.py
@@ -29,6 +29,7 @@
 DEFAULT_MIN_IMBALANCE = 0.10
 DEFAULT_ZONE_IMBALANCE = 0.10
 SETTLE_SHARE = 0.5
+DEFAULT_EXCESS_OBSERVATIONS = 2
 DEFAULT_CHURN_COST = 0.3
 DEFAULT_MAX_MOVES_PER_PLAN = 128
 DEFAULT_HOT_SLICE_FACTOR = 8.0
@@ -168,6 +169,26 @@
         return taken > 0
 
 
+class _ExcessHistory:
+    """Servers that were above their zone's level in several observations in a row."""
+
+    def __init__(self, observations: int) -> None:
+        self._observations = observations
+        self._observed_s: float | None = None
+        self._above: dict[str, int] = {}
+
+    def note(self, observed_s: float, above: set[str]) -> None:
+        """Takes in who was above the level, once for each observation."""
+        if observed_s == self._observed_s:
+            return
+        self._observed_s = observed_s
+        self._above = {name: self._above.get(name, 0) + 1 for name in above}
+
+    def lasting(self, names: list[str]) -> list[str]:
+        """Returns those of the servers whose excess is not just sampling noise."""
+        return [name for name in names if self._above.get(name, 0) >= self._observations]
+
+
 class _Bounds(NamedTuple):
     """Utilisations between which servers give and take slices.
 
@@ -195,6 +216,7 @@
         ``zone_settle_imbalance``: excess at which such moves end; half of it if not set.
         ``min_imbalance``: excess over the zone's utilisation that starts moves inside it.
         ``settle_imbalance``: excess at which those end; half of ``min_imbalance`` if not set.
+        ``excess_observations``: observations in a row in which a server must be above that.
         ``churn_cost``: a slice moves only if its rate, relative to the mean slice, is at
         least this; larger values mean fewer moves.
         ``max_moves_per_plan``: slices per plan.
@@ -212,6 +234,8 @@
         self._churn_cost = tuning.get("churn_cost", DEFAULT_CHURN_COST)
         self._max_moves = int(tuning.get("max_moves_per_plan", DEFAULT_MAX_MOVES_PER_PLAN))
         self._hot_factor = tuning.get("hot_slice_factor", DEFAULT_HOT_SLICE_FACTOR)
+        observations = tuning.get("excess_observations", DEFAULT_EXCESS_OBSERVATIONS)
+        self._excess = _ExcessHistory(int(observations))
         self._model = LoadModel(clock, tuning)
 
     def initial(
@@ -246,13 +270,21 @@
         for name in usable:
             by_zone.setdefault(servers[name].zone, []).append(name)
         self._balance_zones(plan, by_zone, servers, owned)
+        above: set[str] = set()
+        for names in by_zone.values():
+            bounds = self._bounds_in_zone(plan, names)
+            above.update(name for name in names if plan.utilisation(name) > bounds.settled)
+        self._excess.note(loads.observed_s, above)
         for names in by_zone.values():
-            level = plan.level(names)
-            start = level * (1.0 + self._min_imbalance)
-            bounds = _Bounds(start, level * (1.0 + self._settle_imbalance), level)
-            self._balance(plan, names, names, bounds, servers, owned)
+            bounds = self._bounds_in_zone(plan, names)
+            self._balance(plan, self._excess.lasting(names), names, bounds, servers, owned)
         return merge_moves(plan.moves)
 
+    def _bounds_in_zone(self, plan: _Plan, names: list[str]) -> _Bounds:
+        level = plan.level(names)
+        start = level * (1.0 + self._min_imbalance)
+        return _Bounds(start, level * (1.0 + self._settle_imbalance), level)
+
     def _balance_zones(
         self,
         plan: _Plan,
--- a/greengagefall/routing/policy_names.py
+++ b/greengagefall/routing/policy_names.py
@@ -86,6 +86,9 @@
     "max_ejected_share": TuningRange(0, 1, "Share of the servers left out at once, at most."),
     "min_imbalance": TuningRange(0, 10, "Excess over the balanced utilisation that starts moves."),
     "settle_imbalance": TuningRange(0, 10, "Excess at which a server stops giving slices away."),
+    "excess_observations": TuningRange(
+        1, 100, "Observations in a row above that before a server gives slices away."
+    ),
     "zone_imbalance": TuningRange(0, 10, "Excess of a zone that starts moves between zones."),
     "zone_settle_imbalance": TuningRange(0, 10, "Excess of a zone at which such moves end."),
     "churn_cost": TuningRange(
--- a/greengagefall/tests/balancing_placement_tests.py
+++ b/greengagefall/tests/balancing_placement_tests.py
@@ -17,6 +17,7 @@
 SLICES = 256
 ZONES = ("a", "b", "c")
 MAX_PLANS = 60
+IDLE_PLANS = 3
 TUNING = {"zone_imbalance": 0.26, "zone_settle_imbalance": 0.25}
 
 
@@ -76,10 +77,12 @@
 
     def settle(self, slice_map, servers, hot, tuning=None):
         placement = PLACEMENTS["load_aware"](ManualClock(), tuning)
-        moved = 0
-        for _ in range(MAX_PLANS):
-            moves = placement.plan_moves(slice_map, servers, observed(slice_map, servers, hot), {})
-            if not moves:
+        moved = idle_plans = 0
+        for number in range(MAX_PLANS):
+            loads = observed(slice_map, servers, hot, observed_s=float(number))
+            moves = placement.plan_moves(slice_map, servers, loads, {})
+            idle_plans = 0 if moves else idle_plans + 1
+            if idle_plans == IDLE_PLANS:
                 return slice_map, moved
             moved += slices_moved(moves)
             slice_map = slice_map.done(moves)
@@ -116,6 +119,16 @@
         moves = placement.plan_moves(slice_map, servers, slowed(), {})
         self.assertEqual({move.source for move in moves}, {"s1"})
 
+    def test_one_observation_of_excess_inside_a_zone_starts_no_moves(self):
+        servers = make_servers([1.0] * 6)
+        placement = PLACEMENTS["load_aware"](ManualClock(), {"zone_imbalance": 10.0})
+        slice_map = Map(placement.initial(SLICES, servers, {}))
+        hot = dict.fromkeys(range(4), 10.0)
+        for observed_s in (1.0, 1.0, 2.0):
+            loads = observed(slice_map, servers, hot, observed_s=observed_s)
+            moves = placement.plan_moves(slice_map, servers, loads, {})
+            self.assertEqual({move.source for move in moves}, {"s0"} if observed_s > 1 else set())
+
     @given(st.integers(1, 100))
     def test_a_plan_is_bounded(self, bound):
         servers = make_servers([1.0] * 6)
