--- a/greengagefall/bench/oracle.py
+++ b/greengagefall/bench/oracle.py
@@ -129,6 +129,7 @@
     report = CheckReport()
     oracle_owners.check_grants(logs, report)
     oracle_owners.check_dispatch_fences(logs, report)
+    oracle_owners.check_sole_dispatcher(logs, report)
     oracle_owners.check_runs_of_slices(logs, report)
     oracle_requests.check_run_counts(logs, rows, report)
     oracle_requests.check_not_run(logs, rows, report)
--- a/greengagefall/bench/oracle_owners.py
+++ b/greengagefall/bench/oracle_owners.py
@@ -61,6 +61,25 @@
         _check_fences("run_fence_monotone", back_end, slice_id, ran, report)
 
 
+def check_sole_dispatcher(logs: Sequence[ServerLog], report: CheckReport) -> None:
+    """Checks that requests of two dispatchers never alternate at a server, fenced or not."""
+    for log in logs:
+        highest: dict[str, int] = {}
+        for request in log.requests:
+            if request["outcome"] in (OUTCOME_NOT_RUN, OUTCOME_PENDING):
+                continue
+            before = highest.get(request["incarnation"], 0)
+            fence = request["dispatch_fence"]
+            report.check(
+                fence >= before,
+                "sole_dispatcher",
+                server=log.info.name,
+                before=before,
+                request=request,
+            )
+            highest[request["incarnation"]] = max(before, fence)
+
+
 def check_dispatch_fences(logs: Sequence[ServerLog], report: CheckReport) -> None:
     """Checks that the dispatcher's fence of a server never falls while its process lives."""
     for log in logs:
--- a/greengagefall/bench/planted.py
+++ b/greengagefall/bench/planted.py
@@ -11,6 +11,7 @@
 
 from greengagefall.commands.entry import main as entry_main
 from greengagefall.coordination.dispatch_right import DispatchRight
+from greengagefall.dispatch.grant_keeper import GrantKeeper
 from greengagefall.dispatch.server_dispatcher import REQUEST_ID_HEADER, ServerDispatcher
 from greengagefall.entry import forwarder, refusals
 from greengagefall.entry.dispatch_table import DispatchTable
@@ -31,6 +32,8 @@
 def release_without_proof() -> None:
     """Reports slices as released at once, without the server's word or the wait."""
     DispatchTable.release = lambda self, message: (True, "planted", 0)
+    # A server that is told at once has let go before the next owner holds the slices.
+    GrantKeeper.wake = lambda self: None
 
 
 @PLANTS.register("no_lease_check")
--- a/greengagefall/bench/soak.py
+++ b/greengagefall/bench/soak.py
@@ -65,15 +65,15 @@
     """Leaves the fault trace out."""
 
 
-def soak_spec() -> FleetSpec:
+def soak_spec(checks_orders: bool = True) -> FleetSpec:
     """Returns three zones with both kinds of back ends, cut to the machine's size."""
+    keyed = BackEndSpec("proofdesk", "keyed", 3, 6, 5.0, slices=512, cold_s=2.0)
+    pooled = BackEndSpec("benchline", "pooled", 1, 6, 5.0, cold_s=2.0)
+    back_ends = tuple(one._replace(checks_orders=checks_orders) for one in (keyed, pooled))
     return FleetSpec(
         ("ee-north-a", "ee-north-b", "ee-north-c"),
         3,
-        (
-            BackEndSpec("proofdesk", "keyed", 3, 6, 5.0, slices=512, cold_s=2.0),
-            BackEndSpec("benchline", "pooled", 1, 6, 5.0, cold_s=2.0),
-        ),
+        back_ends,
     )
 
 
@@ -248,12 +248,16 @@
 @click.option("--faults", default="", help="Kinds of faults, separated by commas; all if empty.")
 @click.option("--at-once", default=MAX_FAULTS, show_default=True, help="Faults at once, at most.")
 @click.option("--pause-s", default=MAX_PAUSE_S, show_default=True, help="Longest pause.")
-def main(seed: int, seconds: float, faults: str, at_once: int, pause_s: float) -> None:
+@click.option("--checks/--no-checks", default=True, help="Whether servers check orders.")
+def main(
+    seed: int, seconds: float, faults: str, at_once: int, pause_s: float, checks: bool
+) -> None:
     """Runs a randomised soak; exits 1 on any violation."""
     kinds = tuple(faults.split(",")) if faults else FAULTS.names()
     print(f"seed {seed}, {seconds:.0f} s, faults: {', '.join(kinds)}\nfault trace:")
     plan = FaultPlan(kinds, at_once, pause_s)
-    sys.exit(print_report(asyncio.run(run_soak(soak_spec(), seed, seconds, plan, _show_line))))
+    spec = soak_spec(checks)
+    sys.exit(print_report(asyncio.run(run_soak(spec, seed, seconds, plan, _show_line))))
 
 
 if __name__ == "__main__":
--- a/greengagefall/tests/oracle_tests.py
+++ b/greengagefall/tests/oracle_tests.py
@@ -110,7 +110,13 @@
         report = self.check()
         self.assertEqual(report.violations, [])
         names = {"one_owner", "fence_monotone", "one_runner", "run_fence_monotone"}
-        names |= {"dispatch_fence_monotone", "at_most_once", "not_run_true", "own_answer"}
+        names |= {
+            "sole_dispatcher",
+            "dispatch_fence_monotone",
+            "at_most_once",
+            "not_run_true",
+            "own_answer",
+        }
         names |= {"answered_ran", "no_work_when_out", "cold_bound", "cold_probe"}
         names |= {"config_never_reverts", "config_in_force"}
         self.assertEqual(set(report.checks), names)
@@ -144,6 +150,12 @@
         self.first["grant"].append(grant([[0, 9, 2]], 5.0, 10.0, fence=0))
         self.assert_found("dispatch_fence_monotone")
 
+    def test_two_dispatchers_alternate_at_a_server_without_fences(self):
+        self.checks_orders = False
+        self.first["request"].append(ran("r8", 4.0, 4.1, dispatch_fence=5))
+        self.first["request"].append(ran("r9", 4.2, 4.3, dispatch_fence=4))
+        self.assert_found("sole_dispatcher")
+
     def test_two_servers_run_requests_of_a_slice(self):
         self.first["request"].append(ran("r4", 13.5, 13.6, slice_fence=5))
         self.assert_found("one_runner", "run_fence_monotone", "no_work_when_out")
