--- a/greengagefall/bench/planted.py
+++ b/greengagefall/bench/planted.py
@@ -11,16 +11,20 @@
 
 from greengagefall.commands.entry import main as entry_main
 from greengagefall.coordination.dispatch_right import DispatchRight
-from greengagefall.dispatch import server_dispatcher
-from greengagefall.dispatch.server_dispatcher import ServerDispatcher
+from greengagefall.dispatch.grant_keeper import GrantKeeper
+from greengagefall.dispatch.server_dispatcher import REQUEST_ID_HEADER, ServerDispatcher
 from greengagefall.entry import forwarder, refusals
 from greengagefall.entry.dispatch_table import DispatchTable
 from greengagefall.limits.cold_ramp import ColdRamp
+from greengagefall.routing.holder import ConfigHolder
 from greengagefall.utils.registry import Registry
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from greengagefall.dispatch.connection_pool import HttpAnswer
+    from greengagefall.protocol.messages import Answer, Forward, Refusal
+
 PLANTS: Registry[Callable[[], None]] = Registry("planted fault")
 
 
@@ -28,23 +32,22 @@
 def release_without_proof() -> None:
     """Reports slices as released at once, without the server's word or the wait."""
     DispatchTable.release = lambda self, message: (True, "planted", 0)
+    # A server that is told at once has let go before the next owner holds the slices.
+    GrantKeeper.wake = lambda self: None
 
 
 @PLANTS.register("no_lease_check")
 def no_lease_check() -> None:
     """Goes on dispatching after the right ran out."""
-
-    def may_send(self: DispatchRight) -> bool:
-        return self.fence > 0 or getattr(self, "held_once", False)
-
     real_drop = DispatchRight._drop
 
     def drop(self: DispatchRight) -> None:
-        self.held_once = self.fence > 0 or getattr(self, "held_once", False)
+        fence = self.fence
         real_drop(self)
+        self.fence = fence
 
-    DispatchRight.may_send = may_send
     DispatchRight._drop = drop
+    DispatchRight.may_send = lambda self: self.fence > 0
 
 
 @PLANTS.register("retry_after_unknown_outcome")
@@ -69,14 +72,13 @@
 
 @PLANTS.register("no_answer_check")
 def no_answer_check() -> None:
-    """Passes on whatever a server answers."""
-    server_dispatcher.REQUEST_ID_HEADER = "X-Request-Id-Unchecked"
-
+    """Takes whatever answer comes for that of the request."""
     real = ServerDispatcher._outcome
 
-    def outcome(self: ServerDispatcher, forward: object, answer: object) -> object:
-        answer.headers["X-Request-Id-Unchecked"] = forward.request_id
-        return real(self, forward, answer)
+    def outcome(self: ServerDispatcher, forward: Forward, answer: HttpAnswer) -> Answer | Refusal:
+        answered_id = answer.headers.get(REQUEST_ID_HEADER)
+        unmatched = real(self, forward._replace(request_id=answered_id), answer)
+        return unmatched._replace(request_id=forward.request_id)
 
     ServerDispatcher._outcome = outcome
 
@@ -88,6 +90,17 @@
     ServerDispatcher.released = lambda self, runs, map_version: (False, "planted")
 
 
+@PLANTS.register("keeps_configuration")
+def keeps_configuration() -> None:
+    """Keeps the first configuration for good."""
+    real = ConfigHolder.offer
+
+    def offer(self: ConfigHolder, config: object) -> bool:
+        return not self.current.version and real(self, config)
+
+    ConfigHolder.offer = offer
+
+
 def main() -> None:
     """Plants the fault named first and runs the entry host with the other arguments."""
     PLANTS[sys.argv.pop(1)]()
