--- a/greengagefall/bench/measure_rights.py
+++ b/greengagefall/bench/measure_rights.py
@@ -197,9 +197,9 @@
         self.at(SAMPLE_S, self._sample)
         for key in self.server_keys:
             holder = self.holders.get(key, "")
-            if holder and self.hosts[holder].holds(key):
-                continue
-            self._look_for_holder(key, holder)
+            is_held = bool(holder) and self.hosts[holder].holds(key)
+            if not is_held or key in self.missing_since_s:
+                self._look_for_holder(key, holder)
 
     def _look_for_holder(self, key: str, holder: str) -> None:
         since_s = self.missing_since_s.setdefault(key, self.now_s)
@@ -320,7 +320,13 @@
     click.echo(measure_planned_stops(zone, episodes))
     for pause_s in (0.3, 0.5, 0.8, 1.5):
         click.echo(measure_pauses(zone, episodes, pause_s))
-    spikes = [Delays(0.05, 0.3), Delays(0.2, 0.3), Delays(0.1, 1.0), Delays(loss=0.1)]
+    spikes = [
+        Delays(0.2, 0.3),
+        Delays(0.1, 1.0),
+        Delays(0.3, 2.0),
+        Delays(loss=0.1),
+        Delays(loss=0.3),
+    ]
     for delays in spikes:
         click.echo(measure_delays(zone, delays, 10.0))
 
