--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 SECONDS ?= 120
 
-.PHONY: demo test measure measure-policies measure-capacity soak soak-planted format
+.PHONY: demo test measure measure-policies measure-zone measure-capacity soak soak-planted format
 
 $(VENV)/.installed: requirements-dev.txt pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -26,6 +26,9 @@
 measure-policies: $(VENV)/.installed
 	$(PYTHON) -m greengagefall.bench.measure_policies
 
+measure-zone: $(VENV)/.installed
+	$(PYTHON) -m greengagefall.bench.measure_zone
+
 measure-capacity: $(VENV)/.installed
 	$(PYTHON) -m greengagefall.bench.measure_capacity
 
