--- a/greengagefall/bench/fleet.py
+++ b/greengagefall/bench/fleet.py
@@ -61,12 +61,14 @@
         entries_per_zone: Entry hosts in each zone.
         back_ends: The back ends.
         allow_faults: Whether entry hosts take fault switches.
+        planted: Planted fault of the entry hosts, empty for none.
     """
 
     zones: tuple[str, ...]
     entries_per_zone: int
     back_ends: tuple[BackEndSpec, ...]
     allow_faults: bool = True
+    planted: str = ""
 
 
 class EntryAddress(NamedTuple):
@@ -128,12 +130,15 @@
         arguments = [
             *self._host_arguments(entry),
             *("--http-listen", entry.http, "--peer-listen", entry.peer),
+            *("--host-list", self.host_list_address),
         ]
         if self.spec.allow_faults:
             arguments.append("--allow-faults")
-        self.processes.start(
-            ProcessSpec(f"entry-{host}", "greengagefall.commands.entry", tuple(arguments))
-        )
+        module = "greengagefall.commands.entry"
+        if self.spec.planted:
+            module = "greengagefall.bench.planted"
+            arguments.insert(0, self.spec.planted)
+        self.processes.start(ProcessSpec(f"entry-{host}", module, tuple(arguments)))
 
     def start_coordinator(self, host: str) -> None:
         """Starts the coordinator's process of an entry host."""
@@ -156,14 +161,16 @@
         return json.loads(answer.body)
 
     async def post_json(self, address: str, path: str, body: dict[str, Any]) -> Any:
-        """Posts a JSON document, as to a fault endpoint, and returns the answer."""
-        answer = await self._http.fetch(
-            f"http://{address}{path}",
-            method="POST",
-            body=json.dumps(body),
-            request_timeout=5.0,
-            raise_error=False,
-        )
+        """Posts a JSON document, as to a fault endpoint; None if there is no answer."""
+        try:
+            answer = await self._http.fetch(
+                f"http://{address}{path}",
+                method="POST",
+                body=json.dumps(body),
+                request_timeout=5.0,
+            )
+        except (HTTPError, OSError):
+            return None
         return json.loads(answer.body) if answer.body else None
 
     async def patch(self, merge: dict[str, Any]) -> int:
--- a/greengagefall/bench/soak_faults.py
+++ b/greengagefall/bench/soak_faults.py
@@ -210,10 +210,7 @@
 
 
 async def _set_cut(fleet: Fleet, address: str, cut: dict) -> None:
-    try:
-        await fleet.post_json(address, "/.greengagefall/faults", cut)
-    except OSError:
-        return
+    await fleet.post_json(address, "/.greengagefall/faults", cut)
 
 
 @FAULTS.register("zone_out")
@@ -267,10 +264,7 @@
 
 
 async def _set_server_fault(fleet: Fleet, address: str, fault: dict) -> None:
-    try:
-        await fleet.post_json(address, "/fault", fault)
-    except OSError:
-        return
+    await fleet.post_json(address, "/fault", fault)
 
 
 FAULTS.register("slow_server")(
@@ -294,6 +288,18 @@
         {"late_answers": 0, "late_s": 0.0},
     )
 )
+
+
+@FAULTS.register("cold_server")
+async def cold_server(fleet: Fleet, rng: random.Random) -> Fault:
+    """Turns a backend server cold again, announced or not."""
+    server = fleet.servers[_pick_server(fleet, rng)]
+    seconds = rng.uniform(2.0, 5.0)
+    fault = {"cold_s": seconds, "announce": rng.random() < 0.5}
+    await _set_server_fault(fleet, server.address, fault)
+    return Fault("cold_server", server.name, seconds, _nothing)
+
+
 FAULTS.register("shedding_server")(
     _server_fault("shedding_server", lambda rng: {"shedding": True}, {"shedding": False})
 )
--- a/greengagefall/entry/dispatch_table.py
+++ b/greengagefall/entry/dispatch_table.py
@@ -10,6 +10,7 @@
 from greengagefall.dispatch.server_dispatcher import ServerDispatcher
 from greengagefall.entry import refusals
 from greengagefall.entry.refuse import refuse
+from greengagefall.routing.model import SERVER_ACTIVE, ZONE_IN
 from greengagefall.utils.waiting import wait_until
 
 if TYPE_CHECKING:
@@ -71,16 +72,17 @@
         key = f"{forward.back_end}/{forward.server}"
         dispatcher = self._dispatchers.get(key)
         if not self._taking:
-            return refuse(forward.request_id, refusals.STOPPING, call_id=forward.call_id)
+            return self._refuse_with_hint(forward, refusals.STOPPING)
         if dispatcher is None or not dispatcher.right.may_send():
-            return refuse(
-                forward.request_id,
-                refusals.NOT_DISPATCHER,
-                call_id=forward.call_id,
-                hint_host=self._candidate.holder_host(key),
-            )
+            return self._refuse_with_hint(forward, refusals.NOT_DISPATCHER)
         return await dispatcher.submit(forward)
 
+    def _refuse_with_hint(self, forward: Forward, reason: str) -> Refusal:
+        """Refuses with the host that is known here to hold the right, unless it is this one."""
+        holder = self._candidate.holder_host(f"{forward.back_end}/{forward.server}")
+        hint_host = "" if holder == self._state.host else holder
+        return refuse(forward.request_id, reason, call_id=forward.call_id, hint_host=hint_host)
+
     def stop_taking(self) -> None:
         """Refuses new requests; those that wait or run go on."""
         self._taking = False
@@ -135,6 +137,7 @@
         held = self._dispatchers.get(key)
         if held is not None and held.can_take(back_end, server):
             held.update(back_end, server, config.limits)
+            held.set_leaving(_is_leaving(server, config))
             return
         if held is not None:
             self._close_later(held)
@@ -148,9 +151,15 @@
             self._clock,
         )
         self._dispatchers[key] = dispatcher
+        dispatcher.set_leaving(_is_leaving(server, config))
         dispatcher.start()
 
     def _close_later(self, dispatcher: ServerDispatcher) -> None:
         task = asyncio.create_task(dispatcher.close())
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
+
+
+def _is_leaving(server: BackendServer, config: RoutingConfig) -> bool:
+    zone_state = config.zones.get(server.zone, ZONE_IN)
+    return server.state != SERVER_ACTIVE or zone_state != ZONE_IN
--- a/greengagefall/entry/targets.py
+++ b/greengagefall/entry/targets.py
@@ -23,7 +23,9 @@
 NO_SLICE = -1
 # For how long a host without a connection is asked after the other candidates.
 AVOID_S = 1.0
-WRONG_HOST = frozenset({refusals.NOT_DISPATCHER, refusals.DISPATCHER_UNREACHABLE})
+WRONG_HOST = frozenset(
+    {refusals.NOT_DISPATCHER, refusals.DISPATCHER_UNREACHABLE, refusals.STOPPING}
+)
 
 
 class Target(NamedTuple):
@@ -92,6 +94,7 @@
             del self._known[target.server_key]
             self._turn[target.server_key] = 0
         elif self._last_tried.get(target.server_key) == target.host:
+            del self._last_tried[target.server_key]
             self._turn[target.server_key] = self._turn.get(target.server_key, 0) + 1
 
     def dispatcher(self, server_key: str, zone: str) -> str | None:
--- a/greengagefall/standins/backend_records.py
+++ b/greengagefall/standins/backend_records.py
@@ -57,16 +57,27 @@
 
 
 class ColdRecord(TypedDict):
-    """A cold start from ``from_s`` to ``until_s``; ``refused_s`` is its first refusal or 0."""
+    """A cold start from ``from_s`` to ``until_s``; ``refused_s`` is its first refusal or 0.
+
+    ``at_start`` tells the one after the process started from a later one.
+    """
 
     from_s: float
     until_s: float
     cold_slots: int
     announced: bool
+    at_start: bool
     refused_s: float
     incarnation: str
 
 
+class StartRecord(TypedDict):
+    """Start of a server process, in ``time.time()``."""
+
+    at_s: float
+    incarnation: str
+
+
 class Records:
     """Bounded records of one server process.
 
@@ -85,7 +96,9 @@
         self.grants: list[GrantRecord] = []
         self.colds: list[ColdRecord] = []
         self._wall_offset_s = time.time() - time.monotonic()
+        self.start = StartRecord(at_s=time.time(), incarnation=incarnation)
         self._journal_fd = os.open(journal, JOURNAL_FLAGS, 0o644) if journal else -1
+        self.note("start", self.start)
 
     def close(self) -> None:
         """Closes the journal."""
@@ -113,7 +126,10 @@
     def hold_grant(
         self, fence: int, map_version: int, runs: tuple[GrantRun, ...], now_s: float, until_s: float
     ) -> None:
-        """Records that a grant was accepted; a renewal extends the last record."""
+        """Records that a grant was accepted; a renewal extends the last record.
+
+        One that is over already, as it came late, only ends the one before.
+        """
         from_s, end_s = self.wall_s(now_s), self.wall_s(until_s)
         rows = [list(run) for run in runs]
         last = self.grants[-1] if self.grants else None
@@ -123,6 +139,8 @@
             self.note("grant", last)
             if same:
                 return
+        if until_s <= now_s:
+            return
         record = GrantRecord(
             fence=fence,
             map_version=map_version,
@@ -140,6 +158,7 @@
             "server": self.server,
             "incarnation": self.incarnation,
             "dropped": self.dropped,
+            "starts": [self.start],
             "requests": list(self.requests),
             "grants": self.grants,
             "colds": self.colds,
--- a/greengagefall/standins/backend_server.py
+++ b/greengagefall/standins/backend_server.py
@@ -98,7 +98,7 @@
                 "grant": grant,
                 "busy": work.busy,
                 "slots": work.settings.slots,
-                "cold": work.says_cold(),
+                "cold": work.cold.is_announced(),
                 "draining": work.faults.draining,
             }
         )
@@ -127,7 +127,7 @@
                 "now_ms": work.now_ms(),
                 "released": work.has_released(),
                 "busy": work.busy,
-                "cold": work.says_cold(),
+                "cold": work.cold.is_announced(),
             }
         )
 
@@ -183,17 +183,21 @@
     """Sets faults."""
 
     def post(self) -> None:
-        """Sets the faults named in the body."""
+        """Sets the faults named in the body.
+
+        ``cold_s`` begins a cold start, which ``announce`` lets the server tell;
+        ``freeze_s`` freezes the process.
+        """
         body = self.json_body()
-        cold_s = float(body.pop("cold_s", 0))
-        announced = bool(body.pop("announce", False))
-        freeze_s = float(body.pop("freeze_s", 0))
         try:
+            cold_s = float(body.pop("cold_s", 0))
+            announced = bool(body.pop("announce", False))
+            freeze_s = float(body.pop("freeze_s", 0))
             self.work.faults = change_faults(self.work.faults, body)
-        except ValueError as error:
+        except (TypeError, ValueError) as error:
             raise tornado.web.HTTPError(400, str(error)) from error
         if cold_s > 0:
-            self.work.turn_cold(cold_s, announced=announced)
+            self.work.cold.begin(cold_s, announced=announced)
         if freeze_s > 0:
             asyncio.get_running_loop().call_later(FREEZE_DELAY_S, time.sleep, freeze_s)
         self.finish(self.work.faults._asdict())
@@ -238,7 +242,7 @@
             "X-Request-Id": request.request_id,
             "X-Server-Incarnation": self.work.incarnation,
         }
-        if self.work.says_cold():
+        if self.work.cold.is_announced():
             headers["X-Server-Cold"] = "1"
         body: dict[str, Any] = {"request_id": request.request_id, "key_path": request.path}
         if result.outcome == OUTCOME_NOT_RUN:
