--- a/greengagefall/bench/measure_coordinator.py
+++ b/greengagefall/bench/measure_coordinator.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import asyncio
+import random
+import time
 from typing import NamedTuple
 
 import click
@@ -28,6 +30,9 @@
 SETTLE_S = 5.0
 POLL_S = 0.2
 MAX_POLLS = 600
+TAKE_OVER_HOSTS = 4
+TAKE_OVERS = 5
+TAKE_OVER_POLL_S = 0.02
 
 
 class Cost(NamedTuple):
@@ -64,7 +69,8 @@
 class Zone:
     """Stand-ins of one zone with coordinators as processes."""
 
-    def __init__(self, host_count: int) -> None:
+    def __init__(self, host_count: int, coordinator_count: int = COORDINATORS) -> None:
+        self._coordinator_count = coordinator_count
         self.store = KvService("127.0.0.1:0")
         self.processes = ProcessGroup()
         self._host_list = HostListService("127.0.0.1:0")
@@ -83,7 +89,7 @@
             self._host_list.register({"targets": [host.address], "labels": labels}, 0.0)
         key = config_key(1).encode()
         self.store.state.write([PutOp(key, config_bytes(len(self._hosts)), 0)])
-        for host in self._hosts[:COORDINATORS]:
+        for host in self._hosts[: self._coordinator_count]:
             self._start_coordinator(host)
 
     async def close(self) -> None:
@@ -116,6 +122,11 @@
         """Host of the active coordinator."""
         return self._hosts[0].seen.seen().host
 
+    @property
+    def term(self) -> int:
+        """Term of the newest coordinator that the hosts heard of."""
+        return max(host.seen.seen().term for host in self._hosts)
+
     @property
     def standby(self) -> str:
         """Host of a standby coordinator."""
@@ -153,8 +164,25 @@
         await zone.close()
 
 
+async def measure_take_over() -> float:
+    """Returns the seconds from the kill of the coordinator until hosts hear of the next."""
+    zone = Zone(TAKE_OVER_HOSTS, TAKE_OVER_HOSTS)
+    await zone.start()
+    try:
+        await zone.wait_active()
+        await asyncio.sleep(random.uniform(SETTLE_S, SETTLE_S + 1.0))
+        term = zone.term
+        zone.processes.kill(zone.active)
+        started_s = time.monotonic()
+        while zone.term == term:  # noqa: ASYNC110
+            await asyncio.sleep(TAKE_OVER_POLL_S)
+        return time.monotonic() - started_s
+    finally:
+        await zone.close()
+
+
 async def measure_all(host_counts: tuple[int, ...], seconds: float) -> None:
-    """Prints the cost for each number of hosts."""
+    """Prints the cost for each number of hosts, and times of take-over."""
     print("hosts  store calls/s  watches  active: core share, MiB  standby: core share, MiB")
     for host_count in host_counts:
         cost = await measure(host_count, seconds)
@@ -164,6 +192,9 @@
             f"  {cost.standby.cpu_s:19.4f}, {cost.standby.resident_mib:5.1f}",
             flush=True,
         )
+    take_overs = [await measure_take_over() for _ in range(TAKE_OVERS)]
+    print(f"\nTake-over after a kill, {TAKE_OVER_HOSTS} hosts, seconds:")
+    print("  ".join(f"{seconds:.2f}" for seconds in sorted(take_overs)))
 
 
 @click.command()
--- a/greengagefall/coordinator/election.py
+++ b/greengagefall/coordinator/election.py
@@ -30,6 +30,7 @@
 LISTEN_INTERVAL_S = 0.25
 TURN_S = 0.5
 RENEWALS_PER_LEASE = 3
+RENEWAL_RETRY_S = 0.5
 
 
 class Heard(NamedTuple):
@@ -123,14 +124,16 @@
         while self._lease_id:
             asked_s = self._clock.now_s()
             renewed = await self._store.lease_keepalive(self._lease_id)
+            pause_s = RENEWAL_RETRY_S
             if isinstance(renewed, Ok) and renewed.ok_value > 0:
                 self._lease_until_s = asked_s + self._lease_ttl_s
+                pause_s = self._lease_ttl_s / RENEWALS_PER_LEASE
             elif isinstance(renewed, Ok) or isinstance(renewed.err_value, StoreRefusedError):
                 log.warning("The lease of term %d has run out.", self.term)
                 count("coordinator_leases_lost")
                 self._lease_id = 0
                 return
-            await asyncio.sleep(self._lease_ttl_s / RENEWALS_PER_LEASE)
+            await asyncio.sleep(pause_s)
 
     async def resign(self) -> None:
         """Gives the lease back."""
