--- a/greengagefall/bench/check_planted.py
+++ b/greengagefall/bench/check_planted.py
@@ -34,6 +34,7 @@
     "unknown_called_not_run": PlantedRun(("kill_server", "late_answers", "freeze_server")),
     "no_cold_ramp": PlantedRun(("kill_server", "cold_server")),
     "no_answer_check": PlantedRun(("crossed_answers",)),
+    "keeps_configuration": PlantedRun(("racing_patches",)),
     "work_after_leaving": PlantedRun(("drain_server", "zone_out")),
 }
 
@@ -49,9 +50,7 @@
 async def check_plant(name: str, seed: int, seconds: float) -> bool:
     """Runs a soak with a planted fault; returns whether a check caught it."""
     run = RUNS[name]
-    spec = soak_spec()._replace(planted=name)
-    back_ends = tuple(one._replace(checks_orders=run.checks_orders) for one in spec.back_ends)
-    spec = spec._replace(back_ends=back_ends)
+    spec = soak_spec(run.checks_orders)._replace(planted=name)
     outcome = await run_soak(spec, seed, seconds, FaultPlan(run.faults, 3, 2.0))
     caught = caught_by(outcome)
     shown = ", ".join(f"{check} ({number})" for check, number in caught.most_common())
