Push changes of server states to the coordinator; report loads each fourth beat

Cause: the active coordinator exchanged a heartbeat and a report with each host twice a second, 0.0008 of a core for each host.

--- a/greengagefall/coordinator/contacts.py
+++ b/greengagefall/coordinator/contacts.py
@@ -29,7 +29,16 @@
 
 HEARTBEAT_INTERVAL_S = 0.5
 CALL_TIMEOUT_S = 0.5
-HEARD_WITHIN_S = 2.0
+HEARD_WITHIN_S = 3.0
+# Hosts push changes of state; reports bring the loads.
+BEATS_PER_REPORT = 4
+MAX_INTERVAL_S = 1.0
+INTERVAL_PER_HOST_S = 0.0125
+
+
+def heartbeat_interval_s(host_count: int) -> float:
+    """Returns the time between heartbeats to one host, longer in a large zone."""
+    return min(MAX_INTERVAL_S, max(HEARTBEAT_INTERVAL_S, host_count * INTERVAL_PER_HOST_S))
 
 
 class Claim(NamedTuple):
@@ -81,15 +90,18 @@
         clock: Clock,
         claim: Callable[[], Claim],
         on_change: Callable[[], None],
+        interval_s: Callable[[], float],
     ) -> None:
         self.address = address
-        self.link = PeerLink(address, hello, on_connect=self._connected)
+        self.link = PeerLink(address, hello, on_connect=self._connected, on_message=self._on_pushed)
         self.status: HostStatus | None = None
         self._hello = hello
         self._book = book
         self._clock = clock
         self._claim = claim
         self._on_change = on_change
+        self._interval_s = interval_s
+        self._beats = 0
         self._versions: dict[str, int] | None = None
         self._heard_at_s: float | None = None
         self._asked_at_s = 0.0
@@ -129,13 +141,18 @@
     def _connected(self, peer: Hello) -> None:
         self._versions = None
         self.status = None
+        self._beats = 0
+
+    def _on_pushed(self, message: object) -> None:
+        if isinstance(message, HostStatus):
+            self._note_status(message)
 
     async def _run(self) -> None:
         await asyncio.sleep(random.uniform(0, HEARTBEAT_INTERVAL_S / 5))
         while True:
             if self.link.connected:
                 await guarded("contacts", self._exchange())
-            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+            await asyncio.sleep(self._interval_s())
 
     async def _exchange(self) -> None:
         claim = self._claim()
@@ -147,9 +164,11 @@
             reply = await self.link.call(heartbeat, CALL_TIMEOUT_S)
             if isinstance(reply, HeartbeatReply):
                 self._note_reply(reply, asked_at_s)
-            status = await self.link.call(HostReport(0), CALL_TIMEOUT_S)
-            if isinstance(status, HostStatus):
-                self._note_status(status)
+            if self._beats % BEATS_PER_REPORT == 0:
+                status = await self.link.call(HostReport(0), CALL_TIMEOUT_S)
+                if isinstance(status, HostStatus):
+                    self._note_status(status)
+            self._beats += 1
         except ProtocolError as error:
             log.debug("No answer from %s: %s.", self.address, error)
 
@@ -216,7 +235,13 @@
         wanted = set(addresses)
         for address in wanted - self._contacts.keys():
             contact = HostContact(
-                address, self._hello, self._book, self._clock, self._claim, self._on_change
+                address,
+                self._hello,
+                self._book,
+                self._clock,
+                self._claim,
+                self._on_change,
+                lambda: heartbeat_interval_s(len(self._contacts)),
             )
             self._contacts[address] = contact
             await contact.start()
--- a/greengagefall/dispatch/server_dispatcher.py
+++ b/greengagefall/dispatch/server_dispatcher.py
@@ -76,6 +76,7 @@
         ledger: When the server's grants have certainly ended.
         slice_map: Returns the newest slice map of the back end.
         clock: Monotonic clock.
+        on_state: Called when the server's state changed.
     """
 
     def __init__(
@@ -87,6 +88,7 @@
         ledger: GrantLedger,
         slice_map: Callable[[], SliceMap | None],
         clock: Clock,
+        on_state: Callable[[], None] | None = None,
     ) -> None:
         self.key = f"{back_end.name}/{server.name}"
         self.back_end = back_end
@@ -96,7 +98,7 @@
         self._ledger = ledger
         self._slice_map = slice_map
         self._clock = clock
-        self.health = ServerHealth(self.key, clock)
+        self.health = ServerHealth(self.key, clock, on_change=on_state)
         self._pool = ConnectionPool(server.address, limits.answer_bytes, self._unconfirm)
         self._control = ServerControl(server.address)
         self.grants = GrantKeeper(
--- a/greengagefall/dispatch/server_health.py
+++ b/greengagefall/dispatch/server_health.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from greengagefall.utils.clock import Clock
 
 log = logging.getLogger(__name__)
@@ -26,7 +28,14 @@
     answers to grants, status calls and requests count.
     """
 
-    def __init__(self, server_key: str, clock: Clock, down_after_s: float = DOWN_AFTER_S) -> None:
+    def __init__(
+        self,
+        server_key: str,
+        clock: Clock,
+        down_after_s: float = DOWN_AFTER_S,
+        on_change: Callable[[], None] | None = None,
+    ) -> None:
+        self._on_change = on_change
         self._server_key = server_key
         self._clock = clock
         self._down_after_s = down_after_s
@@ -64,3 +73,5 @@
         log.info("Server %s is %s, was %s.", self._server_key, state, self.state)
         self.state = state
         self.since_s = self._clock.now_s()
+        if self._on_change is not None:
+            self._on_change()
--- a/greengagefall/entry/dispatch_table.py
+++ b/greengagefall/entry/dispatch_table.py
@@ -14,6 +14,8 @@
 from greengagefall.utils.waiting import wait_until
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from greengagefall.coordination.candidate import Candidate
     from greengagefall.entry.host_state import HostState
     from greengagefall.protocol.messages import Answer, Forward, Refusal, Release
@@ -32,9 +34,17 @@
         state: Documents of this host.
         candidate: Dispatch rights of this host.
         clock: Monotonic clock.
+        on_state: Called when the state of a server changed.
     """
 
-    def __init__(self, state: HostState, candidate: Candidate, clock: Clock) -> None:
+    def __init__(
+        self,
+        state: HostState,
+        candidate: Candidate,
+        clock: Clock,
+        on_state: Callable[[], None],
+    ) -> None:
+        self._on_state = on_state
         self._state = state
         self._candidate = candidate
         self._clock = clock
@@ -149,6 +159,7 @@
             GrantLedger(key, self._clock),
             lambda: self._state.slice_map(back_end.name),
             self._clock,
+            self._on_state,
         )
         self._dispatchers[key] = dispatcher
         dispatcher.set_leaving(_is_leaving(server, config))
--- a/greengagefall/entry/host.py
+++ b/greengagefall/entry/host.py
@@ -19,7 +19,7 @@
 from greengagefall.entry.dispatch_table import DispatchTable
 from greengagefall.entry.forwarder import Forwarder
 from greengagefall.entry.host_state import HostState
-from greengagefall.entry.peer_handler import PeerHandler
+from greengagefall.entry.peer_handler import ROLE_COORDINATOR, PeerHandler
 from greengagefall.entry.peer_table import PeerTable
 from greengagefall.entry.pools import Pools
 from greengagefall.entry.targets import Targets
@@ -67,7 +67,7 @@
         self.witness = Witness(settings.host, incarnation, clock, lease_s)
         self.candidate = Candidate(self.witness, clock, random.Random(), Terms(lease_s))
         self.peers = PeerTable(hello, self._on_pushed)
-        self.table = DispatchTable(self.state, self.candidate, clock)
+        self.table = DispatchTable(self.state, self.candidate, clock, self._push_status)
         self.pools = Pools(settings.zone, clock)
         self.targets = Targets(self.state, self.pools, clock)
         self.transport = Transport(self.state, self.peers, self.table)
@@ -115,6 +115,7 @@
         """Stops as planned: hands over dispatching, finishes all requests, closes."""
         self.stopping = True
         self.callers.stopping = True
+        self._push_status()
         log.info("Stopping. Requests in flight: %d.", self.callers.in_flight)
         await self._hand_over()
         await asyncio.sleep(LAME_DUCK_S)
@@ -148,6 +149,13 @@
         await wait_until(lambda: not self.table.in_flight(), self._settings.drain_timeout_s)
         await self.control.resign()
 
+    def _push_status(self) -> None:
+        """Tells a connected coordinator at once that a server's state changed."""
+        status = self.handler.status()
+        for peer in self.peer_server.peers():
+            if peer.role == ROLE_COORDINATOR:
+                self.peer_server.send_to(peer.host, status, role=ROLE_COORDINATOR)
+
     def _on_pushed(self, message: object) -> None:
         if isinstance(message, Documents):
             self.state.offer(message)
--- a/greengagefall/entry/peer_handler.py
+++ b/greengagefall/entry/peer_handler.py
@@ -116,6 +116,10 @@
         return Released(0, released, how, fence)
 
     def _report(self, peer: Hello, message: HostReport) -> HostStatus:
+        return self.status()
+
+    def status(self) -> HostStatus:
+        """Returns what this host dispatches, and how its servers are."""
         held = self._table.held()
         busiest = {
             f"{one.back_end.name}/{slice_id}": rate_per_s
