Count a host's answer only if it was asked after the record was known

An old answer could prove the end of the wrong incarnation: a coordinator cut off or paused while a host restarted, which then read the record that another had written, held the answer of the process before. It would have taken that for another incarnation than the member's, entered the living member as gone, and counted it as moved. Answers now carry the time of their question, and those from before the present record was known are left out; also those of a process with a member's name on another address. Found by reading, no run had shown it; the two tests of stale answers fail without the check. Contact is also kept with the members of the epoch before, whose moves complete the present one.

--- a/greengagefall/coordinator/active.py
+++ b/greengagefall/coordinator/active.py
@@ -122,7 +122,7 @@
 
     def _addresses(self) -> set[str]:
         record = self.records.members
-        members = record.members if record else ()
+        members = record.members + record.previous if record else ()
         return {
             self._entry_peer,
             *self._listed.addresses(),
--- a/greengagefall/coordinator/contacts.py
+++ b/greengagefall/coordinator/contacts.py
@@ -64,6 +64,18 @@
     resigning: bool
 
 
+class Answer(NamedTuple):
+    """What a host answered last.
+
+    Attributes:
+        sight: What it said.
+        asked_s: When it was asked; it said so after this.
+    """
+
+    sight: HostSight
+    asked_s: float
+
+
 class HostContact:
     """Connection with one entry host, with its last heartbeat reply and status.
 
@@ -92,7 +104,7 @@
         self._on_change = on_change
         self._versions: dict[str, int] | None = None
         self._heard_at_s: float | None = None
-        self._sight: HostSight | None = None
+        self._answer: Answer | None = None
         self._task: asyncio.Task | None = None
 
     async def start(self) -> None:
@@ -111,7 +123,11 @@
         """Returns what is known of the host, None unless it answered lately."""
         if self._heard_at_s is None or self._clock.now_s() - self._heard_at_s > HEARD_WITHIN_S:
             return None
-        return self._sight
+        return self._answer.sight if self._answer else None
+
+    def answer(self) -> Answer | None:
+        """Returns the host's last answer, be it old."""
+        return self._answer
 
     def push(self) -> None:
         """Sends the documents that the host does not have yet."""
@@ -138,16 +154,17 @@
             0, self._hello.host, 0, claim.host, claim.term, 0, self._book.versions()
         )
         try:
+            asked_s = self._clock.now_s()
             reply = await self.link.call(heartbeat, CALL_TIMEOUT_S)
             if isinstance(reply, HeartbeatReply):
-                self._note_reply(reply)
+                self._note_reply(reply, asked_s)
             status = await self.link.call(HostReport(0), CALL_TIMEOUT_S)
             if isinstance(status, HostStatus):
-                self._note_status(status)
+                self._note_status(status, asked_s)
         except ProtocolError as error:
             log.debug("No answer from %s: %s.", self.address, error)
 
-    def _note_reply(self, reply: HeartbeatReply) -> None:
+    def _note_reply(self, reply: HeartbeatReply, asked_s: float) -> None:
         self._versions = dict(reply.versions)
         self.push()
         peer = self.link.peer
@@ -160,18 +177,20 @@
         sight = HostSight(
             reply.host, reply.incarnation, self.address, peer.http_address, reply.epoch, resigning
         )
-        self._see(sight)
+        self._see(sight, asked_s)
 
-    def _note_status(self, status: HostStatus) -> None:
+    def _note_status(self, status: HostStatus, asked_s: float) -> None:
         before, self.status = self.status, status
-        if self._sight is not None and self._sight.incarnation == status.incarnation:
-            self._see(self._sight._replace(epoch=status.epoch, resigning=status.resigning))
+        sight = self._answer.sight if self._answer else None
+        if sight is not None and sight.incarnation == status.incarnation:
+            resigning = status.resigning
+            self._see(sight._replace(epoch=status.epoch, resigning=resigning), asked_s)
         if before is None or _states(before) != _states(status):
             self._on_change()
 
-    def _see(self, sight: HostSight) -> None:
+    def _see(self, sight: HostSight, asked_s: float) -> None:
         before = self.sight()
-        self._sight = sight
+        self._answer = Answer(sight, asked_s)
         self._heard_at_s = self._clock.now_s()
         if before != sight:
             self._on_change()
@@ -230,6 +249,11 @@
         sights = (contact.sight() for contact in self._contacts.values())
         return {sight.host: sight for sight in sights if sight is not None}
 
+    def answers(self) -> list[Answer]:
+        """Returns the last answer of each address, be it old."""
+        answers = (contact.answer() for contact in self._contacts.values())
+        return [answer for answer in answers if answer is not None]
+
     def statuses(self) -> list[HostStatus]:
         """Returns the last status of each host that answered lately."""
         return [
--- a/greengagefall/coordinator/hosts.py
+++ b/greengagefall/coordinator/hosts.py
@@ -49,11 +49,11 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
-    def states(self) -> dict[str, str] | None:
-        """Returns the state by host, None until the list was read."""
+    def by_host(self) -> dict[str, ListedHost] | None:
+        """Returns the entries by host, None until the list was read."""
         if self._hosts is None:
             return None
-        return {listed.host: listed.state for listed in self._hosts}
+        return {listed.host: listed for listed in self._hosts}
 
     def addresses(self) -> list[str]:
         """Returns the peer addresses of the listed hosts."""
--- a/greengagefall/coordinator/members.py
+++ b/greengagefall/coordinator/members.py
@@ -18,7 +18,7 @@
 from greengagefall.coordinator.guard import guarded
 from greengagefall.coordinator.keys import BACKENDS_PREFIX
 from greengagefall.coordinator.write_retry import WriteRetry
-from greengagefall.store.host_list import STATE_LEAVING
+from greengagefall.store.host_list import STATE_LEAVING, ListedHost
 from greengagefall.utils.metrics import count
 
 if TYPE_CHECKING:
@@ -66,7 +66,7 @@
     record: MembersRecord,
     sights: Mapping[str, HostSight],
     silent_s: Mapping[str, float],
-    listed: Mapping[str, str] | None,
+    listed: Mapping[str, ListedHost] | None,
     lost_hosts: Collection[str],
 ) -> MembersChange:
     """Returns how the members differ from what is known of the hosts.
@@ -76,9 +76,10 @@
 
     Args:
         record: The present record.
-        sights: Hosts that answered lately.
+        sights: Hosts that answered lately, each asked after the record was known. An
+            older answer could come from a process that ended before the record was written.
         silent_s: Seconds for which each member has not answered.
-        listed: State by host in the platform's list, None if the list is not known.
+        listed: The platform's list by host, None if it is not known.
         lost_hosts: ``host/incarnation`` that operators attested as lost.
     """
     members = {member.host: member for member in record.members}
@@ -99,16 +100,17 @@
     ]
     leaving = [
         host
-        for host in members
-        if host not in sights
-        and silent_s.get(host, 0.0) >= LEAVE_AFTER_S
-        and _list_says_gone(host, listed)
+        for host, member in members.items()
+        if silent_s.get(host, 0.0) >= LEAVE_AFTER_S and _list_says_gone(member, listed)
     ]
     return MembersChange(tuple(sorted(seen)), tuple(leaving), tuple(ended))
 
 
-def _list_says_gone(host: str, listed: Mapping[str, str] | None) -> bool:
-    return listed is not None and listed.get(host, STATE_LEAVING) == STATE_LEAVING
+def _list_says_gone(member: Member, listed: Mapping[str, ListedHost] | None) -> bool:
+    if listed is None:
+        return False
+    entry = listed.get(member.host)
+    return entry is None or entry.state == STATE_LEAVING or entry.address != member.address
 
 
 class MembersKeeper:
@@ -139,7 +141,9 @@
         self._listed = listed
         self._clock = clock
         self._wakeup = wakeup
-        self._answered: dict[str, tuple[str, int]] = {}
+        self._record: MembersRecord | None = None
+        self._record_known_s = 0.0
+        self._answered: dict[str, HostSight] = {}
         self._last_seen_s: dict[str, float] = {}
         self._first_seen_s: float | None = None
         self._changed_s: float | None = None
@@ -166,7 +170,7 @@
     async def step(self) -> None:
         """Writes the next record if the members differ and the epoch is complete."""
         record = self._records.members
-        sights = self._note_sights(record)
+        sights = self._note_answers(record)
         if record is None:
             await self._write_first(sights)
             return
@@ -177,28 +181,58 @@
             return
         if not self._batch_is_over():
             return
-        if not is_complete(record, self._answered, lost_hosts):
+        if not is_complete(record, self._moved(record), lost_hosts):
             count("coordinator_epoch_waits")
             return
         await self._write_next(record, change)
 
-    def _note_sights(self, record: MembersRecord | None) -> dict[str, HostSight]:
+    def _note_answers(self, record: MembersRecord | None) -> dict[str, HostSight]:
+        """Returns the hosts that answered lately, asked after the record was known.
+
+        An answer to an earlier question may come from a process that had ended before the
+        record was written; it would prove the end of the wrong incarnation.
+        """
         now_s = self._clock.now_s()
-        sights = self._contacts.sights()
-        for host, sight in sights.items():
-            self._answered[host] = (sight.incarnation, sight.epoch)
-            self._last_seen_s[host] = now_s
-        members = record.members if record else ()
-        for member in members:
+        if record != self._record:
+            self._record = record
+            self._record_known_s = now_s
+            self._answered = {}
+        for answer in self._contacts.answers():
+            if answer.asked_s >= self._record_known_s:
+                self._answered[answer.sight.address] = answer.sight
+        lately = set(self._contacts.sights().values())
+        self._note_silence(record, lately, now_s)
+        addresses = {member.host: member.address for member in record.members} if record else {}
+        return {
+            sight.host: sight
+            for address, sight in self._answered.items()
+            if sight in lately and addresses.get(sight.host, address) == address
+        }
+
+    def _note_silence(
+        self, record: MembersRecord | None, lately: set[HostSight], now_s: float
+    ) -> None:
+        heard = {(sight.host, sight.address) for sight in lately}
+        for member in record.members if record else ():
+            if (member.host, member.address) in heard:
+                self._last_seen_s[member.host] = now_s
             self._last_seen_s.setdefault(member.host, now_s)
-        return sights
+
+    def _moved(self, record: MembersRecord) -> dict[str, tuple[str, int]]:
+        """Returns incarnation and epoch that answer at each previous member's address."""
+        moved = {}
+        for member in record.previous:
+            sight = self._answered.get(member.address)
+            if sight is not None and sight.host == member.host:
+                moved[member.host] = (sight.incarnation, sight.epoch)
+        return moved
 
     def _plan(
         self, record: MembersRecord, sights: dict[str, HostSight], lost_hosts: Collection[str]
     ) -> MembersChange:
         now_s = self._clock.now_s()
         silent_s = {host: now_s - seen_s for host, seen_s in self._last_seen_s.items()}
-        return plan_change(record, sights, silent_s, self._listed.states(), lost_hosts)
+        return plan_change(record, sights, silent_s, self._listed.by_host(), lost_hosts)
 
     def _batch_is_over(self) -> bool:
         now_s = self._clock.now_s()
@@ -218,7 +252,7 @@
             return
         if self._first_seen_s is None:
             self._first_seen_s = now_s
-        expected = self._listed.states()
+        expected = self._listed.by_host()
         all_answer = expected is not None and expected.keys() <= sights.keys()
         if not all_answer and now_s - self._first_seen_s < FIRST_EPOCH_SETTLE_S:
             return
--- a/greengagefall/tests/coordinator_decisions_tests.py
+++ b/greengagefall/tests/coordinator_decisions_tests.py
@@ -3,20 +3,23 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
 from result import Ok
 
 from greengagefall.balancing.loads import NO_LOADS
-from greengagefall.coordination.epochs import first_record
+from greengagefall.coordination.epochs import first_record, next_record
 from greengagefall.coordination.model import SLICE_OWNED, SLICE_RELEASING, Member, SliceRun
 from greengagefall.coordination.slice_map import SliceMap
 from greengagefall.coordinator import slice_decisions as decisions
-from greengagefall.coordinator.contacts import HostSight
-from greengagefall.coordinator.members import LEAVE_AFTER_S, plan_change
+from greengagefall.coordinator.contacts import Answer, HostSight
+from greengagefall.coordinator.members import LEAVE_AFTER_S, MembersKeeper, plan_change
 from greengagefall.coordinator.slice_decisions import Proof
 from greengagefall.protocol.messages import HostStatus
 from greengagefall.routing.parse import parse_config
+from greengagefall.store.host_list import ListedHost
 from greengagefall.tests.coordinator_settings import BACK_END, config_document, servers_of
+from greengagefall.utils.clock import ManualClock
 
 ZONE_A = "ee-north-a"
 ZONE_B = "ee-north-b"
@@ -99,9 +102,12 @@
 
     def test_silence_alone_removes_nobody(self):
         self.assertTrue(self.plan(None).empty)
-        self.assertTrue(self.plan({"a2": "live"}).empty)
-        self.assertTrue(self.plan({"a2": "leaving"}, silent_s=0.0).empty)
-        self.assertEqual(self.plan({"a2": "leaving"}).leaving, ("a2",))
+        listed = ListedHost("a2", ZONE_A, "a2", "", "live")
+        self.assertTrue(self.plan({"a2": listed}).empty)
+        leaving = listed._replace(state="leaving")
+        self.assertTrue(self.plan({"a2": leaving}, silent_s=0.0).empty)
+        self.assertEqual(self.plan({"a2": leaving}).leaving, ("a2",))
+        self.assertEqual(self.plan({"a2": listed._replace(address="b")}).leaving, ("a2",))
         self.assertEqual(self.plan({}).leaving, ("a2",))
 
     def test_attested_incarnation_is_ended_and_not_seen_again(self):
@@ -114,3 +120,33 @@
         self.assertTrue(self.plan(None).empty)
         self.sights["a9"] = self.sights["a9"]._replace(resigning=False)
         self.assertEqual([member.host for member in self.plan(None).seen], ["a9"])
+
+
+class StaleAnswerTests(unittest.TestCase):
+    """Answers to questions from before the record was known prove nothing."""
+
+    def setUp(self):
+        self.clock = ManualClock(100.0)
+        self.contacts = mock.Mock(sights=dict, answers=list)
+        self.keeper = MembersKeeper(
+            ZONE_A, mock.Mock(), self.contacts, mock.Mock(), self.clock, mock.Mock()
+        )
+
+    def note(self, record, asked_s, incarnation="1", address="a1"):
+        sight = HostSight("a1", incarnation, address, "", 2, False)
+        self.contacts.answers = lambda: [Answer(sight, asked_s)]
+        self.contacts.sights = lambda: {"a1": sight}
+        return self.keeper._note_answers(record)
+
+    def test_old_answer_neither_replaces_nor_ends_a_member(self):
+        first = first_record(ZONE_A, [Member("a1", "2", "a1", "", False)])
+        record = next_record(first, seen=[Member("a2", "1", "a2", "", False)])
+        self.assertEqual(self.note(record, asked_s=99.9), {})
+        self.assertEqual(self.keeper._moved(record), {})
+        self.assertEqual(list(self.note(record, asked_s=100.1)), ["a1"])
+        self.assertEqual(self.keeper._moved(record), {"a1": ("1", 2)})
+
+    def test_same_name_at_another_address_proves_nothing(self):
+        record = next_record(first_record(ZONE_A, [Member("a1", "1", "a1", "", False)]))
+        self.assertEqual(self.note(record, 100.1, incarnation="2", address="b"), {})
+        self.assertEqual(self.keeper._moved(record), {})
