--- a/greengagefall/coordinator/members.py
+++ b/greengagefall/coordinator/members.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from greengagefall.coordination.epochs import (
+    HostAnswer,
     first_record,
     is_complete,
     member_id,
@@ -18,7 +19,7 @@
 from greengagefall.coordinator.guard import guarded
 from greengagefall.coordinator.keys import BACKENDS_PREFIX
 from greengagefall.coordinator.write_retry import WriteRetry
-from greengagefall.store.host_list import STATE_LEAVING, ListedHost
+from greengagefall.store.host_list import STATE_LEAVING
 from greengagefall.utils.metrics import count
 
 if TYPE_CHECKING:
@@ -66,7 +67,7 @@
     record: MembersRecord,
     sights: Mapping[str, HostSight],
     silent_s: Mapping[str, float],
-    listed: Mapping[str, ListedHost] | None,
+    listed: Mapping[str, str] | None,
     lost_hosts: Collection[str],
 ) -> MembersChange:
     """Returns how the members differ from what is known of the hosts.
@@ -76,10 +77,9 @@
 
     Args:
         record: The present record.
-        sights: Hosts that answered lately, each asked after the record was known. An
-            older answer could come from a process that ended before the record was written.
+        sights: Hosts that answered lately.
         silent_s: Seconds for which each member has not answered.
-        listed: The platform's list by host, None if it is not known.
+        listed: State by host in the platform's list, None if the list is not known.
         lost_hosts: ``host/incarnation`` that operators attested as lost.
     """
     members = {member.host: member for member in record.members}
@@ -100,17 +100,16 @@
     ]
     leaving = [
         host
-        for host, member in members.items()
-        if silent_s.get(host, 0.0) >= LEAVE_AFTER_S and _list_says_gone(member, listed)
+        for host in members
+        if host not in sights
+        and silent_s.get(host, 0.0) >= LEAVE_AFTER_S
+        and _list_says_gone(host, listed)
     ]
     return MembersChange(tuple(sorted(seen)), tuple(leaving), tuple(ended))
 
 
-def _list_says_gone(member: Member, listed: Mapping[str, ListedHost] | None) -> bool:
-    if listed is None:
-        return False
-    entry = listed.get(member.host)
-    return entry is None or entry.state == STATE_LEAVING or entry.address != member.address
+def _list_says_gone(host: str, listed: Mapping[str, str] | None) -> bool:
+    return listed is not None and listed.get(host, STATE_LEAVING) == STATE_LEAVING
 
 
 class MembersKeeper:
@@ -141,9 +140,9 @@
         self._listed = listed
         self._clock = clock
         self._wakeup = wakeup
-        self._record: MembersRecord | None = None
-        self._record_known_s = 0.0
-        self._answered: dict[str, HostSight] = {}
+        self._known_record: MembersRecord | None = None
+        self._known_at_s = 0.0
+        self._answered: dict[str, HostAnswer] = {}
         self._last_seen_s: dict[str, float] = {}
         self._first_seen_s: float | None = None
         self._changed_s: float | None = None
@@ -170,7 +169,7 @@
     async def step(self) -> None:
         """Writes the next record if the members differ and the epoch is complete."""
         record = self._records.members
-        sights = self._note_answers(record)
+        sights = self._note_sights(record)
         if record is None:
             await self._write_first(sights)
             return
@@ -181,58 +180,35 @@
             return
         if not self._batch_is_over():
             return
-        if not is_complete(record, self._moved(record), lost_hosts):
+        if not is_complete(record, self._answered, lost_hosts):
             count("coordinator_epoch_waits")
             return
         await self._write_next(record, change)
 
-    def _note_answers(self, record: MembersRecord | None) -> dict[str, HostSight]:
-        """Returns the hosts that answered lately, asked after the record was known.
+    def _note_sights(self, record: MembersRecord | None) -> dict[str, HostSight]:
+        """Takes the answers to heartbeats that were sent after the record was read.
 
-        An answer to an earlier question may come from a process that had ended before the
-        record was written; it would prove the end of the wrong incarnation.
+        Only these prove that a member has ended, see ``HostAnswer``.
         """
         now_s = self._clock.now_s()
-        if record != self._record:
-            self._record = record
-            self._record_known_s = now_s
-            self._answered = {}
-        for answer in self._contacts.answers():
-            if answer.asked_s >= self._record_known_s:
-                self._answered[answer.sight.address] = answer.sight
-        lately = set(self._contacts.sights().values())
-        self._note_silence(record, lately, now_s)
-        addresses = {member.host: member.address for member in record.members} if record else {}
-        return {
-            sight.host: sight
-            for address, sight in self._answered.items()
-            if sight in lately and addresses.get(sight.host, address) == address
-        }
-
-    def _note_silence(
-        self, record: MembersRecord | None, lately: set[HostSight], now_s: float
-    ) -> None:
-        heard = {(sight.host, sight.address) for sight in lately}
-        for member in record.members if record else ():
-            if (member.host, member.address) in heard:
-                self._last_seen_s[member.host] = now_s
+        if record != self._known_record:
+            self._known_record, self._known_at_s = record, now_s
+            self._answered.clear()
+        sights = self._contacts.sights(asked_since_s=self._known_at_s)
+        for host, sight in sights.items():
+            self._answered[host] = HostAnswer(sight.incarnation, sight.epoch, sight.address)
+            self._last_seen_s[host] = now_s
+        members = record.members if record else ()
+        for member in members:
             self._last_seen_s.setdefault(member.host, now_s)
-
-    def _moved(self, record: MembersRecord) -> dict[str, tuple[str, int]]:
-        """Returns incarnation and epoch that answer at each previous member's address."""
-        moved = {}
-        for member in record.previous:
-            sight = self._answered.get(member.address)
-            if sight is not None and sight.host == member.host:
-                moved[member.host] = (sight.incarnation, sight.epoch)
-        return moved
+        return sights
 
     def _plan(
         self, record: MembersRecord, sights: dict[str, HostSight], lost_hosts: Collection[str]
     ) -> MembersChange:
         now_s = self._clock.now_s()
         silent_s = {host: now_s - seen_s for host, seen_s in self._last_seen_s.items()}
-        return plan_change(record, sights, silent_s, self._listed.by_host(), lost_hosts)
+        return plan_change(record, sights, silent_s, self._listed.states(), lost_hosts)
 
     def _batch_is_over(self) -> bool:
         now_s = self._clock.now_s()
@@ -252,7 +228,7 @@
             return
         if self._first_seen_s is None:
             self._first_seen_s = now_s
-        expected = self._listed.by_host()
+        expected = self._listed.states()
         all_answer = expected is not None and expected.keys() <= sights.keys()
         if not all_answer and now_s - self._first_seen_s < FIRST_EPOCH_SETTLE_S:
             return
