--- a/greengagefall/bench/check_planted.py
+++ b/greengagefall/bench/check_planted.py
@@ -28,7 +28,7 @@
 
 
 RUNS = {
-    "release_without_proof": PlantedRun(("drain_server", "freeze_server")),
+    "release_without_proof": PlantedRun(("drain_server", "zone_out")),
     "no_lease_check": PlantedRun(("freeze_entry", "cut_host"), checks_orders=False),
     "retry_after_unknown_outcome": PlantedRun(("kill_server", "late_answers", "freeze_server")),
     "unknown_called_not_run": PlantedRun(("kill_server", "late_answers", "freeze_server")),
--- a/greengagefall/bench/planted.py
+++ b/greengagefall/bench/planted.py
@@ -33,7 +33,21 @@
     """Reports slices as released at once, without the server's word or the wait."""
     DispatchTable.release = lambda self, message: (True, "planted", 0)
     # A server that is told at once has let go before the next owner holds the slices.
-    GrantKeeper.wake = lambda self: None
+    real = GrantKeeper.wake
+
+    def wake(self: GrantKeeper) -> None:
+        if not _has_less_than_granted(self):
+            real(self)
+
+    GrantKeeper.wake = wake
+
+
+def _has_less_than_granted(keeper: GrantKeeper) -> bool:
+    slice_map = keeper._slice_map()
+    if keeper.accepted is None or slice_map is None:
+        return False
+    owned = sum(run.last - run.first + 1 for run in slice_map.owned_by(keeper._server))
+    return owned < sum(run.last - run.first + 1 for run in keeper.accepted.grant.runs)
 
 
 @PLANTS.register("no_lease_check")
