--- a/greengagefall/entry/refusals.py
+++ b/greengagefall/entry/refusals.py
@@ -131,9 +131,6 @@
 )
 CANCELLED = _reason("cancelled", 499, "The caller left before it was sent.")
 
-RETRY_BUDGET_SPENT = _reason(
-    "retry_budget_spent", 503, "The retry budget of this entry host is spent.", retry_after_ms=500
-)
 OUTCOME_UNKNOWN = _reason(
     "outcome_unknown", 502, "It was sent and no answer came back; it may have run.", not_run=False
 )
