--- a/greengagefall/bench/measure_policies.py
+++ b/greengagefall/bench/measure_policies.py
@@ -120,6 +120,12 @@
         (("calm_served", ">=", 0.999),),
         "calm_served",
     ),
+    "contention": same(
+        "Service: unseen neighbours make more than half of the slots slow",
+        policies_overload.measure_contention,
+        (),
+        "served",
+    ),
     "cold": same(
         "Cold starts that nobody announces, server tells of them when asked",
         policies_overload.measure_cold,
--- a/greengagefall/bench/policies_overload.py
+++ b/greengagefall/bench/policies_overload.py
@@ -43,6 +43,8 @@
 BUDGET_RATIO = 0.08
 BUDGET_BURST = 10.0
 UNLIMITED = 1e9
+CONTENDED_FROM_S = 15.0
+CONTENDED_UTILISATION = 0.6
 COLD_EACH_S = 8.0
 COLD_UTILISATION = 0.6
 OVERLOAD_FACTOR = 3.0
@@ -148,6 +150,24 @@
     }
 
 
+def measure_contention(
+    deployment: Deployment,
+    policies: Mapping[str, str],
+    tuning: Mapping[str, float],
+    seed: int,
+) -> dict[str, float]:
+    """Returns service while unseen neighbours make more than half of the slots slow."""
+    run = OverloadRun(deployment, policies, tuning, seed, BUDGET_RATIO)
+    contended_above = max(1, deployment.slots // 2)
+    run.loop.call_at(CONTENDED_FROM_S, setattr, run.model, "contended_above", contended_above)
+    run.offer_load(CONTENDED_UTILISATION * run.capacity_per_s, "")
+    run.loop.run_until(RUN_S + TIMEOUT_S)
+    return {
+        "served": sum(run.answered.values()) / sum(run.sent.values()),
+        "goodput_per_s": run.goodput_per_s(),
+    }
+
+
 def measure_flood(
     deployment: Deployment,
     policies: Mapping[str, str],
--- a/greengagefall/bench/policies_servers.py
+++ b/greengagefall/bench/policies_servers.py
@@ -19,6 +19,7 @@
 
 SERVICE_SIGMA = 0.5
 SHED_S = 0.0005
+CONTENTION_POWER = 1.5
 WARM_AFTER_S = 3.0
 READING_EACH_S = 0.4
 MS_PER_S = 1000.0
@@ -85,6 +86,7 @@
         self._running: dict[str, Callable[[str, float], None]] = {}
         self._cold_until_s = -math.inf
         self.slow_factor = 1.0
+        self.contended_above = slots
         self.tells_cold = True
         self.incarnation = 0
         self.busy_s = 0.0
@@ -112,7 +114,8 @@
                 self.above_before_seen += 1
             self._loop.call_later(SHED_S, finish, SHED, 0.0)
             return
-        mean_s = self._service_s * self.slow_factor
+        contention = max(1.0, (len(self._running) + 1) / self.contended_above)
+        mean_s = self._service_s * self.slow_factor * contention**CONTENTION_POWER
         drift = -SERVICE_SIGMA * SERVICE_SIGMA / 2.0
         took_s = mean_s * self._rng.lognormvariate(drift, SERVICE_SIGMA)
         self._running[request_id] = finish
--- a/greengagefall/limits/latency.py
+++ b/greengagefall/limits/latency.py
@@ -12,7 +12,7 @@
 log = logging.getLogger(__name__)
 
 RECENT_WEIGHT = 0.2
-LONG_TERM_S = 30.0
+LONG_TERM_S = 120.0
 TRUSTED_ANSWERS = 20
 
 
