--- a/greengagefall/bench/planted.py
+++ b/greengagefall/bench/planted.py
@@ -15,6 +15,7 @@
 from greengagefall.dispatch.server_dispatcher import REQUEST_ID_HEADER, ServerDispatcher
 from greengagefall.entry import forwarder, refusals
 from greengagefall.entry.dispatch_table import DispatchTable
+from greengagefall.entry.pools import Pools
 from greengagefall.limits.cold_ramp import ColdRamp
 from greengagefall.routing.holder import ConfigHolder
 from greengagefall.utils.registry import Registry
@@ -99,9 +100,9 @@
 
 @PLANTS.register("work_after_leaving")
 def work_after_leaving() -> None:
-    """Goes on sending work to servers that leave or whose zone is out."""
+    """Goes on sending work to pooled servers that leave or whose zone is out."""
     ServerDispatcher.has_left = lambda self: False
-    ServerDispatcher.released = lambda self, runs, map_version: (False, "planted")
+    Pools._open = lambda self, pool, name: True
 
 
 @PLANTS.register("keeps_configuration")
