--- a/greengagefall/coordination/documents.py
+++ b/greengagefall/coordination/documents.py
@@ -26,6 +26,7 @@
 KIND_WHOLE = "whole"
 KIND_DELTA = "delta"
 MAX_KEPT_DELTAS = 256
+MAX_BATCH_BYTES = 2 * 1024 * 1024
 
 Row = list[Any]
 
@@ -164,5 +165,22 @@
         return stored.version if stored else -1
 
 
+def batches(rows: list[Row], limit_bytes: int = MAX_BATCH_BYTES) -> list[list[Row]]:
+    """Returns rows in order, cut so that each batch fits into one message.
+
+    A single row over the limit is a batch by itself.
+    """
+    cut: list[list[Row]] = []
+    size_bytes = 0
+    for row in rows:
+        row_bytes = len(row[-1].encode())
+        if not cut or size_bytes + row_bytes > limit_bytes:
+            cut.append([])
+            size_bytes = 0
+        cut[-1].append(row)
+        size_bytes += row_bytes
+    return cut
+
+
 def _row(name: str, version: int, kind: str, document: dict[str, Any]) -> Row:
     return [name, version, kind, json.dumps(document, separators=(",", ":"))]
--- a/greengagefall/coordinator/contacts.py
+++ b/greengagefall/coordinator/contacts.py
@@ -7,6 +7,7 @@
 import random
 from typing import TYPE_CHECKING, NamedTuple
 
+from greengagefall.coordination.documents import batches
 from greengagefall.coordinator.guard import guarded
 from greengagefall.protocol.exceptions import ProtocolError
 from greengagefall.protocol.link import PeerLink
@@ -134,8 +135,8 @@
         """Sends the documents that the host does not have yet."""
         if self._versions is None:
             return
-        rows = self._book.newer_than(self._versions)
-        if rows and self.link.send(Documents(0, rows)):
+        rows = batches(self._book.newer_than(self._versions))
+        if rows and all(self.link.send(Documents(0, batch)) for batch in rows):
             self._versions = self._book.versions()
 
     def _connected(self, peer: Hello) -> None:
--- a/greengagefall/entry/peer_handler.py
+++ b/greengagefall/entry/peer_handler.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
+from greengagefall.coordination.documents import batches
 from greengagefall.protocol.messages import (
     Documents,
     Endorse,
@@ -106,7 +107,9 @@
             self._control.offer_versions(peer.host, message.versions)
 
     def _fetch(self, peer: Hello, message: Fetch) -> Documents:
-        return Documents(0, self._state.book.newer_than(message.versions))
+        # The rest is fetched after the next heartbeat.
+        newer = batches(self._state.book.newer_than(message.versions))
+        return Documents(0, newer[0] if newer else [])
 
     def _documents(self, peer: Hello, message: Documents) -> None:
         self._state.offer(message)
--- a/greengagefall/tests/coordination_slice_map_tests.py
+++ b/greengagefall/tests/coordination_slice_map_tests.py
@@ -9,7 +9,7 @@
 from result import Err, Ok
 
 from greengagefall.coordination import slice_map_changes as changes
-from greengagefall.coordination.documents import DocumentBook
+from greengagefall.coordination.documents import DocumentBook, batches
 from greengagefall.coordination.model import SLICE_OWNED, SliceRun
 from greengagefall.coordination.slice_map import SliceMap, delta_from_json, delta_to_json
 from greengagefall.utils import invariants
@@ -106,3 +106,15 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class BatchTests(unittest.TestCase):
+    def test_rows_are_cut_to_fit_into_messages(self):
+        rows = [["config", number, "whole", "x" * 4] for number in range(5)]
+        self.assertEqual([len(batch) for batch in batches(rows, 8)], [2, 2, 1])
+        self.assertEqual([row for batch in batches(rows, 8) for row in batch], rows)
+
+    def test_a_large_row_goes_alone(self):
+        rows = [["config", 1, "whole", "x" * 20], ["config", 2, "whole", "x"]]
+        self.assertEqual(batches(rows, 8), [rows[:1], rows[1:]])
+        self.assertEqual(batches([], 8), [])
