Count suspended time in leases; a request that was not sent does not lower the limit

Losses in the soak now count until the last request that waited for them was answered, since requests are held in place of being refused.

--- a/greengagefall/bench/soak.py
+++ b/greengagefall/bench/soak.py
@@ -226,7 +226,7 @@
     for kind, times_s in recovery_times_s(rows, log.faults).items():
         ordered = sorted(times_s)
         print(
-            f"unavailable after {kind}: p50 {ordered[len(ordered) // 2]:.2f} s, "
+            f"served again after {kind}: p50 {ordered[len(ordered) // 2]:.2f} s, "
             f"max {ordered[-1]:.2f} s, {len(ordered)} losses"
         )
     print(f"checks made: {dict(report.checks)}")
--- a/greengagefall/bench/unavailable.py
+++ b/greengagefall/bench/unavailable.py
@@ -12,6 +12,7 @@
 
 LOSSES = ("kill_server", "kill_entry")
 WINDOW_S = 6.0
+SLOW_MS = 300.0
 
 FaultRow = tuple[float, float, str, str]
 
@@ -19,23 +20,22 @@
 def recovery_times_s(
     rows: Sequence[CallRow], faults: Sequence[FaultRow], window_s: float = WINDOW_S
 ) -> dict[str, list[float]]:
-    """Returns for each loss the time from its begin to the last request refused because of it.
+    """Returns for each loss the time until everything was served again.
 
-    A request counts by the moment it was sent: one that was sent after the returned time was
-    answered. Only requests that were sent within ``window_s`` of the loss are looked at, and
-    only losses with no other fault in that window, since nothing tells the refusals apart.
+    That is the last moment at which a request was sent that was then refused, or at which one
+    was answered that had waited for ``SLOW_MS`` or longer. Requests are looked at that were sent
+    within ``window_s`` of the loss, or in flight then, and losses with no other fault in that
+    window, since nothing tells the refusals apart.
     """
     times: dict[str, list[float]] = defaultdict(list)
     for fault in faults:
         begun_s, _, kind, _ = fault
         if kind not in LOSSES or _overlaps_another(fault, faults, window_s):
             continue
-        failed = [
-            row.sent_s - begun_s
-            for row in rows
-            if not row.ok and 0.0 <= row.sent_s - begun_s <= window_s
-        ]
-        times[kind].append(max(failed, default=0.0))
+        touched = [row for row in rows if row.done_s >= begun_s >= row.sent_s - window_s]
+        refused = [row.sent_s - begun_s for row in touched if not row.ok]
+        waited = [row.done_s - begun_s for row in touched if row.ok and row.latency_ms >= SLOW_MS]
+        times[kind].append(max(0.0, *refused, *waited, 0.0))
     return dict(times)
 
 
--- a/greengagefall/dispatch/server_dispatcher.py
+++ b/greengagefall/dispatch/server_dispatcher.py
@@ -348,6 +348,10 @@
         if shed:
             self.limit.on_shed()
             return
+        if outcome is None or (isinstance(outcome, Refusal) and outcome.not_run):
+            # Nothing was sent, or the caller left: it says nothing of the server.
+            self.limit.on_cancelled()
+            return
         self.limit.on_finish(latency_ms, isinstance(outcome, Answer))
         observe_ms("server_latency_ms", latency_ms, back_end=self.back_end.name)
 
--- a/greengagefall/utils/clock.py
+++ b/greengagefall/utils/clock.py
@@ -13,12 +13,16 @@
         """Returns monotonic seconds since an arbitrary start."""
 
 
+# Goes on while the machine is suspended, so that a lease ends in that time too.
+CLOCK_ID = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
+
 class SystemClock:
-    """The machine's monotonic clock."""
+    """The machine's monotonic clock, suspended time included."""
 
     def now_s(self) -> float:
         """Returns monotonic seconds since an arbitrary start."""
-        return time.monotonic()
+        return time.clock_gettime(CLOCK_ID)
 
 
 class ManualClock:
