Leave a pooled server out for a second once it accepts no connection

Cause: picks went on to a lost server, a third of them with three servers, and each cost a retry until the budget was spent. Ruled out: keyed back ends, whose requests wait for the next owner.

--- a/greengagefall/entry/pools.py
+++ b/greengagefall/entry/pools.py
@@ -9,6 +9,7 @@
 from greengagefall.balancing.hedging import HEDGES, Hedge
 from greengagefall.balancing.pick import PICKS, Pick
 from greengagefall.balancing.server_views import ServerViews
+from greengagefall.entry import refusals
 from greengagefall.protocol.messages import Answer
 from greengagefall.routing.model import KIND_POOLED, SERVER_ACTIVE, ZONE_IN
 
@@ -20,6 +21,16 @@
 DEFAULT_PICK = "two_choices"
 DEFAULT_EJECTION = "outlier"
 DEFAULT_HEDGE = "after_p95"
+AVOID_S = 1.0
+# No request reaches a server that is refused for these.
+UNAVAILABLE = frozenset(
+    {
+        refusals.DISPATCHER_UNREACHABLE,
+        refusals.NO_DISPATCHER,
+        refusals.SERVER_DRAINING,
+        refusals.SERVER_UNREACHABLE,
+    }
+)
 
 
 class Pool:
@@ -29,6 +40,8 @@
         policies = back_end.policies
         tuning = back_end.tuning
         self.back_end = back_end
+        self._clock = clock
+        self._avoid_until_s: dict[str, float] = {}
         self.views = ServerViews(clock)
         for server in back_end.servers.values():
             self.views.set_server(server.name, server.zone, server.slots, server.weight)
@@ -38,6 +51,15 @@
         self.ejection: Ejection = ejection(weights, clock, tuning)
         self.hedge: Hedge = HEDGES[policies.get("hedge", DEFAULT_HEDGE)](tuning)
 
+    def avoid(self, server: str) -> None:
+        """Leaves a server out for ``AVOID_S`` that was found to take nothing."""
+        self._avoid_until_s[server] = self._clock.now_s() + AVOID_S
+
+    def avoided(self) -> set[str]:
+        """Returns the servers that are left out now."""
+        now_s = self._clock.now_s()
+        return {name for name, until_s in self._avoid_until_s.items() if until_s > now_s}
+
 
 class PoolTry:
     """One try at a server of a pool, counted in its view until it ends."""
@@ -54,6 +76,8 @@
             self._pool.ejection.on_result(self._server, latency_ms, True)
             return
         self._pool.views.on_refusal(self._server, 0)
+        if outcome is not None and outcome.reason in UNAVAILABLE:
+            self._pool.avoid(self._server)
         if outcome is not None:
             self._pool.ejection.on_result(self._server, latency_ms, False)
 
@@ -86,7 +110,7 @@
     def pick(self, back_end: BackEnd, tried: set[str]) -> str | None:
         """Returns a server that was not tried, or None."""
         pool = self._pools[back_end.name]
-        ejected = pool.ejection.ejected()
+        ejected = pool.ejection.ejected() | pool.avoided()
         views = [view for view in pool.views.views() if self._open(pool, view.name)]
         chosen = pool.picker.pick(views, self._zone, tried | ejected)
         if chosen is None:
--- /dev/null
+++ b/greengagefall/tests/entry_pools_tests.py
@@ -0,0 +1,52 @@
+"""Tests of picking among the servers of a pooled back end."""
+
+from __future__ import annotations
+
+import unittest
+
+from greengagefall.entry import refusals
+from greengagefall.entry.pools import AVOID_S, Pools
+from greengagefall.entry.refuse import refuse
+from greengagefall.routing.parse import parse_config
+from greengagefall.utils.clock import ManualClock
+
+SERVERS = {
+    name: {"address": f"127.0.0.1:{port}", "zone": "a", "slots": 6}
+    for name, port in (("b1", 9001), ("b2", 9002), ("b3", 9003))
+}
+BACK_END = {"kind": "pooled", "servers": SERVERS}
+CONFIG = parse_config(
+    {"version": 1, "zones": {"a": {"state": "in"}}, "back_ends": {"benchline": BACK_END}}
+).ok_value
+TRIES = 60
+
+
+class PoolsTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock(100.0)
+        self.pools = Pools("a", self.clock)
+        self.pools.set_config(CONFIG)
+        self.back_end = CONFIG.back_ends["benchline"]
+
+    def fail(self, server, reason):
+        self.pools.begin(self.back_end, server).end(refuse("r", reason), 1.0)
+
+    def picked(self):
+        return {self.pools.pick(self.back_end, set()) for _ in range(TRIES)}
+
+    def test_a_server_that_accepts_no_connection_is_left_out_for_a_while(self):
+        # Each pick of a lost server once cost a retry, until the budget was spent.
+        self.fail("b2", refusals.SERVER_UNREACHABLE)
+        self.assertEqual(self.picked(), {"b1", "b3"})
+        self.clock.advance(AVOID_S)
+        self.assertIn("b2", self.picked())
+
+    def test_a_busy_server_is_not_left_out(self):
+        self.fail("b2", refusals.QUEUE_FULL)
+        self.assertIn("b2", self.picked())
+
+    def test_some_server_is_picked_where_all_are_left_out(self):
+        for server in SERVERS:
+            self.fail(server, refusals.DISPATCHER_UNREACHABLE)
+        self.assertTrue(self.picked() <= set(SERVERS))
+        self.assertNotIn(None, self.picked())
