--- a/greengagefall/entry/caller_interface.py
+++ b/greengagefall/entry/caller_interface.py
@@ -153,9 +153,9 @@
         )
         if isinstance(outcome, Answer):
             count("answers", back_end=caller_request.back_end.name)
-            write_answer(request, outcome)
+            write_answer(request, outcome, self.stopping)
             return
-        write_refusal(request, outcome)
+        write_refusal(request, outcome, self.stopping)
 
     async def _forward_once(self, caller_request: CallerRequest) -> Answer | Refusal:
         """Forwards a request; one that may not be repeated joins its first run here."""
--- a/greengagefall/entry/http_answers.py
+++ b/greengagefall/entry/http_answers.py
@@ -27,9 +27,15 @@
 )
 
 
-def write_answer(request: HTTPServerRequest, answer: Answer) -> None:
-    """Writes a backend server's whole answer to the caller."""
-    headers = HTTPHeaders()
+def write_answer(request: HTTPServerRequest, answer: Answer, closing: bool = False) -> None:
+    """Writes a backend server's whole answer to the caller.
+
+    Args:
+        request: The caller's request.
+        answer: The answer.
+        closing: Whether the caller is asked to use another connection from now on.
+    """
+    headers = _first_headers(closing)
     for name, value in answer.headers:
         if name.lower() not in DROPPED_HEADERS:
             headers.add(name, value)
@@ -37,8 +43,8 @@
     _write(request, answer.status, headers, answer.body)
 
 
-def write_refusal(request: HTTPServerRequest, refusal: Refusal) -> None:
-    """Writes a typed refusal to the caller."""
+def write_refusal(request: HTTPServerRequest, refusal: Refusal, closing: bool = False) -> None:
+    """Writes a typed refusal to the caller; ``closing`` as for ``write_answer``."""
     row = REFUSALS[refusal.reason]
     count("refusals", reason=refusal.reason)
     body = {
@@ -47,7 +53,8 @@
         "retry_after_ms": refusal.retry_after_ms,
         "request_id": refusal.request_id,
     }
-    headers = HTTPHeaders({"X-Request-Id": refusal.request_id})
+    headers = _first_headers(closing)
+    headers["X-Request-Id"] = refusal.request_id
     if refusal.retry_after_ms:
         headers["Retry-After"] = str(-(-refusal.retry_after_ms // MS_PER_S))
     write_json(request, row.http_status, body, headers)
@@ -68,6 +75,10 @@
     _write(request, status, headers, text.encode())
 
 
+def _first_headers(closing: bool) -> HTTPHeaders:
+    return HTTPHeaders({"Connection": "close"}) if closing else HTTPHeaders()
+
+
 def _write(request: HTTPServerRequest, status: int, headers: HTTPHeaders, body: bytes) -> None:
     if status not in (HTTP_NO_CONTENT, HTTP_NOT_MODIFIED):
         headers["Content-Length"] = str(len(body))
