--- a/greengagefall/bench/configuration_log.py
+++ b/greengagefall/bench/configuration_log.py
@@ -26,6 +26,7 @@
     "store_slow",
     "kill_store",
     "cut_zones",
+    "cut_all_zones",
     "cut_host",
 )
 
--- a/greengagefall/bench/soak_faults.py
+++ b/greengagefall/bench/soak_faults.py
@@ -196,6 +196,27 @@
     return Fault("cut_zones", target, seconds, undo)
 
 
+@FAULTS.register("cut_all_zones")
+async def cut_all_zones(fleet: Fleet, rng: random.Random) -> Fault:
+    """Cuts all zones off from each other; the store may be out of reach of all but one."""
+    entries = list(fleet.entries.values())
+    for entry in entries:
+        others = [other.host for other in entries if other.zone != entry.zone]
+        await _set_cut(fleet, entry.http, {"cut_to": others, "cut_from": others})
+    alone = rng.random() < 0.5
+    if alone:
+        cut = list(fleet.spec.zones[1:])
+        await fleet.post_json(fleet.store_address, "/fault", {"cut_zones": cut})
+
+    async def undo() -> None:
+        for entry in entries:
+            await _set_cut(fleet, entry.http, {})
+        await fleet.post_json(fleet.store_address, "/fault", {"cut_zones": []})
+
+    target = "all apart" + (", the store with one" if alone else "")
+    return Fault("cut_all_zones", target, rng.uniform(3.0, 8.0), undo)
+
+
 @FAULTS.register("cut_host")
 async def cut_host(fleet: Fleet, rng: random.Random) -> Fault:
     """Cuts one entry host off from all others."""
--- a/greengagefall/dispatch/answer_memory.py
+++ b/greengagefall/dispatch/answer_memory.py
@@ -25,7 +25,7 @@
 
 
 class AnswerMemory:
-    """Outcomes by request id, bounded in number and age.
+    """Outcomes by run key (request id, method, path), bounded in number and age.
 
     It reaches as far as one dispatcher's right in one process: a new dispatcher of the
     same backend server starts with an empty memory.
@@ -37,34 +37,34 @@
         self._age_s = age_s
         self._entries: OrderedDict[str, _Entry] = OrderedDict()
 
-    def find(self, request_id: str) -> asyncio.Future[Outcome] | None:
-        """Returns the run of this id that is in flight or remembered, if any."""
+    def find(self, run_key: str) -> asyncio.Future[Outcome] | None:
+        """Returns the run with this key that is in flight or remembered, if any."""
         self._forget_old()
-        entry = self._entries.get(request_id)
+        entry = self._entries.get(run_key)
         return entry.future if entry else None
 
-    def begin(self, request_id: str) -> None:
-        """Notes that a run of this id begins."""
+    def begin(self, run_key: str) -> None:
+        """Notes that a run with this key begins."""
         future = asyncio.get_running_loop().create_future()
-        self._entries[request_id] = _Entry(future, self._clock.now_s())
+        self._entries[run_key] = _Entry(future, self._clock.now_s())
 
-    def end(self, request_id: str, outcome: Outcome) -> None:
+    def end(self, run_key: str, outcome: Outcome) -> None:
         """Keeps the outcome; a request that did not run is forgotten and may run later."""
-        entry = self._entries.get(request_id)
+        entry = self._entries.get(run_key)
         if entry is None:
             return
         if not entry.future.done():
             entry.future.set_result(outcome)
         if isinstance(outcome, Refusal) and outcome.not_run:
-            del self._entries[request_id]
+            del self._entries[run_key]
 
     def _forget_old(self) -> None:
         oldest_kept_s = self._clock.now_s() - self._age_s
         while self._entries:
-            request_id, entry = next(iter(self._entries.items()))
+            run_key, entry = next(iter(self._entries.items()))
             in_bounds = len(self._entries) <= self._entry_limit
             if not entry.future.done():
                 return
             if in_bounds and entry.started_at_s >= oldest_kept_s:
                 return
-            del self._entries[request_id]
+            del self._entries[run_key]
--- a/greengagefall/dispatch/server_dispatcher.py
+++ b/greengagefall/dispatch/server_dispatcher.py
@@ -194,9 +194,9 @@
         self.meter.on_arrival(forward.slice_id)
         if forward.repeatable:
             return await self._submit_repeatable(forward)
-        known = self._memory.find(forward.request_id)
+        known = self._memory.find(_run_key(forward))
         if known is None:
-            self._memory.begin(forward.request_id)
+            self._memory.begin(_run_key(forward))
             known = asyncio.create_task(self._run_remembered(forward))
         else:
             count("requests_joined", back_end=self.back_end.name)
@@ -216,7 +216,7 @@
         try:
             outcome = await self._admit(forward)
         finally:
-            self._memory.end(forward.request_id, outcome)
+            self._memory.end(_run_key(forward), outcome)
         return outcome
 
     def released(self, runs: list[list[int]], map_version: int) -> tuple[bool, str]:
@@ -423,3 +423,8 @@
             self._slices_in_flight[slice_id] = left
             return
         del self._slices_in_flight[slice_id]
+
+
+def _run_key(forward: Forward) -> str:
+    """Returns what makes two sendings the same request: its id, method and path."""
+    return f"{forward.request_id} {forward.method} {forward.path}"
--- a/greengagefall/entry/caller_interface.py
+++ b/greengagefall/entry/caller_interface.py
@@ -161,7 +161,8 @@
         """Forwards a request; one that may not be repeated joins its first run here."""
         if caller_request.request_class.repeatable:
             return await self._forwarder.forward(caller_request)
-        key = f"{caller_request.back_end.name}/{caller_request.request_id}"
+        names = (caller_request.back_end.name, caller_request.method, caller_request.path)
+        key = " ".join((caller_request.request_id, *names))
         running = self._joined.get(key)
         if running is None:
             running = asyncio.create_task(self._forwarder.forward(caller_request))
--- a/greengagefall/tests/end_to_end_tests.py
+++ b/greengagefall/tests/end_to_end_tests.py
@@ -20,6 +20,8 @@
 )
 TIMEOUT_S = 5.0
 HOST = "zone-a-entry-1"
+ZONES = ("zone-a", "zone-b", "zone-c")
+ID = ["X-Request-Id", "relayed"]
 
 
 class EndToEndTests(unittest.IsolatedAsyncioTestCase):
@@ -71,9 +73,20 @@
         refused = await self.ask(HOST, "/nowhere/k", "r1")
         self.assertEqual(refused.status, 404)
         self.assertEqual(json.loads(refused.body)["reason"], "unknown_back_end")
+        await self._truncated_body_is_dropped()
+        refused = await self.ask(HOST, "/benchline/", "r3", headers=[["X-Long", "y" * 20_000]])
+        self.assertEqual(json.loads(refused.body)["reason"], "headers_too_large")
         refused = await self.ask(HOST, "/benchline/", "r2", headers=[["X-Timeout-Ms", "never"]])
         self.assertEqual(json.loads(refused.body)["reason"], "bad_timeout")
 
+    async def _truncated_body_is_dropped(self):
+        host, _, port = self.fleet.entries[HOST].http.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"POST /benchline/item HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nhalf")
+        await writer.drain()
+        writer.close()
+        await writer.wait_closed()
+
     async def _restart_without_store(self):
         """A host that starts while the store is down learns everything from its peers."""
         self.fleet.processes.kill(STORE)
@@ -83,5 +96,27 @@
         await self.answered(HOST, "/proofdesk/order-7/item", "without-store")
 
 
+class RelayTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.fleet = Fleet(FleetSpec(ZONES, 1, (BackEndSpec("proofdesk", "keyed", 1, 6, 1.0),)))
+        self.addAsyncCleanup(self.fleet.close)
+        await self.fleet.start()
+
+    async def test_a_third_zone_relays_between_two_that_are_cut(self):
+        near, far = (f"{zone}-entry-1" for zone in ZONES[:2])
+        address = self.fleet.entries[near].http
+        cut = {"cut_to": [far], "cut_from": [far]}
+        await self.fleet.post_json(address, "/.greengagefall/faults", cut)
+        pool = ConnectionPool(address, ANSWER_BYTES)
+        self.addCleanup(pool.close)
+        reached = set()
+        for number in range(200):
+            request = HttpRequest("GET", f"/proofdesk/k{number}/item", [ID], b"")
+            answer = await pool.exchange(request, TIMEOUT_S, lambda: True)
+            if answer.status == 200:
+                reached.add(json.loads(answer.body)["server"])
+        self.assertEqual(reached, {f"proofdesk-{zone}-1" for zone in ZONES})
+
+
 if __name__ == "__main__":
     unittest.main()
