--- a/greengagefall/coordinator/slices.py
+++ b/greengagefall/coordinator/slices.py
@@ -44,8 +44,6 @@
 BALANCE_INTERVAL_S = 10.0
 LOADS_INTERVAL_S = 10.0
 MAX_BALANCED_SHARE = 0.07
-DEFAULT_PLACEMENT = "load_aware"
-DEFAULT_ZONE_MOVE = "paced"
 
 
 class SliceKeeper:
@@ -322,8 +320,8 @@
         if self._policies == chosen:
             return
         self._policies = chosen
-        placement = PLACEMENTS[back_end.policies.get("placement", DEFAULT_PLACEMENT)]
-        zone_moves = ZONE_MOVES[back_end.policies.get("zone_move", DEFAULT_ZONE_MOVE)]
+        placement = PLACEMENTS[back_end.policies["placement"]]
+        zone_moves = ZONE_MOVES[back_end.policies["zone_move"]]
         self._placement = placement(self._clock, back_end.tuning)
         self._zone_moves = zone_moves(self._clock, back_end.tuning)
 
--- a/greengagefall/dispatch/slot_gate.py
+++ b/greengagefall/dispatch/slot_gate.py
@@ -15,8 +15,6 @@
     from greengagefall.routing.model import BackEnd, BackendServer
     from greengagefall.utils.clock import Clock
 
-DEFAULT_LIMIT_POLICY = "adaptive"
-DEFAULT_QUEUE_POLICY = "deadline_fair"
 ADMITTED = ""
 
 
@@ -33,8 +31,8 @@
     """
 
     def __init__(self, back_end: BackEnd, server: BackendServer, clock: Clock) -> None:
-        limit_policy = LIMITS[back_end.policies.get("limit", DEFAULT_LIMIT_POLICY)]
-        queue_policy = QUEUES[back_end.policies.get("queue", DEFAULT_QUEUE_POLICY)]
+        limit_policy = LIMITS[back_end.policies["limit"]]
+        queue_policy = QUEUES[back_end.policies["queue"]]
         self.limit = limit_policy(server.slots, server.cold_slots, clock, back_end.tuning)
         self._queue = queue_policy(back_end.queue_limit, clock, back_end.tuning)
         self._cold_slots = server.cold_slots
--- a/greengagefall/entry/pools.py
+++ b/greengagefall/entry/pools.py
@@ -18,9 +18,6 @@
     from greengagefall.routing.model import BackEnd, RoutingConfig
     from greengagefall.utils.clock import Clock
 
-DEFAULT_PICK = "two_choices"
-DEFAULT_EJECTION = "outlier"
-DEFAULT_HEDGE = "after_p95"
 AVOID_S = 1.0
 # No request reaches a server that is refused for these.
 UNAVAILABLE = frozenset(
@@ -46,10 +43,10 @@
         for server in back_end.servers.values():
             self.views.set_server(server.name, server.zone, server.slots, server.weight)
         weights = {server.name: server.weight for server in back_end.servers.values()}
-        self.picker: Pick = PICKS[policies.get("pick", DEFAULT_PICK)](rng, tuning)
-        ejection = EJECTIONS[policies.get("ejection", DEFAULT_EJECTION)]
+        self.picker: Pick = PICKS[policies["pick"]](rng, tuning)
+        ejection = EJECTIONS[policies["ejection"]]
         self.ejection: Ejection = ejection(weights, clock, tuning)
-        self.hedge: Hedge = HEDGES[policies.get("hedge", DEFAULT_HEDGE)](tuning)
+        self.hedge: Hedge = HEDGES[policies["hedge"]](tuning)
 
     def avoid(self, server: str) -> None:
         """Leaves a server out for ``AVOID_S`` that was found to take nothing."""
--- a/greengagefall/routing/model.py
+++ b/greengagefall/routing/model.py
@@ -70,7 +70,7 @@
         checks_orders: Whether its servers check grants and fences.
         timeout_ms: Deadline of a request that names none.
         queue_limit: Requests that wait per dispatcher, at most.
-        policies: Policy name by area: ``limit``, ``queue``, ``pick``, ``placement``,
+        policies: Policy name for each area: ``limit``, ``queue``, ``pick``, ``placement``,
             ``hedge``, ``ejection``, ``zone_move``; areas not chosen have their default.
         tuning: Numbers for these policies, by name with unit suffix.
         classes: Request classes in order of matching.
