Count every run without an answer before an unchecked server's release

Found on reading the change: docs/INVARIANTS.md says that slices of a server that checks no orders move only the longest timeout after a request ended there without an answer, but only timeouts were counted: not a lost connection, a crossed or too large answer, nor a caller that left. One place notes them all now. Ruled out: servers that check orders; they confirm releases themselves. Test: UncheckedReleaseTests, failed before.

--- a/greengagefall/dispatch/server_dispatcher.py
+++ b/greengagefall/dispatch/server_dispatcher.py
@@ -344,6 +344,8 @@
 
     def _finish(self, outcome: Outcome | None, latency_ms: float) -> None:
         self.meter.on_finish(isinstance(outcome, Answer))
+        if outcome is None or (isinstance(outcome, Refusal) and not outcome.not_run):
+            self._unknown_at_s = self._clock.now_s()
         shed = isinstance(outcome, Refusal) and outcome.reason == refusals.SERVER_REFUSED
         if shed:
             self.limit.on_shed()
@@ -370,7 +372,6 @@
             self._unconfirm()
             return self._refuse(forward, refusals.SERVER_UNREACHABLE)
         except AnswerTimeoutError:
-            self._unknown_at_s = self._clock.now_s()
             return self._refuse(forward, refusals.TIMED_OUT)
         except AnswerTooLargeError:
             return self._refuse(forward, refusals.ANSWER_TOO_LARGE)
--- a/greengagefall/tests/request_outcome_tests.py
+++ b/greengagefall/tests/request_outcome_tests.py
@@ -32,7 +32,7 @@
 from greengagefall.protocol.messages import Answer, Forward
 from greengagefall.routing.parse import parse_config
 from greengagefall.utils import invariants
-from greengagefall.utils.clock import SystemClock
+from greengagefall.utils.clock import ManualClock, SystemClock
 
 IDS = [f"{kind}-{number}" for kind in ("read", "write") for number in range(3)]
 RESULTS = ["ok", "refused", "lost_ran", "lost_not_run", "timeout", "crossed", "large", "not_sent"]
@@ -203,6 +203,38 @@
 DispatcherOutcomeTests = DispatcherMachine.TestCase
 
 
+class UncheckedReleaseTests(unittest.IsolatedAsyncioTestCase):
+    async def test_waits_for_every_run_that_ended_without_an_answer(self):
+        # Only a timeout once counted; a lost connection or a caller that left may leave a run too.
+        clock = ManualClock()
+        right = SimpleNamespace(fence=7, may_send=lambda: True, stored_map_version=lambda: 0)
+        unchecked = BACK_END._replace(checks_orders=False)
+        dispatcher = ServerDispatcher(
+            unchecked,
+            unchecked.servers["b1"],
+            CONFIG.limits,
+            right,
+            GrantLedger("benchline/b1", clock),
+            lambda: None,
+            clock,
+        )
+        pool = dispatcher._pool = FakePool()
+        for result in ("lost_ran", "timeout", "crossed", "large", None):
+            dispatcher.health.on_answer(False)
+            dispatcher._on_reading(ServerReading("i1", 1, False, 0, True, "", 0, 0))
+            clock.advance(CONFIG.limits.timeout_ms / 1000)
+            self.assertTrue(dispatcher.released([[0, 0]], 0)[0])
+            task = asyncio.create_task(dispatcher.submit(forward("read-1")))
+            await asyncio.sleep(0)
+            if result is None:
+                task.cancel()
+            else:
+                pool.finish(0, result)
+            await asyncio.gather(task, return_exceptions=True)
+            self.assertFalse(dispatcher.released([[0, 0]], 0)[0], result)
+        await dispatcher.close()
+
+
 class ForwarderOutcomeTests(unittest.TestCase):
     @given(
         results=st.lists(st.sampled_from(RESULTS), max_size=12),
