--- a/greengagefall/dispatch/grant_keeper.py
+++ b/greengagefall/dispatch/grant_keeper.py
@@ -9,6 +9,7 @@
 
 from result import Err
 
+from greengagefall.coordination.grants import GRANT_RENEW_INTERVAL_S
 from greengagefall.coordination.model import SLICE_FREE, SliceRun
 from greengagefall.coordination.slice_map import SliceMap
 from greengagefall.dispatch.exceptions import SendRefusedError
@@ -25,7 +26,6 @@
 
 log = logging.getLogger(__name__)
 
-RENEW_PERIOD_S = 0.4
 RETRY_PERIOD_S = 0.1
 # Less than the time to live, by the age of the clock reading that a grant rests on.
 USABLE_S = 1.0
@@ -118,7 +118,7 @@
             ok = await self._tick()
             self._renewed.set()
             self._renewed = asyncio.Event()
-            period_s = RENEW_PERIOD_S if ok else RETRY_PERIOD_S
+            period_s = GRANT_RENEW_INTERVAL_S if ok else RETRY_PERIOD_S
             self._wake.clear()
             try:
                 await asyncio.wait_for(self._wake.wait(), period_s)
