--- a/greengagefall/gateway/election.py
+++ b/greengagefall/gateway/election.py
@@ -72,6 +72,12 @@
             await self._store.lease_end(self._lease_id)
             self._lease_id = 0
 
+    def abandon(self) -> None:
+        """Stops without a word; the lease runs out by itself."""
+        self.stopping = True
+        if self._task is not None:
+            self._task.cancel()
+
     def verified_age_s(self) -> float:
         """Returns how long ago this host certainly was the only coordinator."""
         return self._clock.now_s() - self._verified_s
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -58,7 +58,7 @@
     def __init__(self, facts: HostFacts, metrics_port: int) -> None:
         clock = SystemClock()
         self._clock = clock
-        self._facts = facts
+        self.facts = facts
         self.me = Incarnation(facts.host, int(time.time() * MS_PER_S))
         self.view = HostView(facts, self.me, clock)
         self._store = PlatformStore(facts.store_address)
@@ -92,7 +92,7 @@
         self._register_task = asyncio.create_task(self._register(), name="register")
         log.info(
             "Started.",
-            extra={"start_ms": self.me.start_ms, "peer_address": self._facts.peer_address},
+            extra={"start_ms": self.me.start_ms, "peer_address": self.facts.peer_address},
         )
 
     async def close(self) -> None:
@@ -102,12 +102,15 @@
         self._election.stopping = True
         self._beats.stopping = True
         log.info("Stopping.")
-        end_s = self._clock.now_s() + self._facts.bounds.grace_period_s - EXIT_RESERVE_S
+        end_s = self._clock.now_s() + self.facts.bounds.grace_period_s - EXIT_RESERVE_S
         await self._election.close()
         await self._beats.beat()
         await asyncio.sleep(LEAVE_NOTICE_S)
         drained = await self._drain(end_s)
         log.info("Stopped.", extra={"drained": drained})
+        await self._close_parts()
+
+    async def _close_parts(self) -> None:
         await self._callers.close()
         await self._status.close()
         self._beats.close()
@@ -120,6 +123,14 @@
         self._store.close()
         self._lease_store.close()
 
+    async def kill(self) -> None:
+        """Ends everything at once and tells nobody, as a lost process does; for tests."""
+        self._election.abandon()
+        if self._handlers.coordinator is not None:
+            await self._handlers.coordinator.close()
+            self._handlers.coordinator = None
+        await self._close_parts()
+
     async def _drain(self, end_s: float) -> bool:
         """Waits until neither callers nor other hosts wait for anything here."""
         while self._clock.now_s() < end_s:
@@ -134,7 +145,7 @@
         members = MemberRecords(self.view)
         return [
             Follower(
-                PlatformStore(self._facts.store_address),
+                PlatformStore(self.facts.store_address),
                 platform_records.SERVERS_PREFIX,
                 servers.put,
                 servers.delete,
@@ -142,14 +153,14 @@
                 keep_lapsed=True,
             ),
             Follower(
-                PlatformStore(self._facts.store_address),
+                PlatformStore(self.facts.store_address),
                 platform_records.OPERATOR_PREFIX,
                 operators.put,
                 operators.delete,
                 self._clock,
             ),
             Follower(
-                PlatformStore(self._facts.store_address),
+                PlatformStore(self.facts.store_address),
                 MEMBERS_PREFIX,
                 members.put,
                 members.delete,
@@ -165,11 +176,11 @@
     async def _register(self) -> None:
         """Keeps this host's record in the store, against writes that come late."""
         record = HostRecord(
-            self._facts.host,
+            self.facts.host,
             self.me.start_ms,
-            self._facts.peer_address,
-            self._facts.zone,
-            self._facts.processor_share,
+            self.facts.peer_address,
+            self.facts.zone,
+            self.facts.processor_share,
         )
         key = HOST_PREFIX + record.host
         while True:
--- /dev/null
+++ b/greengagefall/tests/gateway_end_to_end_tests.py
@@ -0,0 +1,253 @@
+"""Gateways of several hosts against stand-ins of the platform's store and servers."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import unittest
+
+from greengagefall.dispatch.connection_pool import ConnectionPool, HttpAnswer, HttpRequest
+from greengagefall.gateway.host import GatewayHost
+from greengagefall.gateway.model import Bounds, HostFacts
+from greengagefall.tests.platform_standins import PlatformServerStandIn, PlatformStoreStandIn
+from greengagefall.utils.waiting import wait_until
+
+HOST_NAME = "shop.example"
+ZONES = ("north-a", "north-b")
+START_S = 8.0
+TIMEOUT_MS = 2000
+BODY_LIMIT = 1_000_000
+BOUNDS = Bounds(grace_period_s=4.0)
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def routing(version: int, **changes) -> dict:
+    rules = [
+        rule("drafts", "/drafts/", "proofdesk", kind="safe", attempts=2),
+        rule("approvals", "/approvals/", "proofdesk", kind="unsafe"),
+        rule("orders", "/orders/", "benchline", kind="unsafe"),
+    ]
+    return {
+        "version": f"{version:08x}",
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "idleTimeoutS": 15},
+        "listeners": [{"hostname": HOST_NAME, "routingRules": changes.get("rules", rules)}],
+        "clusters": [
+            cluster("proofdesk", shardEnabled=True, warmS=5.0, grants="call"),
+            cluster("benchline"),
+        ],
+        "aFieldOfLater": True,
+    }
+
+
+def rule(name: str, prefix: str, service: str, kind: str, attempts: int = 1) -> dict:
+    action = {"service": service, "timeoutS": 2.0, "attempts": attempts}
+    return {
+        "name": name,
+        "kind": kind,
+        "latencyGoalS": 0.6,
+        "priority": 1,
+        "match": {"prefix": prefix},
+        "action": action,
+    }
+
+
+def cluster(name: str, **more) -> dict:
+    return {
+        "name": name,
+        "healthCheck": "/health",
+        "maxConnections": 50,
+        "warmupS": 3.0,
+        "coldPerS": 8.2,
+        **more,
+    }
+
+
+class GatewayEndToEndTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = PlatformStoreStandIn()
+        await self.store.start()
+        self.addAsyncCleanup(self.store.close)
+        self.servers = [
+            PlatformServerStandIn(f"p{number}", "proofdesk", ZONES[number % 2], keyed=True)
+            for number in range(3)
+        ]
+        self.servers.append(PlatformServerStandIn("b0", "benchline", ZONES[0], keyed=False))
+        for server in self.servers:
+            await server.start()
+            self.addAsyncCleanup(server.close)
+            await self.store.put_json(f"servers/{server.server_id}", server.entry())
+        await self.store.put_json("servers/odd", {"service": "proofdesk", "state": "asleep"})
+        await self.store.put("servers/torn", b"\xff{")
+        await self.store.put_json("op/config", routing(7))
+        self.hosts = [self.make_host(f"edge-{zone}", zone) for zone in ZONES]
+        for host in self.hosts:
+            await host.start()
+            self.addAsyncCleanup(self.kill, host)
+        self.assertTrue(await wait_until(self.all_granted, START_S))
+
+    def make_host(self, name, zone):
+        facts = HostFacts(
+            name,
+            zone,
+            f"127.0.0.1:{free_port()}",
+            f"127.0.0.1:{free_port()}",
+            f"127.0.0.1:{free_port()}",
+            self.store.address,
+            0.5,
+            1.0,
+            1.0,
+            BOUNDS,
+        )
+        return GatewayHost(facts, 0)
+
+    async def kill(self, host):
+        """Ends a host's tasks without any farewell."""
+        await host.kill()
+
+    def all_granted(self):
+        owners = [server for server in self.servers if server.keyed]
+        held = sum(
+            last - first + 1
+            for server in owners
+            for (first, last) in server.grants
+            if server.holds(first)
+        )
+        return held == 65_536
+
+    async def ask(
+        self, path, key=None, method="GET", host=0, body=b"", request_id="r-1"
+    ) -> HttpAnswer:
+        facts = self.hosts[host].facts
+        pool = ConnectionPool(facts.caller_address, BODY_LIMIT)
+        rows = [
+            ["Host", HOST_NAME],
+            ["Request-Id", request_id],
+            ["Deadline-Ms", str(TIMEOUT_MS)],
+        ]
+        if key is not None:
+            rows.append(["Shard-Key", str(key)])
+        try:
+            request = HttpRequest(method, path, rows, body)
+            return await pool.exchange(request, 4.0, lambda: True)
+        finally:
+            pool.close()
+
+    def owner_of(self, key):
+        owners = [server for server in self.servers if server.keyed and server.holds(key)]
+        self.assertEqual(len(owners), 1)
+        return owners[0]
+
+    async def test_every_host_serves_every_key_and_returns_the_whole_answer(self):
+        for host in range(len(self.hosts)):
+            for key in (0, 30_000, 65_535):
+                answer = await self.ask(f"/drafts/{key}?a=b", key, host=host)
+                owner = self.owner_of(key)
+                self.assertEqual(answer.status, 200)
+                self.assertEqual(answer.body.decode(), f"{owner.server_id}:/drafts/{key}?a=b")
+                self.assertEqual(answer.headers["Upstream-Signature"], "signed.r-1")
+                self.assertEqual(answer.headers["Request-Id"], "r-1")
+
+    async def test_a_pooled_service_needs_no_key(self):
+        answer = await self.ask("/orders/1", method="POST", body=b"x" * 5000)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(self.servers[3].ran, ["r-1"])
+
+    async def test_unknown_routes_and_missing_keys_are_told_apart(self):
+        self.assertEqual((await self.ask("/nowhere/1", 5)).status, 404)
+        self.assertEqual((await self.ask("/drafts/1")).status, 400)
+
+    async def test_a_removed_route_is_refused_and_an_older_version_changes_nothing(self):
+        rules = [rule("drafts", "/drafts/", "proofdesk", kind="safe")]
+        await self.store.put_json("op/config", routing(9, rules=rules))
+        versions = [host.view for host in self.hosts]
+        await wait_until(lambda: all(view.table.version == 9 for view in versions), 3.0)
+        self.assertEqual((await self.ask("/orders/1", method="POST")).status, 404)
+        await self.store.put_json("op/config", routing(8))
+        await asyncio.sleep(0.5)
+        self.assertEqual((await self.ask("/orders/1", method="POST")).status, 404)
+
+    async def test_keys_of_a_draining_server_move_with_a_hand_over(self):
+        leaving = self.servers[0]
+        await self.store.put_json("servers/p0", leaving.entry(state="draining"))
+        self.assertTrue(await wait_until(lambda: not leaving.grants, 3.0))
+        self.assertTrue(await wait_until(self.all_granted, 3.0))
+        tokens = [token for server in self.servers for token in server.handed_over]
+        self.assertTrue(any(token.startswith("p0-") for token in tokens))
+        self.assertEqual((await self.ask("/drafts/1", 1)).status, 200)
+
+    async def test_keys_of_a_lost_server_come_back(self):
+        lost = self.servers[0]
+        await lost.close()
+        await self.store.delete("servers/p0")
+        others = self.servers[1:3]
+
+        def taken_over():
+            return (
+                sum(
+                    last - first + 1
+                    for server in others
+                    for (first, last) in server.grants
+                    if server.holds(first)
+                )
+                == 65_536
+            )
+
+        self.assertTrue(await wait_until(taken_over, 8.0))
+        self.assertEqual((await self.ask("/drafts/1", 1)).status, 200)
+
+    async def test_another_life_under_the_same_id_gets_a_higher_fence(self):
+        server = self.servers[1]
+        before = max(fence for fence, _ in server.grants.values())
+        server.restart()
+        await self.store.put_json("servers/p1", server.entry())
+        self.assertTrue(await wait_until(self.all_granted, 5.0))
+        fences = [fence for fence, _ in server.grants.values()]
+        self.assertTrue(all(fence > before for fence in fences))
+
+    async def test_grants_go_on_while_the_store_is_away(self):
+        self.store.refuse = 503
+        await asyncio.sleep(4.0)
+        self.assertTrue(self.all_granted())
+        self.assertEqual((await self.ask("/drafts/1", 1)).status, 200)
+        self.store.refuse = 0
+
+    async def test_a_lost_host_is_replaced_as_dispatcher_and_coordinator(self):
+        names = [host.me.host for host in self.hosts]
+        leader = self.hosts[0].view.leader
+        index = names.index(leader.host)
+        await self.hosts[index].kill()
+        other = self.hosts[1 - index]
+        self.assertTrue(await wait_until(lambda: other.view.leader == other.me, 6.0))
+        self.assertTrue(await wait_until(self.all_granted, 14.0))
+        answer = await self.ask("/drafts/1", 1, host=1 - index)
+        self.assertEqual(answer.status, 200)
+
+    async def test_an_answer_of_another_request_is_no_success(self):
+        self.owner_of(9).wrong_answers = 1
+        answer = await self.ask("/approvals/9", 9, method="POST")
+        self.assertEqual(answer.status, 502)
+
+    async def test_lost_grants_are_sent_again(self):
+        for server in self.servers[:3]:
+            server.swallow_grants = 2
+        await asyncio.sleep(3.0)
+        self.assertTrue(self.all_granted())
+
+    async def test_a_planned_stop_cuts_no_request(self):
+        for server in self.servers:
+            server.work_s = 0.5
+        running = [
+            asyncio.create_task(
+                self.ask(f"/drafts/{key}", key, request_id=f"r-{key}", host=key % 2)
+            )
+            for key in range(8)
+        ]
+        await asyncio.sleep(0.2)
+        await self.hosts[0].close()
+        answers = await asyncio.gather(*running)
+        self.assertEqual([answer.status for answer in answers], [200] * 8)
