Keep former dispatchers until their grants have certainly ended

Cause: the time from which a former dispatcher's grants end was counted from the coordinator's start, so it was dropped at once, and keys of servers in a zone that was cut off were granted to others while the old dispatcher still renewed them.

--- a/greengagefall/gateway/coordinator.py
+++ b/greengagefall/gateway/coordinator.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from result import Err
@@ -25,6 +26,7 @@
     EMPTY_ASSIGNMENT,
     NOBODY,
     Assignment,
+    Dispatching,
     Incarnation,
     KeyRun,
     Life,
@@ -74,6 +76,13 @@
     received_s: float
 
 
+class _Replaced(NamedTuple):
+    """The version in which a host ceased to be a dispatcher, and when it was written."""
+
+    version: int
+    written_s: float
+
+
 class _RunName(NamedTuple):
     """Identifies a run on its way between servers."""
 
@@ -120,6 +129,7 @@
         self._moves: dict[_RunName, asyncio.Task] = {}
         self._written_s: dict[_RunName, float] = {}
         self._free: dict[_RunName, str] = {}
+        self._replaced: dict[tuple[str, Incarnation], _Replaced] = {}
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
         self._pushes: set[asyncio.Task] = set()
@@ -211,6 +221,7 @@
                 self._view.take_assignment(self._assignment)
                 for service, run in _moving(self._assignment):
                     self._written_s[_name(service, run)] = self._clock.now_s()
+                self._note_replaced()
                 log.info("Assignment read.", extra={"version": self._assignment.version})
                 return
             await asyncio.sleep(RETRY_S)
@@ -260,24 +271,29 @@
         planned = plan_dispatching(
             assignment.dispatching, self._view.servers, owners, hosts, self._view.me, keyed
         )
-        cleared = {
-            server_id: dispatching._replace(
-                former=tuple(
-                    former
-                    for former in dispatching.former
-                    if self._granter_end_s(former, assignment.version, self._started_s)
-                    > self._clock.now_s()
-                )
-            )
-            if assignment.dispatching.get(server_id) == dispatching
-            else dispatching
-            for server_id, dispatching in planned.items()
-        }
         # Clearing alone is not worth a write.
         if planned == assignment.dispatching:
             return assignment
+        cleared = {
+            server_id: dispatching._replace(former=self._still_granting(server_id, dispatching))
+            for server_id, dispatching in planned.items()
+        }
         return assignment._replace(dispatching=cleared)
 
+    def _still_granting(self, server_id: str, dispatching: Dispatching) -> tuple[Incarnation, ...]:
+        """Returns the former dispatchers of a server whose grants may still hold."""
+        now_s = self._clock.now_s()
+        return tuple(
+            former for former in dispatching.former if self._former_end_s(server_id, former) > now_s
+        )
+
+    def _former_end_s(self, server_id: str, former: Incarnation) -> float:
+        """Returns when no grant of a former dispatcher can hold any more."""
+        replaced = self._replaced.get((server_id, former))
+        if replaced is None:
+            return math.inf
+        return self._granter_end_s(former, replaced.version, replaced.written_s)
+
     def _may_dispatch(self, incarnation: Incarnation) -> bool:
         host = self._hosts.get(incarnation.host)
         now_s = self._clock.now_s()
@@ -359,6 +375,7 @@
         self._assignment = wanted
         for service, run in _moving(wanted):
             self._written_s.setdefault(_name(service, run), self._clock.now_s())
+        self._note_replaced()
         known = {_name(service, run) for service, run in _moving(wanted)}
         self._free = {name: token for name, token in self._free.items() if name in known}
         self._written_s = {name: at_s for name, at_s in self._written_s.items() if name in known}
@@ -374,6 +391,16 @@
             if record.host != self._view.me.host:
                 self._push_later(record.incarnation, before)
 
+    def _note_replaced(self) -> None:
+        """Notes since when each former dispatcher has been one."""
+        now = _Replaced(self._assignment.version, self._clock.now_s())
+        present = {
+            (server_id, former)
+            for server_id, dispatching in self._assignment.dispatching.items()
+            for former in dispatching.former
+        }
+        self._replaced = {name: self._replaced.get(name, now) for name in present}
+
     def _push_later(self, target: Incarnation, base: Assignment | None) -> None:
         if target.host == self._view.me.host:
             return
@@ -455,7 +482,10 @@
             ended_s = self._written_s.get(name, self._clock.now_s())
             for granter in granters:
                 written_s = self._written_s.get(name, self._clock.now_s())
-                ended_s = max(ended_s, self._granter_end_s(granter, version, written_s))
+                end_s = self._granter_end_s(granter, version, written_s)
+                if granter != dispatching.dispatcher:
+                    end_s = min(end_s, self._former_end_s(run.source.server_id, granter))
+                ended_s = max(ended_s, end_s)
             if dispatching is not None:
                 order = ReleaseKeys(0, version, *run.source, run.first, run.last, run.fence)
                 reply = await self._peers.call(
