Read all keys again after a watch broke; refuse new requests in the second half of a planned stop

CONFIG, EVAC: a watch that began between the cut and the drop of the store's history heard nothing of what changed before; an old configuration and an evacuated zone stayed in use for seconds. Ruled out by the log: unreadable records, lost lines. All keys are now read when a watch broke and once more 1.5 s later. Test gateway_following_tests fails without it.

--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from typing import TYPE_CHECKING
 
 from greengagefall.gateway import outcomes
@@ -39,9 +40,13 @@
     Args:
         view: What this host knows.
         clock: Clock that counts suspended time.
+
+    Attributes:
+        refuse_from_s: Time from which new requests are refused, before the end of the process.
     """
 
     def __init__(self, view: HostView, clock: Clock) -> None:
+        self.refuse_from_s = math.inf
         self._view = view
         self._clock = clock
         self._channels: dict[Life, ServerChannel] = {}
@@ -91,9 +96,12 @@
     async def submit(self, request: Dispatch) -> Dispatched | NotDispatched:
         """Runs a request at one of this host's servers, or tells why there is no answer."""
         received_s = self._clock.now_s()
+        if received_s >= self.refuse_from_s:
+            return self._refuse(request, outcomes.STOPPING)
         channel = self._choose(request)
         if channel is None:
-            return self._no_channel(request)
+            reason = outcomes.NOT_OWNER if request.server_id else outcomes.NO_SERVER
+            return self._refuse(request, reason)
         if request.key != NO_KEY and channel.grants is not None:
             self._keys.setdefault(request.service, KeyCounter()).add(request.key)
         return await channel.submit(request, received_s)
@@ -155,12 +163,11 @@
         alive = [channel for channel in candidates if channel.health.up]
         return min(alive or candidates, key=ServerChannel.expected_finish_s, default=None)
 
-    def _no_channel(self, request: Dispatch) -> NotDispatched:
-        reason = outcomes.NOT_OWNER if request.server_id else outcomes.NO_SERVER
+    def _refuse(self, request: Dispatch, reason: str) -> NotDispatched:
         row = outcomes.OUTCOMES[reason]
         count("dispatch_failures", reason=reason)
         log.info(
-            "No channel to a server.",
+            "No server for a request here.",
             extra={
                 "request_id": request.request_id,
                 "server": request.server_id,
--- a/greengagefall/gateway/following.py
+++ b/greengagefall/gateway/following.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -23,6 +24,9 @@
 WATCH_WAIT_S = 25.0
 # Changes that come close together are read by one call.
 GATHER_S = 0.12
+# A watch that begins while the store drops its history may miss changes; all keys are read once
+# more this long after a watch broke.
+CHECK_AFTER_S = 1.5
 # After the store was away, entries of servers that live are back within this time.
 RETURN_GRACE_S = 2.2
 
@@ -60,6 +64,7 @@
         self._lapsed: dict[str, asyncio.TimerHandle] = {}
         self._task: asyncio.Task | None = None
         self._back_s = 0.0
+        self._check_s = math.inf
         self._lost = False
         self.loaded = asyncio.Event()
 
@@ -79,7 +84,7 @@
         revision: int | None = None
         while True:
             await backoff.wait()
-            if revision is None:
+            if revision is None or self._clock.now_s() >= self._check_s:
                 revision = await self._read_all()
             else:
                 revision = await self._read_changes(revision)
@@ -94,6 +99,8 @@
             self._note_lost(read.err_value)
             return None
         self._note_back()
+        if self._clock.now_s() >= self._check_s:
+            self._check_s = math.inf
         found = set()
         for item in read.ok_value.items:
             found.add(item.key)
@@ -104,13 +111,15 @@
         return read.ok_value.revision
 
     async def _read_changes(self, revision: int) -> int | None:
-        read = await self._store.watch(self._prefix, revision, WATCH_WAIT_S)
+        wait_s = min(WATCH_WAIT_S, max(0.0, self._check_s - self._clock.now_s()))
+        read = await self._store.watch(self._prefix, revision, wait_s)
         if isinstance(read, Err):
+            self._check_s = self._clock.now_s() + CHECK_AFTER_S
             if isinstance(read.err_value, StoreCompactedError):
                 log.info("History is gone. Reading all.", extra={"prefix": self._prefix})
                 return None
             self._note_lost(read.err_value)
-            return revision
+            return None
         self._note_back()
         for change in read.ok_value.changes:
             if change.deleted:
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -43,6 +43,8 @@
 REGISTER_CHECK_S = 2.0
 # Callers are still sent here until two readiness checks have failed.
 LEAVE_NOTICE_S = 2.2
+# Share of the grace period after which new requests are refused, so that those before them end.
+REFUSE_SHARE = 0.5
 # Part of the grace period that is kept for the end of the process itself.
 EXIT_RESERVE_S = 0.4
 
@@ -102,11 +104,14 @@
         self._election.stopping = True
         self._beats.stopping = True
         log.info("Stopping.")
-        end_s = self._clock.now_s() + self.facts.bounds.grace_period_s - EXIT_RESERVE_S
+        grace_s = self.facts.bounds.grace_period_s
+        stopped_s = self._clock.now_s()
+        self._callers.refuse_from_s = stopped_s + REFUSE_SHARE * grace_s
+        self._dispatchers.refuse_from_s = stopped_s + REFUSE_SHARE * grace_s
         await self._election.close()
         await self._beats.beat()
         await asyncio.sleep(LEAVE_NOTICE_S)
-        drained = await self._drain(end_s)
+        drained = await self._drain(stopped_s + grace_s - EXIT_RESERVE_S)
         log.info("Stopped.", extra={"drained": drained})
         await self._close_parts()
 
--- a/greengagefall/gateway/outcomes.py
+++ b/greengagefall/gateway/outcomes.py
@@ -47,7 +47,7 @@
 NO_KEY = _reason("no_key", 400, "The service is divided by key and the request names none.")
 NO_ID = _reason("no_request_id", 400, "The request carries no id.")
 NO_CONFIG = _reason("no_config", 503, "No configuration is known yet.", retry_after_s=0.5)
-STOPPING = _reason("stopping", 503, "This host is stopping.", retry_after_s=0.05)
+STOPPING = _reason("stopping", 503, "This host is stopping.", reroute=True, retry_after_s=0.05)
 NO_SERVER = _reason("no_server", 503, "No server of the service can be used.", retry_after_s=0.4)
 NO_OWNER = _reason("no_owner", 503, "No server owns the key yet.", retry_after_s=0.3)
 NO_DISPATCHER = _reason(
--- /dev/null
+++ b/greengagefall/tests/gateway_following_tests.py
@@ -0,0 +1,70 @@
+"""Following keys of the store through broken watches and dropped history."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from greengagefall.gateway.following import Follower
+from greengagefall.platform.store import PlatformStore
+from greengagefall.tests.platform_standins import PlatformStoreStandIn
+from greengagefall.utils.clock import SystemClock
+from greengagefall.utils.waiting import wait_until
+
+PREFIX = "op/"
+WAIT_S = 5.0
+
+
+class FollowingTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = PlatformStoreStandIn()
+        await self.store.start()
+        self.addAsyncCleanup(self.store.close)
+        self.seen = {}
+        client = PlatformStore(self.store.address)
+        self.follower = Follower(client, PREFIX, self.put, self.delete, SystemClock())
+        await self.store.put("op/a", b"1")
+        self.follower.start()
+        self.addCleanup(self.follower.close)
+        await asyncio.wait_for(self.follower.loaded.wait(), WAIT_S)
+
+    def put(self, item):
+        self.seen[item.key] = item.value
+
+    def delete(self, key):
+        self.seen.pop(key, None)
+
+    async def sees(self, expected):
+        self.assertTrue(await wait_until(lambda: self.seen == expected, WAIT_S), self.seen)
+
+    async def test_changes_and_deletions_arrive(self):
+        await self.store.put("op/b", b"2")
+        await self.sees({"op/a": b"1", "op/b": b"2"})
+        await self.store.delete("op/a")
+        await self.sees({"op/b": b"2"})
+
+    async def test_many_keys_are_read_page_by_page(self):
+        self.store.refuse = 503
+        for number in range(10):
+            await self.store.put(f"op/{number}", b"x")
+        self.store.refuse = 0
+        await self.sees({"op/a": b"1", **{f"op/{number}": b"x" for number in range(10)}})
+
+    async def test_changes_in_a_dropped_history_arrive(self):
+        self.store.deaf = True
+        await self.store.put("op/b", b"2")
+        await self.store.delete("op/a")
+        await self.store.drop_history()
+        self.store.deaf = False
+        await self.sees({"op/b": b"2"})
+
+    async def test_a_watch_that_begins_deaf_misses_nothing_for_long(self):
+        """The next watch begins before the history is dropped, and hears nothing."""
+        self.store.deaf = True
+        await self.store.put("op/b", b"2")
+        self.store.cut_watches()
+        await asyncio.sleep(0.3)
+        await self.store.put("op/c", b"3")
+        self.store.forget_quietly()
+        self.store.deaf = False
+        await self.sees({"op/a": b"1", "op/b": b"2", "op/c": b"3"})
--- a/greengagefall/tests/platform_standins.py
+++ b/greengagefall/tests/platform_standins.py
@@ -23,6 +23,7 @@
         refuse: Status with which every call is refused, 0 for none.
         lose_writes: How many writes are done and not answered.
         calls: Number of calls by path.
+        deaf: Whether watches hear nothing of changes.
     """
 
     def __init__(self, address: str = "127.0.0.1:0") -> None:
@@ -30,6 +31,8 @@
         self.refuse = 0
         self.lose_writes = 0
         self.calls: dict[str, int] = {}
+        self.deaf = False
+        self.watchers: set[_Watch] = set()
         self._events: list[dict[str, Any]] = []
         self._revision = 1
         self._oldest = 0
@@ -96,6 +99,14 @@
         async with self._changed:
             self._changed.notify_all()
 
+    def cut_watches(self) -> None:
+        for watcher in list(self.watchers):
+            watcher.request.connection.stream.close()
+
+    def forget_quietly(self) -> None:
+        """Drops events without telling those who watch from before them."""
+        self._events.clear()
+
     def value(self, key: str) -> bytes:
         return base64.b64decode(self.items[key]["value"])
 
@@ -131,7 +142,7 @@
                 if event["revision"] > after and event["key"].startswith(prefix)
             ]
             left_s = end_s - time.monotonic()
-            if found or left_s <= 0:
+            if (found and not self.deaf) or left_s <= 0:
                 return found
             async with self._changed:
                 try:
@@ -196,7 +207,11 @@
     async def get(self) -> None:
         after = int(self.get_argument("after"))
         wait_s = int(self.get_argument("waitMs")) / 1000
-        found = await self.store.events(self.get_argument("prefix"), after, wait_s)
+        self.store.watchers.add(self)
+        try:
+            found = await self.store.events(self.get_argument("prefix"), after, wait_s)
+        finally:
+            self.store.watchers.discard(self)
         if found is None:
             raise tornado.web.HTTPError(410)
         self.finish({"events": found, "at": self.store.revision})
