--- a/greengagefall/gateway/beats.py
+++ b/greengagefall/gateway/beats.py
@@ -23,7 +23,7 @@
 log = logging.getLogger(__name__)
 
 MS_PER_S = 1000.0
-BEAT_INTERVAL_S = 0.5
+BEAT_INTERVAL_S = 0.3
 BEAT_TIMEOUT_S = 0.6
 # Without a coordinator for this long, the assignment is read from the store.
 READ_AFTER_S = 1.5
--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -189,7 +189,7 @@
         runs = []
         if self._is_mine(life):
             runs = self._view.assignment.runs_of(channel.entry.service, life)
-        channel.grants.set_runs(runs)
+        channel.set_runs(runs)
 
     async def _check(self) -> None:
         while True:
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -29,6 +29,7 @@
     from collections.abc import Callable
 
     from greengagefall.gateway.model import ServerEntry, Service
+    from greengagefall.ownership.model import KeyRun
     from greengagefall.protocol.gateway_messages import Dispatch
     from greengagefall.utils.clock import Clock
 
@@ -43,7 +44,7 @@
 HOLD_WAIT_S = 0.5
 # A server that refused connections may have started again, cold.
 SUSPECTED_COLD_S = 2.0
-SERVICE_UNAVAILABLE = 503
+ADMITTED = ""
 PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
 PROBE_INTERVAL_S = 0.5
 PROBE_TIMEOUT_S = 0.5
@@ -52,10 +53,11 @@
 
 
 class _Ticket(NamedTuple):
-    """A waiting request with the future that admits or refuses it."""
+    """A waiting request; the outcome is ``ADMITTED`` or why it is refused."""
 
     item: Waiting
-    admitted: asyncio.Future[bool]
+    key: int
+    outcome: asyncio.Future[str]
 
 
 class ServerChannel:
@@ -113,7 +115,7 @@
         if self._timer is not None:
             self._timer.cancel()
         for ticket in list(self._tickets.values()):
-            self._settle(ticket, False)
+            self._settle(ticket, outcomes.QUEUE_FULL)
         self._pool.close()
 
     def note_entry(self, entry: ServerEntry) -> None:
@@ -123,6 +125,16 @@
         if entry.cold_left_s > 0:
             self.queue.set_cold(self._service.cold_rate_per_s, entry.cold_left_s)
 
+    def set_runs(self, runs: list[KeyRun]) -> None:
+        """Takes the server's runs; waiting requests for other keys look for their new owner."""
+        if self._grants is None:
+            return
+        self._grants.set_runs(runs)
+        for ticket in list(self._tickets.values()):
+            if ticket.key != NO_KEY and not self._grants.owns(ticket.key):
+                self.queue.remove(ticket.item)
+                self._settle(ticket, outcomes.NOT_OWNER)
+
     def expected_finish_s(self) -> float:
         """Returns how long a request that comes now would take."""
         return self.queue.expected_wait_s() + self.queue.service_time_s
@@ -148,8 +160,11 @@
                 return self._refusal(request, outcomes.NOT_GRANTED)
         if self.leaving:
             return self._refusal(request, outcomes.SERVER_LEAVING)
-        if not await self._admit(request, received_s, deadline_s):
+        admitted = await self._admit(request, received_s, deadline_s)
+        if admitted == outcomes.QUEUE_FULL:
             return self._queue_refusal(request)
+        if admitted != ADMITTED:
+            return self._refusal(request, admitted)
         started_s = self._clock.now_s()
         send = asyncio.ensure_future(self._send(request, deadline_s))
         try:
@@ -167,21 +182,22 @@
         observe_ms("server_time_ms", took_s * MS_PER_S, service=self._service.name)
         return outcome
 
-    async def _admit(self, request: Dispatch, received_s: float, deadline_s: float) -> bool:
-        """Waits for a slot; returns whether there is one in time."""
+    async def _admit(self, request: Dispatch, received_s: float, deadline_s: float) -> str:
+        """Waits for a slot; returns ``ADMITTED`` or why there is none."""
         objective_s = received_s + request.objective_ms / MS_PER_S
         item = Waiting(request.priority, deadline_s, next(self._numbers), objective_s)
-        ticket = _Ticket(item, asyncio.get_running_loop().create_future())
+        outcome = asyncio.get_running_loop().create_future()
+        ticket = _Ticket(item, request.key, outcome)
         self._tickets[item.ticket] = ticket
         self._refuse(self.queue.offer(item))
         self._pump()
         try:
-            return await ticket.admitted
+            return await ticket.outcome
         except asyncio.CancelledError:
             self._tickets.pop(item.ticket, None)
             self.queue.remove(item)
-            admitted = ticket.admitted.done() and not ticket.admitted.cancelled()
-            if admitted and ticket.admitted.result():
+            ended = ticket.outcome.done() and not ticket.outcome.cancelled()
+            if ended and ticket.outcome.result() == ADMITTED:
                 self._finish(None)
             raise
 
@@ -196,7 +212,7 @@
             if ticket is None:
                 self.queue.finish()
                 continue
-            self._settle(ticket, True)
+            self._settle(ticket, ADMITTED)
         self._refuse(self.queue.drop_hopeless())
         if self._timer is not None:
             self._timer.cancel()
@@ -212,12 +228,12 @@
         for item in items:
             ticket = self._tickets.get(item.ticket)
             if ticket is not None:
-                self._settle(ticket, False)
+                self._settle(ticket, outcomes.QUEUE_FULL)
 
-    def _settle(self, ticket: _Ticket, admitted: bool) -> None:
+    def _settle(self, ticket: _Ticket, outcome: str) -> None:
         self._tickets.pop(ticket.item.ticket, None)
-        if not ticket.admitted.done():
-            ticket.admitted.set_result(admitted)
+        if not ticket.outcome.done():
+            ticket.outcome.set_result(outcome)
 
     async def _send(self, request: Dispatch, deadline_s: float) -> Dispatched | NotDispatched:
         left_s = deadline_s - self._clock.now_s()
--- a/greengagefall/ownership/planning.py
+++ b/greengagefall/ownership/planning.py
@@ -26,6 +26,8 @@
 MAX_MOVES_PER_PLAN = 6
 # Largest share of a server's capacity in one run of a server that is gone.
 ORPHAN_SHARE = 0.3
+# How much more a server has to bear for a single busy key to move there.
+RELOCATION_GAIN = 1.25
 # Runs of one owner that lie side by side are joined beyond this number.
 MAX_RUNS_PER_SERVER = 6
 
@@ -211,7 +213,9 @@
         if balance.utilisation(source) < max(FULL_UTILISATION, EXCESS_FACTOR * level):
             break
         target = balance.least(busy)
-        if target in busy or not _give(view, balance, source, target, moves, busy):
+        if target not in busy and _give(view, balance, source, target, moves, busy):
+            continue
+        if not _relocate(view, balance, source, moves, busy):
             busy.add(source)
     return moves
 
@@ -235,13 +239,38 @@
     runs = [run for run in view.runs if run.owner == source and not run.moving]
     if wanted <= 0 or not runs:
         return False
-    run = max(runs, key=lambda run: balance.weight(run.first, run.last))
-    cut = _cut(view.rates, balance, run, wanted)
-    if cut is None:
+    runs.sort(key=lambda run: -balance.weight(run.first, run.last))
+    for run in runs:
+        cut = _cut(view.rates, balance, run, wanted)
+        if cut is None:
+            continue
+        moves.append(balance.move(*cut, source, target))
+        busy.add(source)
+        busy.add(target)
+        return True
+    return False
+
+
+def _relocate(
+    view: ServiceView, balance: _Balance, source: Life, moves: list[KeyMove], busy: set[Life]
+) -> bool:
+    """Moves a key that alone is too busy for its server to the server that bears most.
+
+    No other server can share a key, so the fastest one serves most of its requests.
+    """
+    runs = [run for run in view.runs if run.owner == source and not run.moving]
+    if len(runs) != 1 or runs[0].size != 1:
+        return False
+    present = balance.servers[source].capacity_per_s
+    others = [life for life in balance.servers if life not in busy and life != source]
+    if not others:
+        return False
+    best = max(others, key=lambda life: (balance.servers[life].capacity_per_s, life))
+    if balance.servers[best].capacity_per_s < RELOCATION_GAIN * present:
         return False
-    moves.append(balance.move(*cut, source, target))
+    moves.append(balance.move(runs[0].first, runs[0].last, source, best))
     busy.add(source)
-    busy.add(target)
+    busy.add(best)
     return True
 
 
@@ -255,9 +284,12 @@
 def _cut(rates: KeyRates, balance: _Balance, run: KeyRun, wanted: float) -> tuple[int, int] | None:
     """Returns the part of a run that should go: its prefix, or all behind a prefix."""
     if run.size < 2:
-        return None
+        # A whole run of one key goes only if it fits.
+        fits = balance.weight(run.first, run.last) <= wanted
+        return (run.first, run.last) if fits else None
     weight = balance.weight(run.first, run.last)
-    wanted = min(wanted, weight)
+    if weight <= wanted:
+        return run.first, run.last
     end = min(_prefix_end(rates, balance, run.first, run.last, wanted), run.last - 1)
     moved = balance.weight(run.first, end)
     if moved <= 1.5 * wanted:
--- /dev/null
+++ b/greengagefall/tests/ownership_planning_tests.py
@@ -0,0 +1,151 @@
+"""Which server should own which keys, by load."""
+
+from __future__ import annotations
+
+import unittest
+
+from greengagefall.ownership.key_load import KeyCounter, KeyRates
+from greengagefall.ownership.model import EMPTY_ASSIGNMENT, LAST_KEY, NOBODY, Life
+from greengagefall.ownership.planning import (
+    ServerCapacity,
+    ServiceView,
+    apply_moves,
+    joined,
+    plan_moves,
+)
+
+SERVICE = "proofdesk"
+ROUNDS = 60
+
+
+def server(name: str, service_time_s: float = 0.2, slots: int = 6) -> ServerCapacity:
+    return ServerCapacity(Life(name, 1), "a", slots, service_time_s, float("inf"))
+
+
+def rates_of(per_s: dict[int, float]) -> KeyRates:
+    rates = KeyRates(1.0)
+    rates.advance(0.0)
+    for key, rate in per_s.items():
+        for _ in range(round(rate)):
+            rates.add(key, 1)
+    rates.index()
+    return rates
+
+
+class PlanningTests(unittest.TestCase):
+    def settle(self, servers, rates, assignment=EMPTY_ASSIGNMENT):
+        """Plans and carries out moves until there are none; returns assignment and moves."""
+        moved = []
+        moves = [None]
+        for _ in range(ROUNDS):
+            view = ServiceView(assignment.runs.get(SERVICE, ()), servers, rates)
+            moves = plan_moves(view)
+            if not moves:
+                break
+            moved.extend(moves)
+            assignment = joined(apply_moves(assignment, SERVICE, moves), SERVICE)
+            runs = tuple(run._replace(source=NOBODY) for run in assignment.runs[SERVICE])
+            assignment = assignment._replace(runs={SERVICE: runs})
+            self.check_whole(assignment)
+        self.assertFalse(moves, "the plan does not settle")
+        return assignment, moved
+
+    def check_whole(self, assignment):
+        expected = 0
+        for run in assignment.runs[SERVICE]:
+            self.assertEqual(run.first, expected)
+            expected = run.last + 1
+        self.assertEqual(expected, LAST_KEY + 1)
+
+    def load(self, assignment, rates, name):
+        return sum(
+            rates.rate(run.first, run.last)
+            for run in assignment.runs[SERVICE]
+            if run.owner.server_id == name
+        )
+
+    def test_first_owners_share_all_keys_by_their_slots(self):
+        assignment, _ = self.settle([server("a"), server("b", slots=12)], rates_of({}))
+        sizes = {run.owner.server_id: run.size for run in assignment.runs[SERVICE]}
+        self.assertAlmostEqual(sizes["b"] / sizes["a"], 2, delta=0.01)
+
+    def test_a_busy_stretch_is_cut_over_several_servers(self):
+        """60 requests a second on 60 neighbouring keys, twice what one server bears."""
+        servers = [server(name) for name in "abcdef"]
+        rates = rates_of(dict.fromkeys(range(1000, 1060), 1.0))
+        assignment, _ = self.settle(servers, rates)
+        loads = [self.load(assignment, rates, name) for name in "abcdef"]
+        self.assertLess(max(loads), 0.7 * 30)
+        self.assertGreaterEqual(sum(load > 5 for load in loads), 3)
+
+    def test_a_single_busy_key_gets_the_fastest_server_for_itself(self):
+        """35 requests a second on one key; the usual server bears 30, the fast one 60."""
+        servers = [server("a"), server("b"), server("c"), server("fast", 0.1)]
+        rates = rates_of({1030: 35.0, 2000: 3.0, 2100: 3.0})
+        assignment, _ = self.settle(servers, rates)
+        owner = assignment.run_of(SERVICE, 1030).owner
+        self.assertEqual(owner.server_id, "fast")
+        self.assertEqual(self.load(assignment, rates, "fast"), 35.0)
+
+    def test_keys_of_a_server_that_is_gone_go_to_several_others(self):
+        servers = [server(name) for name in "abcd"]
+        rates = rates_of(dict.fromkeys(range(0, 65000, 2000), 1.0))
+        assignment, _ = self.settle(servers, rates)
+        assignment, moves = self.settle(servers[1:], rates, assignment)
+        self.assertGreaterEqual(len({move.target for move in moves}), 2)
+        self.assertTrue(all(run.owner.server_id != "a" for run in assignment.runs[SERVICE]))
+
+    def test_a_new_server_gets_a_share(self):
+        servers = [server(name) for name in "ab"]
+        rates = rates_of(dict.fromkeys(range(0, 65000, 2000), 1.0))
+        assignment, _ = self.settle(servers, rates)
+        assignment, moves = self.settle([*servers, server("new")], rates, assignment)
+        self.assertTrue(moves)
+        self.assertGreater(self.load(assignment, rates, "new"), 3)
+
+    def test_a_balanced_load_moves_nothing(self):
+        servers = [server(name) for name in "abcd"]
+        rates = rates_of(dict.fromkeys(range(0, 65000, 2000), 1.0))
+        _, moves = self.settle(servers, rates)
+        self.assertEqual(len(moves), 4)
+
+    def test_each_move_gets_a_fence_above_all_others(self):
+        servers = [server(name) for name in "abcd"]
+        rates = rates_of(dict.fromkeys(range(1000, 1060), 2.0))
+        assignment = EMPTY_ASSIGNMENT
+        highest = 0
+        for _ in range(10):
+            view = ServiceView(assignment.runs.get(SERVICE, ()), servers, rates)
+            assignment = apply_moves(assignment, SERVICE, plan_moves(view))
+            fences = [run.fence for run in assignment.runs[SERVICE] if run.moving]
+            self.assertTrue(all(fence > 0 for fence in fences))
+            self.assertGreaterEqual(assignment.last_fence, highest)
+            highest = assignment.last_fence
+            runs = tuple(run._replace(source=NOBODY) for run in assignment.runs[SERVICE])
+            assignment = assignment._replace(runs={SERVICE: runs})
+
+
+class KeyLoadTests(unittest.TestCase):
+    def test_a_report_is_bounded_and_loses_no_request(self):
+        counter = KeyCounter()
+        for key in range(5000):
+            counter.add(key)
+        for _ in range(100):
+            counter.add(777)
+        figures = counter.drain()
+        self.assertLessEqual(len(figures), 512)
+        self.assertEqual(sum(figures[1::2]), 5100)
+        self.assertEqual(counter.drain(), [])
+
+    def test_rates_fade_and_sum_over_ranges(self):
+        rates = KeyRates(2.0)
+        rates.advance(0.0)
+        rates.add(10, 4)
+        rates.add(20, 2)
+        rates.index()
+        self.assertAlmostEqual(rates.rate(0, 15), 2.0)
+        self.assertAlmostEqual(rates.rate(0, LAST_KEY), 3.0)
+        self.assertEqual(rates.prefix_end(0, 100, 2.5), 19)
+        rates.advance(2.0)
+        rates.index()
+        self.assertAlmostEqual(rates.rate(0, LAST_KEY), 3.0 / 2.718, delta=0.01)
