--- a/greengagefall/gateway/coordinator.py
+++ b/greengagefall/gateway/coordinator.py
@@ -461,16 +461,20 @@
     async def _move(self, name: _RunName, run: KeyRun, version: int) -> None:
         """Has a run released by its former owner and granted to the new one."""
         hand_over = await self._release(name, run, version)
+        # The new owner's dispatcher gets the token before others may join or move the run.
+        if not await self._grant(run, version, hand_over):
+            log.warning("A grant was not confirmed.", extra=name._asdict())
         self._free[name] = hand_over
         self._wake.set()
+
+    async def _grant(self, run: KeyRun, version: int, hand_over: str) -> bool:
+        """Orders the grant of a run that is free; returns whether the server took it."""
         dispatching = self._assignment.dispatching.get(run.owner.server_id)
         if dispatching is None:
-            return
+            return False
         order = GrantKeys(0, version, *run.owner, run.first, run.last, run.fence, hand_over)
         reply = await self._peers.call(dispatching.dispatcher.host, order, CALL_TIMEOUT_S)
-        granted = isinstance(reply, KeysGranted) and reply.granted
-        if not granted:
-            log.warning("A grant was not confirmed.", extra=name._asdict())
+        return isinstance(reply, KeysGranted) and reply.granted
 
     async def _release(self, name: _RunName, run: KeyRun, version: int) -> str:
         """Waits until the former owner certainly holds nothing; returns its token."""
