--- /dev/null
+++ b/greengagefall/tests/limits_server_queue_tests.py
@@ -0,0 +1,122 @@
+"""The queue of one server under overload, in cold start and with several priorities."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from greengagefall.limits.server_queue import ServerQueue, Waiting
+from greengagefall.utils.clock import ManualClock
+
+SERVICE_TIME_S = 0.2
+COLD_RATE_PER_S = 8.0
+# The platform's bound on requests to a cold server in any second.
+COLD_BOUND = 1.5 * COLD_RATE_PER_S + 5
+
+
+class ServerQueueTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock(100.0)
+        self.queue = ServerQueue(2, self.clock)
+        self.queue.service_time_s = SERVICE_TIME_S
+        self.tickets = 0
+
+    def waiting(self, priority=1, left_s=2.0, objective_s=0.6):
+        self.tickets += 1
+        now_s = self.clock.now_s()
+        return Waiting(priority, now_s + left_s, self.tickets, now_s + objective_s)
+
+    def fill(self):
+        for _ in range(2):
+            self.assertEqual(self.queue.offer(self.waiting()), [])
+            self.assertIsNotNone(self.queue.take())
+
+    def test_no_more_than_the_slots_are_taken(self):
+        self.fill()
+        self.assertEqual(self.queue.offer(self.waiting()), [])
+        self.assertIsNone(self.queue.take())
+        self.queue.finish(0.2)
+        self.assertIsNotNone(self.queue.take())
+
+    def test_the_most_urgent_goes_first_then_the_earliest_deadline(self):
+        self.fill()
+        late = self.waiting(priority=1, left_s=1.9)
+        early = self.waiting(priority=1, left_s=1.5)
+        urgent = self.waiting(priority=0)
+        for item in (late, early, urgent):
+            self.queue.offer(item)
+        order = []
+        for _ in range(3):
+            self.queue.finish(0.2)
+            order.append(self.queue.take())
+        self.assertEqual(order, [urgent, early, late])
+
+    def test_a_request_without_a_chance_is_refused_at_once(self):
+        self.fill()
+        refused = []
+        for _ in range(40):
+            refused += self.queue.offer(self.waiting())
+        self.assertTrue(refused)
+        self.assertLess(len(self.queue), 12)
+
+    def test_an_urgent_request_displaces_a_less_urgent_one(self):
+        self.fill()
+        refused = []
+        while not refused:
+            refused = self.queue.offer(self.waiting(priority=2))
+        urgent = self.waiting(priority=0)
+        displaced = self.queue.offer(urgent)
+        self.assertTrue(all(item.priority == 2 for item in displaced))
+        self.queue.finish(0.2)
+        self.assertEqual(self.queue.take(), urgent)
+
+    def test_one_that_could_start_at_once_is_not_refused_for_a_slow_server(self):
+        self.queue.service_time_s = 5.0
+        self.assertEqual(self.queue.offer(self.waiting()), [])
+        self.assertIsNotNone(self.queue.take())
+
+    def test_a_cold_server_gets_no_more_than_it_bears_in_any_second(self):
+        queue = ServerQueue(100, self.clock)
+        queue.set_cold(COLD_RATE_PER_S, 10.0)
+        sent_s = []
+        while self.clock.now_s() < 105.0:
+            queue.offer(self.waiting(left_s=0.5))
+            while queue.take() is not None:
+                sent_s.append(self.clock.now_s())
+                queue.finish()
+            self.clock.advance(0.01)
+        most = max(sum(start <= at < start + 1 for at in sent_s) for start in sent_s)
+        self.assertLessEqual(most, COLD_BOUND)
+        self.assertGreater(len(sent_s) / 5, 0.8 * COLD_RATE_PER_S)
+
+    def test_overload_serves_what_the_server_can_and_tells_the_others_early(self):
+        """Three times what two slots can do, for 20 s; the requests served end in their time."""
+        rng = random.Random(7)
+        running: list[tuple[float, Waiting]] = []
+        served, refused, in_time = 0, 0, 0
+        waits = []
+        arrived: dict[int, float] = {}
+        for step in range(2000):
+            self.clock.advance(0.01)
+            now_s = self.clock.now_s()
+            for end_s, item in [pair for pair in running if pair[0] <= now_s]:
+                running.remove((end_s, item))
+                self.queue.finish(SERVICE_TIME_S)
+                served += 1
+                in_time += now_s <= item.deadline_s
+            if rng.random() < 0.3:
+                item = self.waiting(priority=rng.choice((0, 1, 2, 2)), left_s=1.5)
+                arrived[item.ticket] = now_s
+                for dropped in self.queue.offer(item):
+                    refused += 1
+                    waits.append(now_s - arrived[dropped.ticket])
+            while (item := self.queue.take()) is not None:
+                running.append((now_s + SERVICE_TIME_S * rng.uniform(0.5, 1.5), item))
+            for dropped in self.queue.drop_hopeless():
+                refused += 1
+                waits.append(now_s - arrived[dropped.ticket])
+            self.assertLessEqual(self.queue.in_flight, 2, step)
+        self.assertGreater(served, 0.9 * 20.0 * 2 / SERVICE_TIME_S)
+        self.assertGreater(in_time, 0.99 * served)
+        waits.sort()
+        self.assertLess(waits[len(waits) // 2], 0.2)
--- /dev/null
+++ b/greengagefall/tests/ownership_holds_tests.py
@@ -0,0 +1,169 @@
+"""Hold times, rows of assignments, and who dispatches a server."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from greengagefall.gateway.dispatch_planning import HostLoad, plan_dispatching
+from greengagefall.gateway.model import ServerEntry
+from greengagefall.ownership import rows
+from greengagefall.ownership.exceptions import AssignmentError
+from greengagefall.ownership.holds import HOLD_S, IN_FLIGHT_S, HoldLedger, longest_hold_s
+from greengagefall.ownership.model import (
+    EMPTY_ASSIGNMENT,
+    Assignment,
+    Dispatching,
+    Incarnation,
+    KeyRun,
+    Life,
+)
+from greengagefall.utils.clock import ManualClock
+
+A = Life("a", 1)
+B = Life("b", 2)
+ONE = Incarnation("one", 5)
+TWO = Incarnation("two", 6)
+THREE = Incarnation("three", 7)
+
+
+class HoldLedgerTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock(10.0)
+        self.ledger = HoldLedger(self.clock)
+
+    def test_an_unanswered_grant_may_hold_from_its_latest_arrival(self):
+        self.ledger.note_sent(0, 99)
+        expected_s = 10.0 + IN_FLIGHT_S + longest_hold_s()
+        self.assertAlmostEqual(self.ledger.surely_ended_s(50, 60), expected_s)
+        self.assertEqual(self.ledger.surely_ended_s(100, 200), 0.0)
+        self.assertFalse(self.ledger.holds(50, 1))
+
+    def test_an_answered_grant_holds_from_when_it_was_sent(self):
+        self.ledger.note_sent(0, 99)
+        self.clock.advance(0.2)
+        self.ledger.note_granted(0, 99, 4, 10.0)
+        self.assertTrue(self.ledger.holds(99, 4))
+        self.assertFalse(self.ledger.holds(99, 5))
+        self.clock.advance(HOLD_S - 0.1)
+        self.assertFalse(self.ledger.holds(99, 4))
+
+    def test_a_slow_clock_of_the_server_is_allowed_for(self):
+        self.assertGreaterEqual(longest_hold_s(), HOLD_S * 1.02)
+
+    def test_keys_that_were_given_back_are_not_held_and_their_neighbours_are(self):
+        self.ledger.note_granted(0, 99, 4, 10.0)
+        self.ledger.forget(40, 59)
+        held = [key for key in range(100) if self.ledger.holds(key, 4)]
+        self.assertEqual(held, [*range(40), *range(60, 100)])
+
+
+RUNS = st.lists(st.integers(1, 65_535), unique=True, max_size=8).map(sorted)
+
+
+def assignment_of(cuts: list[int], version: int, seed: int) -> Assignment:
+    rng = random.Random(seed)
+    bounds = [0, *cuts, 65_536]
+    found = []
+    for index, first in enumerate(bounds[:-1]):
+        owner = rng.choice((A, B))
+        source = rng.choice((A, B, Life("", 0)))
+        found.append(KeyRun(first, bounds[index + 1] - 1, owner, rng.randrange(99), source))
+    dispatching = {
+        name: Dispatching(rng.choice((ONE, TWO)), rng.choice(((), (THREE,))))
+        for name in rng.sample(["a", "b", "c"], rng.randrange(4))
+    }
+    return Assignment(version, 99, {"svc": tuple(found)}, dispatching)
+
+
+class RowTests(unittest.TestCase):
+    @given(RUNS, RUNS, st.integers(0, 99))
+    def test_a_difference_leads_from_one_version_to_the_next(self, before, after, seed):
+        old = assignment_of(before, 3, seed)
+        new = assignment_of(after, 4, seed + 1)
+        change = rows.difference(old, new)
+        self.assertEqual(rows.patched(old, 4, 99, change), new)
+
+    @given(RUNS, st.integers(0, 99))
+    def test_the_stored_form_reads_back(self, cuts, seed):
+        assignment = assignment_of(cuts, 8, seed)
+        self.assertEqual(rows.decode(rows.encode(assignment, "w")), assignment)
+
+    def test_nothing_stored_is_an_empty_assignment(self):
+        self.assertEqual(rows.decode(b""), EMPTY_ASSIGNMENT)
+
+    @given(st.binary(min_size=1, max_size=30))
+    def test_unreadable_bytes_are_refused(self, value):
+        with self.assertRaises(AssignmentError):
+            rows.decode(value)
+
+    def test_keys_are_found_in_their_run(self):
+        assignment = assignment_of([100, 200], 1, 0)
+        self.assertEqual(assignment.run_of("svc", 99).first, 0)
+        self.assertEqual(assignment.run_of("svc", 100).first, 100)
+        self.assertEqual(assignment.run_of("svc", 65_535).first, 200)
+        self.assertIsNone(assignment.run_of("other", 5))
+
+
+def entry(name: str, zone: str, service: str = "svc") -> ServerEntry:
+    return ServerEntry(name, service, "10.0.0.1:80", zone, 6, False, 0.0, 1)
+
+
+class DispatchPlanningTests(unittest.TestCase):
+    def setUp(self):
+        self.hosts = [
+            HostLoad(ONE, "x", 1.0),
+            HostLoad(TWO, "x", 1.0),
+            HostLoad(THREE, "y", 1.0),
+        ]
+        self.servers = {name: entry(name, "x") for name in "abcd"}
+
+    def plan(self, present, hosts=None, coordinator=THREE, keyed=("svc",), owners=()):
+        return plan_dispatching(
+            present, self.servers, owners, hosts or self.hosts, coordinator, keyed
+        )
+
+    def test_hosts_of_the_zone_share_its_servers(self):
+        planned = self.plan({})
+        chosen = [planned[name].dispatcher for name in "abcd"]
+        self.assertEqual(sorted(chosen), [ONE, ONE, TWO, TWO])
+
+    def test_a_living_dispatcher_stays(self):
+        planned = self.plan({})
+        self.assertEqual(self.plan(planned), planned)
+
+    def test_the_servers_of_a_lost_host_go_to_others_and_it_stays_a_granter(self):
+        planned = self.plan({})
+        after = self.plan(planned, self.hosts[1:])
+        for name in "abcd":
+            self.assertEqual(after[name].dispatcher, TWO)
+            if planned[name].dispatcher == ONE:
+                self.assertEqual(after[name].granters, (TWO, ONE))
+
+    def test_without_a_host_in_the_zone_another_zone_helps_until_one_returns(self):
+        planned = self.plan({}, self.hosts[2:])
+        self.assertTrue(all(row.dispatcher == THREE for row in planned.values()))
+        after = self.plan(planned)
+        self.assertTrue(all(row.dispatcher != THREE for row in after.values()))
+
+    def test_the_coordinator_dispatches_nothing_where_others_can(self):
+        planned = self.plan({}, coordinator=ONE)
+        self.assertTrue(all(row.dispatcher == TWO for row in planned.values()))
+
+    def test_servers_without_keys_share_a_dispatcher_in_their_zone(self):
+        planned = self.plan({}, keyed=())
+        self.assertEqual(len({row.dispatcher for row in planned.values()}), 1)
+
+    def test_a_server_that_is_gone_keeps_its_dispatcher_while_it_may_hold_keys(self):
+        planned = self.plan({})
+        del self.servers["a"]
+        self.assertIn("a", self.plan(planned, owners={"a"}))
+        self.assertNotIn("a", self.plan(planned))
+
+    def test_no_host_at_all_changes_nothing(self):
+        planned = self.plan({})
+        lost = plan_dispatching(planned, self.servers, (), [], THREE, ("svc",))
+        self.assertEqual(lost, planned)
--- /dev/null
+++ b/greengagefall/tests/platform_adapter_tests.py
@@ -0,0 +1,162 @@
+"""Decoding of the platform's settings, records and headers, with bad input."""
+
+from __future__ import annotations
+
+import json
+import math
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+from tornado.httputil import HTTPHeaders
+
+from greengagefall.gateway.model import NO_KEY
+from greengagefall.platform import records, requests
+from greengagefall.platform.exceptions import PlatformSettingsError, RecordError
+from greengagefall.platform.settings import parse_host_facts
+from greengagefall.tests.gateway_end_to_end_tests import routing
+
+SETTINGS = """
+grants=call
+self.nodeName=edge-a-1
+self.ip=10.1.0.35
+self.zone=a
+self.limits.cpuShare=0.5
+self.limits.cpuCores=2
+network.listen.frontend=10.1.0.35:8144
+network.listen.readiness=10.1.0.35:8140
+network.portRange=7660,7675
+platform.heartbeatS=0.87
+platform.platform.address=10.200.1.7:8142
+platform.platform.ttlMinS=1
+terms.bounds.drainTimeoutS=2.5
+terms.bounds.somethingNew=true
+a line of another kind
+"""
+SERVER = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "maxConcurrency": 6,
+    "state": "ready",
+    "warmupLeftS": 1.5,
+    "sequence": 4,
+    "born": 17,
+}
+
+
+def encoded(fields) -> bytes:
+    return json.dumps(fields).encode()
+
+
+class SettingsTests(unittest.TestCase):
+    def test_known_fields_are_read_and_others_ignored(self):
+        facts = parse_host_facts(SETTINGS)
+        self.assertEqual(facts.host, "edge-a-1")
+        self.assertEqual(facts.peer_address, "10.1.0.35:7660")
+        self.assertEqual(facts.processor_share, 1.0)
+        self.assertEqual(facts.bounds.drain_timeout_s, 2.5)
+        self.assertEqual(facts.bounds.evacuate_s, 5.0)
+
+    def test_a_missing_or_malformed_field_is_named(self):
+        for field, value in (
+            ("self.nodeName", ""),
+            ("network.listen.frontend", "10.1.0.35"),
+            ("network.portRange", "many"),
+            ("platform.heartbeatS", "soon"),
+        ):
+            with self.subTest(field=field):
+                text = SETTINGS + f"{field}={value}\n"
+                with self.assertRaisesRegex(PlatformSettingsError, field):
+                    parse_host_facts(text)
+
+
+class RecordTests(unittest.TestCase):
+    def test_a_server_is_read(self):
+        entry = records.decode_server("servers/i-1", encoded(SERVER))
+        self.assertEqual(entry.server_id, "i-1")
+        self.assertEqual((entry.slots, entry.cold_left_s, entry.born_ms), (6, 1.5, 17))
+        self.assertFalse(entry.draining)
+
+    def test_a_server_of_another_writer_is_refused(self):
+        for change in (
+            {"state": "asleep"},
+            {"state": 4},
+            {"service": None},
+            {"maxConcurrency": "six"},
+            {"maxConcurrency": 0},
+            {"maxConcurrency": True},
+            {"address": "nowhere"},
+            {"born": 1.5},
+            {"warmupLeftS": "long"},
+        ):
+            with self.subTest(change=change), self.assertRaises(RecordError):
+                records.decode_server("servers/i-1", encoded({**SERVER, **change}))
+
+    def test_a_missing_field_is_refused(self):
+        for name in ("service", "address", "zone", "maxConcurrency", "state"):
+            fields = {key: value for key, value in SERVER.items() if key != name}
+            with self.subTest(name=name), self.assertRaises(RecordError):
+                records.decode_server("servers/i-1", encoded(fields))
+
+    @given(st.binary(max_size=40))
+    def test_any_bytes_are_read_or_refused(self, value):
+        for decode in (
+            lambda: records.decode_server("servers/x", value),
+            lambda: records.decode_routing(value),
+        ):
+            with self.assertRaises(RecordError):
+                decode()
+
+    def test_routing_is_read(self):
+        table = records.decode_routing(encoded(routing(0x1F)))
+        self.assertEqual(table.version, 31)
+        route = table.route_of("shop.example", "/drafts/9")
+        self.assertTrue(route.idempotent)
+        self.assertEqual(route.attempts, 2)
+        self.assertIsNone(table.route_of("shop.example", "/draft"))
+        self.assertTrue(table.services["proofdesk"].keyed)
+        self.assertFalse(table.services["benchline"].keyed)
+
+    def test_the_longest_prefix_wins(self):
+        fields = routing(1)
+        rule = fields["listeners"][0]["routingRules"][0]
+        longer = {**rule, "name": "longer", "match": {"prefix": "/drafts/old/"}}
+        fields["listeners"][0]["routingRules"].append(longer)
+        table = records.decode_routing(encoded(fields))
+        self.assertEqual(table.route_of("shop.example", "/drafts/old/1").name, "longer")
+        self.assertEqual(table.route_of("shop.example", "/drafts/1").name, "drafts")
+
+    def test_evacuations_are_told_by_their_key(self):
+        self.assertEqual(records.evacuated_zone("op/evacuate/north"), "north")
+        self.assertEqual(records.evacuated_zone("op/config"), "")
+
+
+class HeaderTests(unittest.TestCase):
+    def test_a_server_sees_what_is_left_and_who_is_meant(self):
+        rows = dict(requests.server_headers("shop.example", "r-1", [["X-A", "b"]], 1.2345, "i-1"))
+        self.assertEqual(rows["Deadline-Ms"], "1234")
+        self.assertEqual(rows["Expected-Instance"], "i-1")
+        self.assertEqual(rows["Host"], "shop.example")
+        self.assertEqual(rows["X-A"], "b")
+
+    def test_only_marked_answers_say_that_nothing_ran(self):
+        verdict = requests.read_verdict(503, HTTPHeaders({"Not-Executed": "1"}))
+        self.assertTrue(verdict.not_run)
+        self.assertFalse(requests.read_verdict(503, HTTPHeaders()).not_run)
+        self.assertTrue(requests.read_verdict(421, HTTPHeaders()).other_server)
+
+    def test_load_is_read_with_and_without_its_fourth_figure(self):
+        load = requests.read_load(HTTPHeaders({"Upstream-Load": "3,1,8,250"}))
+        self.assertEqual(load, (3, 1, 8, 2.5))
+        load = requests.read_load(HTTPHeaders({"Upstream-Load": "3,1,8"}))
+        self.assertEqual(load.slowdown, 1.0)
+        self.assertIsNone(requests.read_load(HTTPHeaders({"Upstream-Load": "busy"})))
+
+    def test_unreadable_deadlines_and_keys_take_their_defaults(self):
+        self.assertEqual(requests._deadline_s("soon"), math.inf)
+        self.assertEqual(requests._deadline_s("1500"), 1.5)
+        for value in (None, "", "65536", "-1", "x"):
+            self.assertEqual(requests._key(value), NO_KEY)
+        self.assertEqual(requests._key("65535"), 65_535)
