Grant nothing to another life of a server by old fences; refuse until the end of a planned stop

After a lost connection nothing is renewed until the entries in the store are known to be current for two beats, or a request for a held key ran; an order for an earlier life is refused. The exploration runs the real coordinator, election, beats, dispatchers and grants; three planted rules are caught.

--- a/greengagefall/dispatch/connection_pool.py
+++ b/greengagefall/dispatch/connection_pool.py
@@ -114,7 +114,7 @@
         self, address: str, answer_limit_bytes: int, on_lost: Callable[[], None] | None = None
     ) -> None:
         self.address = address
-        self._on_lost = on_lost
+        self.on_lost = on_lost
         self._answer_limit_bytes = answer_limit_bytes
         host, _, port = address.rpartition(":")
         self._host = host
@@ -265,7 +265,7 @@
         if stream.closed():
             return
         # A close callback makes Tornado notice that the other side closed an idle stream.
-        stream.set_close_callback(self._on_lost or _ignore_close)
+        stream.set_close_callback(self.on_lost or _ignore_close)
         self._idle.append((stream, asyncio.get_running_loop().time()))
 
 
--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -7,6 +7,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from greengagefall.dispatch.connection_pool import ConnectionPool
 from greengagefall.gateway import outcomes
 from greengagefall.gateway.model import NO_KEY
 from greengagefall.gateway.server_channel import ServerChannel
@@ -16,6 +17,7 @@
 from greengagefall.utils.metrics import count
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from typing import Any
 
     from greengagefall.gateway.grants import ReleaseOutcome
@@ -32,6 +34,13 @@
 CHECK_INTERVAL_S = 0.2
 # A channel that is no longer needed stays this long, for releases and late requests.
 LINGER_S = 4.0
+# A server that started again has told the store after at most this many of its beats.
+BEATS_OF_DOUBT = 2.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
+
+def _open_pool(address: str) -> ConnectionPool:
+    return ConnectionPool(address, MAX_ANSWER_BYTES)
 
 
 class Dispatchers:
@@ -40,12 +49,19 @@
     Args:
         view: What this host knows.
         clock: Clock that counts suspended time.
+        open_pool: Makes the connections to a server out of its address.
 
     Attributes:
         refuse_from_s: Time from which new requests are refused, before the end of the process.
     """
 
-    def __init__(self, view: HostView, clock: Clock) -> None:
+    def __init__(
+        self,
+        view: HostView,
+        clock: Clock,
+        open_pool: Callable[[str], ConnectionPool] = _open_pool,
+    ) -> None:
+        self._open_pool = open_pool
         self.refuse_from_s = math.inf
         self._view = view
         self._clock = clock
@@ -86,7 +102,15 @@
                     channel.note_entry(entry)
                 continue
             if dispatching.dispatcher == self._view.me:
-                channel = ServerChannel(entry, service, self._clock, self._view.is_current)
+                channel = ServerChannel(
+                    entry,
+                    service,
+                    self._clock,
+                    self._view.is_current,
+                    self._view.entries_current,
+                    self._open_pool(entry.address),
+                    BEATS_OF_DOUBT * self._view.facts.heartbeat_s,
+                )
                 self._channels[life] = channel
                 channel.start()
         for life, channel in self._channels.items():
@@ -122,8 +146,10 @@
 
     async def grant(self, order: GrantKeys) -> bool:
         """Grants keys that nobody else holds; returns whether the server took them."""
-        channel = self._channels.get(Life(order.server_id, order.born_ms))
-        if channel is None or channel.grants is None:
+        life = Life(order.server_id, order.born_ms)
+        channel = self._channels.get(life)
+        # Another life at the same address must not get keys of the one before.
+        if channel is None or channel.grants is None or not self._is_present(life):
             return False
         granted = await channel.grants.grant(order.first, order.last, order.fence, order.hand_over)
         log.info("Keys granted.", extra={**_order_facts(order), "granted": granted})
@@ -183,11 +209,16 @@
         dispatching = self._view.assignment.dispatching.get(life.server_id)
         return dispatching is not None and dispatching.dispatcher == self._view.me
 
+    def _is_present(self, life: Life) -> bool:
+        """Returns whether no later life of a server is known."""
+        entry = self._view.servers.get(life.server_id)
+        return entry is None or entry.born_ms == life.born_ms
+
     def _set_runs(self, life: Life, channel: ServerChannel) -> None:
         if channel.grants is None:
             return
         runs = []
-        if self._is_mine(life):
+        if self._is_mine(life) and self._is_present(life):
             runs = self._view.assignment.runs_of(channel.entry.service, life)
         channel.set_runs(runs)
 
--- a/greengagefall/gateway/following.py
+++ b/greengagefall/gateway/following.py
@@ -68,6 +68,10 @@
         self._lost = False
         self.loaded = asyncio.Event()
 
+    def is_current(self) -> bool:
+        """Returns whether the store answers and no changes can have been missed."""
+        return not self._lost and self._check_s == math.inf
+
     def start(self) -> None:
         """Begins to follow."""
         self._task = asyncio.create_task(self._run(), name=f"follow {self._prefix}")
--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -6,7 +6,12 @@
 import logging
 from typing import TYPE_CHECKING, NamedTuple
 
-from greengagefall.dispatch.exceptions import DispatchError, NotSentError, SendRefusedError
+from greengagefall.dispatch.exceptions import (
+    AnswerTimeoutError,
+    DispatchError,
+    NotSentError,
+    SendRefusedError,
+)
 from greengagefall.ownership.holds import HOLD_S, RENEW_INTERVAL_S, HoldLedger
 from greengagefall.platform import grants as calls
 from greengagefall.utils.metrics import count
@@ -24,6 +29,8 @@
 GRANT_TIMEOUT_S = 0.5
 RETRY_INTERVAL_S = 0.2
 RELEASE_TRY_S = 1.0
+# Grants in force outlast a doubt of this length.
+MAX_DOUBT_S = HOLD_S - RENEW_INTERVAL_S - 0.2
 
 
 class ReleaseOutcome(NamedTuple):
@@ -51,6 +58,9 @@
         health: Learns from the answers.
         clock: Clock that counts suspended time.
         is_current: Whether the assignment is known to be recent enough to renew by it.
+        entries_current: Whether the servers' entries in the store are followed without a gap.
+        doubt_s: How long nothing is granted after a connection was lost: another life of the
+            server, which must not get the old fences, is in the store by then.
     """
 
     def __init__(
@@ -60,12 +70,18 @@
         health: ServerHealth,
         clock: Clock,
         is_current: Callable[[], bool],
+        entries_current: Callable[[], bool],
+        doubt_s: float = 0.0,
     ) -> None:
+        self._doubt_s = min(doubt_s, MAX_DOUBT_S)
+        self._doubted = False
+        self._doubted_until_s = 0.0
         self._life = life
         self._pool = pool
         self._health = health
         self._clock = clock
         self._is_current = is_current
+        self._entries_current = entries_current
         self._ledger = HoldLedger(clock)
         self._runs: list[KeyRun] = []
         self._ordered: set[tuple[int, int, int]] = set()
@@ -99,6 +115,21 @@
         run = self._run_of(key)
         return run is not None and self._ledger.holds(key, run.fence)
 
+    def note_connection_lost(self) -> None:
+        """Grants nothing for a while, since the server may have started again."""
+        self._doubted = True
+        self._doubted_until_s = self._clock.now_s() + self._doubt_s
+
+    def note_ran(self, sent_s: float) -> None:
+        """Takes a run of a request for a held key as proof that the life is still the same.
+
+        Args:
+            sent_s: When the request was sent.
+        """
+        if self._doubted and sent_s >= self._doubted_until_s - self._doubt_s:
+            self._doubted = False
+            self._wake.set()
+
     def owns(self, key: int) -> bool:
         """Returns whether the key is the server's by the assignment."""
         return self._run_of(key) is not None
@@ -130,7 +161,7 @@
             extra={"server": self._life.server_id, "key": key, "fence": run.fence},
         )
         count("grants_lost")
-        self._wake.set()
+        self.note_connection_lost()
 
     async def grant(self, first: int, last: int, fence: int, hand_over: str) -> bool:
         """Grants a run that nobody else holds any more; returns whether the server took it."""
@@ -178,9 +209,19 @@
                 return run
         return None
 
+    def _in_doubt(self) -> bool:
+        """Returns whether the server may be another life that the store does not show yet."""
+        if not self._doubted:
+            return False
+        if self._clock.now_s() >= self._doubted_until_s and self._entries_current():
+            self._doubted = False
+        return self._doubted
+
     def _may_grant(self, run: KeyRun) -> bool:
         if not self._is_current() or run not in self._runs:
             return False
+        if self._in_doubt():
+            return False
         return not run.moving or (run.first, run.last, run.fence) in self._ordered
 
     async def _renew(self) -> None:
@@ -213,6 +254,8 @@
             return False
         except DispatchError as error:
             self._health.note_failure(refused=isinstance(error, NotSentError))
+            if not isinstance(error, AnswerTimeoutError):
+                self.note_connection_lost()
             count("grant_failures", error=type(error).__name__)
             return False
         self._health.note_answer()
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -41,8 +41,7 @@
 MS_PER_S = 1000.0
 REGISTER_RETRY_S = 0.3
 REGISTER_CHECK_S = 2.0
-# Callers are still sent here until two readiness checks have failed.
-LEAVE_NOTICE_S = 2.2
+REFUSE_LEAST_S = 0.2
 # Share of the grace period after which new requests are refused, so that those before them end.
 REFUSE_SHARE = 0.5
 # Part of the grace period that is kept for the end of the process itself.
@@ -78,6 +77,7 @@
             self._lease_store, self.view, clock, self._take_office, self._leave_office
         )
         self._followers = self._make_followers()
+        self.view.entries_current = self._followers[0].is_current
         self._register_task: asyncio.Task | None = None
         self._stopping = False
 
@@ -106,11 +106,13 @@
         log.info("Stopping.")
         grace_s = self.facts.bounds.grace_period_s
         stopped_s = self._clock.now_s()
-        self._callers.refuse_from_s = stopped_s + REFUSE_SHARE * grace_s
-        self._dispatchers.refuse_from_s = stopped_s + REFUSE_SHARE * grace_s
+        refuse_from_s = stopped_s + REFUSE_SHARE * grace_s
+        self._callers.refuse_from_s = refuse_from_s
+        self._dispatchers.refuse_from_s = refuse_from_s
         await self._election.close()
         await self._beats.beat()
-        await asyncio.sleep(LEAVE_NOTICE_S)
+        # Only a host that refuses new requests may end: another one could come at any moment.
+        await asyncio.sleep(max(0.0, refuse_from_s - self._clock.now_s()) + REFUSE_LEAST_S)
         drained = await self._drain(stopped_s + grace_s - EXIT_RESERVE_S)
         log.info("Stopped.", extra={"drained": drained})
         await self._close_parts()
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -7,7 +7,7 @@
 import logging
 from typing import TYPE_CHECKING, NamedTuple
 
-from greengagefall.dispatch.connection_pool import ConnectionPool, HttpAnswer, HttpRequest
+from greengagefall.dispatch.connection_pool import HttpAnswer, HttpRequest
 from greengagefall.dispatch.exceptions import (
     AnswerLostError,
     AnswerMismatchError,
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from greengagefall.dispatch.connection_pool import ConnectionPool
     from greengagefall.gateway.model import ServerEntry, Service
     from greengagefall.ownership.model import KeyRun
     from greengagefall.protocol.gateway_messages import Dispatch
@@ -37,7 +38,6 @@
 
 MS_PER_S = 1000.0
 PERCENT = 100.0
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
 # The server ends a request at the deadline by itself; its answer comes a little later.
 ANSWER_SLACK_S = 0.1
 # Longest wait for keys that are on their way to the server.
@@ -68,10 +68,20 @@
         service: Its service.
         clock: Clock that counts suspended time.
         is_current: Whether the assignment is recent enough to renew grants by it.
+        entries_current: Whether the servers' entries are followed without a gap.
+        pool: Connections to the server.
+        doubt_s: How long no keys are granted after a connection was lost.
     """
 
     def __init__(
-        self, entry: ServerEntry, service: Service, clock: Clock, is_current: Callable[[], bool]
+        self,
+        entry: ServerEntry,
+        service: Service,
+        clock: Clock,
+        is_current: Callable[[], bool],
+        entries_current: Callable[[], bool],
+        pool: ConnectionPool,
+        doubt_s: float = 0.0,
     ) -> None:
         self.entry = entry
         self.life = Life(entry.server_id, entry.born_ms)
@@ -80,10 +90,13 @@
         self.leaving = False
         self._service = service
         self._clock = clock
-        self._pool = ConnectionPool(entry.address, MAX_ANSWER_BYTES)
+        self._pool = pool
         self._grants: GrantKeeper | None = None
         if service.keyed:
-            self._grants = GrantKeeper(self.life, self._pool, self.health, clock, is_current)
+            self._grants = GrantKeeper(
+                self.life, pool, self.health, clock, is_current, entries_current, doubt_s
+            )
+            pool.on_lost = self._grants.note_connection_lost
         self._tickets: dict[int, _Ticket] = {}
         self._numbers = itertools.count(1)
         self._timer: asyncio.TimerHandle | None = None
@@ -236,7 +249,8 @@
             ticket.outcome.set_result(outcome)
 
     async def _send(self, request: Dispatch, deadline_s: float) -> Dispatched | NotDispatched:
-        left_s = deadline_s - self._clock.now_s()
+        sent_s = self._clock.now_s()
+        left_s = deadline_s - sent_s
         if left_s <= 0:
             return self._refusal(request, outcomes.DEADLINE_PASSED)
         message = HttpRequest(
@@ -262,6 +276,7 @@
         except SendRefusedError:
             return self._refusal(request, outcomes.NOT_GRANTED)
         except NotSentError:
+            self._note_connection_lost()
             self.health.note_failure(refused=True)
             self.queue.set_cold(self._service.cold_rate_per_s, SUSPECTED_COLD_S)
             return self._refusal(request, outcomes.SERVER_UNREACHABLE)
@@ -271,10 +286,18 @@
             self.health.note_failure()
             return self._refusal(request, outcomes.TIMED_OUT, sent=True)
         except AnswerLostError:
+            self._note_connection_lost()
             self.health.note_failure()
             return self._refusal(request, outcomes.OUTCOME_UNKNOWN, sent=True)
         self.health.note_answer()
-        return self._read(request, answer)
+        outcome = self._read(request, answer)
+        if isinstance(outcome, Dispatched) and self._grants is not None:
+            self._grants.note_ran(sent_s)
+        return outcome
+
+    def _note_connection_lost(self) -> None:
+        if self._grants is not None:
+            self._grants.note_connection_lost()
 
     def _read(self, request: Dispatch, answer: HttpAnswer) -> Dispatched | NotDispatched:
         """Returns what an answer of the server means for the caller."""
--- a/greengagefall/gateway/view.py
+++ b/greengagefall/gateway/view.py
@@ -56,6 +56,8 @@
         hosts: Entry hosts by name.
         leader: The host that coordinates, by the store.
         assignment: Newest assignment.
+        left_s: When each server that leaves or left was first known to, by id.
+        entries_current: Whether the servers' entries are followed without a gap.
     """
 
     def __init__(self, facts: HostFacts, me: Incarnation, clock: Clock) -> None:
@@ -69,6 +71,7 @@
         self.assignment: Assignment = EMPTY_ASSIGNMENT
         self.left_s: dict[str, float] = {}
         self._clock = clock
+        self.entries_current: Callable[[], bool] = lambda: True
         self._confirmed_until_s = 0.0
         self._listeners: list[Callable[[], None]] = []
 
--- /dev/null
+++ b/greengagefall/tests/ownership_exploration_tests.py
@@ -0,0 +1,170 @@
+"""Random faults against the real parts that give keys to servers, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import unittest
+from unittest import mock
+
+from greengagefall.gateway import coordinator, grants
+from greengagefall.tests.ownership_world import VirtualLoop, World
+
+RUNS = 25
+FAULT_S = 25.0
+# After the last fault: the longest wait for an unreachable dispatcher and its grants.
+CALM_S = 20.0
+PLANTED_RUNS = 40
+
+
+async def _fault(world: World) -> None:
+    """Injects one fault and heals it after a while."""
+    rng = world.rng
+    hosts = list(world.hosts.values())
+    host = rng.choice(hosts)
+    server = rng.choice(list(world.servers.values()))
+    lasts_s = rng.uniform(0.3, 9.0)
+    kind = rng.choice(
+        (
+            "kill",
+            "peers",
+            "store_cut",
+            "store",
+            "crash",
+            "reborn",
+            "unlisted",
+            "drain",
+            "late",
+            "zone",
+            "path",
+        )
+    )
+    if kind == "kill":
+        await host.kill()
+        await asyncio.sleep(rng.uniform(0.3, 4.0))
+        world.start_host(host.name, host.zone)
+    elif kind in ("peers", "store_cut", "path", "zone"):
+        names = {
+            "peers": [other.name for other in hosts if other is not host],
+            "store_cut": ["store"],
+            "path": [server.name],
+            "zone": [
+                *(other.name for other in hosts if other.zone != host.zone),
+                *(other.name for other in world.servers.values() if other.zone != host.zone),
+                "store",
+            ],
+        }[kind]
+        inside = [host.name]
+        if kind == "zone":
+            inside = [other.name for other in hosts if other.zone == host.zone]
+            inside += [one.name for one in world.servers.values() if one.zone == host.zone]
+        cuts = {frozenset((one, other)) for one in inside for other in names}
+        world.cuts |= cuts
+        await asyncio.sleep(lasts_s)
+        world.cuts -= cuts
+        world.store_back_s = world.loop.now_s
+    elif kind == "store":
+        world.store_up = False
+        await asyncio.sleep(lasts_s)
+        world.store_up = True
+        world.store_back_s = world.loop.now_s
+    elif kind == "crash":
+        server.stop()
+        await asyncio.sleep(0.8)
+        server.listed = False
+        await asyncio.sleep(lasts_s)
+        server.restart()
+        server.up = server.listed = True
+    elif kind == "reborn":
+        server.stop()
+        await asyncio.sleep(0.3)
+        server.restart()
+        server.up = True
+    elif kind == "unlisted":
+        server.listed = False
+        await asyncio.sleep(lasts_s)
+        server.listed = True
+    elif kind == "drain":
+        server.draining = True
+        await asyncio.sleep(lasts_s)
+        server.draining = False
+    elif kind == "late":
+        world.late_share = world.lost_share = 0.3
+        await asyncio.sleep(lasts_s)
+        world.late_share = world.lost_share = 0.0
+
+
+async def _play(world: World) -> bool:
+    """Plays faults, then a calm end; returns whether all keys are held after it."""
+    teller = asyncio.create_task(world.tell())
+    await asyncio.sleep(5.0)
+    faults = set()
+    while world.loop.now_s < FAULT_S:
+        faults.add(asyncio.create_task(_fault(world)))
+        await asyncio.sleep(world.rng.expovariate(0.5))
+    await asyncio.gather(*faults)
+    await asyncio.sleep(CALM_S)
+    held = world.all_held()
+    for host in world.hosts.values():
+        await host.kill()
+    teller.cancel()
+    return held
+
+
+def explore(seed: int) -> tuple[list[str], bool]:
+    """Runs one seed; returns violations and whether all keys were held in the end."""
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+
+    async def run() -> tuple[list[str], bool]:
+        world = World(loop, seed)
+        held = await _play(world)
+        return world.violations, held
+
+    try:
+        return loop.run_until_complete(run())
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        with contextlib.suppress(Exception):
+            loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
+        asyncio.set_event_loop(None)
+
+
+class ExplorationTests(unittest.TestCase):
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def test_no_key_is_held_twice_and_all_are_held_again(self):
+        for seed in range(RUNS):
+            with self.subTest(seed=seed):
+                violations, held = explore(seed)
+                self.assertEqual(violations, [])
+                self.assertTrue(held, "not all keys are held after the calm end")
+
+    def assert_caught(self):
+        self.assertTrue(any(explore(seed)[0] for seed in range(PLANTED_RUNS)))
+
+    def test_planted_a_former_owner_is_not_waited_for(self):
+        async def at_once(self, name, run, version):
+            return ""
+
+        with mock.patch.object(coordinator.Coordinator, "_release", at_once):
+            self.assert_caught()
+
+    def test_planted_unreachable_dispatchers_are_not_waited_for(self):
+        def forgotten(self, granter, version, written_s):
+            return written_s
+
+        with mock.patch.object(coordinator.Coordinator, "_granter_end_s", forgotten):
+            self.assert_caught()
+
+    def test_planted_renewals_by_an_old_assignment(self):
+        def whenever(self, run):
+            return run in self._runs
+
+        with mock.patch.object(grants.GrantKeeper, "_may_grant", whenever):
+            self.assert_caught()
--- /dev/null
+++ b/greengagefall/tests/ownership_world.py
@@ -0,0 +1,448 @@
+"""A world in virtual time in which the real parts of several hosts give keys to servers.
+
+Store, connections between hosts and servers are replaced; coordinator, election, beats,
+dispatchers and grants are the real ones. An oracle sees what each server truly holds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from typing import Any, NamedTuple
+
+from result import Err, Ok
+from tornado.httputil import HTTPHeaders
+
+from greengagefall.dispatch.connection_pool import HttpAnswer
+from greengagefall.dispatch.exceptions import AnswerTimeoutError, NotSentError, SendRefusedError
+from greengagefall.gateway.beats import Beats
+from greengagefall.gateway.coordinator import Coordinator
+from greengagefall.gateway.dispatchers import Dispatchers
+from greengagefall.gateway.election import Election
+from greengagefall.gateway.handlers import PeerHandlers
+from greengagefall.gateway.model import Bounds, HostFacts, RoutingTable, ServerEntry, Service
+from greengagefall.gateway.peers import LOST, UNREACHABLE
+from greengagefall.gateway.records import LEADER_KEY, decode_leader
+from greengagefall.gateway.view import HostRecord, HostView
+from greengagefall.ownership.model import LAST_KEY, Incarnation
+from greengagefall.platform.store import StoreItem
+from greengagefall.protocol.messages import PROTOCOL_VERSION, Hello
+from greengagefall.store.exceptions import StoreOutcomeUnknownError, StoreUnavailableError
+
+SERVICE = "proofdesk"
+TABLE = RoutingTable(
+    1, {}, {SERVICE: Service(SERVICE, "/health", 100, 3.0, 8.0, True, 5.0)}, 0, 0, 0.0
+)
+# The slowest clock that the platform allows a server.
+SERVER_CLOCK_STRETCH = 1.02
+NOTICE_S = 0.1
+GRANT_PATH_END = "grant"
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time jumps to the next timer instead of waiting for it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+
+    def time(self) -> float:
+        return self.now_s
+
+    def _run_once(self) -> None:
+        if not self._ready and self._scheduled:
+            self.now_s = max(self.now_s, self._scheduled[0].when())
+        super()._run_once()
+
+
+class LoopClock:
+    """The loop's time as a clock of the product."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self._loop = loop
+
+    def now_s(self) -> float:
+        return self._loop.now_s
+
+
+class Held(NamedTuple):
+    """Keys that a server truly holds."""
+
+    first: int
+    last: int
+    fence: int
+    end_s: float
+
+
+class WorldServer:
+    """One backend server with the platform's rules for grants."""
+
+    def __init__(self, world: World, name: str, zone: str) -> None:
+        self.world = world
+        self.name = name
+        self.zone = zone
+        self.up = True
+        self.listed = True
+        self.draining = False
+        self.born_ms = 1
+        self.held: list[Held] = []
+        self.fences: list[tuple[int, int, int]] = []
+        self.pools: list[WorldPool] = []
+
+    def stop(self) -> None:
+        """Ends the process; whoever has a connection notices."""
+        self.up = False
+        for pool in self.pools:
+            if pool.on_lost is not None and not self.world.cut(pool.host_name, self.name):
+                pool.on_lost()
+
+    def entry(self) -> ServerEntry:
+        return ServerEntry(
+            self.name, SERVICE, f"{self.name}:1", self.zone, 6, self.draining, 0.0, self.born_ms
+        )
+
+    def restart(self) -> None:
+        self.born_ms += 1
+        self.held.clear()
+        self.fences.clear()
+
+    def holding(self) -> list[Held]:
+        now_s = self.world.loop.now_s
+        return [held for held in self.held if held.end_s > now_s] if self.up else []
+
+    def grant(self, fields: dict[str, Any], arrived_s: float) -> int:
+        first, last, fence = fields["from"], fields["target"], fields["fence"]
+        if any(seen > fence and low <= last and first <= high for low, high, seen in self.fences):
+            return 409
+        self.fences.append((first, last, fence))
+        end_s = arrived_s + fields["holdS"] * SERVER_CLOCK_STRETCH
+        self.take_back(first, last)
+        self.held.append(Held(first, last, fence, end_s))
+        self.world.check_grant(self, first, last, fence)
+        return 200
+
+    def take_back(self, first: int, last: int) -> None:
+        kept = []
+        for held in self.held:
+            for part in (
+                (held.first, min(held.last, first - 1)),
+                (max(held.first, last + 1), held.last),
+            ):
+                if part[0] <= part[1]:
+                    kept.append(held._replace(first=part[0], last=part[1]))
+        self.held = kept
+
+
+class WorldPool:
+    """Calls of one host to one server."""
+
+    def __init__(self, world: World, host: WorldHost, address: str) -> None:
+        self.on_lost = None
+        self.host_name = host.name
+        self._world = world
+        self._host = host
+        self._server = world.servers[address.partition(":")[0]]
+        self._server.pools.append(self)
+
+    def close(self) -> None:
+        """Does nothing."""
+
+    async def exchange(self, request, timeout_s, may_send, matches=None) -> HttpAnswer:
+        world, server = self._world, self._server
+        rng = world.rng
+        await asyncio.sleep(rng.uniform(0.0005, 0.005))
+        if not server.up or world.cut(self._host.name, server.name):
+            if server.up or rng.random() < 0.5:
+                await asyncio.sleep(min(timeout_s, 0.5))
+            raise NotSentError("no connection")
+        if not may_send():
+            raise SendRefusedError("not current")
+        arrived_s = world.loop.now_s
+        if rng.random() < world.late_share:
+            delay_s = rng.uniform(0.5, 6.0)
+            world.loop.call_later(delay_s, self._apply, request, arrived_s, server.born_ms)
+            await asyncio.sleep(timeout_s)
+            raise AnswerTimeoutError("no answer")
+        answer = self._apply(request, arrived_s, server.born_ms)
+        await asyncio.sleep(rng.uniform(0.0005, 0.005))
+        if rng.random() < world.lost_share:
+            await asyncio.sleep(timeout_s)
+            raise AnswerTimeoutError("no answer")
+        return answer
+
+    def _apply(self, request, arrived_s: float, born_ms: int) -> HttpAnswer | None:
+        server = self._server
+        if not server.up or server.born_ms != born_ms:
+            return None
+        if not request.body:
+            return HttpAnswer(200, HTTPHeaders({"Instance-Id": server.name}), b"")
+        fields = json.loads(request.body)
+        if request.path.endswith(GRANT_PATH_END):
+            return HttpAnswer(server.grant(fields, arrived_s), HTTPHeaders(), b"")
+        server.fences.append((fields["from"], fields["target"], fields["fence"]))
+        server.take_back(fields["from"], fields["target"])
+        return HttpAnswer(200, HTTPHeaders({"Handover": f"{fields['fence']}"}), b"")
+
+
+class WorldStore:
+    """The store as one host reaches it."""
+
+    def __init__(self, world: World, host: WorldHost) -> None:
+        self._world = world
+        self._host = host
+
+    async def _reach(self) -> bool:
+        await asyncio.sleep(self._world.rng.uniform(0.002, 0.008))
+        if not self._world.store_up or self._world.cut(self._host.name, "store"):
+            await asyncio.sleep(self._world.rng.choice((0.0, 1.0)))
+            return False
+        return True
+
+    async def get(self, key):
+        if not await self._reach():
+            return Err(StoreUnavailableError("away"))
+        return Ok(self._world.items.get(key))
+
+    async def txn(self, expected, writes, deletes=()):
+        if not await self._reach():
+            return Err(StoreUnavailableError("away"))
+        rng = self._world.rng
+        if rng.random() < self._world.lost_share:
+            if rng.random() < 0.5:
+                delay_s = rng.uniform(0.1, 5.0)
+                self._world.loop.call_later(delay_s, self._world.write, expected, writes)
+            else:
+                self._world.write(expected, writes)
+            await asyncio.sleep(1.0)
+            return Err(StoreOutcomeUnknownError("lost"))
+        return Ok(self._world.write(expected, writes))
+
+    async def lease_grant(self, ttl_s):
+        if not await self._reach():
+            return Err(StoreUnavailableError("away"))
+        return Ok(self._world.new_lease(ttl_s))
+
+    async def lease_keep(self, lease_id):
+        if not await self._reach():
+            return Err(StoreUnavailableError("away"))
+        return Ok(self._world.keep_lease(lease_id))
+
+    async def lease_end(self, lease_id):
+        if await self._reach():
+            self._world.end_lease(lease_id)
+        return Ok(None)
+
+
+class WorldPeers:
+    """Calls of one host to others."""
+
+    def __init__(self, world: World, host: WorldHost) -> None:
+        self._world = world
+        self._host = host
+
+    async def call(self, name, message, timeout_s):
+        target = self._world.hosts.get(name)
+        if name != self._host.name:
+            await asyncio.sleep(self._world.rng.uniform(0.0005, 0.003))
+            if target is None or not target.up or self._world.cut(self._host.name, name):
+                await asyncio.sleep(self._world.rng.choice((0.0, timeout_s)))
+                return UNREACHABLE
+        try:
+            async with asyncio.timeout(timeout_s):
+                reply = target.handlers.handle(target.hello, message)
+                reply = await reply if hasattr(reply, "__await__") else reply
+        except TimeoutError:
+            return LOST
+        if self._world.rng.random() < self._world.lost_share:
+            return LOST
+        return reply
+
+
+class WorldHost:
+    """One process of an entry host."""
+
+    def __init__(self, world: World, name: str, zone: str, start_ms: int) -> None:
+        self.name = name
+        self.zone = zone
+        self.up = True
+        clock = LoopClock(world.loop)
+        facts = HostFacts(name, zone, "", "", f"{name}:1", "", 1.0, 1.0, 1.0, Bounds())
+        self.me = Incarnation(name, start_ms)
+        self.view = HostView(facts, self.me, clock)
+        store = WorldStore(world, self)
+        peers = WorldPeers(world, self)
+        self.dispatchers = Dispatchers(
+            self.view, clock, lambda address: WorldPool(world, self, address)
+        )
+        self.view.entries_current = lambda: (
+            world.store_up
+            and not world.cut(name, "store")
+            and world.loop.now_s - world.store_back_s > 2 * NOTICE_S
+        )
+        self.handlers = PeerHandlers(self.view, self.dispatchers)
+        self.hello = Hello(PROTOCOL_VERSION, "gateway", name, zone, str(start_ms), "", "")
+        self.beats = Beats(self.view, peers, self.dispatchers, store, clock)
+
+        async def take_office():
+            coordinator = Coordinator(store, self.view, peers, clock, self.election.verified_age_s)
+            self.handlers.coordinator = coordinator
+            coordinator.start()
+
+        async def leave_office():
+            coordinator = self.handlers.coordinator
+            self.handlers.coordinator = None
+            if coordinator is not None:
+                await coordinator.close()
+
+        self.election = Election(store, self.view, clock, take_office, leave_office)
+
+    def record(self) -> HostRecord:
+        return HostRecord(self.name, self.me.start_ms, f"{self.name}:1", self.zone, 1.0)
+
+    def start(self) -> None:
+        self.view.take_table(TABLE)
+        self.dispatchers.start()
+        self.beats.start()
+        self.election.start()
+
+    async def kill(self) -> None:
+        self.up = False
+        self.election.abandon()
+        self.beats.close()
+        self.dispatchers.close()
+        if self.handlers.coordinator is not None:
+            await self.handlers.coordinator.close()
+            self.handlers.coordinator = None
+
+
+class World:
+    """Hosts, servers and store of one run, with an oracle.
+
+    Attributes:
+        violations: What the oracle saw, one sentence each.
+    """
+
+    def __init__(self, loop: VirtualLoop, seed: int, hosts: int = 4, servers: int = 5) -> None:
+        self.loop = loop
+        self.rng = random.Random(seed)
+        self.items: dict[str, StoreItem] = {}
+        self.store_up = True
+        self.store_back_s = 0.0
+        self.late_share = 0.0
+        self.lost_share = 0.0
+        self.violations: list[str] = []
+        self.cuts: set[frozenset[str]] = set()
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.leased: dict[str, int] = {}
+        self.given: list[tuple[int, int, str, int, int]] = []
+        self._revision = 1
+        self._starts = 1000
+        zones = ("x", "y")
+        self.servers = {
+            f"s{number}": WorldServer(self, f"s{number}", zones[number % 2])
+            for number in range(servers)
+        }
+        self.hosts: dict[str, WorldHost] = {}
+        for number in range(hosts):
+            self.start_host(f"h{number}", zones[number % 2])
+        self._keeper = asyncio.get_event_loop_policy()
+
+    def start_host(self, name: str, zone: str) -> None:
+        self._starts += 1
+        host = WorldHost(self, name, zone, self._starts)
+        self.hosts[name] = host
+        host.start()
+
+    def cut(self, one: str, other: str) -> bool:
+        return frozenset((one, other)) in self.cuts
+
+    def write(self, expected, writes) -> int | None:
+        for key, revision in expected.items():
+            item = self.items.get(key)
+            if (item.revision if item else 0) != revision:
+                return None
+        if any(write.lease_id and write.lease_id not in self.leases for write in writes):
+            return None
+        self._revision += 1
+        for write in writes:
+            if write.lease_id:
+                self.leased[write.key] = write.lease_id
+            self.items[write.key] = StoreItem(write.key, write.value, self._revision)
+        return self._revision
+
+    def new_lease(self, ttl_s: float) -> int:
+        self._revision += 1
+        self.leases[self._revision] = (self.loop.now_s + ttl_s, ttl_s)
+        return self._revision
+
+    def keep_lease(self, lease_id: int) -> bool:
+        if lease_id not in self.leases:
+            return False
+        ttl_s = self.leases[lease_id][1]
+        self.leases[lease_id] = (self.loop.now_s + ttl_s, ttl_s)
+        return True
+
+    def end_lease(self, lease_id: int) -> None:
+        self.leases.pop(lease_id, None)
+        for key in [key for key, owner in self.leased.items() if owner == lease_id]:
+            self.items.pop(key, None)
+            del self.leased[key]
+
+    def check_grant(self, server: WorldServer, first: int, last: int, fence: int) -> None:
+        """Notes a violation if others hold the keys or had them with a fence as high."""
+        for other in self.servers.values():
+            if other is server:
+                continue
+            for held in other.holding():
+                if held.first <= last and first <= held.last:
+                    self.violations.append(
+                        f"{self.loop.now_s:.3f}: {server.name} takes {first}-{last} ({fence}) "
+                        f"while {other.name} holds {held.first}-{held.last} ({held.fence}) "
+                        f"until {held.end_s:.3f}"
+                    )
+        for low, high, name, born_ms, seen in self.given:
+            overlap = low <= last and first <= high
+            if overlap and (name, born_ms) != (server.name, server.born_ms) and seen >= fence:
+                self.violations.append(
+                    f"{self.loop.now_s:.3f}: {server.name} takes {first}-{last} under {fence}, "
+                    f"{name} had it under {seen}"
+                )
+        self.given.append((first, last, server.name, server.born_ms, fence))
+
+    async def tell(self) -> None:
+        """Shows each host the store's records, as its watches would."""
+        while True:
+            for lease_id, (end_s, _) in list(self.leases.items()):
+                if self.store_up and end_s < self.loop.now_s:
+                    self.end_lease(lease_id)
+            if self.store_up:
+                for host in self.hosts.values():
+                    if host.up and not self.cut(host.name, "store"):
+                        self._show(host)
+            await asyncio.sleep(NOTICE_S)
+
+    def _show(self, host: WorldHost) -> None:
+        view = host.view
+        records = {other.name: other.record() for other in self.hosts.values()}
+        item = self.items.get(LEADER_KEY)
+        leader = decode_leader(item.value) if item else None
+        if view.hosts != records or view.leader != leader:
+            view.hosts, view.leader = records, leader
+            view.changed()
+        for server in self.servers.values():
+            known = view.servers.get(server.name)
+            if not server.listed:
+                view.drop_server(server.name)
+            elif known != server.entry():
+                view.take_server(server.entry())
+
+    def held_keys(self) -> int:
+        return sum(
+            held.last - held.first + 1
+            for server in self.servers.values()
+            for held in server.holding()
+        )
+
+    def all_held(self) -> bool:
+        return self.held_keys() == LAST_KEY + 1
