--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -85,6 +85,7 @@
         self._ledger = HoldLedger(clock)
         self._runs: list[KeyRun] = []
         self._ordered: set[tuple[int, int, int]] = set()
+        self._superseded: set[tuple[int, int, int]] = set()
         self._hand_overs: dict[tuple[int, int, int], str] = {}
         self._wake = asyncio.Event()
         self._granted = asyncio.Event()
@@ -108,6 +109,7 @@
         self._runs = runs
         known = {(run.first, run.last, run.fence) for run in runs}
         self._ordered &= known
+        self._superseded &= known
         self._wake.set()
 
     def holds(self, key: int) -> bool:
@@ -220,9 +222,10 @@
     def _may_grant(self, run: KeyRun) -> bool:
         if not self._is_current() or run not in self._runs:
             return False
-        if self._in_doubt():
+        name = (run.first, run.last, run.fence)
+        if name in self._superseded or self._in_doubt():
             return False
-        return not run.moving or (run.first, run.last, run.fence) in self._ordered
+        return not run.moving or name in self._ordered
 
     async def _renew(self) -> None:
         while True:
@@ -259,6 +262,9 @@
             count("grant_failures", error=type(error).__name__)
             return False
         self._health.note_answer()
+        if answer.status == calls.CONFLICT:
+            # Somebody has a newer assignment; another life would not remember its fence.
+            self._superseded.add(name)
         if answer.status != calls.OK:
             count("grants_refused", status=str(answer.status))
             log.warning(
