--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+from functools import partial
 from typing import TYPE_CHECKING
 
 from greengagefall.dispatch.connection_pool import ConnectionPool
@@ -107,7 +108,7 @@
                     service,
                     self._clock,
                     self._view.is_current,
-                    self._view.entries_current,
+                    partial(self._view.entry_current, server_id),
                     self._open_pool(entry.address),
                     BEATS_OF_DOUBT * self._view.facts.heartbeat_s,
                 )
--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -58,7 +58,7 @@
         health: Learns from the answers.
         clock: Clock that counts suspended time.
         is_current: Whether the assignment is known to be recent enough to renew by it.
-        entries_current: Whether the servers' entries in the store are followed without a gap.
+        entry_current: Whether another life of the server would be known by now.
         doubt_s: How long nothing is granted after a connection was lost: another life of the
             server, which must not get the old fences, is in the store by then.
     """
@@ -70,18 +70,19 @@
         health: ServerHealth,
         clock: Clock,
         is_current: Callable[[], bool],
-        entries_current: Callable[[], bool],
+        entry_current: Callable[[], bool],
         doubt_s: float = 0.0,
     ) -> None:
         self._doubt_s = min(doubt_s, MAX_DOUBT_S)
         self._doubted = False
+        self._doubted_since_s = 0.0
         self._doubted_until_s = 0.0
         self._life = life
         self._pool = pool
         self._health = health
         self._clock = clock
         self._is_current = is_current
-        self._entries_current = entries_current
+        self._entry_current = entry_current
         self._ledger = HoldLedger(clock)
         self._runs: list[KeyRun] = []
         self._ordered: set[tuple[int, int, int]] = set()
@@ -119,8 +120,7 @@
 
     def note_connection_lost(self) -> None:
         """Grants nothing for a while, since the server may have started again."""
-        self._doubted = True
-        self._doubted_until_s = self._clock.now_s() + self._doubt_s
+        self._doubt(self._doubt_s)
 
     def note_ran(self, sent_s: float) -> None:
         """Takes a run of a request for a held key as proof that the life is still the same.
@@ -128,7 +128,7 @@
         Args:
             sent_s: When the request was sent.
         """
-        if self._doubted and sent_s >= self._doubted_until_s - self._doubt_s:
+        if self._doubted and sent_s >= self._doubted_since_s:
             self._doubted = False
             self._wake.set()
 
@@ -211,11 +211,18 @@
                 return run
         return None
 
+    def _doubt(self, least_s: float) -> None:
+        """Begins or prolongs the doubt whether the server is still the same life."""
+        now_s = self._clock.now_s()
+        self._doubted = True
+        self._doubted_since_s = now_s
+        self._doubted_until_s = max(self._doubted_until_s, now_s + least_s)
+
     def _in_doubt(self) -> bool:
         """Returns whether the server may be another life that the store does not show yet."""
         if not self._doubted:
             return False
-        if self._clock.now_s() >= self._doubted_until_s and self._entries_current():
+        if self._clock.now_s() >= self._doubted_until_s and self._entry_current():
             self._doubted = False
         return self._doubted
 
@@ -257,8 +264,8 @@
             return False
         except DispatchError as error:
             self._health.note_failure(refused=isinstance(error, NotSentError))
-            if not isinstance(error, AnswerTimeoutError):
-                self.note_connection_lost()
+            # Silence alone needs no wait where the store shows the present life.
+            self._doubt(0.0 if isinstance(error, AnswerTimeoutError) else self._doubt_s)
             count("grant_failures", error=type(error).__name__)
             return False
         self._health.note_answer()
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -68,7 +68,7 @@
         service: Its service.
         clock: Clock that counts suspended time.
         is_current: Whether the assignment is recent enough to renew grants by it.
-        entries_current: Whether the servers' entries are followed without a gap.
+        entry_current: Whether another life of the server would be known by now.
         pool: Connections to the server.
         doubt_s: How long no keys are granted after a connection was lost.
     """
@@ -79,7 +79,7 @@
         service: Service,
         clock: Clock,
         is_current: Callable[[], bool],
-        entries_current: Callable[[], bool],
+        entry_current: Callable[[], bool],
         pool: ConnectionPool,
         doubt_s: float = 0.0,
     ) -> None:
@@ -94,7 +94,7 @@
         self._grants: GrantKeeper | None = None
         if service.keyed:
             self._grants = GrantKeeper(
-                self.life, pool, self.health, clock, is_current, entries_current, doubt_s
+                self.life, pool, self.health, clock, is_current, entry_current, doubt_s
             )
             pool.on_lost = self._grants.note_connection_lost
         self._tickets: dict[int, _Ticket] = {}
--- a/greengagefall/gateway/view.py
+++ b/greengagefall/gateway/view.py
@@ -119,6 +119,10 @@
         self.left_s.setdefault(server_id, self._clock.now_s())
         self.changed()
 
+    def entry_current(self, server_id: str) -> bool:
+        """Returns whether the present life of a server would be known by now."""
+        return server_id in self.servers and self.entries_current()
+
     def has_ended(self, life: Life) -> bool:
         """Returns whether a later life of a server has been seen, even if it left again."""
         return self._latest_born_ms.get(life.server_id, 0) > life.born_ms
