--- a/greengagefall/gateway/coordinator.py
+++ b/greengagefall/gateway/coordinator.py
@@ -65,6 +65,10 @@
 KEY_MEMORY_S = 1.5
 CALL_TIMEOUT_S = 0.6
 RELEASE_TIMEOUT_S = 6.0
+# A host that is behind for longer than this gets the whole assignment again.
+PUSH_TIME_S = 0.5
+# That a run is free is written with the next change, or after this time.
+FREE_WRITE_S = 2.0
 RETRY_S = 0.2
 MIN_SERVICE_TIME_S = 0.005
 
@@ -83,6 +87,13 @@
     written_s: float
 
 
+class _Behind(NamedTuple):
+    """An old version that a host reported, and since when."""
+
+    version: int
+    since_s: float
+
+
 class _RunName(NamedTuple):
     """Identifies a run on its way between servers."""
 
@@ -123,6 +134,8 @@
         self._hosts: dict[str, _Host] = {}
         self._first_seen_s: dict[Incarnation, float] = {}
         self._acked: dict[Incarnation, list[tuple[int, float]]] = {}
+        self._behind: dict[Incarnation, _Behind] = {}
+        self._freed_s = math.inf
         self._rates: dict[str, KeyRates] = {}
         self._service_time_s: dict[str, float] = {}
         self._down: set[str] = set()
@@ -162,10 +175,22 @@
         self._take_loads(beat, now_s)
         if before is None or before.beat.start_ms != beat.start_ms or beat.stopping:
             self._wake.set()
-        if beat.version < self._assignment.version:
+        if beat.version < self._assignment.version and self._lags(incarnation, beat.version):
             self._push_later(incarnation, None)
         return BeatReply(0, self._assignment.version, self._verified_ms())
 
+    def _lags(self, incarnation: Incarnation, version: int) -> bool:
+        """Returns whether a host stays behind for longer than a push takes."""
+        now_s = self._clock.now_s()
+        known = self._behind.get(incarnation)
+        if known is None or known.version != version:
+            self._behind[incarnation] = _Behind(version, now_s)
+            return False
+        if now_s - known.since_s < PUSH_TIME_S:
+            return False
+        self._behind[incarnation] = _Behind(version, now_s)
+        return True
+
     def _verified_ms(self) -> int:
         return int(self._verified_age_s() * MS_PER_S) + 1
 
@@ -235,12 +260,12 @@
         for rates in self._rates.values():
             rates.advance(self._clock.now_s())
             rates.index()
-        wanted = self._with_free_sources(self._assignment)
-        wanted = self._with_dispatching(wanted)
+        freed = self._with_free_sources(self._assignment)
+        wanted = self._with_dispatching(freed)
         for service in self._view.table.services.values():
             if service.keyed:
                 wanted = self._with_moves(wanted, service.name)
-        if wanted != self._assignment:
+        if wanted != freed or self._clock.now_s() - self._freed_s > FREE_WRITE_S:
             await self._write(wanted)
         self._begin_moves()
 
@@ -378,6 +403,7 @@
         self._note_replaced()
         known = {_name(service, run) for service, run in _moving(wanted)}
         self._free = {name: token for name, token in self._free.items() if name in known}
+        self._freed_s = math.inf if not self._free else self._clock.now_s()
         self._written_s = {name: at_s for name, at_s in self._written_s.items() if name in known}
         log.info(
             "New assignment.",
@@ -465,6 +491,7 @@
         if not await self._grant(run, version, hand_over):
             log.warning("A grant was not confirmed.", extra=name._asdict())
         self._free[name] = hand_over
+        self._freed_s = min(self._freed_s, self._clock.now_s())
         self._wake.set()
 
     async def _grant(self, run: KeyRun, version: int, hand_over: str) -> bool:
--- a/greengagefall/gateway/following.py
+++ b/greengagefall/gateway/following.py
@@ -22,8 +22,11 @@
 log = logging.getLogger(__name__)
 
 WATCH_WAIT_S = 25.0
-# Changes that come close together are read by one call.
+# Changes that come close together are read by one call. The more hosts watch, the longer each
+# waits, so that calls grow more slowly than the fleet.
 GATHER_S = 0.12
+GATHER_MOST_S = 0.5
+HOSTS_PER_GATHER = 12
 # A watch that begins while the store drops its history may miss changes; all keys are read once
 # more this long after a watch broke.
 CHECK_AFTER_S = 1.5
@@ -42,6 +45,7 @@
         clock: Clock that counts suspended time.
         keep_lapsed: Whether keys that vanish during an outage are kept until
             ``RETURN_GRACE_S`` after it.
+        host_count: Number of hosts that follow the prefix.
     """
 
     def __init__(
@@ -53,6 +57,7 @@
         clock: Clock,
         *,
         keep_lapsed: bool = False,
+        host_count: Callable[[], int] = lambda: 1,
     ) -> None:
         self._store = store
         self._prefix = prefix
@@ -60,6 +65,7 @@
         self._on_delete = on_delete
         self._clock = clock
         self._keep_lapsed = keep_lapsed
+        self._host_count = host_count
         self._revisions: dict[str, int] = {}
         self._lapsed: dict[str, asyncio.TimerHandle] = {}
         self._task: asyncio.Task | None = None
@@ -131,9 +137,12 @@
             else:
                 self._put(change.item)
         if read.ok_value.changes:
-            await asyncio.sleep(GATHER_S)
+            await asyncio.sleep(self._gather_s())
         return read.ok_value.revision
 
+    def _gather_s(self) -> float:
+        return min(GATHER_MOST_S, GATHER_S * max(1.0, self._host_count() / HOSTS_PER_GATHER))
+
     def _put(self, item: StoreItem) -> None:
         timer = self._lapsed.pop(item.key, None)
         if timer is not None:
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -158,6 +158,7 @@
                 servers.delete,
                 self._clock,
                 keep_lapsed=True,
+                host_count=self._host_count,
             ),
             Follower(
                 PlatformStore(self.facts.store_address),
@@ -172,9 +173,13 @@
                 members.put,
                 members.delete,
                 self._clock,
+                host_count=self._host_count,
             ),
         ]
 
+    def _host_count(self) -> int:
+        return len(self.view.hosts)
+
     def _is_ready(self) -> bool:
         if self._stopping or not self.view.table.version:
             return False
