--- a/greengagefall/commands/gateway.py
+++ b/greengagefall/commands/gateway.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import signal
 import sys
 
 from greengagefall.config.command import settings_command
 from greengagefall.config.gateway import GatewaySettings
 from greengagefall.gateway.host import GatewayHost
+from greengagefall.gateway.settings_watch import SettingsWatch
 from greengagefall.platform.exceptions import PlatformSettingsError
 from greengagefall.platform.settings import read_host_facts, settings_path
 from greengagefall.utils.logs import setup_gateway_logging
@@ -22,31 +22,22 @@
 """
 WRONG_SETTINGS = 2
 
-log = logging.getLogger(__name__)
-
 
 async def serve(host: GatewayHost) -> None:
-    """Runs the entry host until SIGTERM or SIGINT."""
+    """Runs the entry host until SIGTERM or SIGINT; SIGHUP has the settings read again."""
     stop = asyncio.Event()
+    settings = SettingsWatch(settings_path(), host.view)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _note_reload)
+    loop.add_signal_handler(signal.SIGHUP, settings.reload)
+    settings.start()
     await host.start()
     await stop.wait()
+    settings.close()
     await host.close()
 
 
-def _note_reload() -> None:
-    """Reads the settings file again and tells what is wrong with it, if anything."""
-    try:
-        facts = read_host_facts(settings_path())
-    except PlatformSettingsError as error:
-        log.error("The changed settings are not used.", extra={"error": str(error)})
-        return
-    log.info("Settings read again.", extra={"host_name": facts.host})
-
-
 def run(settings: GatewaySettings) -> int:
     """Runs the program and returns its exit code."""
     setup_gateway_logging(settings.log_level)
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -104,7 +104,7 @@
         self._election.stopping = True
         self._beats.stopping = True
         log.info("Stopping.")
-        grace_s = self.facts.bounds.grace_period_s
+        grace_s = self.view.facts.bounds.grace_period_s
         stopped_s = self._clock.now_s()
         refuse_from_s = stopped_s + REFUSE_SHARE * grace_s
         self._callers.refuse_from_s = refuse_from_s
