--- a/greengagefall/balancing/hot_keys.py
+++ b/greengagefall/balancing/hot_keys.py
@@ -55,12 +55,6 @@
         ordered = heapq.nlargest(size, self._counts.items(), key=lambda entry: entry[1])
         return [HotKey(key, count, self._errors[key]) for key, count in ordered]
 
-    def decay(self, factor: float) -> None:
-        """Multiplies all counts, so that keys which cooled down give way."""
-        self._counts = {key: count * factor for key, count in self._counts.items()}
-        self._errors = {key: error * factor for key, error in self._errors.items()}
-        self._rebuild()
-
     def __len__(self) -> int:
         return len(self._counts)
 
@@ -74,7 +68,3 @@
             del self._counts[key]
             del self._errors[key]
             return count
-
-    def _rebuild(self) -> None:
-        self._heap = [(count, key) for key, count in self._counts.items()]
-        heapq.heapify(self._heap)
--- a/greengagefall/balancing/server_views.py
+++ b/greengagefall/balancing/server_views.py
@@ -46,7 +46,6 @@
         self.zone = zone
         self.slots = slots
         self.weight = weight
-        self.available = True
         self.sent_s: deque[float] = deque()
         self.reported_queue = 0
         self.latency_ms = 0.0
@@ -75,16 +74,6 @@
         seen.slots = slots
         seen.weight = weight
 
-    def remove_server(self, name: str) -> None:
-        """Forgets a server."""
-        self._servers.pop(name, None)
-
-    def set_available(self, name: str, available: bool) -> None:
-        """Notes whether the server's dispatcher can be reached and takes requests."""
-        seen = self._servers.get(name)
-        if seen is not None:
-            seen.available = available
-
     def on_send(self, name: str) -> None:
         """Counts a request on its way to the server."""
         seen = self._servers.get(name)
@@ -127,6 +116,4 @@
         queue_length = max(len(seen.sent_s), round(seen.reported_queue * fresh))
         waited_ms = (now_s - seen.sent_s[0]) * MS_PER_S if seen.sent_s else 0.0
         latency_ms = max(seen.latency_ms * fresh, waited_ms)
-        return ServerView(
-            name, seen.zone, queue_length, latency_ms, seen.available, seen.slots, seen.weight
-        )
+        return ServerView(name, seen.zone, queue_length, latency_ms, True, seen.slots, seen.weight)
--- a/greengagefall/routing/parse.py
+++ b/greengagefall/routing/parse.py
@@ -257,8 +257,3 @@
                 why = f"{server.address} is also the address of {seen[server.address]}"
                 raise ConfigError(path, why)
             seen[server.address] = f"{back_end.name}/{server.name}"
-
-
-def format_document(config: RoutingConfig) -> dict[str, Any]:
-    """Returns the JSON document of ``config`` with its version and patch id."""
-    return {**config.document, "version": config.version, "patch_id": config.patch_id}
