--- a/greengagefall/documentation/tables.py
+++ b/greengagefall/documentation/tables.py
@@ -12,7 +12,9 @@
 from greengagefall.config.coordinator import CoordinatorSettings
 from greengagefall.config.ctl import CtlSettings
 from greengagefall.config.entry import EntrySettings
+from greengagefall.config.gateway import GatewaySettings
 from greengagefall.entry.refusals import REFUSALS
+from greengagefall.gateway.outcomes import OUTCOMES
 from greengagefall.protocol.messages import MESSAGE_TYPES
 from greengagefall.routing.parse import DEFAULT_RETRY_RATIO, LIMIT_RANGES
 from greengagefall.routing.policy_names import POLICY_AREAS, TUNING_RANGES
@@ -55,6 +57,12 @@
     return _render_settings(CoordinatorSettings)
 
 
+@table("gateway-settings")
+def render_gateway_settings() -> str:
+    """Returns the flags of ``greengagefall-gateway``."""
+    return _render_settings(GatewaySettings)
+
+
 @table("ctl-settings")
 def render_ctl_settings() -> str:
     """Returns the flags of ``greengagefallctl`` itself."""
@@ -121,6 +129,22 @@
     return render_rows(("Reason", "Status", "`not_run`", "Tried again", "Meaning"), rows)
 
 
+@table("gateway-outcomes")
+def render_gateway_outcomes() -> str:
+    """Returns the reasons for which the gateway has no answer of a server."""
+    rows = (
+        (
+            f"`{row.name}`",
+            row.status,
+            "true" if row.not_run else "false",
+            "yes" if row.reroute else "no",
+            row.meaning,
+        )
+        for row in OUTCOMES.values()
+    )
+    return render_rows(("Reason", "Status", "`not_run`", "Looked up again", "Meaning"), rows)
+
+
 @table("messages")
 def render_messages() -> str:
     """Returns the messages of the inner protocol with their fields in order."""
--- a/greengagefall/routing/parse.py
+++ b/greengagefall/routing/parse.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 from result import Err, Ok, Result
 
 from greengagefall.routing.addresses import ADDRESS_RULE, is_address
