--- a/greengagefall/documentation/tables.py
+++ b/greengagefall/documentation/tables.py
@@ -15,7 +15,8 @@
 from greengagefall.config.gateway import GatewaySettings
 from greengagefall.entry.refusals import REFUSALS
 from greengagefall.gateway.outcomes import OUTCOMES
-from greengagefall.protocol.messages import MESSAGE_TYPES
+from greengagefall.protocol import gateway_messages
+from greengagefall.protocol.messages import MESSAGE_KINDS, MESSAGE_TYPES
 from greengagefall.routing.parse import DEFAULT_RETRY_RATIO, LIMIT_RANGES
 from greengagefall.routing.policy_names import POLICY_AREAS, TUNING_RANGES
 
@@ -148,12 +149,26 @@
 @table("messages")
 def render_messages() -> str:
     """Returns the messages of the inner protocol with their fields in order."""
+    return _render_messages([cls for cls in MESSAGE_TYPES.values() if not _is_gateway(cls)])
+
+
+@table("gateway-messages")
+def render_gateway_messages() -> str:
+    """Returns the messages between gateways with their fields in order."""
+    return _render_messages([cls for cls in MESSAGE_TYPES.values() if _is_gateway(cls)])
+
+
+def _is_gateway(cls: type) -> bool:
+    return cls.__module__ == gateway_messages.__name__
+
+
+def _render_messages(classes: Iterable[type]) -> str:
     sections = []
-    for kind, cls in MESSAGE_TYPES.items():
+    for cls in classes:
         types = inspect.get_annotations(cls)
         fields = ", ".join(f"`{field}` {types[field]}" for field in cls._fields)
         summary = inspect.getdoc(cls).partition("\n")[0]
-        sections.append(f"### {kind}\n\n{summary}\n\nFields: {fields}.")
+        sections.append(f"### {MESSAGE_KINDS[cls]}\n\n{summary}\n\nFields: {fields}.")
     return "\n\n".join(sections)
 
 
