Split the coordinator: reports of hosts, publishing of assignments, one message for all hosts

Besides: acknowledgements are bounded, a pause after a refused write and between tries of a release, the coordinator no longer listens to the view after it left office.

--- a/greengagefall/gateway/coordinator.py
+++ b/greengagefall/gateway/coordinator.py
@@ -15,13 +15,11 @@
 from result import Err
 
 from greengagefall.gateway.dispatch_planning import HostLoad, plan_dispatching
+from greengagefall.gateway.host_reports import HostReports
+from greengagefall.gateway.publishing import Publisher
 from greengagefall.gateway.records import ASSIGNMENT_KEY
-from greengagefall.gateway.view import CONFIRMED_FOR_S
-from greengagefall.limits.server_queue import FIRST_SERVICE_TIME_S
 from greengagefall.ownership import planning, rows
 from greengagefall.ownership.exceptions import AssignmentError
-from greengagefall.ownership.holds import IN_FLIGHT_S, longest_hold_s
-from greengagefall.ownership.key_load import KeyRates
 from greengagefall.ownership.model import (
     EMPTY_ASSIGNMENT,
     NOBODY,
@@ -29,13 +27,9 @@
     Dispatching,
     Incarnation,
     KeyRun,
-    Life,
 )
 from greengagefall.platform.store import Write
 from greengagefall.protocol.gateway_messages import (
-    NO_BASE,
-    AssignmentAck,
-    AssignmentPush,
     BeatReply,
     GrantKeys,
     HostBeat,
@@ -58,26 +52,15 @@
 
 MS_PER_S = 1000.0
 TICK_S = 0.2
-# A host without a beat for this long dispatches nothing any more.
-HOST_SILENT_S = 1.4
 # After taking office, hosts and servers are given this long to report.
 SETTLE_S = 0.8
-KEY_MEMORY_S = 1.5
 CALL_TIMEOUT_S = 0.6
 RELEASE_TIMEOUT_S = 6.0
-# A host that is behind for longer than this gets the whole assignment again.
-PUSH_TIME_S = 0.5
 # That a run is free is written with the next change, or after this time.
 FREE_WRITE_S = 2.0
 RETRY_S = 0.2
-MIN_SERVICE_TIME_S = 0.005
-
-
-class _Host(NamedTuple):
-    """The last beat of a host and when it came."""
-
-    beat: HostBeat
-    received_s: float
+# Pause after a write that the store did not take.
+WRITE_RETRY_S = 0.5
 
 
 class _Replaced(NamedTuple):
@@ -87,13 +70,6 @@
     written_s: float
 
 
-class _Behind(NamedTuple):
-    """An old version that a host reported, and since when."""
-
-    version: int
-    since_s: float
-
-
 class _RunName(NamedTuple):
     """Identifies a run on its way between servers."""
 
@@ -131,22 +107,15 @@
         self._assignment: Assignment = EMPTY_ASSIGNMENT
         self._revision = 0
         self._started_s = clock.now_s()
-        self._hosts: dict[str, _Host] = {}
-        self._first_seen_s: dict[Incarnation, float] = {}
-        self._acked: dict[Incarnation, list[tuple[int, float]]] = {}
-        self._behind: dict[Incarnation, _Behind] = {}
+        self._reports = HostReports(clock)
+        self._publisher = Publisher(peers, self._reports)
         self._freed_s = math.inf
-        self._rates: dict[str, KeyRates] = {}
-        self._service_time_s: dict[str, float] = {}
-        self._down: set[str] = set()
         self._moves: dict[_RunName, asyncio.Task] = {}
         self._written_s: dict[_RunName, float] = {}
         self._free: dict[_RunName, str] = {}
         self._replaced: dict[tuple[str, Incarnation], _Replaced] = {}
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
-        self._pushes: set[asyncio.Task] = set()
-        self._joined_s = 0.0
 
     def start(self) -> None:
         """Takes office."""
@@ -155,7 +124,9 @@
 
     async def close(self) -> None:
         """Leaves office; moves under way are taken up by the next coordinator."""
-        tasks = [*self._moves.values(), *self._pushes]
+        self._view.off_change(self._wake.set)
+        await self._publisher.close()
+        tasks = list(self._moves.values())
         if self._task is not None:
             tasks.append(self._task)
         for task in tasks:
@@ -164,55 +135,14 @@
 
     def on_beat(self, beat: HostBeat) -> BeatReply:
         """Takes a host's beat."""
-        now_s = self._clock.now_s()
-        incarnation = Incarnation(beat.host, beat.start_ms)
-        self._first_seen_s.setdefault(incarnation, now_s)
-        before = self._hosts.get(beat.host)
-        if before is not None and before.beat.start_ms > beat.start_ms:
-            return BeatReply(0, self._assignment.version, self._verified_ms())
-        self._hosts[beat.host] = _Host(beat, now_s)
-        self._note_ack(incarnation, beat.version)
-        self._take_loads(beat, now_s)
-        if before is None or before.beat.start_ms != beat.start_ms or beat.stopping:
-            self._wake.set()
-        if beat.version < self._assignment.version and self._lags(incarnation, beat.version):
-            self._push_later(incarnation, None)
-        return BeatReply(0, self._assignment.version, self._verified_ms())
-
-    def _lags(self, incarnation: Incarnation, version: int) -> bool:
-        """Returns whether a host stays behind for longer than a push takes."""
-        now_s = self._clock.now_s()
-        known = self._behind.get(incarnation)
-        if known is None or known.version != version:
-            self._behind[incarnation] = _Behind(version, now_s)
-            return False
-        if now_s - known.since_s < PUSH_TIME_S:
-            return False
-        self._behind[incarnation] = _Behind(version, now_s)
-        return True
-
-    def _verified_ms(self) -> int:
-        return int(self._verified_age_s() * MS_PER_S) + 1
-
-    def _take_loads(self, beat: HostBeat, now_s: float) -> None:
-        for server_id, service_time_ms, _, _, up in beat.servers:
-            self._service_time_s[server_id] = service_time_ms / MS_PER_S
-            if up == (server_id not in self._down):
-                continue
-            log.info(
-                "Backend server's health changed.",
-                extra={"server": server_id, "up": up, "by": beat.host},
-            )
-            if up:
-                self._down.discard(server_id)
-            else:
-                self._down.add(server_id)
+        if self._reports.take(beat):
             self._wake.set()
-        for service, figures in beat.keys:
-            rates = self._rates.setdefault(service, KeyRates(KEY_MEMORY_S))
-            rates.advance(now_s)
-            for key, requests in zip(figures[::2], figures[1::2], strict=True):
-                rates.add(key, requests)
+        sender = Incarnation(beat.host, beat.start_ms)
+        behind = beat.version < self._assignment.version
+        if behind and sender != self._view.me and self._reports.lags(sender, beat.version):
+            self._publisher.send_whole(sender)
+        verified_ms = int(self._verified_age_s() * MS_PER_S) + 1
+        return BeatReply(0, self._assignment.version, verified_ms)
 
     async def _run(self) -> None:
         await self._load()
@@ -243,6 +173,7 @@
                     log.error("The assignment cannot be read.", extra={"error": str(error)})
                     await asyncio.sleep(RETRY_S)
                     continue
+                self._publisher.set_newest(self._assignment)
                 self._view.take_assignment(self._assignment)
                 for service, run in _moving(self._assignment):
                     self._written_s[_name(service, run)] = self._clock.now_s()
@@ -255,11 +186,8 @@
         if not self._view.table.version:
             return
         settled = self._clock.now_s() - self._started_s > SETTLE_S
-        if not settled and not self._all_hosts_reported():
+        if not settled and not self._reports.reported(self._view.hosts):
             return
-        for rates in self._rates.values():
-            rates.advance(self._clock.now_s())
-            rates.index()
         freed = self._with_free_sources(self._assignment)
         wanted = self._with_dispatching(freed)
         for service in self._view.table.services.values():
@@ -269,9 +197,6 @@
             await self._write(wanted)
         self._begin_moves()
 
-    def _all_hosts_reported(self) -> bool:
-        return all(name in self._hosts for name in self._view.hosts)
-
     def _with_free_sources(self, assignment: Assignment) -> Assignment:
         """Clears the sources of runs that are certainly free of their former owner."""
         if not self._free:
@@ -317,36 +242,22 @@
         replaced = self._replaced.get((server_id, former))
         if replaced is None:
             return math.inf
-        return self._granter_end_s(former, replaced.version, replaced.written_s)
+        return self._reports.grants_end_s(former, replaced.version, replaced.written_s)
 
-    def _may_dispatch(self, incarnation: Incarnation) -> bool:
-        host = self._hosts.get(incarnation.host)
-        now_s = self._clock.now_s()
-        if host is None or host.beat.start_ms != incarnation.start_ms:
-            return now_s - self._started_s < SETTLE_S
-        return not host.beat.stopping and now_s - host.received_s < HOST_SILENT_S
+    def _may_dispatch(self, host: Incarnation) -> bool:
+        if self._reports.knows(host):
+            return self._reports.may_dispatch(host)
+        return self._clock.now_s() - self._started_s < SETTLE_S
 
     def _with_moves(self, assignment: Assignment, service: str) -> Assignment:
-        entries = [entry for entry in self._view.servers.values() if entry.service == service]
-        times = [
-            self._service_time_s[entry.server_id]
-            for entry in entries
-            if entry.server_id in self._service_time_s
+        usable = [
+            entry
+            for entry in self._view.servers.values()
+            if entry.service == service and self._view.usable(entry)
         ]
-        usual_s = sum(times) / len(times) if times else FIRST_SERVICE_TIME_S
         cold_rate_per_s = self._view.table.services[service].cold_rate_per_s
-        servers = [
-            planning.ServerCapacity(
-                Life(entry.server_id, entry.born_ms),
-                entry.zone,
-                entry.slots,
-                max(MIN_SERVICE_TIME_S, self._service_time_s.get(entry.server_id, usual_s)),
-                cold_rate_per_s if entry.cold_left_s > 0 else float("inf"),
-            )
-            for entry in entries
-            if self._view.usable(entry) and entry.server_id not in self._down
-        ]
-        rates = self._rates.setdefault(service, KeyRates(KEY_MEMORY_S))
+        servers = self._reports.capacities(usable, cold_rate_per_s)
+        rates = self._reports.rates(service)
         view = planning.ServiceView(assignment.runs.get(service, ()), servers, rates)
         moves = planning.plan_moves(view)
         for move in moves:
@@ -369,53 +280,60 @@
         """Writes an assignment and tells all hosts once it stands."""
         before = self._assignment
         wanted = wanted._replace(version=before.version + 1)
-        value = rows.encode(wanted, self._writer)
-        written_s = self._clock.now_s()
-        while True:
-            done = await self._store.txn(
-                {ASSIGNMENT_KEY: self._revision}, [Write(ASSIGNMENT_KEY, value)]
-            )
-            if not isinstance(done, Err):
-                revision = done.ok_value
-            elif isinstance(done.err_value, StoreOutcomeUnknownError):
-                revision = None
-            else:
-                return
-            if revision is None:
-                read = await self._store.get(ASSIGNMENT_KEY)
-                if isinstance(read, Err):
-                    await asyncio.sleep(RETRY_S)
-                    continue
-                item = read.ok_value
-                if item is None or item.revision == self._revision:
-                    # Not done so far; the same write again, of which one can succeed.
-                    continue
-                if item.value != value:
-                    log.warning("Somebody else changed the assignment. Reading it again.")
-                    await self._load()
-                    return
-                revision = item.revision
-            break
+        started_s = self._clock.now_s()
+        revision = await self._write_settled(rows.encode(wanted, self._writer))
+        if revision is None:
+            return
         self._revision = revision
         self._assignment = wanted
-        for service, run in _moving(wanted):
-            self._written_s.setdefault(_name(service, run), self._clock.now_s())
-        self._note_replaced()
-        known = {_name(service, run) for service, run in _moving(wanted)}
-        self._free = {name: token for name, token in self._free.items() if name in known}
-        self._freed_s = math.inf if not self._free else self._clock.now_s()
-        self._written_s = {name: at_s for name, at_s in self._written_s.items() if name in known}
-        log.info(
-            "New assignment.",
-            extra={
-                "version": wanted.version,
-                "took_ms": int((self._clock.now_s() - written_s) * MS_PER_S),
-            },
-        )
+        self._note_written()
+        took_ms = int((self._clock.now_s() - started_s) * MS_PER_S)
+        log.info("New assignment.", extra={"version": wanted.version, "took_ms": took_ms})
         self._view.take_assignment(wanted)
-        for record in self._view.hosts.values():
-            if record.host != self._view.me.host:
-                self._push_later(record.incarnation, before)
+        others = [
+            record.incarnation
+            for record in self._view.hosts.values()
+            if record.host != self._view.me.host
+        ]
+        self._publisher.publish(before, wanted, others)
+
+    async def _write_settled(self, value: bytes) -> int | None:
+        """Writes a value until it is certain whether it stands.
+
+        Returns:
+            Its revision; None if it was not written or somebody else's stands.
+        """
+        write = Write(ASSIGNMENT_KEY, value)
+        while True:
+            done = await self._store.txn({ASSIGNMENT_KEY: self._revision}, [write])
+            if not isinstance(done, Err) and done.ok_value is not None:
+                return done.ok_value
+            unknown = isinstance(done, Err) and isinstance(done.err_value, StoreOutcomeUnknownError)
+            if isinstance(done, Err) and not unknown:
+                await asyncio.sleep(WRITE_RETRY_S)
+                return None
+            read = await self._store.get(ASSIGNMENT_KEY)
+            if isinstance(read, Err):
+                await asyncio.sleep(RETRY_S)
+                continue
+            item = read.ok_value
+            if item is None or item.revision == self._revision:
+                # Not done so far; the same write again, of which one can succeed.
+                continue
+            if item.value == value:
+                return item.revision
+            log.warning("Somebody else changed the assignment. Reading it again.")
+            await self._load()
+            return None
+
+    def _note_written(self) -> None:
+        """Notes since when runs move, and forgets those that no longer do."""
+        now_s = self._clock.now_s()
+        known = {_name(service, run) for service, run in _moving(self._assignment)}
+        self._written_s = {name: self._written_s.get(name, now_s) for name in known}
+        self._free = {name: token for name, token in self._free.items() if name in known}
+        self._freed_s = now_s if self._free else math.inf
+        self._note_replaced()
 
     def _note_replaced(self) -> None:
         """Notes since when each former dispatcher has been one."""
@@ -427,52 +345,6 @@
         }
         self._replaced = {name: self._replaced.get(name, now) for name in present}
 
-    def _push_later(self, target: Incarnation, base: Assignment | None) -> None:
-        if target.host == self._view.me.host:
-            return
-        task = asyncio.create_task(self._push(target, base))
-        self._pushes.add(task)
-        task.add_done_callback(self._pushes.discard)
-
-    async def _push(self, target: Incarnation, base: Assignment | None) -> None:
-        """Sends the assignment to a host, as a difference if it has the one before."""
-        newest = self._assignment
-        change = rows.difference(base or EMPTY_ASSIGNMENT, newest)
-        message = AssignmentPush(
-            0,
-            base.version if base else NO_BASE,
-            newest.version,
-            newest.last_fence,
-            change.rows,
-            change.gone,
-        )
-        reply = await self._peers.call(target.host, message, CALL_TIMEOUT_S)
-        if not isinstance(reply, AssignmentAck):
-            return
-        self._note_ack(target, reply.version)
-        if reply.version < newest.version and base is not None:
-            await self._push(target, None)
-
-    def _note_ack(self, incarnation: Incarnation, version: int) -> None:
-        acked = self._acked.setdefault(incarnation, [])
-        if not acked or acked[-1][0] < version:
-            acked.append((version, self._clock.now_s()))
-
-    def _granter_end_s(self, granter: Incarnation, version: int, written_s: float) -> float:
-        """Returns when no grant of a host by versions before ``version`` can hold any more."""
-        span_s = IN_FLIGHT_S + longest_hold_s()
-        for acked, at_s in self._acked.get(granter, ()):
-            if acked >= version:
-                return at_s + span_s
-        newer = [
-            seen_s
-            for incarnation, seen_s in self._first_seen_s.items()
-            if incarnation.host == granter.host and incarnation.start_ms > granter.start_ms
-        ]
-        if newer:
-            return min(newer) + span_s
-        return written_s + CONFIRMED_FOR_S + span_s
-
     def _begin_moves(self) -> None:
         """Starts a task for each run that waits for its former owner."""
         moving = {_name(service, run): run for service, run in _moving(self._assignment)}
@@ -505,32 +377,43 @@
 
     async def _release(self, name: _RunName, run: KeyRun, version: int) -> str:
         """Waits until the former owner certainly holds nothing; returns its token."""
-        while True:
-            if self._view.has_ended(run.source):
-                return ""
-            dispatching = self._assignment.dispatching.get(run.source.server_id)
-            granters = dispatching.granters if dispatching else ()
-            ended_s = self._written_s.get(name, self._clock.now_s())
-            for granter in granters:
-                written_s = self._written_s.get(name, self._clock.now_s())
-                end_s = self._granter_end_s(granter, version, written_s)
-                if granter != dispatching.dispatcher:
-                    end_s = min(end_s, self._former_end_s(run.source.server_id, granter))
-                ended_s = max(ended_s, end_s)
-            if dispatching is not None:
-                order = ReleaseKeys(0, version, *run.source, run.first, run.last, run.fence)
-                reply = await self._peers.call(
-                    dispatching.dispatcher.host, order, RELEASE_TIMEOUT_S
-                )
-                if isinstance(reply, KeysReleased):
-                    if reply.released:
-                        return reply.hand_over
-                    if len(granters) == 1 and reply.ends_in_ms >= 0:
-                        ended_s = self._clock.now_s() + reply.ends_in_ms / MS_PER_S
-            now_s = self._clock.now_s()
-            if now_s >= ended_s:
+        while not self._view.has_ended(run.source):
+            ended_s = self._surely_ended_s(name, run, version)
+            reply = await self._order_release(run, version)
+            if reply is not None and reply.released:
+                return reply.hand_over
+            if reply is not None and len(self._granters(run)) == 1:
+                ended_s = self._clock.now_s() + reply.ends_in_ms / MS_PER_S
+            left_s = ended_s - self._clock.now_s()
+            if left_s <= 0:
                 return ""
-            await asyncio.sleep(min(RETRY_S, ended_s - now_s))
+            await asyncio.sleep(min(RETRY_S, left_s))
+        return ""
+
+    def _granters(self, run: KeyRun) -> tuple[Incarnation, ...]:
+        """Returns the processes that may renew grants of a run's former owner."""
+        dispatching = self._assignment.dispatching.get(run.source.server_id)
+        return dispatching.granters if dispatching is not None else ()
+
+    def _surely_ended_s(self, name: _RunName, run: KeyRun, version: int) -> float:
+        """Returns when no grant of a run to its former owner can hold any more."""
+        written_s = self._written_s.get(name, self._clock.now_s())
+        ended_s = written_s
+        for index, granter in enumerate(self._granters(run)):
+            end_s = self._reports.grants_end_s(granter, version, written_s)
+            if index > 0:
+                end_s = min(end_s, self._former_end_s(run.source.server_id, granter))
+            ended_s = max(ended_s, end_s)
+        return ended_s
+
+    async def _order_release(self, run: KeyRun, version: int) -> KeysReleased | None:
+        """Asks the former owner's dispatcher to take a run back; None without its reply."""
+        granters = self._granters(run)
+        if not granters:
+            return None
+        order = ReleaseKeys(0, version, *run.source, run.first, run.last, run.fence)
+        reply = await self._peers.call(granters[0].host, order, RELEASE_TIMEOUT_S)
+        return reply if isinstance(reply, KeysReleased) else None
 
 
 def _moving(assignment: Assignment) -> list[tuple[str, KeyRun]]:
--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -29,6 +29,7 @@
 GRANT_TIMEOUT_S = 0.5
 RETRY_INTERVAL_S = 0.2
 RELEASE_TRY_S = 1.0
+RELEASE_RETRY_S = 0.1
 # Grants in force outlast a doubt of this length.
 MAX_DOUBT_S = HOLD_S - RENEW_INTERVAL_S - 0.2
 
@@ -199,6 +200,7 @@
                 return ReleaseOutcome(False, "", ends_in_s)
             except DispatchError:
                 self._health.note_failure()
+                await asyncio.sleep(RELEASE_RETRY_S)
                 continue
             self._health.note_answer()
             if answer.status == calls.OK:
--- /dev/null
+++ b/greengagefall/gateway/host_reports.py
@@ -0,0 +1,190 @@
+"""What the coordinator knows of the entry hosts and, through them, of servers and keys."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, NamedTuple
+
+from greengagefall.gateway.view import CONFIRMED_FOR_S
+from greengagefall.limits.server_queue import FIRST_SERVICE_TIME_S
+from greengagefall.ownership.holds import IN_FLIGHT_S, longest_hold_s
+from greengagefall.ownership.key_load import KeyRates
+from greengagefall.ownership.model import Incarnation, Life
+from greengagefall.ownership.planning import ServerCapacity
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from greengagefall.gateway.model import ServerEntry
+    from greengagefall.protocol.gateway_messages import HostBeat
+    from greengagefall.utils.clock import Clock
+
+log = logging.getLogger(__name__)
+
+MS_PER_S = 1000.0
+# A host without a beat for this long dispatches nothing any more.
+HOST_SILENT_S = 1.4
+# A host that is behind for longer than this gets the whole assignment again.
+PUSH_TIME_S = 0.5
+KEY_MEMORY_S = 1.5
+LEAST_SERVICE_TIME_S = 0.005
+# Acknowledged versions that are remembered of a host; later ones stand in for older ones.
+MAX_ACKS = 64
+
+
+class _Report(NamedTuple):
+    """The last beat of a host and when it came."""
+
+    beat: HostBeat
+    received_s: float
+
+
+class _Ack(NamedTuple):
+    """A version that a host knows, and when that was first heard."""
+
+    version: int
+    heard_s: float
+
+
+class HostReports:
+    """Beats and acknowledgements of all hosts since this host took office.
+
+    Args:
+        clock: Clock that counts suspended time.
+
+    Attributes:
+        down: Ids of servers that their dispatchers take to be lost.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.down: set[str] = set()
+        self._clock = clock
+        self._reports: dict[str, _Report] = {}
+        self._first_heard_s: dict[Incarnation, float] = {}
+        self._acks: dict[Incarnation, list[_Ack]] = {}
+        self._behind: dict[Incarnation, _Ack] = {}
+        self._rates: dict[str, KeyRates] = {}
+        self._service_time_s: dict[str, float] = {}
+
+    def take(self, beat: HostBeat) -> bool:
+        """Takes a beat; returns whether something changed that should be acted on at once."""
+        incarnation = Incarnation(beat.host, beat.start_ms)
+        now_s = self._clock.now_s()
+        self._first_heard_s.setdefault(incarnation, now_s)
+        before = self._reports.get(beat.host)
+        if before is not None and before.beat.start_ms > beat.start_ms:
+            return False
+        self._reports[beat.host] = _Report(beat, now_s)
+        self.note_ack(incarnation, beat.version)
+        self._take_keys(beat, now_s)
+        health_changed = self._take_servers(beat)
+        known = before is not None and before.beat.start_ms == beat.start_ms
+        return health_changed or not known or beat.stopping
+
+    def note_ack(self, host: Incarnation, version: int) -> None:
+        """Notes that a host knows a version."""
+        acks = self._acks.setdefault(host, [])
+        if acks and acks[-1].version >= version:
+            return
+        acks.append(_Ack(version, self._clock.now_s()))
+        del acks[:-MAX_ACKS]
+
+    def lags(self, host: Incarnation, version: int) -> bool:
+        """Returns whether a host stays at an old version for longer than a push takes."""
+        now_s = self._clock.now_s()
+        known = self._behind.get(host)
+        first = known is None or known.version != version
+        if not first and now_s - known.heard_s < PUSH_TIME_S:
+            return False
+        self._behind[host] = _Ack(version, now_s)
+        return not first
+
+    def reported(self, names: Iterable[str]) -> bool:
+        """Returns whether all these hosts have sent a beat."""
+        return all(name in self._reports for name in names)
+
+    def knows(self, host: Incarnation) -> bool:
+        """Returns whether the last beat of a host came from this process of it."""
+        report = self._reports.get(host.host)
+        return report is not None and report.beat.start_ms == host.start_ms
+
+    def may_dispatch(self, host: Incarnation) -> bool:
+        """Returns whether a host that has sent a beat is alive and stays."""
+        report = self._reports[host.host]
+        silent_s = self._clock.now_s() - report.received_s
+        return not report.beat.stopping and silent_s < HOST_SILENT_S
+
+    def grants_end_s(self, host: Incarnation, version: int, written_s: float) -> float:
+        """Returns when no grant that a host sent by an older assignment can hold any more.
+
+        Args:
+            host: A process that may grant.
+            version: Assignment by which it no longer does.
+            written_s: When that version was written.
+        """
+        span_s = IN_FLIGHT_S + longest_hold_s()
+        for ack in self._acks.get(host, ()):
+            if ack.version >= version:
+                return ack.heard_s + span_s
+        successors = [
+            heard_s
+            for other, heard_s in self._first_heard_s.items()
+            if other.host == host.host and other.start_ms > host.start_ms
+        ]
+        if successors:
+            return min(successors) + span_s
+        return written_s + CONFIRMED_FOR_S + span_s
+
+    def rates(self, service: str) -> KeyRates:
+        """Returns the requests per second by key of a service, up to now."""
+        rates = self._rates.setdefault(service, KeyRates(KEY_MEMORY_S))
+        rates.advance(self._clock.now_s())
+        rates.index()
+        return rates
+
+    def capacities(
+        self, entries: Iterable[ServerEntry], cold_rate_per_s: float
+    ) -> list[ServerCapacity]:
+        """Returns what each server bears; servers without a report count as usual ones."""
+        known = [entry for entry in entries if entry.server_id not in self.down]
+        times_s = [
+            self._service_time_s[entry.server_id]
+            for entry in known
+            if entry.server_id in self._service_time_s
+        ]
+        usual_s = sum(times_s) / len(times_s) if times_s else FIRST_SERVICE_TIME_S
+        return [
+            ServerCapacity(
+                Life(entry.server_id, entry.born_ms),
+                entry.zone,
+                entry.slots,
+                max(LEAST_SERVICE_TIME_S, self._service_time_s.get(entry.server_id, usual_s)),
+                cold_rate_per_s if entry.cold_left_s > 0 else float("inf"),
+            )
+            for entry in known
+        ]
+
+    def _take_servers(self, beat: HostBeat) -> bool:
+        """Takes the state of a host's servers; returns whether the health of one changed."""
+        changed = False
+        for server_id, service_time_ms, _, _, up in beat.servers:
+            self._service_time_s[server_id] = service_time_ms / MS_PER_S
+            if up == (server_id not in self.down):
+                continue
+            changed = True
+            log.info(
+                "Backend server's health changed.",
+                extra={"server": server_id, "up": up, "by": beat.host},
+            )
+            if up:
+                self.down.discard(server_id)
+            else:
+                self.down.add(server_id)
+        return changed
+
+    def _take_keys(self, beat: HostBeat, now_s: float) -> None:
+        for service, figures in beat.keys:
+            rates = self._rates.setdefault(service, KeyRates(KEY_MEMORY_S))
+            rates.advance(now_s)
+            for key, requests in zip(figures[::2], figures[1::2], strict=True):
+                rates.add(key, requests)
--- a/greengagefall/gateway/view.py
+++ b/greengagefall/gateway/view.py
@@ -80,9 +80,13 @@
         """Has ``listener`` called after each change."""
         self._listeners.append(listener)
 
+    def off_change(self, listener: Callable[[], None]) -> None:
+        """Ends the calls of a listener."""
+        self._listeners.remove(listener)
+
     def changed(self) -> None:
         """Tells all listeners."""
-        for listener in self._listeners:
+        for listener in list(self._listeners):
             listener()
 
     def take_table(self, table: RoutingTable) -> None:
--- a/greengagefall/tests/ownership_exploration_tests.py
+++ b/greengagefall/tests/ownership_exploration_tests.py
@@ -8,7 +8,7 @@
 import unittest
 from unittest import mock
 
-from greengagefall.gateway import coordinator, grants
+from greengagefall.gateway import coordinator, grants, host_reports
 from greengagefall.tests.ownership_world import VirtualLoop, World
 
 RUNS = 15
@@ -168,7 +168,7 @@
         def forgotten(self, granter, version, written_s):
             return written_s
 
-        with mock.patch.object(coordinator.Coordinator, "_granter_end_s", forgotten):
+        with mock.patch.object(host_reports.HostReports, "grants_end_s", forgotten):
             self.assert_caught()
 
     def test_planted_renewals_by_an_old_assignment(self):
