--- a/greengagefall/gateway/model.py
+++ b/greengagefall/gateway/model.py
@@ -4,7 +4,6 @@
 
 from typing import NamedTuple
 
-LAST_KEY = 65_535
 NO_KEY = -1
 
 
--- a/greengagefall/gateway/pool_choice.py
+++ b/greengagefall/gateway/pool_choice.py
@@ -8,10 +8,12 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from greengagefall.protocol.gateway_messages import NotDispatched
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from greengagefall.protocol.gateway_messages import Dispatched, NotDispatched
+    from greengagefall.protocol.gateway_messages import Dispatched
     from greengagefall.utils.clock import Clock
 
 # Requests per slot up to which a near dispatcher is taken, in percent.
@@ -37,7 +39,7 @@
     def note(self, service: str, host: str, reply: Dispatched | NotDispatched) -> None:
         """Takes the load out of a dispatcher's reply."""
         percent = reply.load_percent
-        if hasattr(reply, "reason") and not reply.sent:
+        if isinstance(reply, NotDispatched) and not reply.sent:
             percent = max(percent, REFUSED_PERCENT)
         self._loads[service, host] = _Load(percent, self._clock.now_s())
 
--- a/greengagefall/gateway/router.py
+++ b/greengagefall/gateway/router.py
@@ -9,10 +9,10 @@
 
 from greengagefall.gateway import outcomes
 from greengagefall.gateway.model import NO_KEY
+from greengagefall.gateway.peers import UNREACHABLE
 from greengagefall.gateway.pool_choice import PoolLoads
 from greengagefall.limits.retry_budget import RetryBudget
 from greengagefall.protocol.gateway_messages import Dispatch, Dispatched, NotDispatched
-from greengagefall.protocol.messages import Failure
 from greengagefall.utils.metrics import count
 
 if TYPE_CHECKING:
@@ -171,7 +171,7 @@
             if not service.keyed:
                 self._pools.note(service.name, host, reply)
             return reply
-        if isinstance(reply, Failure) and reply.reason == "unreachable":
+        if reply is UNREACHABLE:
             self._pools.note_unreachable(service.name, host)
             return _failure(outcomes.DISPATCHER_UNREACHABLE, sent=False, not_run=True)
         return _failure(outcomes.OUTCOME_UNKNOWN, sent=True, not_run=False)
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -46,6 +46,9 @@
 SUSPECTED_COLD_S = 2.0
 ADMITTED = ""
 PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
+# How soon waiting requests are looked at again without an answer of the server.
+LEAST_PUMP_S = 0.005
+MOST_PUMP_S = 0.1
 PROBE_INTERVAL_S = 0.5
 PROBE_TIMEOUT_S = 0.5
 OK = 200
@@ -235,7 +238,7 @@
 
     def _pump_in_s(self) -> float:
         token_s = self.queue.next_token_s()
-        return max(0.005, min(token_s, 0.1)) if token_s else 0.1
+        return max(LEAST_PUMP_S, min(token_s, MOST_PUMP_S)) if token_s else MOST_PUMP_S
 
     def _refuse(self, items: list[Waiting]) -> None:
         for item in items:
--- a/greengagefall/ownership/planning.py
+++ b/greengagefall/ownership/planning.py
@@ -28,8 +28,8 @@
 ORPHAN_SHARE = 0.3
 # How much more a server has to bear for a single busy key to move there.
 RELOCATION_GAIN = 1.25
-# Runs of one owner that lie side by side are joined beyond this number.
-MAX_RUNS_PER_SERVER = 6
+# A part of a run may weigh this much more than wanted, since keys are not divisible.
+CUT_TOLERANCE = 1.5
 
 
 class ServerCapacity(NamedTuple):
@@ -292,7 +292,7 @@
         return run.first, run.last
     end = min(_prefix_end(rates, balance, run.first, run.last, wanted), run.last - 1)
     moved = balance.weight(run.first, end)
-    if moved <= 1.5 * wanted:
+    if moved <= CUT_TOLERANCE * wanted:
         return run.first, end
     # A single key outweighs the share: it stays alone with its left neighbours.
     if end + 1 <= run.last:
--- a/greengagefall/platform/requests.py
+++ b/greengagefall/platform/requests.py
@@ -5,7 +5,8 @@
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
-from greengagefall.gateway.model import LAST_KEY, NO_KEY, CallerRequest
+from greengagefall.gateway.model import NO_KEY, CallerRequest
+from greengagefall.ownership.model import LAST_KEY
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- /dev/null
+++ b/greengagefall/tests/gateway_router_tests.py
@@ -0,0 +1,186 @@
+"""Which requests are tried again, and what callers are told, without a network."""
+
+from __future__ import annotations
+
+import math
+import unittest
+from collections import Counter
+
+from greengagefall.gateway import outcomes
+from greengagefall.gateway.model import (
+    Bounds,
+    CallerRequest,
+    Destination,
+    HostFacts,
+    Route,
+    RoutingTable,
+    ServerEntry,
+    Service,
+)
+from greengagefall.gateway.peers import LOST, UNREACHABLE
+from greengagefall.gateway.pool_choice import PoolLoads
+from greengagefall.gateway.router import Answer, Refusal, Router
+from greengagefall.gateway.view import HostView
+from greengagefall.ownership.model import (
+    LAST_KEY,
+    Assignment,
+    Dispatching,
+    Incarnation,
+    KeyRun,
+    Life,
+)
+from greengagefall.protocol.gateway_messages import Dispatched, NotDispatched
+from greengagefall.utils.clock import ManualClock
+
+ME = Incarnation("me", 1)
+NEAR = Incarnation("near", 2)
+FAR = Incarnation("far", 3)
+ANSWER = Dispatched(0, 200, [["X", "y"]], b"body", 50)
+
+
+def failed(reason: str, *, sent: bool = False) -> NotDispatched:
+    row = outcomes.OUTCOMES[reason]
+    return NotDispatched(0, reason, sent, row.not_run, 250, 50, "s1")
+
+
+class FakePeers:
+    """Answers calls from a list; the last entry is repeated."""
+
+    def __init__(self, replies):
+        self.replies = list(replies)
+        self.calls = []
+
+    async def call(self, host, message, timeout_s):
+        self.calls.append((host, message))
+        return self.replies.pop(0) if len(self.replies) > 1 else self.replies[0]
+
+
+def route(prefix, *, idempotent, attempts=2, parts=(("keyed", 1.0),)):
+    destinations = tuple(Destination(name, weight) for name, weight in parts)
+    return Route(prefix, "h", prefix, destinations, idempotent, 1, 0.5, 2.0, attempts)
+
+
+class RouterTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = ManualClock(10.0)
+        facts = HostFacts("me", "x", "", "", "", "", 1.0, 1.0, 1.0, Bounds(retry_extra=40.0))
+        self.view = HostView(facts, ME, self.clock)
+        routes = (
+            route("/safe/", idempotent=True),
+            route("/once/", idempotent=False),
+            route("/pool/", idempotent=False, parts=(("pool", 1.0),)),
+            route("/split/", idempotent=False, parts=(("pool", 3.0), ("keyed", 1.0))),
+        )
+        services = {
+            "keyed": Service("keyed", "/", 10, 3.0, 8.0, True, 5.0),
+            "pool": Service("pool", "/", 10, 3.0, 8.0, False, 0.0),
+        }
+        self.view.take_table(RoutingTable(3, {"h": routes}, services, 0, 0, 0.0))
+        for name, zone in (("p1", "x"), ("p2", "y")):
+            self.view.take_server(ServerEntry(name, "pool", "", zone, 6, False, 0.0, 1))
+        run = KeyRun(0, LAST_KEY, Life("s1", 1), 1)
+        dispatching = {"s1": Dispatching(NEAR), "p1": Dispatching(NEAR), "p2": Dispatching(FAR)}
+        self.view.take_assignment(Assignment(1, 1, {"keyed": (run,)}, dispatching))
+
+    def request(self, target, key=7, request_id="r"):
+        return CallerRequest(request_id, "GET", "h", target, [], b"", math.inf, key)
+
+    async def ask(self, target, *replies, **changes):
+        self.peers = FakePeers(replies or [ANSWER])
+        self.router = Router(self.view, self.peers, self.clock)
+        return await self.router.route(self.request(target, **changes))
+
+    async def test_an_answer_is_passed_on_whole(self):
+        outcome = await self.ask("/safe/1")
+        self.assertEqual(outcome, Answer(200, [["X", "y"]], b"body"))
+        host, message = self.peers.calls[0]
+        self.assertEqual((host, message.server_id, message.key), ("near", "s1", 7))
+        self.assertEqual(message.left_ms, 2000)
+
+    async def test_what_is_not_idempotent_is_sent_once_when_its_outcome_is_unknown(self):
+        for reply in (
+            LOST,
+            failed(outcomes.OUTCOME_UNKNOWN, sent=True),
+            failed(outcomes.TIMED_OUT, sent=True),
+            failed(outcomes.BAD_ANSWER, sent=True),
+        ):
+            with self.subTest(reply=reply):
+                outcome = await self.ask("/once/1", reply, ANSWER)
+                self.assertIsInstance(outcome, Refusal)
+                self.assertFalse(outcomes.OUTCOMES[outcome.reason].not_run)
+                self.assertEqual(len(self.peers.calls), 1)
+
+    async def test_an_idempotent_request_is_sent_again_after_a_lost_answer(self):
+        for reply in (failed(outcomes.OUTCOME_UNKNOWN, sent=True), LOST):
+            # Reasons that say nothing of another way are tried again only if it may have run.
+            outcome = await self.ask("/safe/1", reply, ANSWER)
+            self.assertIsInstance(outcome, Answer)
+
+    async def test_no_more_servers_than_the_route_allows(self):
+        await self.ask("/safe/1", failed(outcomes.OUTCOME_UNKNOWN, sent=True))
+        self.assertEqual(len(self.peers.calls), 2)
+
+    async def test_what_did_not_run_looks_for_its_owner_again(self):
+        outcome = await self.ask("/once/1", failed(outcomes.NOT_OWNER), ANSWER)
+        self.assertIsInstance(outcome, Answer)
+        self.assertEqual(len(self.peers.calls), 2)
+
+    async def test_a_full_queue_is_told_at_once_with_the_time_to_come_back(self):
+        outcome = await self.ask("/once/1", failed(outcomes.QUEUE_FULL), ANSWER)
+        self.assertEqual(outcome, Refusal(outcomes.QUEUE_FULL, 0.25))
+        self.assertEqual(len(self.peers.calls), 1)
+
+    async def test_an_unreachable_dispatcher_means_not_run(self):
+        outcome = await self.ask("/once/1", UNREACHABLE)
+        self.assertEqual(outcome.reason, outcomes.DISPATCHER_UNREACHABLE)
+        self.assertTrue(outcomes.OUTCOMES[outcome.reason].not_run)
+
+    async def test_repeated_sends_stay_within_the_budget(self):
+        peers = FakePeers([failed(outcomes.OUTCOME_UNKNOWN, sent=True)])
+        router = Router(self.view, peers, self.clock)
+        for _ in range(300):
+            await router._try(
+                self.request("/safe/1"),
+                self.view.table.routes["h"][0],
+                self.view.table.services["keyed"],
+                self.clock.now_s(),
+                self.clock.now_s() + 2.0,
+            )
+        bounds = self.view.facts.bounds
+        self.assertLess(len(peers.calls) - 300, bounds.retry_extra + bounds.retry_ratio * 300)
+
+    async def test_a_pooled_request_stays_in_the_zone_while_there_is_room(self):
+        await self.ask("/pool/1", key=-1)
+        self.assertEqual(self.peers.calls[0][0], "near")
+
+    async def test_a_split_draws_by_weight(self):
+        peers = FakePeers([ANSWER])
+        router = Router(self.view, peers, self.clock)
+        for _ in range(2000):
+            await router.route(self.request("/split/1"))
+        shares = Counter(message.service for _, message in peers.calls)
+        self.assertAlmostEqual(shares["pool"] / 2000, 0.75, delta=0.05)
+
+    async def test_bad_requests_are_typed(self):
+        for changes, reason in (
+            ({"key": -1}, outcomes.NO_KEY),
+            ({"request_id": ""}, outcomes.NO_ID),
+        ):
+            outcome = await self.ask("/once/1", **changes)
+            self.assertEqual(outcome.reason, reason)
+        self.assertEqual((await self.ask("/nowhere")).reason, outcomes.NO_ROUTE)
+
+
+class PoolLoadsTests(unittest.TestCase):
+    def test_a_near_dispatcher_is_left_when_it_is_full_and_taken_again_later(self):
+        clock = ManualClock(5.0)
+        loads = PoolLoads(clock)
+        slots = {"near": 12, "far": 12}
+        self.assertEqual(loads.choose("pool", slots, {"near"}), "near")
+        loads.note("pool", "near", failed(outcomes.QUEUE_FULL))
+        self.assertEqual(loads.choose("pool", slots, {"near"}), "far")
+        clock.advance(2.0)
+        self.assertEqual(loads.choose("pool", slots, {"near"}), "near")
+
+    def test_without_servers_there_is_no_choice(self):
+        self.assertIsNone(PoolLoads(ManualClock()).choose("pool", {}, set()))
