--- a/greengagefall/dispatch/connection_pool.py
+++ b/greengagefall/dispatch/connection_pool.py
@@ -24,6 +24,7 @@
     NotSentError,
     SendRefusedError,
 )
+from greengagefall.utils.sockets import keep_alive
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -284,10 +285,6 @@
 
 def _notice_lost_paths(sock: socket.socket) -> None:
     """Has the operating system end a connection whose other side no longer answers."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    if not hasattr(socket, "TCP_USER_TIMEOUT"):
-        return
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    keep_alive(sock, KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S, KEEPALIVE_PROBES)
+    if hasattr(socket, "TCP_USER_TIMEOUT"):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- a/greengagefall/documentation/tables.py
+++ b/greengagefall/documentation/tables.py
@@ -118,13 +118,7 @@
 def render_refusals() -> str:
     """Returns the reasons of refusals."""
     rows = (
-        (
-            f"`{row.name}`",
-            row.http_status,
-            "true" if row.not_run else "false",
-            "yes" if row.retryable else "no",
-            row.meaning,
-        )
+        _reason_row(row.name, row.http_status, row.not_run, row.retryable, row.meaning)
         for row in REFUSALS.values()
     )
     return render_rows(("Reason", "Status", "`not_run`", "Tried again", "Meaning"), rows)
@@ -134,18 +128,22 @@
 def render_gateway_outcomes() -> str:
     """Returns the reasons for which the gateway has no answer of a server."""
     rows = (
-        (
-            f"`{row.name}`",
-            row.status,
-            "true" if row.not_run else "false",
-            "yes" if row.reroute else "no",
-            row.meaning,
-        )
+        _reason_row(row.name, row.status, row.not_run, row.reroute, row.meaning)
         for row in OUTCOMES.values()
     )
     return render_rows(("Reason", "Status", "`not_run`", "Looked up again", "Meaning"), rows)
 
 
+def _reason_row(name: str, status: int, not_run: bool, again: bool, meaning: str) -> Row:
+    return (
+        f"`{name}`",
+        status,
+        "true" if not_run else "false",
+        "yes" if again else "no",
+        meaning,
+    )
+
+
 @table("messages")
 def render_messages() -> str:
     """Returns the messages of the inner protocol with their fields in order."""
--- a/greengagefall/protocol/frames.py
+++ b/greengagefall/protocol/frames.py
@@ -11,6 +11,7 @@
 from greengagefall.protocol.codec import MAX_FRAME_BYTES, decode, encode
 from greengagefall.protocol.exceptions import FrameError, PeerUnreachableError, VersionError
 from greengagefall.protocol.messages import PROTOCOL_VERSION, Hello
+from greengagefall.utils.sockets import keep_alive
 
 if TYPE_CHECKING:
     from websockets.asyncio.connection import Connection
@@ -90,9 +91,4 @@
     if sock is None:
         return
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    if not hasattr(socket, "TCP_KEEPIDLE"):
-        return
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    keep_alive(sock, KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S, KEEPALIVE_PROBES)
