--- a/greengagefall/tests/gateway_end_to_end_tests.py
+++ b/greengagefall/tests/gateway_end_to_end_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import socket
 import unittest
 
@@ -15,15 +16,22 @@
 HOST_NAME = "shop.example"
 ZONES = ("north-a", "north-b")
 START_S = 8.0
+PORTS = (15_000, 32_000)
 TIMEOUT_MS = 2000
 BODY_LIMIT = 1_000_000
 BOUNDS = Bounds(grace_period_s=4.0)
 
 
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Returns a port below those that the system gives to outgoing connections."""
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 def routing(version: int, **changes) -> dict:
