--- a/greengagefall/platform/records.py
+++ b/greengagefall/platform/records.py
@@ -4,7 +4,7 @@
 
 import json
 import math
-from typing import Any, NamedTuple
+from typing import Any
 
 from greengagefall.gateway.model import Destination, Route, RoutingTable, ServerEntry, Service
 from greengagefall.platform.exceptions import RecordError
@@ -22,14 +22,6 @@
 DEFAULT_OBJECTIVE_S = 1.0
 
 
-class RouteLimits(NamedTuple):
-    """Limits of a configuration for callers' requests."""
-
-    max_header_bytes: int
-    max_body_bytes: int
-    idle_timeout_s: float
-
-
 def server_id_of(key: str) -> str:
     """Returns the id of the server whose entry has this key."""
     return key.removeprefix(SERVERS_PREFIX)
