Give refusal reasons one table type and break the circles of imports

The project's entry path and the gateway each had their own record of a refusal reason; both tables are now made by protocol/refusal_reasons.py, and entry's table lies in protocol/, so dispatch no longer imports entry. Records of the oracle, the soak and the model of dispatch rights stand in modules of their own; coordinator/admin.py names what it reads of the process. No module is in a circle of imports any more, types included; gateway and platform still import each other as packages (the adapter decodes into the gateway's records). No change of behaviour.

--- a/greengagefall/bench/configuration_log.py
+++ b/greengagefall/bench/configuration_log.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from greengagefall.bench.oracle import AcceptedVersion, OutInterval
+from greengagefall.bench.oracle_records import AcceptedVersion, OutInterval
 from greengagefall.routing.model import SERVER_DRAINING, ZONE_IN
 
 if TYPE_CHECKING:
--- a/greengagefall/bench/explore_rights.py
+++ b/greengagefall/bench/explore_rights.py
@@ -11,7 +11,8 @@
 
 import click
 
-from greengagefall.bench.rights_model import HARSH, QUIET, STORM, RightsModel
+from greengagefall.bench.rights_faults import HARSH, QUIET, STORM
+from greengagefall.bench.rights_model import RightsModel
 from greengagefall.bench.rights_model_hosts import CoordinatorModel
 from greengagefall.coordination.dispatch_right import DispatchRight
 
--- a/greengagefall/bench/losses.py
+++ b/greengagefall/bench/losses.py
@@ -13,15 +13,19 @@
 import sys
 import time
 from collections import Counter
+from typing import TYPE_CHECKING
 
 import click
 
 from greengagefall.bench.caller import Balancer, Caller, CallRow, Workload, run_workload
 from greengagefall.bench.fleet import STORE, BackEndSpec, Fleet, FleetSpec
-from greengagefall.bench.soak import SoakLog
-from greengagefall.bench.soak_check import CheckReport, check_run
+from greengagefall.bench.soak_check import check_run
+from greengagefall.bench.soak_log import SoakLog
 from greengagefall.bench.unavailable import served_again_s
 
+if TYPE_CHECKING:
+    from greengagefall.bench.oracle_records import CheckReport
+
 ZONES = ("ee-north-a", "ee-north-b", "ee-north-c")
 RATE_PER_S = 200.0
 STEP_S = 6.0
--- a/greengagefall/bench/oracle_cold.py
+++ b/greengagefall/bench/oracle_cold.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from greengagefall.bench.oracle import CheckReport
+    from greengagefall.bench.oracle_records import CheckReport
     from greengagefall.bench.server_logs import ServerLog
     from greengagefall.standins.backend_records import ColdRecord, RequestRecord
 
--- a/greengagefall/bench/oracle_versions.py
+++ b/greengagefall/bench/oracle_versions.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from greengagefall.bench.oracle import AcceptedVersion, CheckReport, VersionRow
+    from greengagefall.bench.oracle_records import AcceptedVersion, CheckReport, VersionRow
 
 NO_VERSION = 0
 
--- a/greengagefall/bench/planted.py
+++ b/greengagefall/bench/planted.py
@@ -13,10 +13,11 @@
 from greengagefall.coordination.dispatch_right import DispatchRight
 from greengagefall.dispatch.grant_keeper import GrantKeeper
 from greengagefall.dispatch.server_dispatcher import REQUEST_ID_HEADER, ServerDispatcher
-from greengagefall.entry import forwarder, refusals
+from greengagefall.entry import forwarder
 from greengagefall.entry.dispatch_table import DispatchTable
 from greengagefall.entry.pools import Pools
 from greengagefall.limits.cold_ramp import ColdRamp
+from greengagefall.protocol import refusals
 from greengagefall.routing.holder import ConfigHolder
 from greengagefall.utils.registry import Registry
 
--- a/greengagefall/bench/rights_model.py
+++ b/greengagefall/bench/rights_model.py
@@ -8,7 +8,7 @@
 
 import heapq
 import random
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any
 
 from greengagefall.bench.rights_model_hosts import (
     BACK_END,
@@ -23,6 +23,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from greengagefall.bench.rights_faults import Faults
+
 
 COORDINATOR = "coordinator"
 COORDINATOR_INTERVAL_S = 0.15
@@ -32,31 +34,6 @@
 CHANGE_SHARE = 0.05
 
 
-class Faults(NamedTuple):
-    """How much goes wrong in a run.
-
-    Attributes:
-        loss: Share of messages that are lost.
-        duplication: Share of messages that arrive twice.
-        spike: Share of messages that are delayed by up to ``spike_s``.
-        spike_s: Longest delay.
-        usual_s: Longest delay of other messages.
-        per_s: Rate of pauses, restarts, cuts, kills and give-backs together.
-    """
-
-    loss: float = 0.05
-    duplication: float = 0.05
-    spike: float = 0.1
-    spike_s: float = 1.6
-    usual_s: float = 0.02
-    per_s: float = 1.5
-
-
-HARSH = Faults()
-STORM = Faults(loss=0.3, spike=0.05, spike_s=0.8, per_s=4.0)
-QUIET = Faults(0.0, 0.0, 0.0, 0.0, 0.002, 0.0)
-
-
 class RightsModel:
     """Runs hosts, messages, faults and the oracle.
 
--- a/greengagefall/bench/rights_model_hosts.py
+++ b/greengagefall/bench/rights_model_hosts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from greengagefall.coordination import epochs
 from greengagefall.coordination.dispatch_right import CLOCK_RATE_MARGIN, DispatchRight
@@ -12,7 +12,8 @@
 from greengagefall.coordination.witness import Witness
 
 if TYPE_CHECKING:
-    from greengagefall.bench.rights_model import RightsModel
+    from greengagefall.bench.rights_faults import Faults
+    from greengagefall.coordination.candidate import Candidate
     from greengagefall.coordination.model import MembersRecord
 
 SERVER_KEY = "proofdesk/proofdesk-01"
@@ -21,10 +22,35 @@
 MIN_SILENCE = 0.1
 
 
+class RightsWorld(Protocol):
+    """What hosts and coordinators see of the model that runs them.
+
+    Attributes:
+        now_s: True time.
+        rng: Source of all chance.
+        faults: How much goes wrong.
+        candidate_class: Makes each host's candidate.
+        record: Members record in force.
+        attested: Ids of lost members that operators attested.
+        map_version: Newest slice map version.
+    """
+
+    now_s: float
+    rng: random.Random
+    faults: Faults
+    candidate_class: type[Candidate]
+    record: MembersRecord
+    attested: set[str]
+    map_version: int
+
+    def hears(self, host: HostModel) -> bool:
+        """Returns whether the coordinator hears a host."""
+
+
 class DriftingClock:
     """A host's clock that runs at its own rate from its own start."""
 
-    def __init__(self, world: RightsModel, rng: random.Random) -> None:
+    def __init__(self, world: RightsWorld, rng: random.Random) -> None:
         self._world = world
         self._rate = 1 + rng.uniform(-MAX_RATE_ERROR, MAX_RATE_ERROR)
         self._start_s = rng.uniform(0, 1000)
@@ -47,7 +73,7 @@
         resigned: Whether it is stopping.
     """
 
-    def __init__(self, world: RightsModel, name: str) -> None:
+    def __init__(self, world: RightsWorld, name: str) -> None:
         self.name = name
         self.clock = DriftingClock(world, world.rng)
         self.incarnation = 0
@@ -101,7 +127,7 @@
 class CoordinatorModel:
     """A coordinator; while it is not the active one, its answers grow old."""
 
-    def __init__(self, world: RightsModel) -> None:
+    def __init__(self, world: RightsWorld) -> None:
         self._world = world
         self._known: MembersRecord | None = None
         self._answers: dict[str, HostAnswer] = {}
--- a/greengagefall/bench/soak.py
+++ b/greengagefall/bench/soak.py
@@ -13,16 +13,20 @@
 import time
 from collections import Counter
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import click
 
 from greengagefall.bench.caller import Balancer, Caller, CallRow, Workload, run_workload
 from greengagefall.bench.fleet import BackEndSpec, Fleet, FleetSpec
-from greengagefall.bench.soak_check import CheckReport, check_run
+from greengagefall.bench.soak_check import check_run
 from greengagefall.bench.soak_faults import FAULTS, Fault
+from greengagefall.bench.soak_log import SoakLog, VersionRow
 from greengagefall.bench.unavailable import recovery_times_s
 
+if TYPE_CHECKING:
+    from greengagefall.bench.oracle_records import CheckReport
+
 MAX_FAULTS = 3
 MIN_PAUSE_S = 0.5
 MAX_PAUSE_S = 2.0
@@ -34,29 +38,6 @@
 Show = Callable[[str], None]
 
 
-class VersionRow(NamedTuple):
-    """A configuration version seen in force at a host."""
-
-    host: str
-    incarnation: str
-    version: int
-    at_s: float
-
-
-class SoakLog(NamedTuple):
-    """What a soak recorded beside the callers' rows.
-
-    Attributes:
-        faults: Wall clock of begin and end, kind and target of each fault.
-        versions: Configuration versions in force over time.
-        violations: Violations reported by the processes themselves, by name.
-    """
-
-    faults: list[tuple[float, float, str, str]]
-    versions: list[VersionRow]
-    violations: Counter[str]
-
-
 def _show_line(line: str) -> None:
     print(line, flush=True)
 
--- a/greengagefall/bench/soak_check.py
+++ b/greengagefall/bench/soak_check.py
@@ -9,7 +9,8 @@
     out_intervals,
     read_configurations,
 )
-from greengagefall.bench.oracle import Bounds, CheckReport, check_all
+from greengagefall.bench.oracle import check_all
+from greengagefall.bench.oracle_records import Bounds, CheckReport
 from greengagefall.bench.server_logs import ServerInfo, read_journal, server_log
 
 if TYPE_CHECKING:
@@ -17,9 +18,8 @@
 
     from greengagefall.bench.caller import CallRow
     from greengagefall.bench.fleet import Fleet
-    from greengagefall.bench.soak import SoakLog
+    from greengagefall.bench.soak_log import SoakLog
 
-__all__ = ["CheckReport", "check_run"]
 
 STORE_DATA_FILE = "store.data"
 
--- a/greengagefall/coordinator/admin.py
+++ b/greengagefall/coordinator/admin.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
@@ -13,17 +13,37 @@
 from greengagefall.utils.metrics import render_text
 
 if TYPE_CHECKING:
-    from greengagefall.coordinator.process import CoordinatorProcess
+    from greengagefall.coordinator.active import ActiveCoordinator
 
 log = logging.getLogger(__name__)
 
 SERVICE_UNAVAILABLE = 503
 
 
+class ProcessState(Protocol):
+    """What the administrative paths tell of the process.
+
+    Attributes:
+        active: The coordinator while this process is elected, else None.
+        term: Number of its election.
+        ready: Whether the process can do its part.
+    """
+
+    active: ActiveCoordinator | None
+
+    @property
+    def term(self) -> int:
+        """Number of the election."""
+
+    @property
+    def ready(self) -> bool:
+        """Whether the process can do its part."""
+
+
 class _ProcessHandler(RequestHandler):
     """Base of handlers that ask the process."""
 
-    def initialize(self, process: CoordinatorProcess) -> None:
+    def initialize(self, process: ProcessState) -> None:
         """Takes the process."""
         self.process = process
 
@@ -64,7 +84,7 @@
 class AdminServer:
     """Serves the administrative paths."""
 
-    def __init__(self, listen: str, process: CoordinatorProcess) -> None:
+    def __init__(self, listen: str, process: ProcessState) -> None:
         """Prepares the server.
 
         Args:
--- a/greengagefall/dispatch/server_dispatcher.py
+++ b/greengagefall/dispatch/server_dispatcher.py
@@ -34,9 +34,9 @@
 )
 from greengagefall.dispatch.server_health import DOWN, ServerHealth
 from greengagefall.dispatch.slot_gate import SlotGate
-from greengagefall.entry import refusals
-from greengagefall.entry.refuse import refuse
+from greengagefall.protocol import refusals
 from greengagefall.protocol.messages import Answer, Forward, Refusal, ServerStatus
+from greengagefall.protocol.refuse import refuse
 from greengagefall.routing.model import KIND_KEYED
 from greengagefall.utils.invariants import check
 from greengagefall.utils.metrics import count, observe_ms
--- a/greengagefall/documentation/tables.py
+++ b/greengagefall/documentation/tables.py
@@ -13,10 +13,10 @@
 from greengagefall.config.ctl import CtlSettings
 from greengagefall.config.entry import EntrySettings
 from greengagefall.config.gateway import GatewaySettings
-from greengagefall.entry.refusals import REFUSALS
 from greengagefall.gateway.outcomes import OUTCOMES
 from greengagefall.protocol import gateway_messages
 from greengagefall.protocol.messages import MESSAGE_KINDS, MESSAGE_TYPES
+from greengagefall.protocol.refusals import REFUSALS
 from greengagefall.routing.parse import DEFAULT_RETRY_RATIO, LIMIT_RANGES
 from greengagefall.routing.policy_names import POLICY_AREAS, TUNING_RANGES
 
@@ -24,6 +24,7 @@
     from collections.abc import Callable, Iterable, Iterator
 
     from greengagefall.config.options import Settings
+    from greengagefall.protocol.refusal_reasons import RefusalReason
 
 Row = tuple[object, ...]
 
@@ -117,30 +118,24 @@
 @table("refusals")
 def render_refusals() -> str:
     """Returns the reasons of refusals."""
-    rows = (
-        _reason_row(row.name, row.http_status, row.not_run, row.retryable, row.meaning)
-        for row in REFUSALS.values()
-    )
+    rows = (_reason_row(row) for row in REFUSALS.values())
     return render_rows(("Reason", "Status", "`not_run`", "Tried again", "Meaning"), rows)
 
 
 @table("gateway-outcomes")
 def render_gateway_outcomes() -> str:
     """Returns the reasons for which the gateway has no answer of a server."""
-    rows = (
-        _reason_row(row.name, row.status, row.not_run, row.reroute, row.meaning)
-        for row in OUTCOMES.values()
-    )
+    rows = (_reason_row(row) for row in OUTCOMES.values())
     return render_rows(("Reason", "Status", "`not_run`", "Looked up again", "Meaning"), rows)
 
 
-def _reason_row(name: str, status: int, not_run: bool, again: bool, meaning: str) -> Row:
+def _reason_row(reason: RefusalReason) -> Row:
     return (
-        f"`{name}`",
-        status,
-        "true" if not_run else "false",
-        "yes" if again else "no",
-        meaning,
+        f"`{reason.name}`",
+        reason.http_status,
+        "true" if reason.not_run else "false",
+        "yes" if reason.retryable else "no",
+        reason.meaning,
     )
 
 
--- a/greengagefall/entry/caller_interface.py
+++ b/greengagefall/entry/caller_interface.py
@@ -10,12 +10,12 @@
 from result import Err
 from tornado.httpserver import HTTPServer
 
-from greengagefall.entry import refusals
 from greengagefall.entry.http_answers import write_answer, write_refusal
-from greengagefall.entry.refuse import refuse
 from greengagefall.entry.request import read_request
 from greengagefall.limits.caller_share import CallerShare
+from greengagefall.protocol import refusals
 from greengagefall.protocol.messages import Answer
+from greengagefall.protocol.refuse import refuse
 from greengagefall.utils.metrics import count, observe_ms
 from greengagefall.utils.waiting import wait_until
 
--- a/greengagefall/entry/dispatch_table.py
+++ b/greengagefall/entry/dispatch_table.py
@@ -8,8 +8,8 @@
 
 from greengagefall.coordination.grants import GrantLedger
 from greengagefall.dispatch.server_dispatcher import ServerDispatcher
-from greengagefall.entry import refusals
-from greengagefall.entry.refuse import refuse
+from greengagefall.protocol import refusals
+from greengagefall.protocol.refuse import refuse
 from greengagefall.routing.model import SERVER_ACTIVE, ZONE_IN
 from greengagefall.utils.waiting import wait_until
 
--- a/greengagefall/entry/forwarder.py
+++ b/greengagefall/entry/forwarder.py
@@ -9,12 +9,12 @@
 
 from result import Err
 
-from greengagefall.entry import refusals
-from greengagefall.entry.refusals import REFUSALS
-from greengagefall.entry.refuse import refuse
 from greengagefall.limits.backoff import full_jitter
 from greengagefall.limits.retry_budget import RetryBudget
+from greengagefall.protocol import refusals
 from greengagefall.protocol.messages import Answer, Forward, Refusal
+from greengagefall.protocol.refusals import REFUSALS
+from greengagefall.protocol.refuse import refuse
 from greengagefall.routing.model import KIND_POOLED
 from greengagefall.utils.invariants import check
 from greengagefall.utils.metrics import count
--- a/greengagefall/entry/http_answers.py
+++ b/greengagefall/entry/http_answers.py
@@ -8,7 +8,7 @@
 from tornado.httputil import HTTPHeaders, ResponseStartLine, responses
 from tornado.iostream import StreamClosedError
 
-from greengagefall.entry.refusals import REFUSALS
+from greengagefall.protocol.refusals import REFUSALS
 from greengagefall.utils.metrics import count
 
 if TYPE_CHECKING:
--- a/greengagefall/entry/pools.py
+++ b/greengagefall/entry/pools.py
@@ -9,7 +9,7 @@
 from greengagefall.balancing.hedging import HEDGES, Hedge
 from greengagefall.balancing.pick import PICKS, Pick
 from greengagefall.balancing.server_views import ServerViews
-from greengagefall.entry import refusals
+from greengagefall.protocol import refusals
 from greengagefall.protocol.messages import Answer
 from greengagefall.routing.model import KIND_POOLED, SERVER_ACTIVE, ZONE_IN
 
--- a/greengagefall/entry/request.py
+++ b/greengagefall/entry/request.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok, Result
 
-from greengagefall.entry import refusals
+from greengagefall.protocol import refusals
 from greengagefall.routing.classes import match_class
 from greengagefall.routing.model import KIND_KEYED
 
--- a/greengagefall/entry/targets.py
+++ b/greengagefall/entry/targets.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from greengagefall.coordination.model import SLICE_FREE, SLICE_RELEASING
-from greengagefall.entry import refusals
+from greengagefall.protocol import refusals
 from greengagefall.protocol.messages import Answer
 from greengagefall.routing.model import KIND_POOLED
 from greengagefall.utils.hashing import slice_of_key
--- a/greengagefall/entry/transport.py
+++ b/greengagefall/entry/transport.py
@@ -5,8 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from greengagefall.entry import refusals
-from greengagefall.entry.refuse import refuse
+from greengagefall.protocol import refusals
 from greengagefall.protocol.exceptions import (
     FrameError,
     PeerLostError,
@@ -14,6 +13,7 @@
     PeerUnreachableError,
 )
 from greengagefall.protocol.messages import Answer, Refusal
+from greengagefall.protocol.refuse import refuse
 from greengagefall.utils.metrics import count
 
 if TYPE_CHECKING:
--- a/greengagefall/gateway/caller_http.py
+++ b/greengagefall/gateway/caller_http.py
@@ -91,8 +91,8 @@
         started_s = self._clock.now_s()
         caller_request = headers.read_caller_request(request)
         if started_s >= self.refuse_from_s:
-            retry_after_s = outcomes.OUTCOMES[outcomes.STOPPING].retry_after_s
-            refusal = Refusal(outcomes.STOPPING, retry_after_s)
+            retry_after_ms = outcomes.OUTCOMES[outcomes.STOPPING].retry_after_ms
+            refusal = Refusal(outcomes.STOPPING, retry_after_ms)
             self._refuse(request, caller_request, refusal, 0.0)
             return
         work = asyncio.ensure_future(self._router.route(caller_request))
@@ -131,24 +131,24 @@
         row = outcomes.OUTCOMES[refusal.reason]
         count("refusals", reason=refusal.reason)
         spread = 1 + RETRY_SPREAD * self._random.random()
-        retry_after_s = refusal.retry_after_s * spread
+        retry_after_s = refusal.retry_after_ms / MS_PER_S * spread
         log.info(
             "Request refused.",
             extra={
                 "request_id": caller_request.request_id,
                 "reason": refusal.reason,
-                "status": row.status,
+                "status": row.http_status,
                 "not_run": row.not_run,
                 "retry_after_s": round(retry_after_s, 3),
                 "took_ms": int(took_ms),
             },
         )
         first = HTTPHeaders({"Content-Type": "application/json"})
-        if row.not_run and refusal.retry_after_s:
+        if row.not_run and refusal.retry_after_ms:
             first["Retry-After"] = f"{retry_after_s:.3f}"
         body = {"reason": refusal.reason, "not_run": row.not_run}
         echoed = [[headers.REQUEST_ID, caller_request.request_id]]
-        self._write(request, row.status, first, echoed, json.dumps(body).encode())
+        self._write(request, row.http_status, first, echoed, json.dumps(body).encode())
 
     def _write(
         self,
--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -203,8 +203,7 @@
                 "version": self._view.assignment.version,
             },
         )
-        retry_after_ms = int(row.retry_after_s * MS_PER_S)
-        return NotDispatched(0, reason, False, True, retry_after_ms, PERCENT, request.server_id)
+        return NotDispatched(0, reason, False, True, row.retry_after_ms, PERCENT, request.server_id)
 
     def _is_mine(self, life: Life) -> bool:
         dispatching = self._view.assignment.dispatching.get(life.server_id)
--- a/greengagefall/gateway/router.py
+++ b/greengagefall/gateway/router.py
@@ -44,11 +44,11 @@
 
     Attributes:
         reason: Name out of ``outcomes``.
-        retry_after_s: When to come back; 0 for no hint.
+        retry_after_ms: When to come back; 0 for no hint.
     """
 
     reason: str
-    retry_after_s: float
+    retry_after_ms: int
 
 
 class Router:
@@ -121,7 +121,7 @@
             )
             self._log(request, service, outcome, tries, again)
             if not again:
-                return Refusal(outcome.reason, outcome.retry_after_ms / MS_PER_S)
+                return Refusal(outcome.reason, outcome.retry_after_ms)
             await asyncio.sleep(REROUTE_PAUSE_S * (1 + self._random.random()))
 
     def _may_repeat(
@@ -131,7 +131,7 @@
         if not outcome.not_run and not route.idempotent:
             return False
         row = outcomes.OUTCOMES[outcome.reason]
-        if outcome.not_run and not row.reroute:
+        if outcome.not_run and not row.retryable:
             return False
         if not outcome.sent:
             return True
@@ -214,7 +214,7 @@
         return budget
 
     def _refuse(self, reason: str) -> Refusal:
-        return Refusal(reason, outcomes.OUTCOMES[reason].retry_after_s)
+        return Refusal(reason, outcomes.OUTCOMES[reason].retry_after_ms)
 
     def _log(
         self,
@@ -245,4 +245,4 @@
 
 def _failure(reason: str, *, sent: bool, not_run: bool) -> NotDispatched:
     row = outcomes.OUTCOMES[reason]
-    return NotDispatched(0, reason, sent, not_run, int(row.retry_after_s * MS_PER_S), 0, "")
+    return NotDispatched(0, reason, sent, not_run, row.retry_after_ms, 0, "")
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -348,7 +348,7 @@
             reason,
             sent,
             row.not_run,
-            int(row.retry_after_s * MS_PER_S),
+            row.retry_after_ms,
             self.load_percent(),
             self.life.server_id,
         )
--- a/greengagefall/protocol/messages.py
+++ b/greengagefall/protocol/messages.py
@@ -121,7 +121,7 @@
     Attributes:
         call_id: Id of the ``Forward``.
         request_id: The caller's id.
-        reason: Name out of ``greengagefall.entry.refusals``.
+        reason: Name out of ``greengagefall.protocol.refusals``.
         not_run: True only if no byte reached a backend server or it said so itself.
         retry_after_ms: When a retry may help, 0 for no hint.
         hint_host: Host that dispatches the server, if known.
--- a/greengagefall/entry/refuse.py
+++ b/greengagefall/protocol/refuse.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from greengagefall.entry.refusals import REFUSALS
 from greengagefall.protocol.messages import Refusal
+from greengagefall.protocol.refusals import REFUSALS
 
 
 def refuse(
--- a/greengagefall/tests/documentation_tests.py
+++ b/greengagefall/tests/documentation_tests.py
@@ -8,7 +8,7 @@
 
 from greengagefall.documentation.pages import DOCS_DIR, fill_tables, pages, table_names
 from greengagefall.documentation.tables import TABLES
-from greengagefall.entry.refusals import REFUSALS
+from greengagefall.protocol.refusals import REFUSALS
 from greengagefall.routing import parse
 
 REPOSITORY_DIR = DOCS_DIR.parent
--- a/greengagefall/tests/entry_pools_tests.py
+++ b/greengagefall/tests/entry_pools_tests.py
@@ -4,9 +4,9 @@
 
 import unittest
 
-from greengagefall.entry import refusals
 from greengagefall.entry.pools import AVOID_S, Pools
-from greengagefall.entry.refuse import refuse
+from greengagefall.protocol import refusals
+from greengagefall.protocol.refuse import refuse
 from greengagefall.routing.parse import parse_config
 from greengagefall.utils.clock import ManualClock
 
--- a/greengagefall/tests/entry_request_tests.py
+++ b/greengagefall/tests/entry_request_tests.py
@@ -7,8 +7,8 @@
 from result import Err
 from tornado.httputil import HTTPHeaders, HTTPServerRequest
 
-from greengagefall.entry import refusals
 from greengagefall.entry.request import read_request
+from greengagefall.protocol import refusals
 from greengagefall.routing.parse import parse_config
 
 DOCUMENT = {
--- a/greengagefall/tests/entry_targets_tests.py
+++ b/greengagefall/tests/entry_targets_tests.py
@@ -7,11 +7,11 @@
 
 from greengagefall.coordination.epochs import first_record, record_to_json
 from greengagefall.coordination.model import Member
-from greengagefall.entry import refusals
 from greengagefall.entry.host_state import HostState
-from greengagefall.entry.refuse import refuse
 from greengagefall.entry.targets import AVOID_S, Target, Targets
+from greengagefall.protocol import refusals
 from greengagefall.protocol.messages import Answer, Documents
+from greengagefall.protocol.refuse import refuse
 from greengagefall.utils.clock import ManualClock
 
 SERVER = "proofdesk/p1"
--- a/greengagefall/tests/gateway_router_tests.py
+++ b/greengagefall/tests/gateway_router_tests.py
@@ -127,7 +127,7 @@
 
     async def test_a_full_queue_is_told_at_once_with_the_time_to_come_back(self):
         outcome = await self.ask("/once/1", failed(outcomes.QUEUE_FULL), ANSWER)
-        self.assertEqual(outcome, Refusal(outcomes.QUEUE_FULL, 0.25))
+        self.assertEqual(outcome, Refusal(outcomes.QUEUE_FULL, 250))
         self.assertEqual(len(self.peers.calls), 1)
 
     async def test_an_unreachable_dispatcher_means_not_run(self):
--- a/greengagefall/tests/oracle_tests.py
+++ b/greengagefall/tests/oracle_tests.py
@@ -5,14 +5,10 @@
 import unittest
 
 from greengagefall.bench.caller import CallRow
-from greengagefall.bench.oracle import (
-    AcceptedVersion,
-    Bounds,
-    OutInterval,
-    check_all,
-)
+from greengagefall.bench.oracle import check_all
+from greengagefall.bench.oracle_records import AcceptedVersion, Bounds, OutInterval
 from greengagefall.bench.server_logs import ServerInfo, server_log
-from greengagefall.bench.soak import VersionRow
+from greengagefall.bench.soak_log import VersionRow
 
 BOUNDS = Bounds(out_s=5.0, cold_notice_s=1.0, spread_s=5.0)
 
--- a/greengagefall/tests/request_outcome_tests.py
+++ b/greengagefall/tests/request_outcome_tests.py
@@ -25,11 +25,11 @@
 )
 from greengagefall.dispatch.server_control import ServerReading
 from greengagefall.dispatch.server_dispatcher import ServerDispatcher
-from greengagefall.entry import refusals
 from greengagefall.entry.forwarder import Forwarder
-from greengagefall.entry.refuse import refuse
 from greengagefall.entry.targets import Target
+from greengagefall.protocol import refusals
 from greengagefall.protocol.messages import Answer, Forward
+from greengagefall.protocol.refuse import refuse
 from greengagefall.routing.parse import parse_config
 from greengagefall.utils import invariants
 from greengagefall.utils.clock import ManualClock, SystemClock
