Let key rates fade without a look at every key

Each beat of each host let all tracked rates fade: at 81 hosts that is 270 passes a second over up to 20,000 keys in the coordinator. Rates are now kept as at a common origin in time, so that a beat costs its own keys only.

--- a/greengagefall/ownership/key_load.py
+++ b/greengagefall/ownership/key_load.py
@@ -9,6 +9,8 @@
 MAX_REPORTED_KEYS = 256
 MAX_TRACKED_KEYS = 20_000
 FORGET_PER_S = 0.02
+# Time constants after which the origin moves, well before numbers grow out of range.
+MOST_MEMORIES = 20.0
 
 
 class KeyCounter:
@@ -36,40 +38,58 @@
 class KeyRates:
     """Requests per second by key, weighted towards the recent past.
 
+    Rates are kept as they would be at a common origin in time, so that time passes without a
+    look at every key.
+
     Args:
         memory_s: Time constant of the weights.
     """
 
     def __init__(self, memory_s: float) -> None:
         self._memory_s = memory_s
-        self._rates: dict[int, float] = {}
-        self._updated_s = 0.0
+        self._rates_at_origin: dict[int, float] = {}
+        self._origin_s = 0.0
+        self._growth = 1.0
         self._keys: list[int] = []
         self._sums: list[float] = [0.0]
 
     def add(self, key: int, requests: int) -> None:
         """Counts requests; ``advance`` has to be called first."""
-        self._rates[key] = self._rates.get(key, 0.0) + requests / self._memory_s
+        rate = requests / self._memory_s * self._growth
+        self._rates_at_origin[key] = self._rates_at_origin.get(key, 0.0) + rate
 
     def advance(self, now_s: float) -> None:
         """Lets older counts fade up to now."""
-        factor = math.exp(-(now_s - self._updated_s) / self._memory_s)
-        self._updated_s = now_s
-        faded = {key: rate * factor for key, rate in self._rates.items()}
-        kept = {key: rate for key, rate in faded.items() if rate > FORGET_PER_S}
-        if len(kept) > MAX_TRACKED_KEYS:
-            kept = dict(Counter(kept).most_common(MAX_TRACKED_KEYS))
-        self._rates = kept
+        passed = (now_s - self._origin_s) / self._memory_s
+        if passed > MOST_MEMORIES:
+            self._move_origin(now_s)
+            return
+        self._growth = math.exp(passed)
 
     def index(self) -> None:
         """Prepares sums over ranges; call it after the last ``add`` of a round."""
-        self._keys = sorted(self._rates)
+        self._forget()
+        self._keys = sorted(self._rates_at_origin)
         total = 0.0
         self._sums = [0.0]
         for key in self._keys:
-            total += self._rates[key]
+            total += self._rates_at_origin[key] / self._growth
             self._sums.append(total)
 
+    def _move_origin(self, now_s: float) -> None:
+        factor = math.exp(-(now_s - self._origin_s) / self._memory_s)
+        self._rates_at_origin = {key: rate * factor for key, rate in self._rates_at_origin.items()}
+        self._origin_s = now_s
+        self._growth = 1.0
+        self._forget()
+
+    def _forget(self) -> None:
+        least = FORGET_PER_S * self._growth
+        kept = {key: rate for key, rate in self._rates_at_origin.items() if rate > least}
+        if len(kept) > MAX_TRACKED_KEYS:
+            kept = dict(Counter(kept).most_common(MAX_TRACKED_KEYS))
+        self._rates_at_origin = kept
+
     def rate(self, first: int, last: int) -> float:
         """Returns the requests per second on a range of keys."""
         low = bisect_left(self._keys, first)
--- a/greengagefall/tests/ownership_planning_tests.py
+++ b/greengagefall/tests/ownership_planning_tests.py
@@ -149,3 +149,23 @@
         rates.advance(2.0)
         rates.index()
         self.assertAlmostEqual(rates.rate(0, LAST_KEY), 3.0 / 2.718, delta=0.01)
+
+    def test_rates_stay_true_over_a_long_time(self):
+        rates = KeyRates(1.5)
+        for step in range(2000):
+            rates.advance(1_000_000.0 + step * 0.1)
+            rates.add(step % 7, 2)
+        rates.index()
+        # Twenty requests a second, weighted by the age of each step.
+        self.assertAlmostEqual(rates.rate(0, LAST_KEY), 20.0, delta=1.0)
+
+    def test_keys_without_requests_are_forgotten(self):
+        rates = KeyRates(1.0)
+        rates.advance(50.0)
+        for key in range(100):
+            rates.add(key, 1)
+        rates.advance(55.0)
+        rates.add(500, 1)
+        rates.index()
+        self.assertEqual(rates.rate(0, 99), 0.0)
+        self.assertAlmostEqual(rates.rate(500, 500), 1.0)
