--- a/greengagefall/gateway/election.py
+++ b/greengagefall/gateway/election.py
@@ -92,7 +92,11 @@
                 await self._serve()
 
     def _rank_delay_s(self) -> float:
-        names = sorted(self._view.hosts)
+        """Returns how long hosts with more processor are let try first."""
+        records = sorted(
+            self._view.hosts.values(), key=lambda record: (-record.weight, record.host)
+        )
+        names = [record.host for record in records]
         me = self._view.me.host
         rank = names.index(me) if me in names else len(names)
         return min(MAX_RANK_DELAY_S, rank * RANK_DELAY_S)
--- /dev/null
+++ b/greengagefall/tests/gateway_election_tests.py
@@ -0,0 +1,74 @@
+"""Tests of which host is elected as coordinator."""
+
+from __future__ import annotations
+
+import unittest
+from types import SimpleNamespace
+
+from result import Ok
+
+from greengagefall.gateway.election import Election
+from greengagefall.gateway.view import HostRecord
+from greengagefall.ownership.model import Incarnation
+from greengagefall.utils.clock import SystemClock
+from greengagefall.utils.waiting import wait_until
+
+
+class OneRecordStore:
+    """A store for the coordinator's record alone; it gives the record to the first writer."""
+
+    def __init__(self) -> None:
+        self.written = False
+
+    async def lease_grant(self, ttl_s):
+        return Ok(1)
+
+    async def lease_keep(self, lease_id):
+        return Ok(True)
+
+    async def lease_end(self, lease_id):
+        return Ok(None)
+
+    async def txn(self, expected, writes, deletes=()):
+        if self.written:
+            return Ok(None)
+        self.written = True
+        return Ok(1)
+
+
+class ElectionTests(unittest.IsolatedAsyncioTestCase):
+    async def elect(self, weights: dict[str, float]) -> str:
+        """Has hosts with these processor weights elect one of them; returns its name."""
+        records = {
+            host: HostRecord(host, 1, "127.0.0.1:1", "a", weight)
+            for host, weight in weights.items()
+        }
+        store = OneRecordStore()
+        elected = []
+        elections = []
+        for host in records:
+            view = SimpleNamespace(leader=None, hosts=records, me=Incarnation(host, 1))
+
+            async def take_office(name=host):
+                elected.append(name)
+
+            async def leave_office():
+                """Nothing to end."""
+
+            elections.append(Election(store, view, SystemClock(), take_office, leave_office))
+        for election in elections:
+            election.start()
+        await wait_until(lambda: elected, 3.0)
+        for election in elections:
+            await election.close()
+        return elected[0]
+
+    async def test_the_host_with_the_most_processor_coordinates(self):
+        self.assertEqual(await self.elect({"a1": 0.3, "b1": 2.1, "c1": 1.0}), "b1")
+
+    async def test_of_equal_hosts_the_first_by_name_coordinates(self):
+        self.assertEqual(await self.elect({"c1": 1.0, "b1": 1.0, "a1": 0.5}), "b1")
+
+
+if __name__ == "__main__":
+    unittest.main()
