Doubt a server's life for as long as its entry may be late

After a lost connection no old fence may be granted until another life of the server would be in the store and known here. The cap is gone, the gathering is counted. A run of a request for a held key still ends the doubt at once.

--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -110,7 +110,7 @@
                     self._view.is_current,
                     partial(self._view.entry_current, server_id),
                     self._open_pool(entry.address),
-                    BEATS_OF_DOUBT * self._view.facts.heartbeat_s,
+                    BEATS_OF_DOUBT * self._view.facts.heartbeat_s + self._view.entries_lag_s(),
                 )
                 self._channels[life] = channel
                 channel.start()
--- a/greengagefall/gateway/following.py
+++ b/greengagefall/gateway/following.py
@@ -137,10 +137,11 @@
             else:
                 self._put(change.item)
         if read.ok_value.changes:
-            await asyncio.sleep(self._gather_s())
+            await asyncio.sleep(self.gather_s())
         return read.ok_value.revision
 
-    def _gather_s(self) -> float:
+    def gather_s(self) -> float:
+        """Returns how long changes are gathered before the next call."""
         return min(GATHER_MOST_S, GATHER_S * max(1.0, self._host_count() / HOSTS_PER_GATHER))
 
     def _put(self, item: StoreItem) -> None:
--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -30,8 +30,6 @@
 RETRY_INTERVAL_S = 0.2
 RELEASE_TRY_S = 1.0
 RELEASE_RETRY_S = 0.1
-# Grants in force outlast a doubt of this length.
-MAX_DOUBT_S = HOLD_S - RENEW_INTERVAL_S - 0.2
 
 
 class ReleaseOutcome(NamedTuple):
@@ -74,7 +72,7 @@
         entry_current: Callable[[], bool],
         doubt_s: float = 0.0,
     ) -> None:
-        self._doubt_s = min(doubt_s, MAX_DOUBT_S)
+        self._doubt_s = doubt_s
         # A dispatcher that takes over may know an old entry.
         self._doubted = True
         self._doubted_since_s = clock.now_s()
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -78,6 +78,7 @@
         )
         self._followers = self._make_followers()
         self.view.entries_current = self._followers[0].is_current
+        self.view.entries_lag_s = self._followers[0].gather_s
         self._register_task: asyncio.Task | None = None
         self._stopping = False
 
--- a/greengagefall/gateway/view.py
+++ b/greengagefall/gateway/view.py
@@ -58,6 +58,7 @@
         assignment: Newest assignment.
         left_s: When each server that leaves or left was first known to, by id.
         entries_current: Whether the servers' entries are followed without a gap.
+        entries_lag_s: How late a change of an entry may be learnt while they are.
     """
 
     def __init__(self, facts: HostFacts, me: Incarnation, clock: Clock) -> None:
@@ -73,6 +74,7 @@
         self._clock = clock
         self._latest_born_ms: dict[str, int] = {}
         self.entries_current: Callable[[], bool] = lambda: True
+        self.entries_lag_s: Callable[[], float] = lambda: 0.0
         self._confirmed_until_s = 0.0
         self._listeners: list[Callable[[], None]] = []
 
