Apply differences of the assignment at the cost of the difference

Each host turned its whole assignment into rows and back for each pushed version, and looked at all servers and channels for each changed entry. Differences now touch only the services in them, listeners are told once for each answer of the store, and channels are opened by a look at this host's servers only.

--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -90,30 +90,13 @@
 
     def reconcile(self) -> None:
         """Brings channels in line with what is known."""
-        assignment = self._view.assignment
-        for server_id, dispatching in assignment.dispatching.items():
-            entry = self._view.servers.get(server_id)
-            service = self._view.service(entry.service) if entry else None
-            if entry is None or service is None:
-                continue
-            life = Life(server_id, entry.born_ms)
-            channel = self._channels.get(life)
-            if channel is not None:
-                if entry != channel.entry:
-                    channel.note_entry(entry)
-                continue
+        for life, channel in self._channels.items():
+            entry = self._view.servers.get(life.server_id)
+            if entry is not None and entry.born_ms == life.born_ms and entry != channel.entry:
+                channel.note_entry(entry)
+        for server_id, dispatching in self._view.assignment.dispatching.items():
             if dispatching.dispatcher == self._view.me:
-                channel = ServerChannel(
-                    entry,
-                    service,
-                    self._clock,
-                    self._view.is_current,
-                    partial(self._view.entry_current, server_id),
-                    self._open_pool(entry.address),
-                    BEATS_OF_DOUBT * self._view.facts.heartbeat_s + self._view.entries_lag_s(),
-                )
-                self._channels[life] = channel
-                channel.start()
+                self._open(server_id)
         for life, channel in self._channels.items():
             self._set_runs(life, channel)
         self._mark_leaving()
@@ -174,6 +157,27 @@
         """Returns the requests by key since the last call, as ``HostBeat.keys``."""
         return [[service, counter.drain()] for service, counter in self._keys.items()]
 
+    def _open(self, server_id: str) -> None:
+        """Opens a channel to the present life of a server, unless there is one."""
+        entry = self._view.servers.get(server_id)
+        service = self._view.service(entry.service) if entry else None
+        if entry is None or service is None:
+            return
+        life = Life(server_id, entry.born_ms)
+        if life in self._channels:
+            return
+        channel = ServerChannel(
+            entry,
+            service,
+            self._clock,
+            self._view.is_current,
+            partial(self._view.entry_current, server_id),
+            self._open_pool(entry.address),
+            BEATS_OF_DOUBT * self._view.facts.heartbeat_s + self._view.entries_lag_s(),
+        )
+        self._channels[life] = channel
+        channel.start()
+
     def _choose(self, request: Dispatch) -> ServerChannel | None:
         if request.server_id:
             entry = self._view.servers.get(request.server_id)
--- a/greengagefall/gateway/following.py
+++ b/greengagefall/gateway/following.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+from contextlib import nullcontext
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -15,6 +16,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from contextlib import AbstractContextManager
 
     from greengagefall.platform.store import PlatformStore, StoreItem
     from greengagefall.utils.clock import Clock
@@ -46,6 +48,7 @@
         keep_lapsed: Whether keys that vanish during an outage are kept until
             ``RETURN_GRACE_S`` after it.
         host_count: Number of hosts that follow the prefix.
+        batch: Entered around the calls for all items of one answer.
     """
 
     def __init__(
@@ -58,6 +61,7 @@
         *,
         keep_lapsed: bool = False,
         host_count: Callable[[], int] = lambda: 1,
+        batch: Callable[[], AbstractContextManager[None]] = nullcontext,
     ) -> None:
         self._store = store
         self._prefix = prefix
@@ -66,6 +70,7 @@
         self._clock = clock
         self._keep_lapsed = keep_lapsed
         self._host_count = host_count
+        self._batch = batch
         self._revisions: dict[str, int] = {}
         self._lapsed: dict[str, asyncio.TimerHandle] = {}
         self._task: asyncio.Task | None = None
@@ -111,12 +116,12 @@
         self._note_back()
         if self._clock.now_s() >= self._check_s:
             self._check_s = math.inf
-        found = set()
-        for item in read.ok_value.items:
-            found.add(item.key)
-            self._put(item)
-        for key in [key for key in self._revisions if key not in found]:
-            self._delete(key, read.ok_value.revision)
+        found = {item.key for item in read.ok_value.items}
+        with self._batch():
+            for item in read.ok_value.items:
+                self._put(item)
+            for key in [key for key in self._revisions if key not in found]:
+                self._delete(key, read.ok_value.revision)
         self.loaded.set()
         return read.ok_value.revision
 
@@ -131,11 +136,12 @@
             self._note_lost(read.err_value)
             return None
         self._note_back()
-        for change in read.ok_value.changes:
-            if change.deleted:
-                self._delete(change.item.key, change.item.revision)
-            else:
-                self._put(change.item)
+        with self._batch():
+            for change in read.ok_value.changes:
+                if change.deleted:
+                    self._delete(change.item.key, change.item.revision)
+                else:
+                    self._put(change.item)
         if read.ok_value.changes:
             await asyncio.sleep(self.gather_s())
         return read.ok_value.revision
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -160,6 +160,7 @@
                 self._clock,
                 keep_lapsed=True,
                 host_count=self._host_count,
+                batch=self.view.batch,
             ),
             Follower(
                 PlatformStore(self.facts.store_address),
@@ -167,6 +168,7 @@
                 operators.put,
                 operators.delete,
                 self._clock,
+                batch=self.view.batch,
             ),
             Follower(
                 PlatformStore(self.facts.store_address),
@@ -175,6 +177,7 @@
                 members.delete,
                 self._clock,
                 host_count=self._host_count,
+                batch=self.view.batch,
             ),
         ]
 
--- a/greengagefall/gateway/view.py
+++ b/greengagefall/gateway/view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from contextlib import contextmanager
 from typing import TYPE_CHECKING, NamedTuple
 
 from greengagefall.gateway.model import EMPTY_TABLE, HostFacts, RoutingTable, ServerEntry, Service
@@ -10,7 +11,7 @@
 from greengagefall.utils.metrics import count
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from greengagefall.utils.clock import Clock
 
@@ -77,6 +78,8 @@
         self.entries_lag_s: Callable[[], float] = lambda: 0.0
         self._confirmed_until_s = 0.0
         self._listeners: list[Callable[[], None]] = []
+        self._batches = 0
+        self._changed_in_batch = False
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Has ``listener`` called after each change."""
@@ -86,8 +89,23 @@
         """Ends the calls of a listener."""
         self._listeners.remove(listener)
 
+    @contextmanager
+    def batch(self) -> Iterator[None]:
+        """Has listeners told once of all changes that are made inside, without an ``await``."""
+        self._batches += 1
+        try:
+            yield
+        finally:
+            self._batches -= 1
+            if self._changed_in_batch and not self._batches:
+                self._changed_in_batch = False
+                self.changed()
+
     def changed(self) -> None:
         """Tells all listeners."""
+        if self._batches:
+            self._changed_in_batch = True
+            return
         for listener in list(self._listeners):
             listener()
 
--- a/greengagefall/ownership/rows.py
+++ b/greengagefall/ownership/rows.py
@@ -42,10 +42,9 @@
     rows: Rows = {}
     for service, runs in assignment.runs.items():
         for run in runs:
-            rows[f"{service}/{run.first}"] = [run.last, *run.owner, run.fence, *run.source]
+            rows[_run_name(service, run.first)] = _run_row(run)
     for server_id, dispatching in assignment.dispatching.items():
-        former = [field for incarnation in dispatching.former for field in incarnation]
-        rows[DISPATCHING_MARK + server_id] = [*dispatching.dispatcher, *former]
+        rows[DISPATCHING_MARK + server_id] = _dispatching_row(dispatching)
     return rows
 
 
@@ -55,44 +54,67 @@
     Raises:
         AssignmentError: A row is malformed.
     """
-    runs: dict[str, list[KeyRun]] = {}
-    dispatching: dict[str, Dispatching] = {}
-    try:
-        for name, row in rows.items():
-            if name.startswith(DISPATCHING_MARK):
-                dispatching[name.removeprefix(DISPATCHING_MARK)] = _dispatching(row)
-                continue
-            service, _, first = name.rpartition("/")
-            last, owner_id, owner_born, fence, source_id, source_born = row
-            run = KeyRun(
-                int(first), last, Life(owner_id, owner_born), fence, Life(source_id, source_born)
-            )
-            runs.setdefault(service, []).append(run)
-    except (ValueError, TypeError, IndexError) as error:
-        raise AssignmentError(f"malformed row: {error!r}") from error
-    ordered = {service: tuple(sorted(found)) for service, found in runs.items()}
-    return Assignment(version, last_fence, ordered, dispatching)
+    return patched(EMPTY_ASSIGNMENT, version, last_fence, Difference(rows, []))
 
 
 def difference(old: Assignment, new: Assignment) -> Difference:
     """Returns what turns ``old`` into ``new``."""
-    old_rows = to_rows(old)
-    new_rows = to_rows(new)
-    changed = {name: row for name, row in new_rows.items() if old_rows.get(name) != row}
-    return Difference(changed, [name for name in old_rows if name not in new_rows])
+    rows: Rows = {}
+    gone: list[str] = []
+    for service in old.runs.keys() | new.runs.keys():
+        if old.runs.get(service) == new.runs.get(service):
+            continue
+        before = {run.first: run for run in old.runs.get(service, ())}
+        after = {run.first: run for run in new.runs.get(service, ())}
+        changed = [run for first, run in after.items() if before.get(first) != run]
+        rows.update({_run_name(service, run.first): _run_row(run) for run in changed})
+        gone += [_run_name(service, first) for first in before if first not in after]
+    for server_id, dispatching in new.dispatching.items():
+        if old.dispatching.get(server_id) != dispatching:
+            rows[DISPATCHING_MARK + server_id] = _dispatching_row(dispatching)
+    gone += [
+        DISPATCHING_MARK + server_id
+        for server_id in old.dispatching
+        if server_id not in new.dispatching
+    ]
+    return Difference(rows, gone)
 
 
 def patched(old: Assignment, version: int, last_fence: int, change: Difference) -> Assignment:
-    """Returns the version that a difference leads to.
+    """Returns the version that a difference leads to; the cost is that of the difference.
 
     Raises:
         AssignmentError: A row is malformed.
     """
-    rows = to_rows(old)
-    for name in change.gone:
-        rows.pop(name, None)
-    rows.update(change.rows)
-    return from_rows(version, last_fence, rows)
+    dispatching = dict(old.dispatching)
+    touched: dict[str, dict[int, KeyRun]] = {}
+
+    def runs_of(service: str) -> dict[int, KeyRun]:
+        if service not in touched:
+            touched[service] = {run.first: run for run in old.runs.get(service, ())}
+        return touched[service]
+
+    try:
+        for name in change.gone:
+            if name.startswith(DISPATCHING_MARK):
+                dispatching.pop(name.removeprefix(DISPATCHING_MARK), None)
+                continue
+            service, _, first = name.rpartition("/")
+            runs_of(service).pop(int(first), None)
+        for name, row in change.rows.items():
+            if name.startswith(DISPATCHING_MARK):
+                dispatching[name.removeprefix(DISPATCHING_MARK)] = _dispatching(row)
+                continue
+            service, _, first = name.rpartition("/")
+            runs_of(service)[int(first)] = _run(int(first), row)
+    except (ValueError, TypeError, IndexError, AttributeError) as error:
+        raise AssignmentError(f"malformed row: {error!r}") from error
+    runs = dict(old.runs)
+    for service, found in touched.items():
+        runs[service] = tuple(run for _, run in sorted(found.items()))
+        if not found:
+            del runs[service]
+    return Assignment(version, last_fence, runs, dispatching)
 
 
 def encode(assignment: Assignment, writer: str) -> bytes:
@@ -119,3 +141,21 @@
 def _dispatching(row: list[Any]) -> Dispatching:
     incarnations = [Incarnation(row[index], row[index + 1]) for index in range(0, len(row), 2)]
     return Dispatching(incarnations[0], tuple(incarnations[1:]))
+
+
+def _dispatching_row(dispatching: Dispatching) -> list[Any]:
+    former = [field for incarnation in dispatching.former for field in incarnation]
+    return [*dispatching.dispatcher, *former]
+
+
+def _run_name(service: str, first: int) -> str:
+    return f"{service}/{first}"
+
+
+def _run_row(run: KeyRun) -> list[Any]:
+    return [run.last, *run.owner, run.fence, *run.source]
+
+
+def _run(first: int, row: list[Any]) -> KeyRun:
+    last, owner_id, owner_born, fence, source_id, source_born = row
+    return KeyRun(first, last, Life(owner_id, owner_born), fence, Life(source_id, source_born))
--- a/greengagefall/tests/gateway_following_tests.py
+++ b/greengagefall/tests/gateway_following_tests.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import unittest
+from contextlib import contextmanager
 
 from greengagefall.gateway.following import Follower
 from greengagefall.platform.store import PlatformStore
@@ -22,12 +23,21 @@
         self.addAsyncCleanup(self.store.close)
         self.seen = {}
         client = PlatformStore(self.store.address)
-        self.follower = Follower(client, PREFIX, self.put, self.delete, SystemClock())
+        self.batches = []
+        self.follower = Follower(
+            client, PREFIX, self.put, self.delete, SystemClock(), batch=self.batch
+        )
         await self.store.put("op/a", b"1")
         self.follower.start()
         self.addCleanup(self.follower.close)
         await asyncio.wait_for(self.follower.loaded.wait(), WAIT_S)
 
+    @contextmanager
+    def batch(self):
+        before = dict(self.seen)
+        yield
+        self.batches.append(self.seen.keys() - before.keys())
+
     def put(self, item):
         self.seen[item.key] = item.value
 
@@ -43,6 +53,15 @@
         await self.store.delete("op/a")
         await self.sees({"op/b": b"2"})
 
+    async def test_all_items_of_an_answer_come_in_one_batch(self):
+        self.store.refuse = 503
+        for number in range(10):
+            await self.store.put(f"op/b{number}", b"x")
+        self.store.refuse = 0
+        self.assertTrue(await wait_until(lambda: "op/b9" in self.seen, WAIT_S))
+        self.assertEqual(self.batches[0], {"op/a"})
+        self.assertIn({f"op/b{number}" for number in range(10)}, self.batches)
+
     async def test_many_keys_are_read_page_by_page(self):
         self.store.refuse = 503
         for number in range(10):
