Read the assignment again when a host knows a newer one

A write of a former coordinator may be done seconds after its successor read the assignment. Hosts that read the store meanwhile know that version, the coordinator does not, and finds out only with its next write; until then hosts follow different versions and grants end. Ruled out: a host that is not pushed to (its beats were answered) and a refused grant.

--- a/greengagefall/gateway/coordinator.py
+++ b/greengagefall/gateway/coordinator.py
@@ -106,6 +106,7 @@
         self._writer = f"{view.me.host}/{view.me.start_ms}"
         self._assignment: Assignment = EMPTY_ASSIGNMENT
         self._revision = 0
+        self._heard_version = 0
         self._started_s = clock.now_s()
         self._reports = HostReports(clock)
         self._publisher = Publisher(peers, self._reports)
@@ -138,6 +139,7 @@
         if self._reports.take(beat):
             self._wake.set()
         sender = Incarnation(beat.host, beat.start_ms)
+        self._heard_version = max(self._heard_version, beat.version)
         behind = beat.version < self._assignment.version
         if behind and sender != self._view.me and self._reports.lags(sender, beat.version):
             self._publisher.send_whole(sender)
@@ -182,7 +184,18 @@
                 return
             await asyncio.sleep(RETRY_S)
 
+    async def _load_newer(self) -> None:
+        """Reads the assignment again, since a former coordinator's write was done late."""
+        log.warning(
+            "A host knows a newer assignment. Reading it again.",
+            extra={"version": self._assignment.version, "heard": self._heard_version},
+        )
+        await self._load()
+        self._heard_version = self._assignment.version
+
     async def _step(self) -> None:
+        if self._heard_version > self._assignment.version:
+            await self._load_newer()
         if not self._view.table.version:
             return
         settled = self._clock.now_s() - self._started_s > SETTLE_S
--- /dev/null
+++ b/greengagefall/tests/gateway_coordinator_tests.py
@@ -0,0 +1,62 @@
+"""Tests of the coordinator against writes that others did late."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from types import SimpleNamespace
+
+from result import Ok
+
+from greengagefall.gateway.coordinator import Coordinator
+from greengagefall.gateway.view import HostView
+from greengagefall.ownership import rows
+from greengagefall.ownership.model import EMPTY_ASSIGNMENT, Incarnation
+from greengagefall.platform.store import StoreItem
+from greengagefall.protocol.gateway_messages import HostBeat
+from greengagefall.utils.clock import SystemClock
+from greengagefall.utils.waiting import wait_until
+
+
+class StoredAssignment:
+    """A store that holds one version of the assignment."""
+
+    def __init__(self) -> None:
+        self.version = 1
+        self.reads = 0
+
+    async def get(self, key):
+        self.reads += 1
+        value = rows.encode(EMPTY_ASSIGNMENT._replace(version=self.version), "another")
+        return Ok(StoreItem(key, value, self.version))
+
+
+class LateWriteTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = StoredAssignment()
+        clock = SystemClock()
+        view = HostView(SimpleNamespace(), Incarnation("h0", 1), clock)
+        self.coordinator = Coordinator(self.store, view, None, clock, lambda: 0.0)
+        self.coordinator.start()
+        self.addAsyncCleanup(self.coordinator.close)
+        self.assertTrue(await wait_until(lambda: self.answered(1) == 1, 2.0))
+
+    def answered(self, version: int) -> int:
+        """Returns the version in the reply to the beat of a host that knows ``version``."""
+        beat = HostBeat(0, "h0", 1, version, False, [], [])
+        return self.coordinator.on_beat(beat).version
+
+    async def test_a_newer_version_that_a_host_knows_is_read(self):
+        self.store.version = 2
+        self.answered(2)
+        self.assertTrue(await wait_until(lambda: self.answered(2) == 2, 2.0))
+
+    async def test_the_store_is_read_no_more_than_needed(self):
+        for _ in range(5):
+            self.answered(1)
+            await asyncio.sleep(0.05)
+        self.assertEqual(self.store.reads, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/greengagefall/tests/ownership_exploration_tests.py
+++ b/greengagefall/tests/ownership_exploration_tests.py
@@ -17,6 +17,7 @@
     24: "an order for an earlier life of a server was carried out",
     121: "only present entries were compared with the life of a run",
     1112: "a refused grant was repeated until the server had forgotten the fences",
+    6173: "the coordinator held on to a version after a former one's write was done late",
     2380: "a new dispatcher granted by an entry from before the store's outage",
     2261: "a server that started again behind a cut was taken to be the life it had been",
     2288: "a server that was not listed was taken to be the life it had been",
