End watches within the time for which the store keeps changes

A watch lasted 25 s, the store keeps 20 s: on a quiet prefix each watch was answered that its history is gone, which cost two reads of all keys and, for 1.5 s, the certainty that servers' entries are current. Watches now last 0.7 of the platform's retention.

gateway_following_tests fails before (3 reads instead of 1) and passes after.

--- a/greengagefall/gateway/following.py
+++ b/greengagefall/gateway/following.py
@@ -23,7 +23,10 @@
 
 log = logging.getLogger(__name__)
 
-WATCH_WAIT_S = 25.0
+# Part of the time for which the store keeps changes that a watch lasts; a longer one could not be
+# followed by another.
+WATCH_SHARE = 0.7
+USUAL_RETENTION_S = 20.0
 # Changes that come close together are read by one call. The more hosts watch, the longer each
 # waits, so that calls grow more slowly than the fleet.
 GATHER_S = 0.12
@@ -49,6 +52,7 @@
             ``RETURN_GRACE_S`` after it.
         host_count: Number of hosts that follow the prefix.
         batch: Entered around the calls for all items of one answer.
+        retention_s: How long the store keeps changes.
     """
 
     def __init__(
@@ -62,6 +66,7 @@
         keep_lapsed: bool = False,
         host_count: Callable[[], int] = lambda: 1,
         batch: Callable[[], AbstractContextManager[None]] = nullcontext,
+        retention_s: float = USUAL_RETENTION_S,
     ) -> None:
         self._store = store
         self._prefix = prefix
@@ -71,6 +76,7 @@
         self._keep_lapsed = keep_lapsed
         self._host_count = host_count
         self._batch = batch
+        self._wait_s = WATCH_SHARE * retention_s
         self._revisions: dict[str, int] = {}
         self._lapsed: dict[str, asyncio.TimerHandle] = {}
         self._task: asyncio.Task | None = None
@@ -126,7 +132,7 @@
         return read.ok_value.revision
 
     async def _read_changes(self, revision: int) -> int | None:
-        wait_s = min(WATCH_WAIT_S, max(0.0, self._check_s - self._clock.now_s()))
+        wait_s = min(self._wait_s, max(0.0, self._check_s - self._clock.now_s()))
         read = await self._store.watch(self._prefix, revision, wait_s)
         if isinstance(read, Err):
             self._check_s = self._clock.now_s() + CHECK_AFTER_S
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -161,6 +161,7 @@
                 keep_lapsed=True,
                 host_count=self._host_count,
                 batch=self.view.batch,
+                retention_s=self.facts.store_retention_s,
             ),
             Follower(
                 PlatformStore(self.facts.store_address),
@@ -169,6 +170,7 @@
                 operators.delete,
                 self._clock,
                 batch=self.view.batch,
+                retention_s=self.facts.store_retention_s,
             ),
             Follower(
                 PlatformStore(self.facts.store_address),
@@ -178,6 +180,7 @@
                 self._clock,
                 host_count=self._host_count,
                 batch=self.view.batch,
+                retention_s=self.facts.store_retention_s,
             ),
         ]
 
--- a/greengagefall/gateway/model.py
+++ b/greengagefall/gateway/model.py
@@ -45,6 +45,7 @@
         store_address: ``IP:port`` of the platform's store.
         heartbeat_s: Interval in which backend servers renew their entries.
         lease_ttl_least_s: Shortest lease that the store gives.
+        store_retention_s: How long the store keeps changes for those who watch.
         processor_share: Processor cores' worth that this host may use.
         bounds: Limits of the operators.
     """
@@ -57,6 +58,7 @@
     store_address: str
     heartbeat_s: float
     lease_ttl_least_s: float
+    store_retention_s: float
     processor_share: float
     bounds: Bounds
 
--- a/greengagefall/platform/settings.py
+++ b/greengagefall/platform/settings.py
@@ -50,6 +50,7 @@
         store_address=fields.address("platform.platform.address"),
         heartbeat_s=fields.number("platform.heartbeatS", 1.0),
         lease_ttl_least_s=fields.number("platform.platform.ttlMinS", 1.0),
+        store_retention_s=fields.number("platform.platform.retentionS", 20.0),
         processor_share=fields.number("self.limits.cpuShare", 1.0) * cores,
         bounds=_bounds(fields),
     )
--- a/greengagefall/tests/gateway_end_to_end_tests.py
+++ b/greengagefall/tests/gateway_end_to_end_tests.py
@@ -108,6 +108,7 @@
             self.store.address,
             0.5,
             1.0,
+            20.0,
             1.0,
             BOUNDS,
         )
--- a/greengagefall/tests/gateway_following_tests.py
+++ b/greengagefall/tests/gateway_following_tests.py
@@ -14,6 +14,7 @@
 
 PREFIX = "op/"
 WAIT_S = 5.0
+RETENTION_S = 1.0
 
 
 class FollowingTests(unittest.IsolatedAsyncioTestCase):
@@ -25,7 +26,13 @@
         client = PlatformStore(self.store.address)
         self.batches = []
         self.follower = Follower(
-            client, PREFIX, self.put, self.delete, SystemClock(), batch=self.batch
+            client,
+            PREFIX,
+            self.put,
+            self.delete,
+            SystemClock(),
+            batch=self.batch,
+            retention_s=RETENTION_S,
         )
         await self.store.put("op/a", b"1")
         self.follower.start()
@@ -62,6 +69,20 @@
         self.assertEqual(self.batches[0], {"op/a"})
         self.assertIn({f"op/b{number}" for number in range(10)}, self.batches)
 
+    async def test_a_quiet_prefix_is_followed_beyond_the_history(self):
+        """Keys with other prefixes change all the time; the store forgets after a second."""
+        revisions = []
+        for step in range(15):
+            await self.store.put("servers/x", str(step).encode())
+            revisions.append(self.store.revision)
+            await asyncio.sleep(0.2)
+            if step >= 5:
+                self.store.forget_up_to(revisions[step - 5])
+        self.assertEqual(self.store.calls["/greengagefall/kv-range"], 1)
+        self.assertTrue(self.follower.is_current())
+        await self.store.put("op/b", b"2")
+        await self.sees({"op/a": b"1", "op/b": b"2"})
+
     async def test_many_keys_are_read_page_by_page(self):
         self.store.refuse = 503
         for number in range(10):
--- a/greengagefall/tests/gateway_router_tests.py
+++ b/greengagefall/tests/gateway_router_tests.py
@@ -63,7 +63,7 @@
 class RouterTests(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.clock = ManualClock(10.0)
-        facts = HostFacts("me", "x", "", "", "", "", 1.0, 1.0, 1.0, Bounds(retry_extra=40.0))
+        facts = HostFacts("me", "x", "", "", "", "", 1.0, 1.0, 20.0, 1.0, Bounds(retry_extra=40.0))
         self.view = HostView(facts, ME, self.clock)
         routes = (
             route("/safe/", idempotent=True),
--- a/greengagefall/tests/ownership_world.py
+++ b/greengagefall/tests/ownership_world.py
@@ -270,7 +270,7 @@
         self.zone = zone
         self.up = True
         clock = LoopClock(world.loop)
-        facts = HostFacts(name, zone, "", "", f"{name}:1", "", 1.0, 1.0, 1.0, Bounds())
+        facts = HostFacts(name, zone, "", "", f"{name}:1", "", 1.0, 1.0, 20.0, 1.0, Bounds())
         self.me = Incarnation(name, start_ms)
         self.view = HostView(facts, self.me, clock)
         store = WorldStore(world, self)
--- a/greengagefall/tests/platform_standins.py
+++ b/greengagefall/tests/platform_standins.py
@@ -100,6 +100,11 @@
         async with self._changed:
             self._changed.notify_all()
 
+    def forget_up_to(self, revision: int) -> None:
+        """Drops the history up to a revision, as a store does with time."""
+        self._oldest = max(self._oldest, revision)
+        self._events = [event for event in self._events if event["revision"] > revision]
+
     def cut_watches(self) -> None:
         for watcher in list(self.watchers):
             watcher.request.connection.stream.close()
