Give fast servers more of the load while there is room

Shares of the load are now such that every slot keeps the same spare rate (ownership/shares.py): fast servers fill first, slow ones join with the load, near the capacity all are equally full. Full servers are relieved at once as before; others that are beyond their share shift the border to a neighbour once a second, so that runs stay few, and runs of one owner are joined with each write. A new server gets half of its share from the fullest one.

--- a/greengagefall/gateway/coordinator.py
+++ b/greengagefall/gateway/coordinator.py
@@ -59,6 +59,8 @@
 # That a run is free is written with the next change, or after this time.
 FREE_WRITE_S = 2.0
 RETRY_S = 0.2
+# Servers that are not full give keys away at most this often.
+SPREAD_INTERVAL_S = 1.0
 # Pause after a write that the store did not take.
 WRITE_RETRY_S = 0.5
 
@@ -111,6 +113,7 @@
         self._reports = HostReports(clock)
         self._publisher = Publisher(peers, self._reports)
         self._freed_s = math.inf
+        self._spread_s: dict[str, float] = {}
         self._moves: dict[_RunName, asyncio.Task] = {}
         self._written_s: dict[_RunName, float] = {}
         self._free: dict[_RunName, str] = {}
@@ -207,6 +210,8 @@
             if service.keyed:
                 wanted = self._with_moves(wanted, service.name)
         if wanted != freed or self._clock.now_s() - self._freed_s > FREE_WRITE_S:
+            for service in wanted.runs:
+                wanted = planning.joined(wanted, service)
             await self._write(wanted)
         self._begin_moves()
 
@@ -272,7 +277,11 @@
         servers = self._reports.capacities(usable, cold_rate_per_s)
         rates = self._reports.rates(service)
         view = planning.ServiceView(assignment.runs.get(service, ()), servers, rates)
-        moves = planning.plan_moves(view)
+        now_s = self._clock.now_s()
+        spread = now_s - self._spread_s.get(service, 0.0) >= SPREAD_INTERVAL_S
+        moves = planning.plan_moves(view, spread=spread)
+        if moves and spread:
+            self._spread_s[service] = now_s
         for move in moves:
             log.info(
                 "Keys are to move.",
@@ -286,8 +295,7 @@
                 },
             )
             count("key_moves")
-        moved = planning.apply_moves(assignment, service, moves)
-        return planning.joined(moved, service) if moves else moved
+        return planning.apply_moves(assignment, service, moves)
 
     async def _write(self, wanted: Assignment) -> None:
         """Writes an assignment and tells all hosts once it stands."""
--- a/greengagefall/ownership/planning.py
+++ b/greengagefall/ownership/planning.py
@@ -1,8 +1,8 @@
 """Decides which server should own which keys.
 
 It answers two loads: servers that can take no keys any more, whose runs go to the others at once,
-and runs that are busier than their server can bear, which are cut so that several servers share
-them. All of it is arithmetic on records.
+and servers with more load than ``shares`` gives them, whose runs are cut so that several servers
+share them. All of it is arithmetic on records.
 """
 
 from __future__ import annotations
@@ -10,20 +10,29 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from greengagefall.ownership.model import LAST_KEY, NOBODY, Assignment, KeyRun, Life
+from greengagefall.ownership.shares import target_loads
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from greengagefall.ownership.key_load import KeyRates
 
 KEY_COUNT = LAST_KEY + 1
-# Utilisation above which a server gives keys away, if it is also above the others.
+# Utilisation above which a server gives keys away at once, if it is also above the others.
 FULL_UTILISATION = 0.6
-# Excess over the mean utilisation that a move has to find.
+# Excess over the mean utilisation that such a move has to find.
 EXCESS_FACTOR = 1.3
+# Load beyond its share, as part of its capacity, from which on any server gives keys away.
+LEAST_EXCESS = 0.2
 # Utilisation that every key has at least, so that unknown load is spread too.
 IDLE_UTILISATION = 0.1
-MAX_MOVES_PER_PLAN = 6
+LEAST_MOVES_PER_PLAN = 6
+# Part of the servers that may give keys away in one plan.
+MOVING_SHARE = 0.1
+# Part of an excess that a neighbour has to take for the keys to go there.
+NEIGHBOUR_SHARE = 0.5
+# Part of its share that a new server gets from one other, and of that one's load at most.
+FIRST_SHARE = 0.5
 # Largest share of a server's capacity in one run of a server that is gone.
 ORPHAN_SHARE = 0.3
 # How much more a server has to bear for a single busy key to move there.
@@ -79,7 +88,7 @@
 
 
 class _Balance:
-    """Utilisation of servers while a plan grows."""
+    """Loads of servers and their shares while a plan grows."""
 
     def __init__(self, view: ServiceView) -> None:
         self._rates = view.rates
@@ -90,11 +99,16 @@
         for run in view.runs:
             if run.owner in self._load:
                 self._load[run.owner] += self.weight(run.first, run.last)
+        self._targets = target_loads(view.servers, self.weight(0, LAST_KEY))
 
     def weight(self, first: int, last: int) -> float:
         """Returns the requests per second of a range, with a little for unknown load."""
         return self._rates.rate(first, last) + self._idle_per_key * (last - first + 1)
 
+    def room(self, life: Life) -> float:
+        """Returns the requests per second that a server lacks to its share; below 0 for excess."""
+        return self._targets[life] - self._load[life]
+
     def utilisation(self, life: Life) -> float:
         """Returns the load of a server as a share of its capacity."""
         return self._load[life] / self.servers[life].capacity_per_s
@@ -104,15 +118,19 @@
         capacity = sum(server.capacity_per_s for server in self.servers.values())
         return sum(self._load.values()) / capacity
 
-    def least(self, without: Iterable[Life] = ()) -> Life:
-        """Returns the least utilised server."""
+    def first_share(self, source: Life, target: Life) -> float:
+        """Returns the requests per second that a server without keys should get from another."""
+        return FIRST_SHARE * min(self.room(target), self._load[source])
+
+    def excess(self, life: Life) -> float:
+        """Returns the load of a server beyond its share, as part of its capacity."""
+        return -self.room(life) / self.servers[life].capacity_per_s
+
+    def roomiest(self, without: Iterable[Life] = ()) -> Life:
+        """Returns the server that lacks most to its share, for its capacity."""
         left_out = set(without)
         names = [life for life in self._load if life not in left_out] or list(self._load)
-        return min(names, key=lambda life: (self.utilisation(life), life))
-
-    def room(self, life: Life, level: float) -> float:
-        """Returns the requests per second that a server bears up to a utilisation."""
-        return level * self.servers[life].capacity_per_s - self._load[life]
+        return min(names, key=lambda life: (self.excess(life), life))
 
     def move(self, first: int, last: int, source: Life, target: Life) -> KeyMove:
         """Notes a move and returns it."""
@@ -123,8 +141,13 @@
         return KeyMove(first, last, source, target)
 
 
-def plan_moves(view: ServiceView) -> list[KeyMove]:
-    """Returns the moves that should begin now, the most urgent first."""
+def plan_moves(view: ServiceView, *, spread: bool = True) -> list[KeyMove]:
+    """Returns the moves that should begin now, the most urgent first.
+
+    Args:
+        view: What the plan rests on.
+        spread: Whether servers that are not full may give keys away too.
+    """
     if not view.servers:
         return []
     balance = _Balance(view)
@@ -133,7 +156,12 @@
     orphans = _place_orphans(view, balance)
     if orphans:
         return orphans
-    return _spread(view, balance)
+    plan = _Plan(view, balance)
+    plan.serve_new()
+    plan.relieve_full()
+    if spread:
+        plan.shift_excess()
+    return plan.moves
 
 
 def _first_owners(view: ServiceView) -> list[KeyMove]:
@@ -158,7 +186,7 @@
     for first, last, source in _orphans(view, balance.servers):
         start = first
         while start <= last:
-            target = balance.least()
+            target = balance.roomiest()
             share = ORPHAN_SHARE * balance.servers[target].capacity_per_s
             end = _prefix_end(view.rates, balance, start, last, share)
             moves.append(balance.move(start, end, source, target))
@@ -194,91 +222,168 @@
     return low
 
 
-def _spread(view: ServiceView, balance: _Balance) -> list[KeyMove]:
-    """Cuts runs of servers that are too full, and gives idle servers a share."""
-    moves: list[KeyMove] = []
-    busy = {run.owner for run in view.runs if run.moving}
-    busy |= {run.source for run in view.runs if run.moving}
-    owners = {run.owner for run in view.runs}
-    for life in sorted(balance.servers):
-        if life not in owners and life not in busy and len(moves) < MAX_MOVES_PER_PLAN:
-            source = _fullest(balance, busy)
-            if source is not None:
-                _give(view, balance, source, life, moves, busy)
-    while len(moves) < MAX_MOVES_PER_PLAN:
-        source = _fullest(balance, busy)
-        if source is None:
-            break
-        level = balance.mean()
-        if balance.utilisation(source) < max(FULL_UTILISATION, EXCESS_FACTOR * level):
-            break
-        target = balance.least(busy)
-        if target not in busy and _give(view, balance, source, target, moves, busy):
-            continue
-        if not _relocate(view, balance, source, moves, busy):
-            busy.add(source)
-    return moves
+class _Plan:
+    """Moves of one plan; each server takes part in one of them at most.
 
+    Attributes:
+        moves: The moves so far.
+    """
 
-def _fullest(balance: _Balance, busy: set[Life]) -> Life | None:
-    names = [life for life in balance.servers if life not in busy]
-    return max(names, key=balance.utilisation, default=None)
-
-
-def _give(
-    view: ServiceView,
-    balance: _Balance,
-    source: Life,
-    target: Life,
-    moves: list[KeyMove],
-    busy: set[Life],
-) -> bool:
-    """Plans a move that brings two servers closer together; returns whether there is one."""
-    level = _common_level(balance, source, target)
-    wanted = min(balance.room(target, level), -balance.room(source, level))
-    runs = [run for run in view.runs if run.owner == source and not run.moving]
-    if wanted <= 0 or not runs:
+    def __init__(self, view: ServiceView, balance: _Balance) -> None:
+        self.moves: list[KeyMove] = []
+        self._view = view
+        self._balance = balance
+        self._busy = {run.owner for run in view.runs if run.moving}
+        self._busy |= {run.source for run in view.runs if run.moving}
+        self._most = max(LEAST_MOVES_PER_PLAN, int(MOVING_SHARE * len(balance.servers)))
+
+    def serve_new(self) -> None:
+        """Gives servers without keys a part of their share."""
+        balance = self._balance
+        owners = {run.owner for run in self._view.runs}
+        for life in sorted(balance.servers):
+            if life in owners or life in self._busy or self._is_long():
+                continue
+            source = self._highest(balance.excess)
+            if source is not None:
+                self._give(source, life, balance.first_share(source, life))
+
+    def relieve_full(self) -> None:
+        """Cuts runs of servers that are too full, for the servers with most room."""
+        balance = self._balance
+        tried: set[Life] = set()
+        while not self._is_long():
+            source = self._highest(balance.utilisation, tried)
+            if source is None:
+                return
+            full = max(FULL_UTILISATION, EXCESS_FACTOR * balance.mean())
+            if balance.utilisation(source) < full:
+                return
+            tried.add(source)
+            target = balance.roomiest(self._busy)
+            wanted = min(balance.room(target), -balance.room(source))
+            if target not in self._busy and self._give(source, target, wanted):
+                continue
+            self._relocate(source)
+
+    def shift_excess(self) -> None:
+        """Moves what is beyond the shares, to owners of neighbouring keys if they have room."""
+        balance = self._balance
+        tried: set[Life] = set()
+        while not self._is_long():
+            source = self._highest(balance.excess, tried)
+            if source is None or balance.excess(source) < LEAST_EXCESS:
+                return
+            tried.add(source)
+            if self._shift(source):
+                continue
+            target = balance.roomiest(self._busy)
+            wanted = min(balance.room(target), -balance.room(source))
+            if target not in self._busy:
+                self._give(source, target, wanted)
+
+    def _is_long(self) -> bool:
+        return len(self.moves) >= self._most
+
+    def _highest(
+        self, measure: Callable[[Life], float], without: Iterable[Life] = ()
+    ) -> Life | None:
+        left_out = self._busy.union(without)
+        names = [life for life in self._balance.servers if life not in left_out]
+        return max(names, key=measure, default=None)
+
+    def _add(self, first: int, last: int, source: Life, target: Life) -> None:
+        self.moves.append(self._balance.move(first, last, source, target))
+        self._busy.add(source)
+        self._busy.add(target)
+
+    def _settled_runs(self, owner: Life) -> list[KeyRun]:
+        return [run for run in self._view.runs if run.owner == owner and not run.moving]
+
+    def _give(self, source: Life, target: Life, wanted: float) -> bool:
+        """Adds a move of about ``wanted`` requests per second; returns whether there is one."""
+        balance = self._balance
+        runs = self._settled_runs(source)
+        if wanted <= 0:
+            return False
+        runs.sort(key=lambda run: -balance.weight(run.first, run.last))
+        for run in runs:
+            cut = _cut(self._view.rates, balance, run, wanted)
+            if cut is not None:
+                self._add(*cut, source, target)
+                return True
         return False
-    runs.sort(key=lambda run: -balance.weight(run.first, run.last))
-    for run in runs:
-        cut = _cut(view.rates, balance, run, wanted)
-        if cut is None:
-            continue
-        moves.append(balance.move(*cut, source, target))
-        busy.add(source)
-        busy.add(target)
-        return True
-    return False
-
-
-def _relocate(
-    view: ServiceView, balance: _Balance, source: Life, moves: list[KeyMove], busy: set[Life]
-) -> bool:
-    """Moves a key that alone is too busy for its server to the server that bears most.
 
-    No other server can share a key, so the fastest one serves most of its requests.
-    """
-    runs = [run for run in view.runs if run.owner == source and not run.moving]
-    if len(runs) != 1 or runs[0].size != 1:
-        return False
-    present = balance.servers[source].capacity_per_s
-    others = [life for life in balance.servers if life not in busy and life != source]
-    if not others:
-        return False
-    best = max(others, key=lambda life: (balance.servers[life].capacity_per_s, life))
-    if balance.servers[best].capacity_per_s < RELOCATION_GAIN * present:
+    def _shift(self, source: Life) -> bool:
+        """Adds a move to the owner of neighbouring keys, which makes no run more.
+
+        Returns:
+            Whether there is one that takes enough.
+        """
+        balance = self._balance
+        excess = -balance.room(source)
+        for index, run in enumerate(self._view.runs):
+            if run.owner != source or run.moving:
+                continue
+            for neighbour in _neighbours(self._view.runs, index):
+                target = neighbour.owner
+                if target in self._busy or target not in balance.servers:
+                    continue
+                wanted = min(balance.room(target), excess)
+                if wanted < NEIGHBOUR_SHARE * excess:
+                    continue
+                at_start = neighbour.last < run.first
+                part = _edge(self._view.rates, balance, run, wanted, at_start=at_start)
+                if part is None or balance.weight(*part) < NEIGHBOUR_SHARE * wanted:
+                    continue
+                self._add(*part, source, target)
+                return True
         return False
-    moves.append(balance.move(runs[0].first, runs[0].last, source, best))
-    busy.add(source)
-    busy.add(best)
-    return True
 
-
-def _common_level(balance: _Balance, source: Life, target: Life) -> float:
-    pair = (source, target)
-    capacity = sum(balance.servers[life].capacity_per_s for life in pair)
-    load = sum(balance.utilisation(life) * balance.servers[life].capacity_per_s for life in pair)
-    return load / capacity
+    def _relocate(self, source: Life) -> None:
+        """Moves a key that alone is too busy for its server to the server that bears most.
+
+        No other server can share a key, so the fastest one serves most of its requests.
+        """
+        balance = self._balance
+        runs = self._settled_runs(source)
+        others = [life for life in balance.servers if life not in self._busy and life != source]
+        if len(runs) != 1 or runs[0].size != 1 or not others:
+            return
+        best = max(others, key=lambda life: (balance.servers[life].capacity_per_s, life))
+        present = balance.servers[source].capacity_per_s
+        if balance.servers[best].capacity_per_s >= RELOCATION_GAIN * present:
+            self._add(runs[0].first, runs[0].last, source, best)
+
+
+def _neighbours(runs: tuple[KeyRun, ...], index: int) -> list[KeyRun]:
+    """Returns the settled runs of other owners right before and after a run."""
+    run = runs[index]
+    beside = runs[max(0, index - 1) : index] + runs[index + 1 : index + 2]
+    return [
+        other
+        for other in beside
+        if not other.moving
+        and other.owner != run.owner
+        and (other.last + 1 == run.first or run.last + 1 == other.first)
+    ]
+
+
+def _edge(
+    rates: KeyRates, balance: _Balance, run: KeyRun, wanted: float, *, at_start: bool
+) -> tuple[int, int] | None:
+    """Returns the keys at one edge of a run that weigh about ``wanted``, but not all of it."""
+    if run.size < 2:
+        return None
+    if at_start:
+        end = min(_prefix_end(rates, balance, run.first, run.last, wanted), run.last - 1)
+        part = (run.first, end)
+    else:
+        rest = balance.weight(run.first, run.last) - wanted
+        end = _prefix_end(rates, balance, run.first, run.last, rest)
+        part = (min(end, run.last - 1) + 1, run.last)
+    fits = balance.weight(*part) <= CUT_TOLERANCE * wanted
+    return part if fits else None
 
 
 def _cut(rates: KeyRates, balance: _Balance, run: KeyRun, wanted: float) -> tuple[int, int] | None:
--- a/greengagefall/tests/ownership_planning_tests.py
+++ b/greengagefall/tests/ownership_planning_tests.py
@@ -109,6 +109,61 @@
         _, moves = self.settle(servers, rates)
         self.assertEqual(len(moves), 4)
 
+    def test_fast_servers_are_filled_before_slow_ones(self):
+        """300 requests a second; a third of 30 servers take 0.13 s for one, the others 0.31 s."""
+        fast = [server(f"fast-{n}", 0.13) for n in range(10)]
+        slow = [server(f"slow-{n}", 0.31) for n in range(20)]
+        rates = rates_of(dict.fromkeys(range(0, 65000, 216), 1.0))
+        equal, _ = self.settle([one._replace(service_time_s=0.2) for one in fast + slow], rates)
+        assignment, _ = self.settle(fast + slow, rates, equal)
+        by_slow = sum(self.load(assignment, rates, one.life.server_id) for one in slow)
+        self.assertLess(by_slow, 0.4 * 300)
+        for one in fast + slow:
+            load = self.load(assignment, rates, one.life.server_id)
+            self.assertLess(load / one.capacity_per_s, 0.85)
+
+    def test_keys_go_to_neighbours_so_that_runs_stay_few(self):
+        """Fast and slow servers own neighbouring keys; the plan moves the borders."""
+        servers = [server(f"s{n:02}", 0.13 if n % 3 == 0 else 0.31) for n in range(30)]
+        rates = rates_of(dict.fromkeys(range(0, 65000, 433), 1.0))
+        alike = [one._replace(service_time_s=0.2) for one in servers]
+        equal, _ = self.settle(alike, rates)
+        assignment, moves = self.settle(servers, rates, equal)
+        self.assertTrue(moves)
+        self.assertLessEqual(len(assignment.runs[SERVICE]), 1.5 * len(servers))
+
+    def test_without_spreading_only_full_servers_give_keys_away(self):
+        servers = [server(f"s{n:02}", 0.13 if n % 3 == 0 else 0.31) for n in range(30)]
+        rates = rates_of(dict.fromkeys(range(0, 65000, 433), 1.0))
+        alike = [one._replace(service_time_s=0.2) for one in servers]
+        assignment, _ = self.settle(alike, rates)
+        runs = assignment.runs[SERVICE]
+        self.assertTrue(plan_moves(ServiceView(runs, servers, rates)))
+        self.assertEqual(plan_moves(ServiceView(runs, servers, rates), spread=False), [])
+        busy = rates_of(dict.fromkeys(range(1000, 1060), 1.0))
+        moves = plan_moves(ServiceView(runs, servers, busy), spread=False)
+        self.assertEqual(moves[0].source, assignment.run_of(SERVICE, 1030).owner)
+        moves = plan_moves(ServiceView(runs, servers[1:], rates), spread=False)
+        self.assertEqual({move.source for move in moves}, {servers[0].life})
+
+    def test_a_server_that_turns_slow_keeps_few_requests(self):
+        servers = [server(f"s{n}") for n in range(6)]
+        rates = rates_of(dict.fromkeys(range(0, 65000, 650), 1.0))
+        assignment, _ = self.settle(servers, rates)
+        slowed = [server("s0", 1.5), *servers[1:]]
+        assignment, _ = self.settle(slowed, rates, assignment)
+        self.assertLess(self.load(assignment, rates, "s0"), 2.0)
+        self.assertTrue(any(run.owner.server_id == "s0" for run in assignment.runs[SERVICE]))
+
+    def test_each_of_many_new_servers_gets_requests(self):
+        servers = [server(f"s{n}") for n in range(30)]
+        rates = rates_of(dict.fromkeys(range(0, 65000, 108), 1.0))
+        assignment, _ = self.settle(servers, rates)
+        new = [server(f"new-{n}") for n in range(8)]
+        assignment, _ = self.settle([*servers, *new], rates, assignment)
+        for one in new:
+            self.assertGreater(self.load(assignment, rates, one.life.server_id), 4.0)
+
     def test_each_move_gets_a_fence_above_all_others(self):
         servers = [server(name) for name in "abcd"]
         rates = rates_of(dict.fromkeys(range(1000, 1060), 2.0))
