Soak real gateway processes under faults from outside

bench/gateway_soak.py runs gateways as processes on loopback with stand-ins of the platform's store and servers and proxies in between: kills, planned stops, pauses, all processes killed, stores that refuse, forget, lose answers or are cut off, servers that crash, return under their id or drain, paths that delay, reset, fall silent or pass one way, configurations in series, all on top of each other. It checks what callers and servers see: one owner, run once, not-run true, answers matched, service back within 15 s.

The stand-ins moved from tests/ to standins/, one module each.

--- /dev/null
+++ b/greengagefall/bench/gateway_soak.py
@@ -0,0 +1,226 @@
+"""Runs gateway processes under random faults and checks what callers and servers see.
+
+``python -m greengagefall.bench.gateway_soak --seed 1 --seconds 60``
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import sys
+import time
+from collections import Counter
+from typing import TYPE_CHECKING, NamedTuple
+
+import click
+
+from greengagefall.bench.gateway_faults import FAULTS
+from greengagefall.bench.gateway_fleet import GatewayFleet, Violation
+from greengagefall.dispatch.connection_pool import ConnectionPool, HttpRequest
+from greengagefall.dispatch.exceptions import DispatchError
+from greengagefall.ownership.model import LAST_KEY
+from greengagefall.standins.platform_documents import caller_headers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+CALLERS = 8
+PAUSE_S = 0.04
+DEADLINE_MS = 2000
+ANSWER_SLACK_S = 1.0
+MAX_BODY_BYTES = 1_000_000
+MEAN_BETWEEN_FAULTS_S = 1.2
+# Bound of the operators for service after the last fault.
+RECOVERY_S = 15.0
+RECOVERY_REQUESTS = 40
+MOST_SHOWN = 20
+OK = 200
+PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
+PATHS = {"safe": "/drafts/x", "once": "/approvals/x", "pool": "/orders/x"}
+
+
+class CallRecord(NamedTuple):
+    """What a caller saw of one request; status 0 for no answer."""
+
+    request_id: str
+    kind: str
+    status: int
+    right: bool
+
+
+class SoakResult(NamedTuple):
+    """Outcome of a soak.
+
+    Attributes:
+        faults: Faults injected, by name.
+        statuses: Answers by status, 0 for none.
+        checks: Number of checks made.
+        violations: What must never happen and did.
+    """
+
+    faults: Counter[str]
+    statuses: Counter[int]
+    checks: int
+    violations: list[Violation]
+
+
+class Callers:
+    """Callers that keep their connections, and what they saw.
+
+    Attributes:
+        records: One record for each request.
+    """
+
+    def __init__(self, fleet: GatewayFleet, rng: random.Random) -> None:
+        self.records: list[CallRecord] = []
+        self._fleet = fleet
+        self._rng = rng
+        self._numbers = itertools.count(1)
+
+    async def run(self, end_s: float) -> None:
+        """Sends requests until a time of the monotonic clock."""
+        pools = {
+            host: ConnectionPool(address, MAX_BODY_BYTES)
+            for host, address in self._fleet.callers.items()
+        }
+        while time.monotonic() < end_s:
+            kind = self._rng.choice(list(PATHS))
+            await self.ask(pools[self._rng.choice(list(pools))], kind)
+            await asyncio.sleep(PAUSE_S * self._rng.random())
+        for pool in pools.values():
+            pool.close()
+
+    async def ask(self, pool: ConnectionPool, kind: str) -> CallRecord:
+        """Sends one request and notes what came of it."""
+        request_id = f"{kind}-{next(self._numbers)}"
+        key = None if kind == "pool" else self._rng.randint(0, LAST_KEY)
+        method = "GET" if kind == "safe" else "POST"
+        headers = caller_headers(request_id, DEADLINE_MS, key)
+        request = HttpRequest(method, PATHS[kind], headers, b"")
+        try:
+            answer = await pool.exchange(request, DEADLINE_MS / 1000 + ANSWER_SLACK_S, lambda: True)
+        except DispatchError:
+            record = CallRecord(request_id, kind, 0, True)
+        else:
+            signature = answer.headers.get("Upstream-Signature", "")
+            server, _, path = answer.body.decode(errors="replace").partition(":")
+            signed = signature == f"signed.{request_id}"
+            right = signed and server in self._fleet.servers and path == PATHS[kind]
+            right = right or answer.status != OK
+            record = CallRecord(request_id, kind, answer.status, right)
+        self.records.append(record)
+        return record
+
+
+async def inject(fleet: GatewayFleet, rng: random.Random, end_s: float) -> Counter[str]:
+    """Injects faults one after the other and on top of each other; waits until all are over."""
+    injected: Counter[str] = Counter()
+    running = set()
+    while time.monotonic() < end_s:
+        name = rng.choice(sorted(FAULTS.names()))
+        injected[name] += 1
+        running.add(asyncio.create_task(FAULTS[name](fleet, rng)))
+        await asyncio.sleep(rng.expovariate(1 / MEAN_BETWEEN_FAULTS_S))
+    await asyncio.gather(*running)
+    return injected
+
+
+def check_records(fleet: GatewayFleet, records: list[CallRecord]) -> list[Violation]:
+    """Compares what callers saw with what servers ran."""
+    ran = Counter(request for server in fleet.servers.values() for request in server.ran)
+    known = {record.request_id for record in records}
+    found = [f"{one} ran and no caller sent it" for one in ran if one not in known]
+    for record in records:
+        times = ran[record.request_id]
+        if record.kind != "safe" and times > 1:
+            found.append(f"{record.request_id} ran {times} times")
+        if record.kind != "safe" and record.status in PROMISES_NOT_RUN and times:
+            found.append(f"{record.request_id} got {record.status} and ran")
+        if record.status == OK and not times:
+            found.append(f"{record.request_id} got {OK} and never ran")
+        if not record.right:
+            found.append(f"{record.request_id} got the answer to another request")
+    return [Violation(0.0, text) for text in found]
+
+
+async def check_recovery(fleet: GatewayFleet, callers: Callers) -> list[Violation]:
+    """Waits until requests are served everywhere; a violation if that takes too long."""
+    end_s = time.monotonic() + RECOVERY_S
+    pools = [ConnectionPool(address, MAX_BODY_BYTES) for address in fleet.callers.values()]
+    served = 0
+    while served < RECOVERY_REQUESTS and time.monotonic() < end_s:
+        kind = ("safe", "once", "pool")[served % 3]
+        record = await callers.ask(pools[served % len(pools)], kind)
+        served = served + 1 if record.status == OK else 0
+    for pool in pools:
+        pool.close()
+    if served >= RECOVERY_REQUESTS:
+        return []
+    return [Violation(end_s, f"not served again {RECOVERY_S} s after the last fault")]
+
+
+async def run_soak(
+    seed: int,
+    seconds: float,
+    *,
+    hosts: int = 3,
+    servers: int = 5,
+    plant: str = "",
+    show: Callable[[str], None] = print,
+) -> SoakResult:
+    """Runs one soak.
+
+    Args:
+        seed: Seed of faults and requests; timing still differs between runs.
+        seconds: How long faults are injected.
+        hosts: Number of gateway processes.
+        servers: Number of servers that are divided by key.
+        plant: Name of a planted fault, empty for none.
+        show: Called with lines for people.
+    """
+    rng = random.Random(seed)
+    fleet = GatewayFleet(hosts, servers, plant)
+    callers = Callers(fleet, rng)
+    try:
+        await fleet.start()
+        end_s = time.monotonic() + seconds
+        async with asyncio.TaskGroup() as group:
+            for _ in range(CALLERS):
+                group.create_task(callers.run(end_s))
+            injecting = group.create_task(inject(fleet, rng, end_s))
+        violations = await check_recovery(fleet, callers)
+        violations += fleet.violations
+    finally:
+        await fleet.close()
+    violations += check_records(fleet, callers.records)
+    for violation in violations[:MOST_SHOWN]:
+        show(f"seed {seed}: {violation.text}")
+    statuses = Counter(record.status for record in callers.records)
+    checks = 4 * len(callers.records)
+    if violations:
+        show(f"logs in {fleet.processes.log_dir}")
+    return SoakResult(injecting.result(), statuses, checks, violations)
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True, help="Seed of faults and requests.")
+@click.option("--seconds", default=60.0, show_default=True, help="How long faults are injected.")
+@click.option("--hosts", default=3, show_default=True, help="Gateway processes.")
+@click.option("--servers", default=5, show_default=True, help="Servers divided by key.")
+@click.option("--plant", default="", help="Name of a planted fault.")
+def main(seed: int, seconds: float, hosts: int, servers: int, plant: str) -> None:
+    """Runs gateways under random faults; exit code 1 if something happened that never must."""
+    result = asyncio.run(run_soak(seed, seconds, hosts=hosts, servers=servers, plant=plant))
+    faults = ", ".join(f"{name} {number}" for name, number in sorted(result.faults.items()))
+    statuses = ", ".join(
+        f"{status}: {number}" for status, number in sorted(result.statuses.items())
+    )
+    click.echo(f"seed {seed}: {sum(result.faults.values())} faults ({faults})")
+    click.echo(f"answers by status, 0 for none: {statuses}")
+    click.echo(f"{result.checks} checks, {len(result.violations)} violations")
+    sys.exit(1 if result.violations else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/greengagefall/bench/processes.py
+++ b/greengagefall/bench/processes.py
@@ -15,6 +15,7 @@
 LOOPBACK = "127.0.0.1"
 STOP_TIMEOUT_S = 10.0
 PORTS = range(12_000, 32_000)
+BLOCK_PORTS = 200
 
 
 class ProcessSpec(NamedTuple):
@@ -24,11 +25,13 @@
         name: Unique name; also names its log file.
         module: Python module that is run.
         arguments: Its command line arguments.
+        environment: Names and values of variables that are added.
     """
 
     name: str
     module: str
     arguments: tuple[str, ...]
+    environment: tuple[tuple[str, str], ...] = ()
 
 
 def free_addresses(number: int) -> list[str]:
@@ -56,6 +59,39 @@
     return True
 
 
+class PortBlock:
+    """A block of ports that other blocks do not draw from while this one is open.
+
+    Its first port is kept bound, so that two runs at a time never share a block.
+    """
+
+    def __init__(self) -> None:
+        self._guard = socket.socket()
+        self._ports: list[int] = []
+
+    def start(self) -> None:
+        """Takes a block of which no other run has the first port."""
+        for first in random.SystemRandom().sample(PORTS[::BLOCK_PORTS], len(PORTS[::BLOCK_PORTS])):
+            try:
+                self._guard.bind((LOOPBACK, first))
+            except OSError:
+                continue
+            self._ports = list(range(first + 1, first + BLOCK_PORTS))
+            return
+        raise OSError("no block of ports is free")
+
+    def close(self) -> None:
+        """Gives the block back."""
+        self._guard.close()
+
+    def take(self) -> int:
+        """Returns a port of the block that is free now and was not taken before."""
+        while True:
+            port = self._ports.pop(0)
+            if _is_free(port):
+                return port
+
+
 class ProcessGroup:
     """Processes started here; only these are ever signalled.
 
@@ -76,7 +112,7 @@
                 [sys.executable, "-m", spec.module, *spec.arguments],
                 stdout=log_file,
                 stderr=log_file,
-                env={**os.environ, "PYTHONPATH": os.getcwd()},
+                env={**os.environ, "PYTHONPATH": os.getcwd(), **dict(spec.environment)},
             )
 
     def restart(self, name: str) -> None:
--- /dev/null
+++ b/greengagefall/bench/tcp_proxy.py
@@ -0,0 +1,101 @@
+"""A loopback proxy that harms the connections through it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+CHUNK_BYTES = 65_536
+# Closing with this option resets the connection.
+NO_LINGER = struct.pack("ii", 1, 0)
+
+
+class TcpProxy:
+    """Passes connections on to one address.
+
+    Args:
+        target: ``IP:port`` of the real listener.
+
+    Attributes:
+        address: ``IP:port`` of the proxy, once it is started.
+        delay_s: Time for which each piece of data is held.
+        drops_to_target: Whether data towards the target is swallowed.
+        drops_from_target: Whether data from the target is swallowed.
+        refuses: Whether new connections are closed at once.
+    """
+
+    def __init__(self, target: str) -> None:
+        self.address = ""
+        self.target = target
+        self.heal()
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self) -> None:
+        """Opens the port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def close(self) -> None:
+        """Closes the port and all connections."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def heal(self) -> None:
+        """Passes everything on again."""
+        self.delay_s = 0.0
+        self.drops_to_target = False
+        self.drops_from_target = False
+        self.refuses = False
+
+    def reset(self) -> None:
+        """Resets all connections."""
+        for writer in list(self._writers):
+            sock = writer.get_extra_info("socket")
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        if self.refuses:
+            writer.close()
+            return
+        host, _, port = self.target.rpartition(":")
+        try:
+            back_reader, back_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = {writer, back_writer}
+        self._writers |= pair
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(
+                self._pass(reader, back_writer, to_target=True),
+                self._pass(back_reader, writer, to_target=False),
+            )
+        self._writers -= pair
+        for one in pair:
+            one.close()
+
+    async def _pass(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, to_target: bool
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                if self.drops_to_target if to_target else self.drops_from_target:
+                    continue
+                writer.write(data)
+                await writer.drain()
+        writer.close()
--- /dev/null
+++ b/greengagefall/standins/platform_documents.py
@@ -0,0 +1,91 @@
+"""Documents of the platform for tests: settings files, configurations, headers of callers."""
+
+from __future__ import annotations
+
+HOST_NAME = "shop.example"
+
+
+def routing(version: int, **changes) -> dict:
+    """Returns a configuration of two services, one divided by key; ``rules`` replaces routes."""
+    rules = [
+        rule("drafts", "/drafts/", "proofdesk", kind="safe", attempts=2),
+        rule("approvals", "/approvals/", "proofdesk", kind="unsafe"),
+        rule("orders", "/orders/", "benchline", kind="unsafe"),
+    ]
+    return {
+        "version": f"{version:08x}",
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "idleTimeoutS": 15},
+        "listeners": [{"hostname": HOST_NAME, "routingRules": changes.get("rules", rules)}],
+        "clusters": [
+            cluster("proofdesk", shardEnabled=True, warmS=5.0, grants="call"),
+            cluster("benchline"),
+        ],
+        "aFieldOfLater": True,
+    }
+
+
+def rule(name: str, prefix: str, service: str, kind: str, attempts: int = 1) -> dict:
+    """Returns a route of a configuration."""
+    action = {"service": service, "timeoutS": 2.0, "attempts": attempts}
+    return {
+        "name": name,
+        "kind": kind,
+        "latencyGoalS": 0.6,
+        "priority": 1,
+        "match": {"prefix": prefix},
+        "action": action,
+    }
+
+
+def cluster(name: str, **more) -> dict:
+    """Returns a service of a configuration."""
+    return {
+        "name": name,
+        "healthCheck": "/health",
+        "maxConnections": 50,
+        "warmupS": 3.0,
+        "coldPerS": 8.2,
+        **more,
+    }
+
+
+def settings_text(
+    host: str, zone: str, ip: str, ports: tuple[int, int, int], store_address: str, grace_s: float
+) -> str:
+    """Returns the settings file of a host.
+
+    Args:
+        host: Its name.
+        zone: Its availability zone.
+        ip: Its address.
+        ports: Ports for callers, for the readiness check and for other hosts.
+        store_address: ``IP:port`` of the store.
+        grace_s: Time between the signal to stop and the end.
+    """
+    fields = {
+        "self.nodeName": host,
+        "self.ip": ip,
+        "self.zone": zone,
+        "self.limits.cpuShare": "1",
+        "self.limits.cpuCores": "1",
+        "network.listen.frontend": f"{ip}:{ports[0]}",
+        "network.listen.readiness": f"{ip}:{ports[1]}",
+        "network.portRange": f"{ports[2]},{ports[2]}",
+        "platform.heartbeatS": "0.5",
+        "platform.platform.address": store_address,
+        "platform.platform.retentionS": "20",
+        "terms.bounds.gracePeriodS": str(grace_s),
+    }
+    return "".join(f"{name}={value}\n" for name, value in fields.items())
+
+
+def caller_headers(request_id: str, deadline_ms: int, key: int | None) -> list[list[str]]:
+    """Returns the headers of a caller's request; ``key`` is None for none."""
+    headers = [
+        ["Host", HOST_NAME],
+        ["Request-Id", request_id],
+        ["Deadline-Ms", str(deadline_ms)],
+    ]
+    if key is not None:
+        headers.append(["Shard-Key", str(key)])
+    return headers
--- /dev/null
+++ b/greengagefall/standins/platform_server.py
@@ -0,0 +1,195 @@
+"""Small stand-in of a backend server of the platform, which holds keys by grants."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Any
+
+import tornado.web
+
+from greengagefall.standins.http import HttpListener, JsonHandler
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+LOAD = "1,0,6,100"
+SILENCE_S = 1.0
+
+
+class PlatformServerStandIn:
+    """A backend server that runs requests for keys that it holds.
+
+    Attributes:
+        server_id: Its id.
+        ran: Ids of the requests that it ran.
+        grants: Granted ranges with fence and end by ``time.monotonic``.
+        refused_grants: Number of grants that a higher fence kept out.
+        work_s: How long a request takes.
+        swallow_grants: How many grants are left without an answer and not done.
+        reset_grants: How many grants end with their connection and are not done.
+        on_grant: Called with this server, the first and the last key of each grant that it took.
+    """
+
+    def __init__(
+        self, server_id: str, service: str, zone: str, *, keyed: bool, work_s: float = 0.005
+    ) -> None:
+        self.server_id = server_id
+        self.service = service
+        self.zone = zone
+        self.keyed = keyed
+        self.work_s = work_s
+        self.born_ms = int(time.time() * 1000)
+        self.ran: list[str] = []
+        self.grants: dict[tuple[int, int], tuple[int, float]] = {}
+        self.fences: list[tuple[int, int, int]] = []
+        self.refused_grants = 0
+        self.swallow_grants = 0
+        self.reset_grants = 0
+        self.handed_over: list[str] = []
+        self.wrong_answers = 0
+        self.on_grant: Callable[[PlatformServerStandIn, int, int], None] = _ignore_grant
+        given = {"server": self}
+        self._listener = HttpListener(
+            "127.0.0.1:0",
+            [
+                ("/greengagefall/grant", _Grant, given),
+                ("/greengagefall/release", _Release, given),
+                ("/health", _Health, given),
+                ("/.*", _Work, given),
+            ],
+        )
+
+    @property
+    def address(self) -> str:
+        """``IP:port`` of the server."""
+        return self._listener.address
+
+    async def start(self) -> None:
+        """Starts listening."""
+        await self._listener.start()
+
+    async def close(self) -> None:
+        """Stops listening."""
+        await self._listener.close()
+
+    def entry(self, **changes: Any) -> dict[str, Any]:
+        """Returns the server's entry for the store."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "maxConcurrency": 6,
+            "state": "ready",
+            "warmupLeftS": 0,
+            "sequence": 1,
+            "born": self.born_ms,
+            **changes,
+        }
+
+    def restart(self) -> None:
+        """Forgets everything, as another life under the same id and address."""
+        self.born_ms += 1000
+        self.grants.clear()
+        self.fences.clear()
+
+    def holds(self, key: int) -> bool:
+        """Returns whether the server holds a key now."""
+        now_s = time.monotonic()
+        return any(
+            first <= key <= last and end_s > now_s
+            for (first, last), (_, end_s) in self.grants.items()
+        )
+
+    def highest_fence(self, first: int, last: int) -> int:
+        """Returns the highest fence that it has seen on a range of keys."""
+        seen = [fence for low, high, fence in self.fences if low <= last and first <= high]
+        return max(seen, default=0)
+
+    def take_back(self, first: int, last: int) -> None:
+        """Ends the grants of a range of keys."""
+        kept = {}
+        for (low, high), grant in self.grants.items():
+            for part in ((low, min(high, first - 1)), (max(low, last + 1), high)):
+                if part[0] <= part[1]:
+                    kept[part] = grant
+        self.grants = kept
+
+
+def _ignore_grant(server: PlatformServerStandIn, first: int, last: int) -> None:
+    """Does nothing."""
+
+
+class _ServerHandler(JsonHandler):
+    def initialize(self, server: PlatformServerStandIn) -> None:
+        self.server = server
+
+
+class _Grant(_ServerHandler):
+    async def post(self) -> None:
+        body = self.json_body()
+        first, last, fence = body["from"], body["target"], body["fence"]
+        if self.server.reset_grants > 0:
+            self.server.reset_grants -= 1
+            self.request.connection.stream.close()
+            return
+        if self.server.swallow_grants > 0:
+            self.server.swallow_grants -= 1
+            await asyncio.sleep(SILENCE_S)
+            return
+        if self.server.highest_fence(first, last) > fence:
+            self.server.refused_grants += 1
+            raise tornado.web.HTTPError(409)
+        self.server.fences.append((first, last, fence))
+        self.server.take_back(first, last)
+        self.server.grants[first, last] = (fence, time.monotonic() + body["holdS"])
+        if "handover" in body:
+            self.server.handed_over.append(body["handover"])
+        self.server.on_grant(self.server, first, last)
+        self.finish({})
+
+
+class _Release(_ServerHandler):
+    def post(self) -> None:
+        body = self.json_body()
+        self.server.fences.append((body["from"], body["target"], body["fence"]))
+        self.server.take_back(body["from"], body["target"])
+        self.set_header("Handover", f"{self.server.server_id}-{body['fence']}")
+        self.finish({})
+
+
+class _Health(_ServerHandler):
+    def get(self) -> None:
+        self.set_header("Instance-Id", self.server.server_id)
+        self.set_header("Upstream-Load", LOAD)
+        self.finish({})
+
+
+class _Work(_ServerHandler):
+    async def run(self) -> None:
+        headers = self.request.headers
+        request_id = headers.get("Request-Id", "")
+        self.set_header("Instance-Id", self.server.server_id)
+        if headers.get("Expected-Instance") != self.server.server_id:
+            self._refuse(421)
+            return
+        if self.server.keyed and not self.server.holds(int(headers.get("Shard-Key", -1))):
+            self._refuse(421)
+            return
+        self.server.ran.append(request_id)
+        await asyncio.sleep(self.server.work_s)
+        if self.server.wrong_answers > 0:
+            self.server.wrong_answers -= 1
+            request_id = "of-another-request"
+        self.set_header("Request-Id", request_id)
+        self.set_header("Upstream-Signature", f"signed.{request_id}")
+        self.set_header("Upstream-Load", LOAD)
+        self.finish(f"{self.server.server_id}:{self.request.uri}")
+
+    get = post = put = delete = run
+
+    def _refuse(self, status: int) -> None:
+        self.set_header("Not-Executed", "1")
+        self.set_status(status)
+        self.finish({})
--- a/greengagefall/tests/platform_standins.py
+++ b/greengagefall/standins/platform_store.py
@@ -1,4 +1,4 @@
-"""Small stand-ins of the platform's store and backend servers, for tests."""
+"""Small stand-in of the platform's store."""
 
 from __future__ import annotations
 
@@ -12,9 +12,6 @@
 
 from greengagefall.standins.http import HttpListener, JsonHandler
 
-LOAD = "1,0,6,100"
-SILENCE_S = 1.0
-
 
 class PlatformStoreStandIn:
     """The store's calls over an ordinary dictionary.
@@ -57,22 +54,27 @@
 
     @property
     def address(self) -> str:
+        """``IP:port`` of the store."""
         return self._listener.address
 
     @property
     def revision(self) -> int:
+        """Number of the last change."""
         return self._revision
 
     async def start(self) -> None:
+        """Starts listening."""
         await self._listener.start()
         self._sweeper = asyncio.create_task(self._sweep())
 
     async def close(self) -> None:
+        """Stops listening."""
         if self._sweeper is not None:
             self._sweeper.cancel()
         await self._listener.close()
 
     async def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        """Writes a key."""
         self._revision += 1
         created = self.items[key]["created"] if key in self.items else self._revision
         item = {
@@ -86,15 +88,18 @@
         await self._tell(item)
 
     async def put_json(self, key: str, fields: dict[str, Any]) -> None:
+        """Writes a key whose value is a JSON object."""
         await self.put(key, json.dumps(fields).encode())
 
     async def delete(self, key: str) -> None:
+        """Deletes a key if it exists."""
         if self.items.pop(key, None) is None:
             return
         self._revision += 1
         await self._tell({"key": key, "revision": self._revision, "tombstone": True})
 
     async def drop_history(self) -> None:
+        """Drops all history; those who watch are told."""
         self._oldest = self._revision
         self._events.clear()
         async with self._changed:
@@ -106,6 +111,7 @@
         self._events = [event for event in self._events if event["revision"] > revision]
 
     def cut_watches(self) -> None:
+        """Ends the connections of all who watch."""
         for watcher in list(self.watchers):
             watcher.request.connection.stream.close()
 
@@ -114,14 +120,17 @@
         self._events.clear()
 
     def value(self, key: str) -> bytes:
+        """Returns the value of a key."""
         return base64.b64decode(self.items[key]["value"])
 
     def lease(self, ttl_s: float) -> int:
+        """Returns a new lease."""
         self._revision += 1
         self._leases[self._revision] = (time.monotonic() + ttl_s, ttl_s)
         return self._revision
 
     def keep(self, lease: int) -> bool:
+        """Renews a lease; returns whether it existed."""
         if lease not in self._leases:
             return False
         ttl_s = self._leases[lease][1]
@@ -129,11 +138,13 @@
         return True
 
     async def end_lease(self, lease: int) -> None:
+        """Ends a lease and deletes its keys."""
         self._leases.pop(lease, None)
         for key in [key for key, item in self.items.items() if item["lease"] == lease]:
             await self.delete(key)
 
     def knows_lease(self, lease: int) -> bool:
+        """Returns whether a lease exists; 0 stands for none."""
         return not lease or lease in self._leases
 
     async def events(self, prefix: str, after: int, wait_s: float) -> list[dict] | None:
@@ -260,167 +271,3 @@
     async def delete(self, lease: str) -> None:
         await self.store.end_lease(int(lease))
         self.finish({})
-
-
-class PlatformServerStandIn:
-    """A backend server that runs requests for keys that it holds.
-
-    Attributes:
-        server_id: Its id.
-        ran: Ids of the requests that it ran.
-        grants: Granted ranges with fence and end by ``time.monotonic``.
-        refused_grants: Number of grants that a higher fence kept out.
-        work_s: How long a request takes.
-        swallow_grants: How many grants are left without an answer and not done.
-        reset_grants: How many grants end with their connection and are not done.
-    """
-
-    def __init__(
-        self, server_id: str, service: str, zone: str, *, keyed: bool, work_s: float = 0.005
-    ) -> None:
-        self.server_id = server_id
-        self.service = service
-        self.zone = zone
-        self.keyed = keyed
-        self.work_s = work_s
-        self.born_ms = int(time.time() * 1000)
-        self.ran: list[str] = []
-        self.grants: dict[tuple[int, int], tuple[int, float]] = {}
-        self.fences: list[tuple[int, int, int]] = []
-        self.refused_grants = 0
-        self.swallow_grants = 0
-        self.reset_grants = 0
-        self.handed_over: list[str] = []
-        self.wrong_answers = 0
-        given = {"server": self}
-        self._listener = HttpListener(
-            "127.0.0.1:0",
-            [
-                ("/greengagefall/grant", _Grant, given),
-                ("/greengagefall/release", _Release, given),
-                ("/health", _Health, given),
-                ("/.*", _Work, given),
-            ],
-        )
-
-    @property
-    def address(self) -> str:
-        return self._listener.address
-
-    async def start(self) -> None:
-        await self._listener.start()
-
-    async def close(self) -> None:
-        await self._listener.close()
-
-    def entry(self, **changes: Any) -> dict[str, Any]:
-        return {
-            "service": self.service,
-            "address": self.address,
-            "zone": self.zone,
-            "version": "v1",
-            "maxConcurrency": 6,
-            "state": "ready",
-            "warmupLeftS": 0,
-            "sequence": 1,
-            "born": self.born_ms,
-            **changes,
-        }
-
-    def restart(self) -> None:
-        """Forgets everything, as another life under the same id and address."""
-        self.born_ms += 1000
-        self.grants.clear()
-        self.fences.clear()
-
-    def holds(self, key: int) -> bool:
-        now_s = time.monotonic()
-        return any(
-            first <= key <= last and end_s > now_s
-            for (first, last), (_, end_s) in self.grants.items()
-        )
-
-    def highest_fence(self, first: int, last: int) -> int:
-        seen = [fence for low, high, fence in self.fences if low <= last and first <= high]
-        return max(seen, default=0)
-
-    def take_back(self, first: int, last: int) -> None:
-        kept = {}
-        for (low, high), grant in self.grants.items():
-            for part in ((low, min(high, first - 1)), (max(low, last + 1), high)):
-                if part[0] <= part[1]:
-                    kept[part] = grant
-        self.grants = kept
-
-
-class _ServerHandler(JsonHandler):
-    def initialize(self, server: PlatformServerStandIn) -> None:
-        self.server = server
-
-
-class _Grant(_ServerHandler):
-    async def post(self) -> None:
-        body = self.json_body()
-        first, last, fence = body["from"], body["target"], body["fence"]
-        if self.server.reset_grants > 0:
-            self.server.reset_grants -= 1
-            self.request.connection.stream.close()
-            return
-        if self.server.swallow_grants > 0:
-            self.server.swallow_grants -= 1
-            await asyncio.sleep(SILENCE_S)
-            return
-        if self.server.highest_fence(first, last) > fence:
-            self.server.refused_grants += 1
-            raise tornado.web.HTTPError(409)
-        self.server.fences.append((first, last, fence))
-        self.server.take_back(first, last)
-        self.server.grants[first, last] = (fence, time.monotonic() + body["holdS"])
-        if "handover" in body:
-            self.server.handed_over.append(body["handover"])
-        self.finish({})
-
-
-class _Release(_ServerHandler):
-    def post(self) -> None:
-        body = self.json_body()
-        self.server.fences.append((body["from"], body["target"], body["fence"]))
-        self.server.take_back(body["from"], body["target"])
-        self.set_header("Handover", f"{self.server.server_id}-{body['fence']}")
-        self.finish({})
-
-
-class _Health(_ServerHandler):
-    def get(self) -> None:
-        self.set_header("Instance-Id", self.server.server_id)
-        self.set_header("Upstream-Load", LOAD)
-        self.finish({})
-
-
-class _Work(_ServerHandler):
-    async def run(self) -> None:
-        headers = self.request.headers
-        request_id = headers.get("Request-Id", "")
-        self.set_header("Instance-Id", self.server.server_id)
-        if headers.get("Expected-Instance") != self.server.server_id:
-            self._refuse(421)
-            return
-        if self.server.keyed and not self.server.holds(int(headers.get("Shard-Key", -1))):
-            self._refuse(421)
-            return
-        self.server.ran.append(request_id)
-        await asyncio.sleep(self.server.work_s)
-        if self.server.wrong_answers > 0:
-            self.server.wrong_answers -= 1
-            request_id = "of-another-request"
-        self.set_header("Request-Id", request_id)
-        self.set_header("Upstream-Signature", f"signed.{request_id}")
-        self.set_header("Upstream-Load", LOAD)
-        self.finish(f"{self.server.server_id}:{self.request.uri}")
-
-    get = post = put = delete = run
-
-    def _refuse(self, status: int) -> None:
-        self.set_header("Not-Executed", "1")
-        self.set_status(status)
-        self.finish({})
--- a/greengagefall/tests/gateway_end_to_end_tests.py
+++ b/greengagefall/tests/gateway_end_to_end_tests.py
@@ -10,10 +10,11 @@
 from greengagefall.dispatch.connection_pool import ConnectionPool, HttpAnswer, HttpRequest
 from greengagefall.gateway.host import GatewayHost
 from greengagefall.gateway.model import Bounds, HostFacts
-from greengagefall.tests.platform_standins import PlatformServerStandIn, PlatformStoreStandIn
+from greengagefall.standins.platform_documents import HOST_NAME, routing, rule
+from greengagefall.standins.platform_server import PlatformServerStandIn
+from greengagefall.standins.platform_store import PlatformStoreStandIn
 from greengagefall.utils.waiting import wait_until
 
-HOST_NAME = "shop.example"
 ZONES = ("north-a", "north-b")
 START_S = 8.0
 PORTS = (15_000, 32_000)
@@ -34,47 +35,6 @@
         return port
 
 
-def routing(version: int, **changes) -> dict:
-    rules = [
-        rule("drafts", "/drafts/", "proofdesk", kind="safe", attempts=2),
-        rule("approvals", "/approvals/", "proofdesk", kind="unsafe"),
-        rule("orders", "/orders/", "benchline", kind="unsafe"),
-    ]
-    return {
-        "version": f"{version:08x}",
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "idleTimeoutS": 15},
-        "listeners": [{"hostname": HOST_NAME, "routingRules": changes.get("rules", rules)}],
-        "clusters": [
-            cluster("proofdesk", shardEnabled=True, warmS=5.0, grants="call"),
-            cluster("benchline"),
-        ],
-        "aFieldOfLater": True,
-    }
-
-
-def rule(name: str, prefix: str, service: str, kind: str, attempts: int = 1) -> dict:
-    action = {"service": service, "timeoutS": 2.0, "attempts": attempts}
-    return {
-        "name": name,
-        "kind": kind,
-        "latencyGoalS": 0.6,
-        "priority": 1,
-        "match": {"prefix": prefix},
-        "action": action,
-    }
-
-
-def cluster(name: str, **more) -> dict:
-    return {
-        "name": name,
-        "healthCheck": "/health",
-        "maxConnections": 50,
-        "warmupS": 3.0,
-        "coldPerS": 8.2,
-        **more,
-    }
-
-
 class GatewayEndToEndTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.store = PlatformStoreStandIn()
--- a/greengagefall/tests/gateway_following_tests.py
+++ b/greengagefall/tests/gateway_following_tests.py
@@ -8,7 +8,7 @@
 
 from greengagefall.gateway.following import Follower
 from greengagefall.platform.store import PlatformStore
-from greengagefall.tests.platform_standins import PlatformStoreStandIn
+from greengagefall.standins.platform_store import PlatformStoreStandIn
 from greengagefall.utils.clock import SystemClock
 from greengagefall.utils.waiting import wait_until
 
--- /dev/null
+++ b/greengagefall/tests/gateway_soak_tests.py
@@ -0,0 +1,95 @@
+"""A short soak of real gateway processes, and that its checks catch what they should."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from greengagefall.bench.gateway_fleet import GatewayFleet
+from greengagefall.bench.gateway_soak import CallRecord, check_records, run_soak
+from greengagefall.bench.tcp_proxy import TcpProxy
+
+SECONDS = 10.0
+
+
+class SoakTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_short_soak_finds_nothing(self):
+        result = await run_soak(3, SECONDS, show=lambda line: None)
+        self.assertEqual(result.violations, [])
+        self.assertGreater(result.statuses[200], 100)
+
+
+class CheckTests(unittest.TestCase):
+    def found(self, *records: CallRecord, ran: tuple[str, ...] = ()) -> list[str]:
+        fleet = GatewayFleet(1, 1)
+        fleet.servers["p0"].ran.extend(ran)
+        return [violation.text for violation in check_records(fleet, list(records))]
+
+    def test_right_answers_pass(self):
+        answered = CallRecord("once-1", "once", 200, True)
+        refused = CallRecord("once-2", "once", 503, True)
+        unknown = CallRecord("once-3", "once", 502, True)
+        repeated = CallRecord("safe-1", "safe", 200, True)
+        ran = ("once-1", "once-3", "safe-1", "safe-1")
+        self.assertEqual(self.found(answered, refused, unknown, repeated, ran=ran), [])
+
+    def test_each_broken_promise_is_found(self):
+        for record, ran, text in (
+            (CallRecord("once-1", "once", 502, True), ("once-1",) * 2, "ran 2 times"),
+            (CallRecord("once-1", "once", 503, True), ("once-1",), "got 503 and ran"),
+            (CallRecord("once-1", "once", 200, True), (), "never ran"),
+            (CallRecord("safe-1", "safe", 200, False), ("safe-1",), "another request"),
+            (CallRecord("safe-1", "safe", 200, True), ("safe-1", "x"), "no caller sent it"),
+        ):
+            with self.subTest(text=text):
+                self.assertIn(text, " ".join(self.found(record, ran=ran)))
+
+    def test_two_owners_are_found(self):
+        fleet = GatewayFleet(1, 2)
+        for name in ("p0", "p1"):
+            server = fleet.servers[name]
+            server.on_grant = fleet._check_owner
+            server.grants[0, 9] = (1, float("inf"))
+            server.on_grant(server, 0, 9)
+        self.assertIn("p0 holds it", fleet.violations[0].text)
+
+
+class ProxyTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        async def echo(reader, writer):
+            while data := await reader.read(100):
+                writer.write(data)
+            writer.close()
+
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.proxy = TcpProxy(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        await self.proxy.start()
+        self.addAsyncCleanup(self.proxy.close)
+        host, _, port = self.proxy.address.rpartition(":")
+        self.reader, self.writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(self.writer.close)
+        self.assertEqual(await self.echoed(), b"x")
+
+    async def echoed(self) -> bytes:
+        self.writer.write(b"x")
+        async with asyncio.timeout(0.3):
+            return await self.reader.read(10)
+
+    async def test_silence_in_either_direction(self):
+        for name in ("drops_to_target", "drops_from_target"):
+            with self.subTest(name=name):
+                setattr(self.proxy, name, True)
+                with self.assertRaises(TimeoutError):
+                    await self.echoed()
+                self.proxy.heal()
+        self.assertEqual((await self.echoed())[:1], b"x")
+
+    async def test_a_reset_is_seen_as_one(self):
+        self.proxy.reset()
+        with self.assertRaises(ConnectionError):
+            await self.echoed()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/greengagefall/tests/platform_adapter_tests.py
+++ b/greengagefall/tests/platform_adapter_tests.py
@@ -14,7 +14,7 @@
 from greengagefall.platform import records, requests
 from greengagefall.platform.exceptions import PlatformSettingsError, RecordError
 from greengagefall.platform.settings import parse_host_facts
-from greengagefall.tests.gateway_end_to_end_tests import routing
+from greengagefall.standins.platform_documents import routing
 
 SETTINGS = """
 grants=call
