Take no lapsed or old entry for proof that a server is the one it was

A server crashed while the store was away and another one, with an id of its own, started at its address. 0.44 s after the store's return its dispatcher granted the old fences to that address: the old entry had lapsed and was kept for the grace after an outage, and a kept entry counted as one that the store shows. The new server's entry came 0.55 s later.

An entry counts as current now only if the store lists it and has been back for 2.2 s, the time that writers have to return; a server that started later at an address ends the life of the one before, so its keys move at once and it gets no new ones.

--- a/greengagefall/gateway/following.py
+++ b/greengagefall/gateway/following.py
@@ -80,14 +80,22 @@
         self._revisions: dict[str, int] = {}
         self._lapsed: dict[str, asyncio.TimerHandle] = {}
         self._task: asyncio.Task | None = None
-        self._back_s = 0.0
+        self._back_s = -math.inf
         self._check_s = math.inf
         self._lost = False
         self.loaded = asyncio.Event()
 
-    def is_current(self) -> bool:
-        """Returns whether the store answers and no changes can have been missed."""
-        return not self._lost and self._check_s == math.inf
+    def is_current(self, key: str) -> bool:
+        """Returns whether the store has a key now and no change of it can have been missed.
+
+        Until ``RETURN_GRACE_S`` after an outage, those who write the keys may not have told yet
+        what became of them meanwhile.
+        """
+        if self._lost or self._check_s != math.inf:
+            return False
+        if self._clock.now_s() < self._back_s + RETURN_GRACE_S:
+            return False
+        return key in self._revisions and key not in self._lapsed
 
     def start(self) -> None:
         """Begins to follow."""
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -77,7 +77,7 @@
             self._lease_store, self.view, clock, self._take_office, self._leave_office
         )
         self._followers = self._make_followers()
-        self.view.entries_current = self._followers[0].is_current
+        self.view.entry_listed = self._is_listed
         self.view.entries_lag_s = self._followers[0].gather_s
         self._register_task: asyncio.Task | None = None
         self._stopping = False
@@ -184,6 +184,10 @@
             ),
         ]
 
+    def _is_listed(self, server_id: str) -> bool:
+        """Returns whether the store has the entry of a server now."""
+        return self._followers[0].is_current(platform_records.SERVERS_PREFIX + server_id)
+
     def _host_count(self) -> int:
         return len(self.view.hosts)
 
--- a/greengagefall/gateway/view.py
+++ b/greengagefall/gateway/view.py
@@ -58,7 +58,7 @@
         leader: The host that coordinates, by the store.
         assignment: Newest assignment.
         left_s: When each server that leaves or left was first known to, by id.
-        entries_current: Whether the servers' entries are followed without a gap.
+        entry_listed: Whether the store has a server's entry now, as far as this host can know.
         entries_lag_s: How late a change of an entry may be learnt while they are.
     """
 
@@ -74,7 +74,9 @@
         self.left_s: dict[str, float] = {}
         self._clock = clock
         self._latest_born_ms: dict[str, int] = {}
-        self.entries_current: Callable[[], bool] = lambda: True
+        self._latest_at: dict[str, Life] = {}
+        self._displaced: set[Life] = set()
+        self.entry_listed: Callable[[str], bool] = lambda server_id: True
         self.entries_lag_s: Callable[[], float] = lambda: 0.0
         self._confirmed_until_s = 0.0
         self._listeners: list[Callable[[], None]] = []
@@ -127,6 +129,7 @@
         self.servers[entry.server_id] = entry
         latest_ms = self._latest_born_ms.get(entry.server_id, 0)
         self._latest_born_ms[entry.server_id] = max(latest_ms, entry.born_ms)
+        self._note_address(entry)
         if before is None or before.born_ms != entry.born_ms or before.draining != entry.draining:
             log.info("Backend server's entry changed.", extra=_entry_facts(entry))
         if not entry.draining:
@@ -145,11 +148,33 @@
 
     def entry_current(self, server_id: str) -> bool:
         """Returns whether the present life of a server would be known by now."""
-        return server_id in self.servers and self.entries_current()
+        return server_id in self.servers and self.entry_listed(server_id)
 
     def has_ended(self, life: Life) -> bool:
-        """Returns whether a later life of a server has been seen, even if it left again."""
-        return self._latest_born_ms.get(life.server_id, 0) > life.born_ms
+        """Returns whether a later life of a server has been seen, even if it left again.
+
+        A server that started later at the same address ends a life too, whatever its id.
+        """
+        if self._latest_born_ms.get(life.server_id, 0) > life.born_ms:
+            return True
+        return life in self._displaced
+
+    def _note_address(self, entry: ServerEntry) -> None:
+        """Notes which life an entry ends by having its address."""
+        life = Life(entry.server_id, entry.born_ms)
+        before = self._latest_at.get(entry.address)
+        if before is None or before == life:
+            self._latest_at[entry.address] = life
+            return
+        older, newer = sorted((before, life), key=lambda one: one.born_ms)
+        if older.born_ms == newer.born_ms:
+            return
+        log.info(
+            "A server has the address of an earlier one.",
+            extra={"server": newer.server_id, "before": older.server_id},
+        )
+        self._latest_at[entry.address] = newer
+        self._displaced.add(older)
 
     def set_evacuated(self, zone: str, evacuated: bool) -> None:
         """Notes that a zone is to get nothing, or may again."""
@@ -185,6 +210,8 @@
 
     def usable(self, entry: ServerEntry) -> bool:
         """Whether new work and keys may go to a server, as far as records tell."""
+        if Life(entry.server_id, entry.born_ms) in self._displaced:
+            return False
         return not entry.draining and entry.zone not in self.evacuated
 
 
--- a/greengagefall/tests/gateway_following_tests.py
+++ b/greengagefall/tests/gateway_following_tests.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import unittest
 from contextlib import contextmanager
 
-from greengagefall.gateway.following import Follower
+from greengagefall.gateway.following import RETURN_GRACE_S, Follower
 from greengagefall.platform.store import PlatformStore
 from greengagefall.standins.platform_store import PlatformStoreStandIn
 from greengagefall.utils.clock import SystemClock
@@ -79,10 +80,27 @@
             if step >= 5:
                 self.store.forget_up_to(revisions[step - 5])
         self.assertEqual(self.store.calls["/greengagefall/kv-range"], 1)
-        self.assertTrue(self.follower.is_current())
+        self.assertTrue(self.follower.is_current("op/a"))
         await self.store.put("op/b", b"2")
         await self.sees({"op/a": b"1", "op/b": b"2"})
 
+    async def test_a_key_that_lapsed_in_an_outage_is_kept_but_not_current(self):
+        client = PlatformStore(self.store.address)
+        kept = Follower(client, PREFIX, self.put, self.delete, SystemClock(), keep_lapsed=True)
+        kept.start()
+        self.addCleanup(kept.close)
+        await self.store.put("op/b", b"2")
+        self.assertTrue(await wait_until(lambda: kept.is_current("op/b"), WAIT_S))
+        self.store.refuse = 503
+        self.store.cut_watches()
+        self.assertTrue(await wait_until(lambda: not kept.is_current("op/a"), WAIT_S))
+        await self.store.delete("op/b")
+        self.store.refuse = 0
+        returned_s = time.monotonic()
+        self.assertTrue(await wait_until(lambda: kept.is_current("op/a"), WAIT_S))
+        self.assertGreaterEqual(time.monotonic() - returned_s, RETURN_GRACE_S)
+        self.assertFalse(kept.is_current("op/b"))
+
     async def test_many_keys_are_read_page_by_page(self):
         self.store.refuse = 503
         for number in range(10):
--- a/greengagefall/tests/gateway_view_tests.py
+++ b/greengagefall/tests/gateway_view_tests.py
@@ -5,8 +5,9 @@
 import unittest
 from types import SimpleNamespace
 
+from greengagefall.gateway.model import ServerEntry
 from greengagefall.gateway.view import HostView
-from greengagefall.ownership.model import Incarnation
+from greengagefall.ownership.model import Incarnation, Life
 from greengagefall.utils.clock import SystemClock
 
 
@@ -45,5 +46,35 @@
         self.assertEqual(self.told, 1)
 
 
+class DisplacedServerTests(unittest.TestCase):
+    def setUp(self):
+        self.view = HostView(SimpleNamespace(), Incarnation("h", 1), SystemClock())
+
+    def take(self, server_id: str, born_ms: int, address: str) -> Life:
+        entry = ServerEntry(server_id, "s", address, "a", 6, False, 0.0, born_ms)
+        self.view.take_server(entry)
+        return Life(server_id, born_ms)
+
+    def test_a_later_server_at_the_address_ends_the_one_before(self):
+        old = self.take("old", 10, "10.0.0.1:80")
+        self.assertFalse(self.view.has_ended(old))
+        new = self.take("new", 20, "10.0.0.1:80")
+        self.assertTrue(self.view.has_ended(old))
+        self.assertFalse(self.view.has_ended(new))
+        self.assertFalse(self.view.usable(self.view.servers["old"]))
+        self.assertTrue(self.view.usable(self.view.servers["new"]))
+
+    def test_a_late_entry_of_the_server_before_ends_nothing_newer(self):
+        new = self.take("new", 20, "10.0.0.1:80")
+        old = self.take("old", 10, "10.0.0.1:80")
+        self.assertTrue(self.view.has_ended(old))
+        self.assertFalse(self.view.has_ended(new))
+
+    def test_servers_at_other_addresses_live_on(self):
+        one = self.take("one", 10, "10.0.0.1:80")
+        self.take("two", 20, "10.0.0.2:80")
+        self.assertFalse(self.view.has_ended(one))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/greengagefall/tests/ownership_world.py
+++ b/greengagefall/tests/ownership_world.py
@@ -278,7 +278,7 @@
         self.dispatchers = Dispatchers(
             self.view, clock, lambda address: WorldPool(world, self, address)
         )
-        self.view.entries_current = lambda: (
+        self.view.entry_listed = lambda server_id: (
             world.store_up
             and not world.cut(name, "store")
             and world.loop.now_s - world.store_back_s > 2 * NOTICE_S
