--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 SECONDS ?= 120
 
-.PHONY: demo test measure measure-policies measure-zone measure-capacity soak soak-planted losses format
+.PHONY: demo test measure measure-policies measure-zone measure-capacity soak gateway-soak soak-planted losses format
 
 $(VENV)/.installed: requirements-dev.txt pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -35,6 +35,9 @@
 soak: $(VENV)/.installed
 	$(PYTHON) -m greengagefall.bench.soak --seed $(SEED) --seconds $(SECONDS)
 
+gateway-soak: $(VENV)/.installed
+	$(PYTHON) -m greengagefall.bench.gateway_soak --seed $(SEED) --seconds $(SECONDS)
+
 losses: $(VENV)/.installed
 	$(PYTHON) -m greengagefall.bench.losses
 
