--- a/greengagefall/tests/ownership_exploration_tests.py
+++ b/greengagefall/tests/ownership_exploration_tests.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 from greengagefall.gateway import coordinator, grants, host_reports
+from greengagefall.gateway.view import HostView
 from greengagefall.tests.ownership_world import VirtualLoop, World
 
 RUNS = 15
@@ -22,34 +23,35 @@
     2261: "a server that started again behind a cut was taken to be the life it had been",
     2288: "a server that was not listed was taken to be the life it had been",
 }
+KINDS = (
+    "kill",
+    "peers",
+    "store_cut",
+    "store",
+    "crash",
+    "reborn",
+    "unlisted",
+    "drain",
+    "late",
+    "zone",
+    "path",
+)
+# "replaced" starts another server, with an id of its own, at the address of one that ended.
+ADDRESS_KINDS = (*KINDS, "replaced", "replaced", "store")
 FAULT_S = 25.0
 # After the last fault: the longest wait for an unreachable dispatcher and its grants.
 CALM_S = 20.0
 PLANTED_RUNS = 40
 
 
-async def _fault(world: World) -> None:
+async def _fault(world: World, kinds: tuple[str, ...]) -> None:
     """Injects one fault and heals it after a while."""
     rng = world.rng
     hosts = list(world.hosts.values())
     host = rng.choice(hosts)
     server = rng.choice(list(world.servers.values()))
     lasts_s = rng.uniform(0.3, 9.0)
-    kind = rng.choice(
-        (
-            "kill",
-            "peers",
-            "store_cut",
-            "store",
-            "crash",
-            "reborn",
-            "unlisted",
-            "drain",
-            "late",
-            "zone",
-            "path",
-        )
-    )
+    kind = rng.choice(kinds)
     if kind == "kill" and host.up:
         await host.kill()
         await asyncio.sleep(rng.uniform(0.3, 4.0))
@@ -86,10 +88,10 @@
         await asyncio.sleep(lasts_s)
         server.restart()
         server.up = server.listed = True
-    elif kind == "reborn" and server.up:
+    elif kind in ("reborn", "replaced") and server.up:
         server.stop()
         await asyncio.sleep(0.3)
-        server.restart()
+        server.restart(new_id=kind == "replaced")
         server.up = True
     elif kind == "unlisted":
         server.listed = False
@@ -105,13 +107,13 @@
         world.late_share = world.lost_share = 0.0
 
 
-async def _play(world: World) -> bool:
+async def _play(world: World, kinds: tuple[str, ...]) -> bool:
     """Plays faults, then a calm end; returns whether all keys are held after it."""
     teller = asyncio.create_task(world.tell())
     await asyncio.sleep(5.0)
     faults = set()
     while world.loop.now_s < FAULT_S:
-        faults.add(asyncio.create_task(_fault(world)))
+        faults.add(asyncio.create_task(_fault(world, kinds)))
         await asyncio.sleep(world.rng.expovariate(0.5))
     await asyncio.gather(*faults)
     await asyncio.sleep(CALM_S)
@@ -122,14 +124,14 @@
     return held
 
 
-def explore(seed: int) -> tuple[list[str], bool]:
+def explore(seed: int, kinds: tuple[str, ...] = KINDS) -> tuple[list[str], bool]:
     """Runs one seed; returns violations and whether all keys were held in the end."""
     loop = VirtualLoop()
     asyncio.set_event_loop(loop)
 
     async def run() -> tuple[list[str], bool]:
         world = World(loop, seed)
-        held = await _play(world)
+        held = await _play(world, kinds)
         return world.violations, held
 
     try:
@@ -155,6 +157,18 @@
                 self.assertEqual(violations, [])
                 self.assertTrue(held, "not all keys are held after the calm end")
 
+    def test_another_server_at_an_address_gets_no_old_fence(self):
+        for seed in range(RUNS):
+            with self.subTest(seed=seed):
+                violations, held = explore(seed, ADDRESS_KINDS)
+                self.assertEqual(violations, [])
+                self.assertTrue(held, "not all keys are held after the calm end")
+
+    def test_planted_addresses_end_no_life(self):
+        with mock.patch.object(HostView, "_note_address", lambda self, entry: None):
+            caught = any(explore(seed, ADDRESS_KINDS)[0] for seed in range(PLANTED_RUNS))
+        self.assertTrue(caught)
+
     def assert_caught(self):
         self.assertTrue(any(explore(seed)[0] for seed in range(PLANTED_RUNS)))
 
--- a/greengagefall/tests/ownership_world.py
+++ b/greengagefall/tests/ownership_world.py
@@ -40,6 +40,10 @@
 GRANT_PATH_END = "grant"
 
 
+# A server that no longer writes its entry is dropped from the store after this long.
+LAPSE_S = 1.5
+
+
 class VirtualLoop(asyncio.SelectorEventLoop):
     """An event loop whose time jumps to the next timer instead of waiting for it."""
 
@@ -86,6 +90,7 @@
         self.listed = True
         self.draining = False
         self.born_ms = 1
+        self.server_id = name
         self.held: list[Held] = []
         self.fences: list[tuple[int, int, int]] = []
         self.pools: list[WorldPool] = []
@@ -99,11 +104,20 @@
 
     def entry(self) -> ServerEntry:
         return ServerEntry(
-            self.name, SERVICE, f"{self.name}:1", self.zone, 6, self.draining, 0.0, self.born_ms
+            self.server_id,
+            SERVICE,
+            f"{self.name}:1",
+            self.zone,
+            6,
+            self.draining,
+            0.0,
+            self.born_ms,
         )
 
-    def restart(self) -> None:
+    def restart(self, *, new_id: bool = False) -> None:
         self.born_ms += 1
+        if new_id:
+            self.server_id = f"{self.name}-{self.born_ms}"
         self.held.clear()
         self.fences.clear()
 
@@ -179,7 +193,7 @@
         if not server.up or server.born_ms != born_ms:
             return None
         if not request.body:
-            return HttpAnswer(200, HTTPHeaders({"Instance-Id": server.name}), b"")
+            return HttpAnswer(200, HTTPHeaders({"Instance-Id": server.server_id}), b"")
         fields = json.loads(request.body)
         if request.path.endswith(GRANT_PATH_END):
             return HttpAnswer(server.grant(fields, arrived_s), HTTPHeaders(), b"")
@@ -282,6 +296,7 @@
             world.store_up
             and not world.cut(name, "store")
             and world.loop.now_s - world.store_back_s > 2 * NOTICE_S
+            and server_id in world.listing
         )
         self.handlers = PeerHandlers(self.view, self.dispatchers)
         self.hello = Hello(PROTOCOL_VERSION, "gateway", name, zone, str(start_ms), "", "")
@@ -336,6 +351,7 @@
         self.lost_share = 0.0
         self.violations: list[str] = []
         self.cuts: set[frozenset[str]] = set()
+        self.listing: dict[str, tuple[ServerEntry, float]] = {}
         self.leases: dict[int, tuple[float, float]] = {}
         self.leased: dict[str, int] = {}
         self.given: list[tuple[int, int, str, int, int]] = []
@@ -420,6 +436,7 @@
                 if self.store_up and end_s < self.loop.now_s:
                     self.end_lease(lease_id)
             if self.store_up:
+                self._write_entries()
                 for host in self.hosts.values():
                     if host.up and not self.cut(host.name, "store"):
                         self._show(host)
@@ -433,12 +450,23 @@
         if view.hosts != records or view.leader != leader:
             view.hosts, view.leader = records, leader
             view.changed()
+        for server_id in [server_id for server_id in view.servers if server_id not in self.listing]:
+            view.drop_server(server_id)
+        for server_id, (entry, _) in self.listing.items():
+            if view.servers.get(server_id) != entry:
+                view.take_server(entry)
+
+    def _write_entries(self) -> None:
+        """Has servers write their entries, and drops those that nobody renews."""
+        now_s = self.loop.now_s
         for server in self.servers.values():
-            known = view.servers.get(server.name)
-            if not server.listed:
-                view.drop_server(server.name)
-            elif known != server.entry():
-                view.take_server(server.entry())
+            if server.listed:
+                self.listing[server.server_id] = (server.entry(), now_s)
+            else:
+                self.listing.pop(server.server_id, None)
+        for server_id, (_, written_s) in list(self.listing.items()):
+            if now_s - written_s > LAPSE_S:
+                del self.listing[server_id]
 
     def held_keys(self) -> int:
         return sum(
