Wait for both links in the test of pushes to a host

The test opens a second link under the same host's name and pushes as soon as the link is connected at its own side; the server may not have read that link's hello then, and pushes to the first link alone. The wait for the server to know both is added; what is checked stays.

--- a/greengagefall/tests/link_tests.py
+++ b/greengagefall/tests/link_tests.py
@@ -184,6 +184,8 @@
     async def test_server_pushes_to_a_host(self):
         pushed = []
         await self.start_link(on_message=pushed.append)
+        # A link is connected before the server has read its hello.
+        await eventually(lambda: len(self.server.peers()) == 2)
         documents = Documents(0, [["config", 1, "whole", "{}"]])
         self.assertTrue(self.server.send_to("a", documents))
         self.assertFalse(self.server.send_to("nobody", documents))
