Let a later server at an address only keep the one before in doubt

Addresses no longer end lives; they only stop an entry from ending the doubt after a lost connection. Why the address stood in two entries is not traced yet.

--- a/greengagefall/gateway/view.py
+++ b/greengagefall/gateway/view.py
@@ -148,16 +148,14 @@
 
     def entry_current(self, server_id: str) -> bool:
         """Returns whether the present life of a server would be known by now."""
-        return server_id in self.servers and self.entry_listed(server_id)
+        entry = self.servers.get(server_id)
+        if entry is None or Life(server_id, entry.born_ms) in self._displaced:
+            return False
+        return self.entry_listed(server_id)
 
     def has_ended(self, life: Life) -> bool:
-        """Returns whether a later life of a server has been seen, even if it left again.
-
-        A server that started later at the same address ends a life too, whatever its id.
-        """
-        if self._latest_born_ms.get(life.server_id, 0) > life.born_ms:
-            return True
-        return life in self._displaced
+        """Returns whether a later life of a server has been seen, even if it left again."""
+        return self._latest_born_ms.get(life.server_id, 0) > life.born_ms
 
     def _note_address(self, entry: ServerEntry) -> None:
         """Notes which life an entry ends by having its address."""
@@ -210,8 +208,6 @@
 
     def usable(self, entry: ServerEntry) -> bool:
         """Whether new work and keys may go to a server, as far as records tell."""
-        if Life(entry.server_id, entry.born_ms) in self._displaced:
-            return False
         return not entry.draining and entry.zone not in self.evacuated
 
 
