Let one piece of code serve where the change wrote things again

- Three places made NotDispatched out of the table of reasons: outcomes.failure.
- Calls with a JSON body were built in store.py and grants.py: requests.json_request.
- CallRow and VersionRow stood as protocols beside the records they describe, only against circles that are gone.
- The end to end tests had their own free ports and callers' headers; the soak and its fleet spelled keys and headers that platform/ names.
- Three followers were set up by the same lines.
- Simpler: which lives an address displaced follows from the latest one at it; a plan visits servers in an order that its moves do not change, so it sorts them once and asks for the mean once; ServerCapacity lies with the shares, which ends a circle of imports (types only).
- Unused: two header names, a constant of the fleet.

No assertion was touched.

--- a/greengagefall/bench/gateway_fleet.py
+++ b/greengagefall/bench/gateway_fleet.py
@@ -9,6 +9,7 @@
 from greengagefall.bench.processes import PortBlock, ProcessGroup, ProcessSpec
 from greengagefall.bench.tcp_proxy import TcpProxy
 from greengagefall.ownership.model import LAST_KEY
+from greengagefall.platform.records import ROUTING_KEY, SERVERS_PREFIX
 from greengagefall.platform.settings import FILE_VARIABLE
 from greengagefall.standins.platform_documents import routing, settings_text
 from greengagefall.standins.platform_server import PlatformServerStandIn
@@ -19,7 +20,6 @@
 PLANTED_PROGRAM = "greengagefall.bench.planted_gateway"
 ZONES = ("north-a", "north-b")
 GRACE_S = 4.0
-HEARTBEAT_S = 0.5
 START_S = 20.0
 # A server that ended without a word is taken out of the store after this long.
 LAPSE_S = 1.5
@@ -73,7 +73,7 @@
         """Starts everything and waits until all keys are held."""
         self._ports.start()
         await self.store.start()
-        await self.store.put_json("op/config", routing(self._version))
+        await self.store.put_json(ROUTING_KEY, routing(self._version))
         for name, server in self.servers.items():
             await server.start()
             server.on_grant = self._check_owner
@@ -116,7 +116,7 @@
         """Writes a server's entry."""
         link = self.server_links[name]
         entry = self.servers[name].entry(address=link.address, state=state)
-        await self.store.put_json(f"servers/{name}", entry)
+        await self.store.put_json(SERVERS_PREFIX + name, entry)
 
     async def crash_server(self, name: str) -> None:
         """Ends a server without a word; its entry lapses."""
@@ -126,7 +126,7 @@
         link.reset()
         self.servers[name].restart()
         await asyncio.sleep(LAPSE_S)
-        await self.store.delete(f"servers/{name}")
+        await self.store.delete(SERVERS_PREFIX + name)
 
     async def return_server(self, name: str) -> None:
         """Starts a crashed server again, as another life under its id."""
@@ -137,7 +137,7 @@
     async def change_configuration(self) -> None:
         """Writes the next version of the configuration."""
         self._version += 1
-        await self.store.put_json("op/config", routing(self._version))
+        await self.store.put_json(ROUTING_KEY, routing(self._version))
 
     async def _start_host(self, host: str, zone: str) -> None:
         link = TcpProxy(self.store.address)
--- a/greengagefall/bench/oracle.py
+++ b/greengagefall/bench/oracle.py
@@ -10,10 +10,10 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from greengagefall.bench.caller import CallRow
     from greengagefall.bench.oracle_records import (
         AcceptedVersion,
         Bounds,
-        CallRow,
         OutInterval,
         VersionRow,
     )
--- a/greengagefall/bench/oracle_records.py
+++ b/greengagefall/bench/oracle_records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import Any, NamedTuple, Protocol
+from typing import Any, NamedTuple
 
 
 class Violation(NamedTuple):
@@ -36,23 +36,7 @@
         return {violation.check for violation in self.violations}
 
 
-class CallRow(Protocol):
-    """What a caller saw of one request."""
-
-    request_id: str
-    back_end: str
-    key: str
-    method: str
-    sent_s: float
-    done_s: float
-    status: int
-    reason: str
-    not_run: bool
-    body_request_id: str
-    run: int
-
-
-class VersionRow(Protocol):
+class VersionRow(NamedTuple):
     """A configuration version seen in force at a host."""
 
     host: str
--- a/greengagefall/bench/oracle_requests.py
+++ b/greengagefall/bench/oracle_requests.py
@@ -14,7 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from greengagefall.bench.oracle_records import CallRow, CheckReport, OutInterval
+    from greengagefall.bench.caller import CallRow
+    from greengagefall.bench.oracle_records import CheckReport, OutInterval
     from greengagefall.bench.server_logs import ServerLog
     from greengagefall.standins.backend_records import RequestRecord
 
--- a/greengagefall/bench/soak.py
+++ b/greengagefall/bench/soak.py
@@ -19,9 +19,10 @@
 
 from greengagefall.bench.caller import Balancer, Caller, CallRow, Workload, run_workload
 from greengagefall.bench.fleet import BackEndSpec, Fleet, FleetSpec
+from greengagefall.bench.oracle_records import VersionRow
 from greengagefall.bench.soak_check import check_run
 from greengagefall.bench.soak_faults import FAULTS, Fault
-from greengagefall.bench.soak_log import SoakLog, VersionRow
+from greengagefall.bench.soak_log import SoakLog
 from greengagefall.bench.unavailable import recovery_times_s
 
 if TYPE_CHECKING:
--- a/greengagefall/bench/soak_log.py
+++ b/greengagefall/bench/soak_log.py
@@ -7,14 +7,7 @@
 if TYPE_CHECKING:
     from collections import Counter
 
-
-class VersionRow(NamedTuple):
-    """A configuration version seen in force at a host."""
-
-    host: str
-    incarnation: str
-    version: int
-    at_s: float
+    from greengagefall.bench.oracle_records import VersionRow
 
 
 class SoakLog(NamedTuple):
--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -14,7 +14,6 @@
 from greengagefall.gateway.server_channel import ServerChannel
 from greengagefall.ownership.key_load import KeyCounter
 from greengagefall.ownership.model import Life
-from greengagefall.protocol.gateway_messages import Dispatched, NotDispatched
 from greengagefall.utils.metrics import count
 
 if TYPE_CHECKING:
@@ -23,7 +22,13 @@
 
     from greengagefall.gateway.grants import ReleaseOutcome
     from greengagefall.gateway.view import HostView
-    from greengagefall.protocol.gateway_messages import Dispatch, GrantKeys, ReleaseKeys
+    from greengagefall.protocol.gateway_messages import (
+        Dispatch,
+        Dispatched,
+        GrantKeys,
+        NotDispatched,
+        ReleaseKeys,
+    )
     from greengagefall.utils.clock import Clock
 
 log = logging.getLogger(__name__)
@@ -195,7 +200,6 @@
         return min(alive or candidates, key=ServerChannel.expected_finish_s, default=None)
 
     def _refuse(self, request: Dispatch, reason: str) -> NotDispatched:
-        row = outcomes.OUTCOMES[reason]
         count("dispatch_failures", reason=reason)
         log.info(
             "No server for a request here.",
@@ -207,7 +211,7 @@
                 "version": self._view.assignment.version,
             },
         )
-        return NotDispatched(0, reason, False, True, row.retry_after_ms, PERCENT, request.server_id)
+        return outcomes.failure(reason, load_percent=PERCENT, server_id=request.server_id)
 
     def _is_mine(self, life: Life) -> bool:
         dispatching = self._view.assignment.dispatching.get(life.server_id)
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -148,42 +148,32 @@
         return False
 
     def _make_followers(self) -> list[Follower]:
-        servers = ServerRecords(self.view)
-        operators = OperatorRecords(self.view)
-        members = MemberRecords(self.view)
         return [
-            Follower(
-                PlatformStore(self.facts.store_address),
+            self._follow(
                 platform_records.SERVERS_PREFIX,
-                servers.put,
-                servers.delete,
-                self._clock,
+                ServerRecords(self.view),
                 keep_lapsed=True,
                 host_count=self._host_count,
-                batch=self.view.batch,
-                retention_s=self.facts.store_retention_s,
-            ),
-            Follower(
-                PlatformStore(self.facts.store_address),
-                platform_records.OPERATOR_PREFIX,
-                operators.put,
-                operators.delete,
-                self._clock,
-                batch=self.view.batch,
-                retention_s=self.facts.store_retention_s,
-            ),
-            Follower(
-                PlatformStore(self.facts.store_address),
-                MEMBERS_PREFIX,
-                members.put,
-                members.delete,
-                self._clock,
-                host_count=self._host_count,
-                batch=self.view.batch,
-                retention_s=self.facts.store_retention_s,
             ),
+            self._follow(platform_records.OPERATOR_PREFIX, OperatorRecords(self.view)),
+            self._follow(MEMBERS_PREFIX, MemberRecords(self.view), host_count=self._host_count),
         ]
 
+    def _follow(
+        self, prefix: str, records: ServerRecords | OperatorRecords | MemberRecords, **options: Any
+    ) -> Follower:
+        """Returns a follower of a prefix on connections of its own."""
+        return Follower(
+            PlatformStore(self.facts.store_address),
+            prefix,
+            records.put,
+            records.delete,
+            self._clock,
+            batch=self.view.batch,
+            retention_s=self.facts.store_retention_s,
+            **options,
+        )
+
     def _is_listed(self, server_id: str) -> bool:
         """Returns whether the store has the entry of a server now."""
         return self._followers[0].is_current(platform_records.SERVERS_PREFIX + server_id)
--- a/greengagefall/gateway/host_reports.py
+++ b/greengagefall/gateway/host_reports.py
@@ -10,7 +10,7 @@
 from greengagefall.ownership.holds import IN_FLIGHT_S, longest_hold_s
 from greengagefall.ownership.key_load import KeyRates
 from greengagefall.ownership.model import Incarnation, Life
-from greengagefall.ownership.planning import ServerCapacity
+from greengagefall.ownership.shares import ServerCapacity
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/greengagefall/gateway/outcomes.py
+++ b/greengagefall/gateway/outcomes.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from greengagefall.protocol.gateway_messages import NotDispatched
 from greengagefall.protocol.refusal_reasons import RefusalTable
 
 OUTCOMES = RefusalTable()
@@ -63,3 +64,18 @@
     "The server's answer was broken or not its own; it may have run.",
     not_run=False,
 )
+
+
+def failure(
+    reason: str, *, sent: bool = False, load_percent: int = 0, server_id: str = ""
+) -> NotDispatched:
+    """Returns the message for a reason with what the table says of it.
+
+    Args:
+        reason: Name in ``OUTCOMES``.
+        sent: Whether any byte reached a server.
+        load_percent: As in ``NotDispatched``.
+        server_id: Server that it was meant for, empty if none was chosen.
+    """
+    row = OUTCOMES[reason]
+    return NotDispatched(0, reason, sent, row.not_run, row.retry_after_ms, load_percent, server_id)
--- a/greengagefall/gateway/router.py
+++ b/greengagefall/gateway/router.py
@@ -173,8 +173,8 @@
             return reply
         if reply is UNREACHABLE:
             self._pools.note_unreachable(service.name, host)
-            return _failure(outcomes.DISPATCHER_UNREACHABLE, sent=False, not_run=True)
-        return _failure(outcomes.OUTCOME_UNKNOWN, sent=True, not_run=False)
+            return outcomes.failure(outcomes.DISPATCHER_UNREACHABLE)
+        return outcomes.failure(outcomes.OUTCOME_UNKNOWN, sent=True)
 
     def _target(self, request: CallerRequest, service: Service) -> tuple[str, str] | NotDispatched:
         """Returns the dispatcher's host and the server, which is empty for it to choose."""
@@ -182,10 +182,10 @@
         if service.keyed:
             run = assignment.run_of(service.name, request.key)
             if run is None:
-                return _failure(outcomes.NO_OWNER, sent=False, not_run=True)
+                return outcomes.failure(outcomes.NO_OWNER)
             dispatching = assignment.dispatching.get(run.owner.server_id)
             if dispatching is None:
-                return _failure(outcomes.NO_DISPATCHER, sent=False, not_run=True)
+                return outcomes.failure(outcomes.NO_DISPATCHER)
             return dispatching.dispatcher.host, run.owner.server_id
         slots: dict[str, int] = {}
         near: set[str] = set()
@@ -201,7 +201,7 @@
                 near.add(host)
         host = self._pools.choose(service.name, slots, near)
         if host is None:
-            return _failure(outcomes.NO_SERVER, sent=False, not_run=True)
+            return outcomes.failure(outcomes.NO_SERVER)
         return host, ""
 
     def _budget(self, service: str) -> RetryBudget:
@@ -241,8 +241,3 @@
                 "configuration": self._view.table.version,
             },
         )
-
-
-def _failure(reason: str, *, sent: bool, not_run: bool) -> NotDispatched:
-    row = outcomes.OUTCOMES[reason]
-    return NotDispatched(0, reason, sent, not_run, row.retry_after_ms, 0, "")
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -329,7 +329,6 @@
         return refusal._replace(retry_after_ms=retry_after_ms)
 
     def _refusal(self, request: Dispatch, reason: str, *, sent: bool = False) -> NotDispatched:
-        row = outcomes.OUTCOMES[reason]
         count("dispatch_failures", reason=reason)
         log.info(
             "No answer from the server.",
@@ -343,14 +342,8 @@
                 "service_time_ms": int(self.queue.service_time_s * MS_PER_S),
             },
         )
-        return NotDispatched(
-            0,
-            reason,
-            sent,
-            row.not_run,
-            row.retry_after_ms,
-            self.load_percent(),
-            self.life.server_id,
+        return outcomes.failure(
+            reason, sent=sent, load_percent=self.load_percent(), server_id=self.life.server_id
         )
 
     async def _probe(self) -> None:
--- a/greengagefall/gateway/view.py
+++ b/greengagefall/gateway/view.py
@@ -75,7 +75,6 @@
         self._clock = clock
         self._latest_born_ms: dict[str, int] = {}
         self._latest_at: dict[str, Life] = {}
-        self._displaced: set[Life] = set()
         self.entry_listed: Callable[[str], bool] = lambda server_id: True
         self.entries_lag_s: Callable[[], float] = lambda: 0.0
         self._confirmed_until_s = 0.0
@@ -149,7 +148,10 @@
     def entry_current(self, server_id: str) -> bool:
         """Returns whether the present life of a server would be known by now."""
         entry = self.servers.get(server_id)
-        if entry is None or Life(server_id, entry.born_ms) in self._displaced:
+        if entry is None:
+            return False
+        latest = self._latest_at.get(entry.address)
+        if latest is not None and latest.born_ms > entry.born_ms:
             return False
         return self.entry_listed(server_id)
 
@@ -158,21 +160,17 @@
         return self._latest_born_ms.get(life.server_id, 0) > life.born_ms
 
     def _note_address(self, entry: ServerEntry) -> None:
-        """Notes which life an entry ends by having its address."""
+        """Notes which of the servers that had an address started last."""
         life = Life(entry.server_id, entry.born_ms)
-        before = self._latest_at.get(entry.address)
-        if before is None or before == life:
-            self._latest_at[entry.address] = life
-            return
-        older, newer = sorted((before, life), key=lambda one: one.born_ms)
-        if older.born_ms == newer.born_ms:
+        latest = self._latest_at.setdefault(entry.address, life)
+        if latest.born_ms == life.born_ms:
             return
+        older, newer = sorted((latest, life), key=lambda one: one.born_ms)
         log.info(
             "A server has the address of an earlier one.",
             extra={"server": newer.server_id, "before": older.server_id},
         )
         self._latest_at[entry.address] = newer
-        self._displaced.add(older)
 
     def set_evacuated(self, zone: str, evacuated: bool) -> None:
         """Notes that a zone is to get nothing, or may again."""
--- a/greengagefall/ownership/planning.py
+++ b/greengagefall/ownership/planning.py
@@ -13,9 +13,10 @@
 from greengagefall.ownership.shares import target_loads
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Callable, Container, Iterable, Iterator, Mapping
 
     from greengagefall.ownership.key_load import KeyRates
+    from greengagefall.ownership.shares import ServerCapacity
 
 KEY_COUNT = LAST_KEY + 1
 # Utilisation above which a server gives keys away at once, if it is also above the others.
@@ -41,29 +42,6 @@
 CUT_TOLERANCE = 1.5
 
 
-class ServerCapacity(NamedTuple):
-    """A server that may own keys.
-
-    Attributes:
-        life: Which life of which server.
-        zone: Its availability zone.
-        slots: Requests that it runs at once.
-        service_time_s: How long it takes for a request.
-        bound_per_s: Most requests a second that it bears, such as while it is cold.
-    """
-
-    life: Life
-    zone: str
-    slots: int
-    service_time_s: float
-    bound_per_s: float
-
-    @property
-    def capacity_per_s(self) -> float:
-        """Requests per second with all slots busy."""
-        return min(self.bound_per_s, self.slots / self.service_time_s)
-
-
 class KeyMove(NamedTuple):
     """Keys that are to change their owner; ``source`` is ``NOBODY`` for unowned ones."""
 
@@ -126,11 +104,10 @@
         """Returns the load of a server beyond its share, as part of its capacity."""
         return -self.room(life) / self.servers[life].capacity_per_s
 
-    def roomiest(self, without: Iterable[Life] = ()) -> Life:
-        """Returns the server that lacks most to its share, for its capacity."""
-        left_out = set(without)
-        names = [life for life in self._load if life not in left_out] or list(self._load)
-        return min(names, key=lambda life: (self.excess(life), life))
+    def roomiest(self, without: Container[Life] = ()) -> Life | None:
+        """Returns the server that lacks most to its share, for its capacity; None without one."""
+        names = [life for life in self._load if life not in without]
+        return min(names, key=lambda life: (self.excess(life), life), default=None)
 
     def move(self, first: int, last: int, source: Life, target: Life) -> KeyMove:
         """Notes a move and returns it."""
@@ -244,53 +221,37 @@
         for life in sorted(balance.servers):
             if life in owners or life in self._busy or self._is_long():
                 continue
-            source = self._highest(balance.excess)
+            source = next(self._descending(balance.excess), None)
             if source is not None:
                 self._give(source, life, balance.first_share(source, life))
 
     def relieve_full(self) -> None:
         """Cuts runs of servers that are too full, for the servers with most room."""
         balance = self._balance
-        tried: set[Life] = set()
-        while not self._is_long():
-            source = self._highest(balance.utilisation, tried)
-            if source is None:
-                return
-            full = max(FULL_UTILISATION, EXCESS_FACTOR * balance.mean())
-            if balance.utilisation(source) < full:
+        full = max(FULL_UTILISATION, EXCESS_FACTOR * balance.mean())
+        for source in self._descending(balance.utilisation):
+            if self._is_long() or balance.utilisation(source) < full:
                 return
-            tried.add(source)
-            target = balance.roomiest(self._busy)
-            wanted = min(balance.room(target), -balance.room(source))
-            if target not in self._busy and self._give(source, target, wanted):
-                continue
-            self._relocate(source)
+            if not self._give_roomiest(source):
+                self._relocate(source)
 
     def shift_excess(self) -> None:
         """Moves what is beyond the shares, to owners of neighbouring keys if they have room."""
         balance = self._balance
-        tried: set[Life] = set()
-        while not self._is_long():
-            source = self._highest(balance.excess, tried)
-            if source is None or balance.excess(source) < LEAST_EXCESS:
+        for source in self._descending(balance.excess):
+            if self._is_long() or balance.excess(source) < LEAST_EXCESS:
                 return
-            tried.add(source)
-            if self._shift(source):
-                continue
-            target = balance.roomiest(self._busy)
-            wanted = min(balance.room(target), -balance.room(source))
-            if target not in self._busy:
-                self._give(source, target, wanted)
+            if not self._shift(source):
+                self._give_roomiest(source)
 
     def _is_long(self) -> bool:
         return len(self.moves) >= self._most
 
-    def _highest(
-        self, measure: Callable[[Life], float], without: Iterable[Life] = ()
-    ) -> Life | None:
-        left_out = self._busy.union(without)
-        names = [life for life in self._balance.servers if life not in left_out]
-        return max(names, key=measure, default=None)
+    def _descending(self, measure: Callable[[Life], float]) -> Iterator[Life]:
+        """Yields the servers that take part in no move yet; moves of others do not reorder them."""
+        for life in sorted(self._balance.servers, key=measure, reverse=True):
+            if life not in self._busy:
+                yield life
 
     def _add(self, first: int, last: int, source: Life, target: Life) -> None:
         self.moves.append(self._balance.move(first, last, source, target))
@@ -300,12 +261,20 @@
     def _settled_runs(self, owner: Life) -> list[KeyRun]:
         return [run for run in self._view.runs if run.owner == owner and not run.moving]
 
+    def _give_roomiest(self, source: Life) -> bool:
+        """Adds a move to the server with most room; returns whether there is one."""
+        balance = self._balance
+        target = balance.roomiest(self._busy)
+        if target is None:
+            return False
+        return self._give(source, target, min(balance.room(target), -balance.room(source)))
+
     def _give(self, source: Life, target: Life, wanted: float) -> bool:
         """Adds a move of about ``wanted`` requests per second; returns whether there is one."""
         balance = self._balance
-        runs = self._settled_runs(source)
         if wanted <= 0:
             return False
+        runs = self._settled_runs(source)
         runs.sort(key=lambda run: -balance.weight(run.first, run.last))
         for run in runs:
             cut = _cut(self._view.rates, balance, run, wanted)
--- a/greengagefall/ownership/shares.py
+++ b/greengagefall/ownership/shares.py
@@ -8,13 +8,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from greengagefall.ownership.model import Life
-    from greengagefall.ownership.planning import ServerCapacity
 
 # Share of its capacity that every server gets, so that its speed stays known.
 LEAST_SHARE = 0.05
@@ -22,6 +21,29 @@
 BISECTIONS = 30
 
 
+class ServerCapacity(NamedTuple):
+    """A server that may own keys.
+
+    Attributes:
+        life: Which life of which server.
+        zone: Its availability zone.
+        slots: Requests that it runs at once.
+        service_time_s: How long it takes for a request.
+        bound_per_s: Most requests a second that it bears, such as while it is cold.
+    """
+
+    life: Life
+    zone: str
+    slots: int
+    service_time_s: float
+    bound_per_s: float
+
+    @property
+    def capacity_per_s(self) -> float:
+        """Requests per second with all slots busy."""
+        return min(self.bound_per_s, self.slots / self.service_time_s)
+
+
 def target_loads(servers: Sequence[ServerCapacity], load_per_s: float) -> dict[Life, float]:
     """Returns the requests per second that each server should get.
 
--- a/greengagefall/platform/grants.py
+++ b/greengagefall/platform/grants.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING
 
-from greengagefall.dispatch.connection_pool import HttpRequest
+from greengagefall.platform.requests import json_request
 
 if TYPE_CHECKING:
+    from greengagefall.dispatch.connection_pool import HttpRequest
     from greengagefall.ownership.model import KeyRun
 
 GRANT_PATH = "/greengagefall/grant"
 RELEASE_PATH = "/greengagefall/release"
 HAND_OVER_HEADER = "Handover"
-JSON_HEADERS = [["Content-Type", "application/json"]]
 OK = 200
 CONFLICT = 409
 
@@ -29,14 +28,10 @@
     fields = {"from": run.first, "target": run.last, "fence": run.fence, "holdS": hold_s}
     if hand_over:
         fields["handover"] = hand_over
-    return _call(GRANT_PATH, fields)
+    return json_request("POST", GRANT_PATH, fields)
 
 
 def release_request(first: int, last: int, fence: int) -> HttpRequest:
     """Returns the call that takes keys back; older fences are refused from then on."""
-    return _call(RELEASE_PATH, {"from": first, "target": last, "fence": fence})
-
-
-def _call(path: str, fields: dict[str, object]) -> HttpRequest:
-    body = json.dumps(fields, separators=(",", ":")).encode()
-    return HttpRequest("POST", path, JSON_HEADERS, body)
+    fields = {"from": first, "target": last, "fence": fence}
+    return json_request("POST", RELEASE_PATH, fields)
--- a/greengagefall/platform/requests.py
+++ b/greengagefall/platform/requests.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import json
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
+from greengagefall.dispatch.connection_pool import HttpRequest
 from greengagefall.gateway.model import NO_KEY, CallerRequest
 from greengagefall.ownership.model import LAST_KEY
 
@@ -21,9 +23,8 @@
 SIGNATURE = "Upstream-Signature"
 LOAD = "Upstream-Load"
 NOT_EXECUTED = "Not-Executed"
-COLD_LEFT = "Warmup-Ms"
-READINESS_PATH = "/greengagefall/readiness"
 
+JSON_HEADERS = [["Content-Type", "application/json"]]
 MISDIRECTED = 421
 MS_PER_S = 1000.0
 PERCENT = 100.0
@@ -155,6 +156,14 @@
     ]
 
 
+def json_request(method: str, path: str, fields: dict[str, object] | None) -> HttpRequest:
+    """Returns a call with a JSON object as its body, or without one for None."""
+    if fields is None:
+        return HttpRequest(method, path, [], b"")
+    body = json.dumps(fields, separators=(",", ":")).encode()
+    return HttpRequest(method, path, JSON_HEADERS, body)
+
+
 def _deadline_s(value: str | None) -> float:
     try:
         return float(value) / MS_PER_S if value else math.inf
--- a/greengagefall/platform/store.py
+++ b/greengagefall/platform/store.py
@@ -15,8 +15,9 @@
 
 from result import Err, Ok, Result
 
-from greengagefall.dispatch.connection_pool import ConnectionPool, HttpAnswer, HttpRequest
+from greengagefall.dispatch.connection_pool import ConnectionPool, HttpAnswer
 from greengagefall.dispatch.exceptions import DispatchError, NotSentError
+from greengagefall.platform.requests import json_request
 from greengagefall.store.exceptions import (
     StoreCompactedError,
     StoreError,
@@ -43,7 +44,6 @@
 CONDITION_FAILED = 412
 TOO_MANY = 429
 UNAVAILABLE = 503
-JSON_HEADERS = [["Content-Type", "application/json"]]
 
 
 class StoreItem(NamedTuple):
@@ -211,9 +211,7 @@
     ) -> Result[HttpAnswer, StoreError]:
         """Returns the answer to a call, or why there is none that says what was done."""
         target = f"{path}?{urlencode(query)}" if query else path
-        content = json.dumps(body, separators=(",", ":")).encode() if body is not None else b""
-        headers = JSON_HEADERS if body is not None else []
-        request = HttpRequest(method, target, headers, content)
+        request = json_request(method, target, body)
         count("store_calls", call=name)
         try:
             answer = await self._pool.exchange(request, timeout_s, lambda: True)
--- a/greengagefall/standins/platform_documents.py
+++ b/greengagefall/standins/platform_documents.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from greengagefall.platform.requests import DEADLINE, KEY, REQUEST_ID
+
 HOST_NAME = "shop.example"
 
 
@@ -83,9 +85,9 @@
     """Returns the headers of a caller's request; ``key`` is None for none."""
     headers = [
         ["Host", HOST_NAME],
-        ["Request-Id", request_id],
-        ["Deadline-Ms", str(deadline_ms)],
+        [REQUEST_ID, request_id],
+        [DEADLINE, str(deadline_ms)],
     ]
     if key is not None:
-        headers.append(["Shard-Key", str(key)])
+        headers.append([KEY, str(key)])
     return headers
--- a/greengagefall/store/client.py
+++ b/greengagefall/store/client.py
@@ -31,11 +31,12 @@
     absent,
     unchanged,
 )
-from greengagefall.store.pacing import Backoff, TokenBucket
+from greengagefall.store.pacing import Backoff
 from greengagefall.store.transport import Transport
 from greengagefall.store.watch_stream import WatchStream
 from greengagefall.utils.clock import SystemClock
 from greengagefall.utils.metrics import count
+from greengagefall.utils.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
     import random
--- a/greengagefall/tests/gateway_end_to_end_tests.py
+++ b/greengagefall/tests/gateway_end_to_end_tests.py
@@ -3,38 +3,24 @@
 from __future__ import annotations
 
 import asyncio
-import random
-import socket
 import unittest
 
+from greengagefall.bench.processes import free_addresses
 from greengagefall.dispatch.connection_pool import ConnectionPool, HttpAnswer, HttpRequest
 from greengagefall.gateway.host import GatewayHost
 from greengagefall.gateway.model import Bounds, HostFacts
-from greengagefall.standins.platform_documents import HOST_NAME, routing, rule
+from greengagefall.standins.platform_documents import caller_headers, routing, rule
 from greengagefall.standins.platform_server import PlatformServerStandIn
 from greengagefall.standins.platform_store import PlatformStoreStandIn
 from greengagefall.utils.waiting import wait_until
 
 ZONES = ("north-a", "north-b")
 START_S = 8.0
-PORTS = (15_000, 32_000)
 TIMEOUT_MS = 2000
 BODY_LIMIT = 1_000_000
 BOUNDS = Bounds(grace_period_s=4.0)
 
 
-def free_port() -> int:
-    """Returns a port below those that the system gives to outgoing connections."""
-    while True:
-        port = random.randrange(*PORTS)
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        return port
-
-
 class GatewayEndToEndTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.store = PlatformStoreStandIn()
@@ -62,9 +48,7 @@
         facts = HostFacts(
             name,
             zone,
-            f"127.0.0.1:{free_port()}",
-            f"127.0.0.1:{free_port()}",
-            f"127.0.0.1:{free_port()}",
+            *free_addresses(3),
             self.store.address,
             0.5,
             1.0,
@@ -93,13 +77,7 @@
     ) -> HttpAnswer:
         facts = self.hosts[host].facts
         pool = ConnectionPool(facts.caller_address, BODY_LIMIT)
-        rows = [
-            ["Host", HOST_NAME],
-            ["Request-Id", request_id],
-            ["Deadline-Ms", str(TIMEOUT_MS)],
-        ]
-        if key is not None:
-            rows.append(["Shard-Key", str(key)])
+        rows = caller_headers(request_id, TIMEOUT_MS, key)
         try:
             request = HttpRequest(method, path, rows, body)
             return await pool.exchange(request, 4.0, lambda: True)
--- a/greengagefall/tests/oracle_tests.py
+++ b/greengagefall/tests/oracle_tests.py
@@ -6,9 +6,8 @@
 
 from greengagefall.bench.caller import CallRow
 from greengagefall.bench.oracle import check_all
-from greengagefall.bench.oracle_records import AcceptedVersion, Bounds, OutInterval
+from greengagefall.bench.oracle_records import AcceptedVersion, Bounds, OutInterval, VersionRow
 from greengagefall.bench.server_logs import ServerInfo, server_log
-from greengagefall.bench.soak_log import VersionRow
 
 BOUNDS = Bounds(out_s=5.0, cold_notice_s=1.0, spread_s=5.0)
 
--- a/greengagefall/tests/ownership_planning_tests.py
+++ b/greengagefall/tests/ownership_planning_tests.py
@@ -7,12 +7,12 @@
 from greengagefall.ownership.key_load import KeyCounter, KeyRates
 from greengagefall.ownership.model import EMPTY_ASSIGNMENT, LAST_KEY, NOBODY, Life
 from greengagefall.ownership.planning import (
-    ServerCapacity,
     ServiceView,
     apply_moves,
     joined,
     plan_moves,
 )
+from greengagefall.ownership.shares import ServerCapacity
 
 SERVICE = "proofdesk"
 ROUNDS = 60
--- a/greengagefall/tests/store_client_tests.py
+++ b/greengagefall/tests/store_client_tests.py
@@ -24,9 +24,10 @@
 )
 from greengagefall.store.host_list import HostListClient, ListedHost
 from greengagefall.store.model import Compare, Put, absent, exists, unchanged
-from greengagefall.store.pacing import BACKOFF_CAP_S, Backoff, TokenBucket
+from greengagefall.store.pacing import BACKOFF_CAP_S, Backoff
 from greengagefall.tests.waiting import eventually
 from greengagefall.utils.clock import ManualClock
+from greengagefall.utils.token_bucket import TokenBucket
 
 SHORT_TIMEOUT_S = 0.2
 
--- a/greengagefall/utils/bounded_logs.py
+++ b/greengagefall/utils/bounded_logs.py
@@ -4,10 +4,11 @@
 
 import logging
 import os
-import time
 from typing import TYPE_CHECKING
 
+from greengagefall.utils.clock import SystemClock
 from greengagefall.utils.metrics import count
+from greengagefall.utils.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
     from logging import LogRecord
@@ -18,32 +19,6 @@
 SEVERE_LINES_PER_S = 20.0
 
 
-class LineBudget:
-    """Lines that may be written, refilled with time.
-
-    Args:
-        rate_per_s: Lines a second in the long run.
-        burst: Lines at once.
-    """
-
-    def __init__(self, rate_per_s: float, burst: float) -> None:
-        self._rate_per_s = rate_per_s
-        self._burst = burst
-        self._lines = burst
-        self._filled_s = time.monotonic()
-
-    def take(self) -> bool:
-        """Returns whether a line may be written now."""
-        now_s = time.monotonic()
-        gained = (now_s - self._filled_s) * self._rate_per_s
-        self._lines = min(self._burst, self._lines + gained)
-        self._filled_s = now_s
-        if self._lines < 1.0:
-            return False
-        self._lines -= 1.0
-        return True
-
-
 class BoundedHandler(logging.Handler):
     """Writes lines to a file descriptor that is set not to block.
 
@@ -57,15 +32,16 @@
     def __init__(self, descriptor: int) -> None:
         super().__init__()
         self._descriptor = descriptor
-        self._usual = LineBudget(LINES_PER_S, BURST_LINES)
-        self._severe = LineBudget(SEVERE_LINES_PER_S, BURST_LINES)
+        clock = SystemClock()
+        self._usual = TokenBucket(LINES_PER_S, BURST_LINES, clock)
+        self._severe = TokenBucket(SEVERE_LINES_PER_S, BURST_LINES, clock)
         self._dropped = 0
         os.set_blocking(descriptor, False)
 
     def emit(self, record: LogRecord) -> None:
         """Writes a line, or counts it as dropped."""
         budget = self._severe if record.levelno >= logging.WARNING else self._usual
-        if not budget.take():
+        if not budget.try_take():
             self._drop()
             return
         if self._dropped:
