Treat a connection that the server closed at once as not sent

Cause: Tornado's connect returns a stream that the other side has already closed; its socket is None, and setting socket options raised AttributeError, so that a request ended with an unexpected error instead of NotSentError. Ruled out: close() of the pool, which only touches idle streams. Only place that sets options on a fresh client stream; the store's watch stream writes at once and gets StreamClosedError there.

--- a/greengagefall/dispatch/connection_pool.py
+++ b/greengagefall/dispatch/connection_pool.py
@@ -266,6 +266,9 @@
             stream = await self._tcp.connect(self._host, self._port, timeout=timeout_s)
         except (TimeoutError, OSError, StreamClosedError) as error:
             raise NotSentError(f"connecting to {self.address} failed: {error}") from error
+        if stream.closed():
+            # Tornado reports a connection that the server closed at once as connected.
+            raise NotSentError(f"{self.address} closed the connection as soon as it was open")
         stream.set_nodelay(True)
         _detect_broken_connections(stream.socket)
         return stream
--- a/greengagefall/tests/dispatch_connection_pool_tests.py
+++ b/greengagefall/tests/dispatch_connection_pool_tests.py
@@ -8,6 +8,8 @@
 import struct
 import unittest
 
+from tornado.iostream import IOStream
+
 from greengagefall.dispatch.connection_pool import ConnectionPool, HttpRequest
 from greengagefall.dispatch.exceptions import (
     AnswerLostError,
@@ -181,6 +183,19 @@
         await asyncio.sleep(0.05)
         self.assertEqual(self.server.requests, [])
 
+    async def test_connection_that_the_server_closed_at_once_means_nothing_was_sent(self):
+        """Tornado returns such a stream as connected, without a socket."""
+        pool = ConnectionPool("127.0.0.1:9", LIMIT_BYTES)
+
+        async def connect_closed_stream(*_args, **_options) -> IOStream:
+            stream = IOStream(socket.socket())
+            stream.close()
+            return stream
+
+        pool._tcp.connect = connect_closed_stream
+        with self.assertRaises(NotSentError):
+            await pool.exchange(REQUEST, TIMEOUT_S, lambda: True)
+
     async def test_refused_connection_means_nothing_was_sent(self):
         pool = await self.start_server()
         await self.server.close()
