Plan moves by load once a second, and only beyond what chance explains

All keys went to the first server seen and were cut off it one server at a time; later, each step moved keys wherever estimates of one or two requests a second differed by chance, also right back. The test that no overloaded server was relieved without rebalancing is replaced: planning has no such mode any more, the new test checks on the same load that urgent plans move nothing but keys without a usable owner, and that plans by load relieve it first.

--- a/greengagefall/gateway/coordinator.py
+++ b/greengagefall/gateway/coordinator.py
@@ -16,6 +16,7 @@
 
 from greengagefall.gateway.dispatch_planning import DispatcherCandidate, plan_dispatchers
 from greengagefall.gateway.host_reports import HostReports
+from greengagefall.gateway.move_planning import MovePlanner
 from greengagefall.gateway.publishing import AssignmentPublisher
 from greengagefall.gateway.records import ASSIGNMENT_KEY
 from greengagefall.ownership import planning, rows
@@ -43,6 +44,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from greengagefall.gateway.model import Service
     from greengagefall.gateway.peers import Peers
     from greengagefall.gateway.view import ClusterView
     from greengagefall.platform.store import PlatformStore
@@ -59,8 +61,6 @@
 # A released range is recorded with the next change, or after this delay if there is none.
 RELEASED_WRITE_DELAY_S = 2.0
 RETRY_INTERVAL_S = 0.2
-# Minimum interval between moves away from servers that are not full.
-REBALANCE_INTERVAL_S = 1.0
 # Delay after a write that certainly failed.
 WRITE_RETRY_DELAY_S = 0.5
 
@@ -112,9 +112,9 @@
         self._reported_version = 0
         self._started_s = clock.now_s()
         self._reports = HostReports(clock)
+        self._move_planner = MovePlanner(self._reports, clock)
         self._publisher = AssignmentPublisher(peers, self._reports)
         self._released_since_s = math.inf
-        self._rebalanced_s: dict[str, float] = {}
         self._moves: dict[_MoveId, asyncio.Task] = {}
         self._written_s: dict[_MoveId, float] = {}
         self._released: dict[_MoveId, str] = {}
@@ -218,7 +218,7 @@
         wanted = self._plan_dispatching(cleared_sources)
         for service in self._view.routing_table.services.values():
             if service.keyed:
-                wanted = self._plan_moves(wanted, service.name)
+                wanted = self._plan_moves(wanted, service)
         if (
             wanted != cleared_sources
             or self._clock.now_s() - self._released_since_s > RELEASED_WRITE_DELAY_S
@@ -301,35 +301,27 @@
             return self._reports.may_dispatch(host)
         return self._clock.now_s() - self._started_s < STARTUP_REPORT_WAIT_S
 
-    def _plan_moves(self, assignment: Assignment, service: str) -> Assignment:
+    def _plan_moves(self, assignment: Assignment, service: Service) -> Assignment:
         usable = [
             entry
             for entry in self._view.servers.values()
-            if entry.service == service and self._view.is_usable(entry)
+            if entry.service == service.name and self._view.is_usable(entry)
         ]
-        cold_rate_per_s = self._view.routing_table.services[service].cold_rate_per_s
-        servers = self._reports.capacities(usable, cold_rate_per_s)
-        rates = self._reports.rates(service)
-        plan_input = planning.PlanInput(assignment.key_ranges.get(service, ()), servers, rates)
-        now_s = self._clock.now_s()
-        rebalance_due = now_s - self._rebalanced_s.get(service, 0.0) >= REBALANCE_INTERVAL_S
-        moves = planning.plan_moves(plan_input, rebalance=rebalance_due)
-        if moves and rebalance_due:
-            self._rebalanced_s[service] = now_s
+        moves = self._move_planner.plan(assignment, service, usable)
         for move in moves:
             log.info(
                 "Moving a key range to another server.",
                 extra={
-                    "service": service,
+                    "service": service.name,
                     "first": move.first,
                     "last": move.last,
                     "source": move.source.server_id,
                     "target": move.target.server_id,
-                    "per_s": round(rates.rate(move.first, move.last), 1),
+                    "per_s": round(move.load_per_s, 1),
                 },
             )
             count("key_moves")
-        return planning.apply_moves(assignment, service, moves)
+        return planning.apply_moves(assignment, service.name, moves)
 
     async def _write(self, wanted: Assignment) -> None:
         """Writes an assignment and, once it is stored, pushes it to all hosts."""
--- a/greengagefall/gateway/host_reports.py
+++ b/greengagefall/gateway/host_reports.py
@@ -9,7 +9,8 @@
 from greengagefall.limits.server_queue import INITIAL_SERVICE_TIME_S
 from greengagefall.ownership.key_grants import MAX_DELIVERY_DELAY_S, max_grant_lifetime_s
 from greengagefall.ownership.key_load import KeyRates
-from greengagefall.ownership.model import HostIncarnation, ServerIncarnation
+from greengagefall.ownership.model import HostIncarnation
+from greengagefall.ownership.planning import LoadEstimate
 from greengagefall.ownership.shares import ServerCapacity
 
 if TYPE_CHECKING:
@@ -27,6 +28,9 @@
 # A host that keeps an old version for longer than this is sent the full assignment.
 PUSH_GRACE_S = 0.5
 KEY_RATE_TIME_CONSTANT_S = 1.5
+STEADY_RATE_TIME_CONSTANT_S = 6.0
+# Weight of a heartbeat in the steady service time of a server.
+STEADY_SERVICE_TIME_WEIGHT = 0.1
 MIN_SERVICE_TIME_S = 0.005
 # Acknowledged versions kept per host. Older ones can be dropped, since acknowledging a later
 # version implies them.
@@ -65,7 +69,9 @@
         self._acks: dict[HostIncarnation, list[_Ack]] = {}
         self._lagging: dict[HostIncarnation, _Ack] = {}
         self._rates: dict[str, KeyRates] = {}
+        self._steady_rates: dict[str, KeyRates] = {}
         self._service_time_s: dict[str, float] = {}
+        self._steady_service_time_s: dict[str, float] = {}
 
     def record_heartbeat(self, heartbeat: HostBeat) -> bool:
         """Records a heartbeat; returns whether the coordinator should plan again at once."""
@@ -140,43 +146,45 @@
             return min(successors) + expiry_s
         return written_s + ASSIGNMENT_VALIDITY_S + expiry_s
 
-    def rates(self, service: str) -> KeyRates:
-        """Returns the requests per second by key of a service, up to now."""
-        rates = self._rates.setdefault(service, KeyRates(KEY_RATE_TIME_CONSTANT_S))
+    def usable_servers(self, entries: Iterable[ServerEntry]) -> list[ServerEntry]:
+        """Returns the entries of servers that are not reported as down."""
+        return [entry for entry in entries if entry.server_id not in self.down_servers]
+
+    def current_load(
+        self, service: str, entries: Iterable[ServerEntry], cold_rate_per_s: float
+    ) -> LoadEstimate:
+        """Returns the load of a service over the last second or two."""
+        return LoadEstimate(
+            _capacities(self.usable_servers(entries), self._service_time_s, cold_rate_per_s),
+            self._up_to_now(self._rates, service, KEY_RATE_TIME_CONSTANT_S),
+        )
+
+    def steady_load(
+        self, service: str, entries: Iterable[ServerEntry], cold_rate_per_s: float
+    ) -> LoadEstimate:
+        """Returns the load of a service over several seconds."""
+        return LoadEstimate(
+            _capacities(self.usable_servers(entries), self._steady_service_time_s, cold_rate_per_s),
+            self._up_to_now(self._steady_rates, service, STEADY_RATE_TIME_CONSTANT_S),
+        )
+
+    def _up_to_now(
+        self, by_service: dict[str, KeyRates], service: str, time_constant_s: float
+    ) -> KeyRates:
+        rates = by_service.setdefault(service, KeyRates(time_constant_s))
         rates.decay_to(self._clock.now_s())
         rates.build_prefix_sums()
         return rates
 
-    def capacities(
-        self, entries: Iterable[ServerEntry], cold_rate_per_s: float
-    ) -> list[ServerCapacity]:
-        """Returns the capacity of each server that is not reported as down.
-
-        A missing service time is replaced by the mean of the others.
-        """
-        known = [entry for entry in entries if entry.server_id not in self.down_servers]
-        times_s = [
-            self._service_time_s[entry.server_id]
-            for entry in known
-            if entry.server_id in self._service_time_s
-        ]
-        mean_s = sum(times_s) / len(times_s) if times_s else INITIAL_SERVICE_TIME_S
-        return [
-            ServerCapacity(
-                ServerIncarnation(entry.server_id, entry.start_ms),
-                entry.zone,
-                entry.slots,
-                max(MIN_SERVICE_TIME_S, self._service_time_s.get(entry.server_id, mean_s)),
-                cold_rate_per_s if entry.cold_remaining_s > 0 else float("inf"),
-            )
-            for entry in known
-        ]
-
     def _record_server_states(self, heartbeat: HostBeat) -> bool:
         """Records the state of a host's servers; returns whether the health of one changed."""
         changed = False
         for server_id, service_time_ms, _, _, up in heartbeat.server_states:
-            self._service_time_s[server_id] = service_time_ms / MS_PER_S
+            service_time_s = service_time_ms / MS_PER_S
+            self._service_time_s[server_id] = service_time_s
+            steady_s = self._steady_service_time_s.get(server_id, service_time_s)
+            steady_s += STEADY_SERVICE_TIME_WEIGHT * (service_time_s - steady_s)
+            self._steady_service_time_s[server_id] = steady_s
             if up == (server_id not in self.down_servers):
                 continue
             changed = True
@@ -192,7 +200,34 @@
 
     def _record_key_counts(self, heartbeat: HostBeat, now_s: float) -> None:
         for service, keys_and_counts in heartbeat.key_counts:
-            rates = self._rates.setdefault(service, KeyRates(KEY_RATE_TIME_CONSTANT_S))
-            rates.decay_to(now_s)
-            for key, requests in zip(keys_and_counts[::2], keys_and_counts[1::2], strict=True):
-                rates.add(key, requests)
+            estimates = (
+                self._rates.setdefault(service, KeyRates(KEY_RATE_TIME_CONSTANT_S)),
+                self._steady_rates.setdefault(service, KeyRates(STEADY_RATE_TIME_CONSTANT_S)),
+            )
+            for rates in estimates:
+                rates.decay_to(now_s)
+                for key, requests in zip(keys_and_counts[::2], keys_and_counts[1::2], strict=True):
+                    rates.add(key, requests)
+
+
+def _capacities(
+    entries: list[ServerEntry], service_times_s: dict[str, float], cold_rate_per_s: float
+) -> list[ServerCapacity]:
+    """Returns the capacity of each server.
+
+    A missing service time is replaced by the mean of the others.
+    """
+    known_s = [
+        service_times_s[entry.server_id] for entry in entries if entry.server_id in service_times_s
+    ]
+    mean_s = sum(known_s) / len(known_s) if known_s else INITIAL_SERVICE_TIME_S
+    return [
+        ServerCapacity(
+            entry.incarnation,
+            entry.zone,
+            entry.slots,
+            max(MIN_SERVICE_TIME_S, service_times_s.get(entry.server_id, mean_s)),
+            cold_rate_per_s if entry.cold_remaining_s > 0 else float("inf"),
+        )
+        for entry in entries
+    ]
--- a/greengagefall/gateway/model.py
+++ b/greengagefall/gateway/model.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from greengagefall.ownership.model import ServerIncarnation
+
 NO_KEY = -1
 
 
@@ -86,6 +88,11 @@
     cold_remaining_s: float
     start_ms: int
 
+    @property
+    def incarnation(self) -> ServerIncarnation:
+        """The incarnation that wrote the entry."""
+        return ServerIncarnation(self.server_id, self.start_ms)
+
 
 class Destination(NamedTuple):
     """A service that gets a share of a route's requests."""
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -20,7 +20,6 @@
 from greengagefall.gateway.model import NO_KEY
 from greengagefall.gateway.server_health import ServerHealth
 from greengagefall.limits.server_queue import QueuedDispatch, ServerQueue
-from greengagefall.ownership.model import ServerIncarnation
 from greengagefall.platform import requests as headers
 from greengagefall.protocol.gateway_messages import Dispatched, NotDispatched
 from greengagefall.utils.metrics import count, observe_ms
@@ -97,7 +96,7 @@
         restart_detection_s: float = 0.0,
     ) -> None:
         self.entry = entry
-        self.incarnation = ServerIncarnation(entry.server_id, entry.start_ms)
+        self.incarnation = entry.incarnation
         self.queue = ServerQueue(entry.slots, clock)
         self.health = ServerHealth(clock)
         self.admission_closed = False
--- a/greengagefall/gateway/view.py
+++ b/greengagefall/gateway/view.py
@@ -176,7 +176,7 @@
 
     def _note_address(self, entry: ServerEntry) -> None:
         """Records which of the servers that used an address started last."""
-        incarnation = ServerIncarnation(entry.server_id, entry.start_ms)
+        incarnation = entry.incarnation
         latest = self._latest_by_address.setdefault(entry.address, incarnation)
         if latest.start_ms == incarnation.start_ms:
             return
--- a/greengagefall/ownership/key_load.py
+++ b/greengagefall/ownership/key_load.py
@@ -55,6 +55,10 @@
         self._keys: list[int] = []
         self._sums: list[float] = [0.0]
 
+    def standard_error(self, rate_per_s: float) -> float:
+        """Returns the standard error of a rate, if requests arrive independently of each other."""
+        return math.sqrt(max(0.0, rate_per_s) / (2 * self._time_constant_s))
+
     def add(self, key: int, requests: int) -> None:
         """Adds requests of a key; call ``decay_to`` with the current time first."""
         rate = requests / self._time_constant_s * self._growth
--- a/greengagefall/ownership/planning.py
+++ b/greengagefall/ownership/planning.py
@@ -1,10 +1,11 @@
 """Decides which server should own which keys.
 
 Keys without an owner, or whose owner may no longer own keys, are moved to the usable servers at
-once; such a plan contains no other moves. Otherwise keys are moved to servers that own none, away
-from overloaded servers, and away from servers with more load than their share by
-``ownership.shares``; key ranges are split where only a part has to move. The module only computes
-with records: it makes no calls and keeps no state.
+once. By load, keys are moved to servers that own none, away from overloaded servers, and away from
+servers with more load than their share by ``ownership.shares``. At a few requests a second for each
+server, loads differ by chance; a difference counts only beyond what chance explains. Only as many
+keys are moved as carry the load in question. The module only computes with records: it makes no
+calls and keeps no state.
 """
 
 from __future__ import annotations
@@ -21,7 +22,7 @@
 from greengagefall.ownership.shares import target_loads
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Container, Iterable, Iterator, Mapping
+    from collections.abc import Callable, Container, Iterable, Iterator
 
     from greengagefall.ownership.key_load import KeyRates
     from greengagefall.ownership.shares import ServerCapacity
@@ -34,6 +35,10 @@
 EXCESS_FACTOR = 1.3
 # Load beyond its share, as a fraction of its capacity, from which keys of any server are moved.
 MIN_EXCESS = 0.2
+# Standard errors by which a load has to exceed a bound: for an overloaded server, which is relieved
+# soon, and for load beyond a share, which can wait for a better estimate.
+OVERLOAD_ERRORS = 2.0
+EXCESS_ERRORS = 3.0
 # Total utilisation that is spread evenly over all keys in addition to the known rates, so that
 # keys with unknown load are distributed too.
 BASE_UTILISATION = 0.1
@@ -56,45 +61,69 @@
 
 
 class KeyMove(NamedTuple):
-    """A planned change of owner; ``source`` is ``NO_INCARNATION`` for keys without an owner."""
+    """A planned change of owner.
+
+    Attributes:
+        first: First key.
+        last: Last key, inclusive.
+        source: Present owner; ``NO_INCARNATION`` for keys without one.
+        target: New owner.
+        load_per_s: Requests per second of the keys, as planned.
+    """
 
     first: int
     last: int
     source: ServerIncarnation
     target: ServerIncarnation
+    load_per_s: float = 0.0
 
 
-class PlanInput(NamedTuple):
-    """The input of a plan for one service.
+class LoadEstimate(NamedTuple):
+    """The load of a service, estimated over some time.
 
     Attributes:
-        key_ranges: Current key ranges of the service.
         servers: Servers that may own keys.
         rates: Requests per second by key.
     """
 
-    key_ranges: tuple[KeyRange, ...]
     servers: list[ServerCapacity]
     rates: KeyRates
 
 
+class PlanInput(NamedTuple):
+    """The input of a plan for one service.
+
+    Attributes:
+        key_ranges: Current key ranges of the service.
+        current: Load over the last second or two, which shows a sudden load soon.
+        steady: Load over several seconds, which varies less by chance; of the same servers.
+        settling: Bounds of key ranges that were moved a short time ago. They are moved again only
+            away from an overloaded server.
+    """
+
+    key_ranges: tuple[KeyRange, ...]
+    current: LoadEstimate
+    steady: LoadEstimate
+    settling: tuple[tuple[int, int], ...] = ()
+
+
 class _Balance:
     """Loads and shares of the servers, updated with each move that is added to a plan."""
 
-    def __init__(self, plan_input: PlanInput) -> None:
-        self._rates = plan_input.rates
-        self.servers = {server.incarnation: server for server in plan_input.servers}
-        total = sum(server.capacity_per_s for server in plan_input.servers)
+    def __init__(self, key_ranges: tuple[KeyRange, ...], estimate: LoadEstimate) -> None:
+        self.rates = estimate.rates
+        self.servers = {server.incarnation: server for server in estimate.servers}
+        total = sum(server.capacity_per_s for server in estimate.servers)
         self._base_rate_per_key = BASE_UTILISATION * total / KEY_COUNT
         self._load = dict.fromkeys(self.servers, 0.0)
-        for key_range in plan_input.key_ranges:
+        for key_range in key_ranges:
             if key_range.owner in self._load:
                 self._load[key_range.owner] += self.range_load(key_range.first, key_range.last)
-        self._targets = target_loads(plan_input.servers, self.range_load(0, LAST_KEY))
+        self._targets = target_loads(estimate.servers, self.range_load(0, LAST_KEY))
 
     def range_load(self, first: int, last: int) -> float:
         """Returns the requests per second of a key range, plus an allowance for unknown load."""
-        return self._rates.rate(first, last) + self._base_rate_per_key * (last - first + 1)
+        return self.rates.rate(first, last) + self._base_rate_per_key * (last - first + 1)
 
     def deficit_per_s(self, incarnation: ServerIncarnation) -> float:
         """Returns the load that a server is below its share; negative if it is above."""
@@ -117,6 +146,18 @@
         """Returns the load of a server beyond its share, as a fraction of its capacity."""
         return -self.deficit_per_s(incarnation) / self.servers[incarnation].capacity_per_s
 
+    def is_overloaded(self, incarnation: ServerIncarnation, max_utilisation: float) -> bool:
+        """Returns whether a utilisation exceeds a bound by more than chance explains."""
+        load = self._load[incarnation]
+        least_load = load - OVERLOAD_ERRORS * self.rates.standard_error(load)
+        return least_load >= max_utilisation * self.servers[incarnation].capacity_per_s
+
+    def has_excess(self, incarnation: ServerIncarnation) -> bool:
+        """Returns whether a server exceeds its share considerably and not by chance."""
+        chance = EXCESS_ERRORS * self.rates.standard_error(self._load[incarnation])
+        considerable = MIN_EXCESS * self.servers[incarnation].capacity_per_s
+        return -self.deficit_per_s(incarnation) >= max(chance, considerable)
+
     def least_loaded(self, without: Container[ServerIncarnation] = ()) -> ServerIncarnation | None:
         """Returns the server with the lowest excess, or None if there is none to choose from."""
         candidates = [incarnation for incarnation in self._load if incarnation not in without]
@@ -134,40 +175,52 @@
         if source in self._load:
             self._load[source] -= load
         self._load[target] += load
-        return KeyMove(first, last, source, target)
+        return KeyMove(first, last, source, target, load)
 
 
-def plan_moves(plan_input: PlanInput, *, rebalance: bool = True) -> list[KeyMove]:
+def plan_moves(plan_input: PlanInput) -> list[KeyMove]:
     """Returns the moves that should begin now, the most urgent first.
 
-    Args:
-        plan_input: Current key ranges, servers and rates.
-        rebalance: Whether keys of servers that are not overloaded may be moved too.
+    Moves of keys without a usable owner are urgent; a plan with such moves contains no others.
     """
-    if not plan_input.servers:
+    urgent = plan_urgent_moves(plan_input)
+    if urgent or not plan_input.key_ranges:
+        return urgent
+    current = _Balance(plan_input.key_ranges, plan_input.current)
+    steady = _Balance(plan_input.key_ranges, plan_input.steady)
+    plan = _Plan(plan_input, len(steady.servers))
+    plan.fill_new_servers(steady)
+    plan.relieve_overloaded(current)
+    plan.relieve_overloaded(steady)
+    plan.shift_excess(steady)
+    return plan.moves
+
+
+def plan_urgent_moves(plan_input: PlanInput) -> list[KeyMove]:
+    """Returns the moves of keys that have no owner or one that may no longer own keys."""
+    servers = plan_input.current.servers
+    if not servers:
         return []
-    balance = _Balance(plan_input)
     if not plan_input.key_ranges:
-        return _plan_first_owners(plan_input)
-    orphans = _place_orphans(plan_input, balance)
-    if orphans:
-        return orphans
-    plan = _Plan(plan_input, balance)
-    plan.fill_new_servers()
-    plan.relieve_overloaded()
-    if rebalance:
-        plan.shift_excess()
-    return plan.moves
+        return _plan_first_owners(servers)
+    orphans = _find_orphans(plan_input.key_ranges, {server.incarnation for server in servers})
+    if not orphans:
+        return []
+    return _place_orphans(orphans, _Balance(plan_input.key_ranges, plan_input.current))
+
 
+def has_orphans(key_ranges: tuple[KeyRange, ...], usable: Container[ServerIncarnation]) -> bool:
+    """Returns whether keys have no owner, or one that is not in ``usable``."""
+    return bool(_find_orphans(key_ranges, usable))
 
-def _plan_first_owners(plan_input: PlanInput) -> list[KeyMove]:
+
+def _plan_first_owners(servers: list[ServerCapacity]) -> list[KeyMove]:
     """Assigns each server a key range in proportion to its slots."""
-    servers = sorted(plan_input.servers, key=lambda server: server.incarnation)
     total = sum(server.slots for server in servers)
     moves = []
     first = 0
     slots = 0
-    for server in servers:
+    for server in sorted(servers, key=lambda server: server.incarnation):
         slots += server.slots
         last = KEY_COUNT * slots // total - 1
         if last >= first:
@@ -176,26 +229,28 @@
     return moves
 
 
-def _place_orphans(plan_input: PlanInput, balance: _Balance) -> list[KeyMove]:
+def _place_orphans(
+    orphans: list[tuple[int, int, ServerIncarnation]], balance: _Balance
+) -> list[KeyMove]:
     """Moves key ranges whose owner may no longer own keys, and keys without an owner."""
     moves = []
-    for first, last, source in _find_orphans(plan_input, balance.servers):
+    for first, last, source in orphans:
         start = first
         while start <= last:
             target = balance.least_loaded()
             share = ORPHAN_SHARE * balance.servers[target].capacity_per_s
-            end = _prefix_end(plan_input.rates, balance, start, last, share)
+            end = _prefix_end(balance, start, last, share)
             moves.append(balance.move(start, end, source, target))
             start = end + 1
     return moves
 
 
 def _find_orphans(
-    plan_input: PlanInput, usable: Mapping[ServerIncarnation, object]
+    key_ranges: tuple[KeyRange, ...], usable: Container[ServerIncarnation]
 ) -> list[tuple[int, int, ServerIncarnation]]:
     found = []
     expected = 0
-    for key_range in plan_input.key_ranges:
+    for key_range in key_ranges:
         if key_range.first > expected:
             found.append((expected, key_range.first - 1, NO_INCARNATION))
         if key_range.owner not in usable and not key_range.moving:
@@ -206,7 +261,7 @@
     return found
 
 
-def _prefix_end(rates: KeyRates, balance: _Balance, first: int, last: int, wanted: float) -> int:
+def _prefix_end(balance: _Balance, first: int, last: int, wanted: float) -> int:
     """Returns the end of a prefix with a load of about ``wanted`` and at least one key."""
     if balance.range_load(first, last) <= wanted:
         return last
@@ -223,111 +278,143 @@
 class _Plan:
     """The moves of one plan; each server takes part in at most one of them.
 
+    Args:
+        plan_input: Current key ranges and loads.
+        server_count: Number of servers that may own keys.
+
     Attributes:
         moves: The moves so far.
     """
 
-    def __init__(self, plan_input: PlanInput, balance: _Balance) -> None:
+    def __init__(self, plan_input: PlanInput, server_count: int) -> None:
         self.moves: list[KeyMove] = []
-        self._plan_input = plan_input
-        self._balance = balance
+        self._key_ranges = plan_input.key_ranges
+        self._settling = plan_input.settling
         self._busy = {key_range.owner for key_range in plan_input.key_ranges if key_range.moving}
         self._busy |= {key_range.source for key_range in plan_input.key_ranges if key_range.moving}
-        self._max_moves = max(MIN_MOVE_LIMIT, int(MOVING_SHARE * len(balance.servers)))
+        self._max_moves = max(MIN_MOVE_LIMIT, int(MOVING_SHARE * server_count))
 
-    def fill_new_servers(self) -> None:
+    def fill_new_servers(self, balance: _Balance) -> None:
         """Moves keys to servers without keys, for a part of their share."""
-        balance = self._balance
-        owners = {key_range.owner for key_range in self._plan_input.key_ranges}
+        owners = {key_range.owner for key_range in self._key_ranges}
         for incarnation in sorted(balance.servers):
             if incarnation in owners or incarnation in self._busy or self._is_complete():
                 continue
-            source = next(self._descending(balance.excess), None)
+            source = next(self._descending(balance, balance.excess), None)
             if source is not None:
-                self._move_load(source, incarnation, balance.initial_load(source, incarnation))
+                load = balance.initial_load(source, incarnation)
+                self._move_load(balance, source, incarnation, load)
 
-    def relieve_overloaded(self) -> None:
+    def relieve_overloaded(self, balance: _Balance) -> None:
         """Moves keys of overloaded servers to the servers with the lowest excess."""
-        balance = self._balance
-        threshold = max(FULL_UTILISATION, EXCESS_FACTOR * balance.mean_utilisation())
-        for source in self._descending(balance.utilisation):
-            if self._is_complete() or balance.utilisation(source) < threshold:
+        max_utilisation = max(FULL_UTILISATION, EXCESS_FACTOR * balance.mean_utilisation())
+        for source in self._descending(balance, balance.utilisation):
+            if self._is_complete() or balance.utilisation(source) < max_utilisation:
                 return
-            if not self._move_to_least_loaded(source):
-                self._relocate(source)
+            if not balance.is_overloaded(source, max_utilisation):
+                continue
+            if not self._move_to_least_loaded(balance, source):
+                self._relocate(balance, source)
 
-    def shift_excess(self) -> None:
+    def shift_excess(self, balance: _Balance) -> None:
         """Moves load beyond the shares, preferably to owners of neighbouring keys."""
-        balance = self._balance
-        for source in self._descending(balance.excess):
+        for source in self._descending(balance, balance.excess):
             if self._is_complete() or balance.excess(source) < MIN_EXCESS:
                 return
-            if not self._shift_to_neighbour(source):
-                self._move_to_least_loaded(source)
+            if balance.has_excess(source) and not self._shift_to_neighbour(balance, source):
+                self._move_to_least_loaded(balance, source, only_settled=True)
 
     def _is_complete(self) -> bool:
         return len(self.moves) >= self._max_moves
 
     def _descending(
-        self, measure: Callable[[ServerIncarnation], float]
+        self, balance: _Balance, measure: Callable[[ServerIncarnation], float]
     ) -> Iterator[ServerIncarnation]:
         """Yields servers that take part in no move yet; later moves don't change the order."""
-        for incarnation in sorted(self._balance.servers, key=measure, reverse=True):
+        for incarnation in sorted(balance.servers, key=measure, reverse=True):
             if incarnation not in self._busy:
                 yield incarnation
 
     def _add(
-        self, first: int, last: int, source: ServerIncarnation, target: ServerIncarnation
+        self,
+        balance: _Balance,
+        first: int,
+        last: int,
+        source: ServerIncarnation,
+        target: ServerIncarnation,
     ) -> None:
-        self.moves.append(self._balance.move(first, last, source, target))
+        self.moves.append(balance.move(first, last, source, target))
         self._busy.add(source)
         self._busy.add(target)
 
     def _ranges_not_moving(self, owner: ServerIncarnation) -> list[KeyRange]:
         return [
             key_range
-            for key_range in self._plan_input.key_ranges
+            for key_range in self._key_ranges
             if key_range.owner == owner and not key_range.moving
         ]
 
-    def _move_to_least_loaded(self, source: ServerIncarnation) -> bool:
+    def _is_settling(self, key_range: KeyRange) -> bool:
+        return any(
+            first <= key_range.last and key_range.first <= last for first, last in self._settling
+        )
+
+    def _move_to_least_loaded(
+        self, balance: _Balance, source: ServerIncarnation, *, only_settled: bool = False
+    ) -> bool:
         """Adds a move to the server with the lowest excess; returns whether one was added."""
-        balance = self._balance
         target = balance.least_loaded(self._busy)
         if target is None:
             return False
-        return self._move_load(
-            source, target, min(balance.deficit_per_s(target), -balance.deficit_per_s(source))
-        )
+        wanted = min(balance.deficit_per_s(target), -balance.deficit_per_s(source))
+        return self._move_load(balance, source, target, wanted, only_settled=only_settled)
 
     def _move_load(
-        self, source: ServerIncarnation, target: ServerIncarnation, wanted: float
+        self,
+        balance: _Balance,
+        source: ServerIncarnation,
+        target: ServerIncarnation,
+        wanted: float,
+        *,
+        only_settled: bool = False,
     ) -> bool:
-        """Adds a move of about ``wanted`` requests per second; returns whether one was added."""
-        balance = self._balance
+        """Adds a move of about ``wanted`` requests per second.
+
+        Args:
+            balance: Loads of the servers.
+            source: Owner of the keys.
+            target: Server that gets them.
+            wanted: Requests per second to move.
+            only_settled: Whether key ranges that were moved a short time ago are left alone.
+
+        Returns:
+            Whether a move was added.
+        """
         if wanted <= 0:
             return False
         key_ranges = self._ranges_not_moving(source)
+        only_one = len(key_ranges) == 1
         key_ranges.sort(key=lambda key_range: -balance.range_load(key_range.first, key_range.last))
         for key_range in key_ranges:
-            part = _part_to_move(self._plan_input.rates, balance, key_range, wanted)
+            if only_settled and self._is_settling(key_range):
+                continue
+            part = _part_to_move(balance, key_range, wanted, may_move_all=not only_one)
             if part is not None:
-                self._add(*part, source, target)
+                self._add(balance, *part, source, target)
                 return True
         return False
 
-    def _shift_to_neighbour(self, source: ServerIncarnation) -> bool:
+    def _shift_to_neighbour(self, balance: _Balance, source: ServerIncarnation) -> bool:
         """Adds a move to an owner of neighbouring keys, which adds no key range.
 
         Returns:
             Whether a move of enough load was added.
         """
-        balance = self._balance
         excess = -balance.deficit_per_s(source)
-        for index, key_range in enumerate(self._plan_input.key_ranges):
-            if key_range.owner != source or key_range.moving:
+        for index, key_range in enumerate(self._key_ranges):
+            if key_range.owner != source or key_range.moving or self._is_settling(key_range):
                 continue
-            for neighbour in _neighbours(self._plan_input.key_ranges, index):
+            for neighbour in _neighbours(self._key_ranges, index):
                 target = neighbour.owner
                 if target in self._busy or target not in balance.servers:
                     continue
@@ -335,21 +422,18 @@
                 if wanted < NEIGHBOUR_SHARE * excess:
                     continue
                 at_start = neighbour.last < key_range.first
-                part = _edge_part(
-                    self._plan_input.rates, balance, key_range, wanted, at_start=at_start
-                )
+                part = _edge_part(balance, key_range, wanted, at_start=at_start)
                 if part is None or balance.range_load(*part) < NEIGHBOUR_SHARE * wanted:
                     continue
-                self._add(*part, source, target)
+                self._add(balance, *part, source, target)
                 return True
         return False
 
-    def _relocate(self, source: ServerIncarnation) -> None:
+    def _relocate(self, balance: _Balance, source: ServerIncarnation) -> None:
         """Moves a single key that overloads its server to the server with the highest capacity.
 
         Servers can't share a key, so the fastest server can serve most of its requests.
         """
-        balance = self._balance
         key_ranges = self._ranges_not_moving(source)
         others = [
             incarnation
@@ -364,7 +448,7 @@
         )
         present = balance.servers[source].capacity_per_s
         if balance.servers[best].capacity_per_s >= MIN_RELOCATION_GAIN * present:
-            self._add(key_ranges[0].first, key_ranges[0].last, source, best)
+            self._add(balance, key_ranges[0].first, key_ranges[0].last, source, best)
 
 
 def _neighbours(key_ranges: tuple[KeyRange, ...], index: int) -> list[KeyRange]:
@@ -381,42 +465,51 @@
 
 
 def _edge_part(
-    rates: KeyRates, balance: _Balance, key_range: KeyRange, wanted: float, *, at_start: bool
+    balance: _Balance, key_range: KeyRange, wanted: float, *, at_start: bool
 ) -> tuple[int, int] | None:
     """Returns keys at one end of a key range with a load of about ``wanted``, but never all."""
     if key_range.size < 2:
         return None
     if at_start:
-        end = min(
-            _prefix_end(rates, balance, key_range.first, key_range.last, wanted), key_range.last - 1
-        )
+        end = min(_prefix_end(balance, key_range.first, key_range.last, wanted), key_range.last - 1)
         part = (key_range.first, end)
     else:
         rest = balance.range_load(key_range.first, key_range.last) - wanted
-        end = _prefix_end(rates, balance, key_range.first, key_range.last, rest)
+        end = _prefix_end(balance, key_range.first, key_range.last, rest)
         part = (min(end, key_range.last - 1) + 1, key_range.last)
     fits = balance.range_load(*part) <= CUT_TOLERANCE * wanted
     return part if fits else None
 
 
 def _part_to_move(
-    rates: KeyRates, balance: _Balance, key_range: KeyRange, wanted: float
+    balance: _Balance, key_range: KeyRange, wanted: float, *, may_move_all: bool
 ) -> tuple[int, int] | None:
-    """Returns the part of a key range to move: a prefix, or all keys after a prefix."""
+    """Returns the part of a key range to move: the end of it with fewer keys, or all of it.
+
+    Args:
+        balance: Loads of the servers.
+        key_range: The key range.
+        wanted: Requests per second to move.
+        may_move_all: Whether its owner keeps other keys.
+    """
     if key_range.size < 2:
         # A key range of a single key is moved only if its load fits.
         fits = balance.range_load(key_range.first, key_range.last) <= wanted
-        return (key_range.first, key_range.last) if fits else None
-    load = balance.range_load(key_range.first, key_range.last)
-    if load <= wanted:
+        return (key_range.first, key_range.last) if fits and may_move_all else None
+    if may_move_all and balance.range_load(key_range.first, key_range.last) <= wanted:
         return key_range.first, key_range.last
-    end = min(
-        _prefix_end(rates, balance, key_range.first, key_range.last, wanted), key_range.last - 1
-    )
-    moved = balance.range_load(key_range.first, end)
-    if moved <= CUT_TOLERANCE * wanted:
-        return key_range.first, end
+    ends = [
+        part
+        for at_start in (True, False)
+        if (part := _edge_part(balance, key_range, wanted, at_start=at_start)) is not None
+        and balance.range_load(*part) >= wanted / CUT_TOLERANCE
+    ]
+    if ends:
+        return min(ends, key=lambda part: part[1] - part[0])
     # The load of a single key exceeds the wanted load: this key and the keys before it stay.
+    end = min(_prefix_end(balance, key_range.first, key_range.last, wanted), key_range.last - 1)
+    if balance.range_load(key_range.first, end) <= CUT_TOLERANCE * wanted:
+        return key_range.first, end
     if end + 1 <= key_range.last:
         return end + 1, key_range.last
     return None
