Send a new assignment at once to the hosts it concerns, to others with their next heartbeat

Ruled out: the size of the differences, which are a few hundred bytes. Change: hosts that may grant keys of a changed range, or dispatch a changed server, get a version at once. All others get one difference from their own version to the newest when they send a heartbeat. A router whose dispatcher answers not_owner sends a heartbeat at once. Acknowledgements are counted as before. The exploration catches a planted acknowledgement of a version that was only sent.

--- a/greengagefall/gateway/beats.py
+++ b/greengagefall/gateway/beats.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -25,6 +26,8 @@
 MS_PER_S = 1000.0
 HEARTBEAT_INTERVAL_S = 0.3
 HEARTBEAT_TIMEOUT_S = 0.6
+# Minimum interval between heartbeats that are sent to get a newer assignment soon.
+UPDATE_INTERVAL_S = 0.05
 # The assignment is read from the store if the coordinator has not answered for this long.
 STORE_READ_DELAY_S = 1.5
 STORE_READ_INTERVAL_S = 1.0
@@ -56,6 +59,7 @@
         self._clock = clock
         self._last_answered_s = clock.now_s()
         self._last_store_read_s = 0.0
+        self._update_needed = asyncio.Event()
         self._task: asyncio.Task | None = None
         self.stopping = False
 
@@ -68,6 +72,10 @@
         if self._task is not None:
             self._task.cancel()
 
+    def request_update(self) -> None:
+        """Sends a heartbeat soon; the coordinator answers it with a newer assignment."""
+        self._update_needed.set()
+
     async def send_heartbeat(self) -> None:
         """Sends one heartbeat now."""
         coordinator = self._view.coordinator
@@ -98,8 +106,12 @@
 
     async def _run(self) -> None:
         while True:
+            self._update_needed.clear()
             await self.send_heartbeat()
-            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+            await asyncio.sleep(UPDATE_INTERVAL_S)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(HEARTBEAT_INTERVAL_S - UPDATE_INTERVAL_S):
+                    await self._update_needed.wait()
 
     async def _read_assignment(self) -> None:
         started_s = self._clock.now_s()
--- a/greengagefall/gateway/coordinator.py
+++ b/greengagefall/gateway/coordinator.py
@@ -113,7 +113,7 @@
         self._started_s = clock.now_s()
         self._reports = HostReports(clock)
         self._move_planner = MovePlanner(self._reports, clock)
-        self._publisher = AssignmentPublisher(peers, self._reports)
+        self._publisher = AssignmentPublisher(peers, self._reports, clock)
         self._released_since_s = math.inf
         self._moves: dict[_MoveId, asyncio.Task] = {}
         self._written_s: dict[_MoveId, float] = {}
@@ -145,12 +145,8 @@
         sender = HostIncarnation(heartbeat.host, heartbeat.start_ms)
         self._reported_version = max(self._reported_version, heartbeat.assignment_version)
         has_older_version = heartbeat.assignment_version < self._assignment.version
-        if (
-            has_older_version
-            and sender != self._view.host_incarnation
-            and self._reports.is_lagging(sender, heartbeat.assignment_version)
-        ):
-            self._publisher.send_full(sender)
+        if has_older_version and sender != self._view.host_incarnation:
+            self._publisher.bring_up_to_date(sender, heartbeat.assignment_version)
         verified_ms = int(self._verified_age_s() * MS_PER_S) + 1
         return BeatReply(0, self._assignment.version, verified_ms)
 
@@ -324,9 +320,8 @@
         return planning.apply_moves(assignment, service.name, moves)
 
     async def _write(self, wanted: Assignment) -> None:
-        """Writes an assignment and, once it is stored, pushes it to all hosts."""
-        before = self._assignment
-        wanted = wanted._replace(version=before.version + 1)
+        """Writes an assignment and, once it is stored, publishes it."""
+        wanted = wanted._replace(version=self._assignment.version + 1)
         started_s = self._clock.now_s()
         revision = await self._write_confirmed(rows.encode(wanted, self._writer))
         if revision is None:
@@ -340,12 +335,7 @@
             extra={"version": wanted.version, "took_ms": duration_ms},
         )
         self._view.update_assignment(wanted)
-        others = [
-            record.incarnation
-            for record in self._view.hosts.values()
-            if record.host != self._view.host_incarnation.host
-        ]
-        self._publisher.publish(before, wanted, others)
+        self._publisher.publish(wanted, self._view.host_incarnation)
 
     async def _write_confirmed(self, value: bytes) -> int | None:
         """Writes a value and retries until the outcome of the write is known.
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -70,7 +70,7 @@
         self._heartbeats = HeartbeatSender(
             self.view, self._peers, self._channels, self._store, clock
         )
-        self._router = Router(self.view, self._peers, clock)
+        self._router = Router(self.view, self._peers, clock, self._heartbeats.request_update)
         self._callers = CallerServer(settings.caller_address, self._router, clock)
         ip = settings.readiness_address.rpartition(":")[0]
         metrics_address = f"{ip}:{metrics_port}" if metrics_port else ""
--- a/greengagefall/gateway/host_reports.py
+++ b/greengagefall/gateway/host_reports.py
@@ -25,8 +25,6 @@
 MS_PER_S = 1000.0
 # A host that sent no heartbeat for this long is no longer planned as a dispatcher.
 HOST_TIMEOUT_S = 1.4
-# A host that keeps an old version for longer than this is sent the full assignment.
-PUSH_GRACE_S = 0.5
 KEY_RATE_TIME_CONSTANT_S = 1.5
 STEADY_RATE_TIME_CONSTANT_S = 6.0
 # Weight of a heartbeat in the steady service time of a server.
@@ -67,7 +65,6 @@
         self._reports: dict[str, _Report] = {}
         self._first_heartbeat_s: dict[HostIncarnation, float] = {}
         self._acks: dict[HostIncarnation, list[_Ack]] = {}
-        self._lagging: dict[HostIncarnation, _Ack] = {}
         self._rates: dict[str, KeyRates] = {}
         self._steady_rates: dict[str, KeyRates] = {}
         self._service_time_s: dict[str, float] = {}
@@ -96,20 +93,6 @@
         acks.append(_Ack(version, self._clock.now_s()))
         del acks[:-MAX_ACKS]
 
-    def is_lagging(self, host: HostIncarnation, version: int) -> bool:
-        """Returns whether a host has reported an old version for at least ``PUSH_GRACE_S``.
-
-        Each True starts the time again, so that pushes to a lagging host are at least that far
-        apart.
-        """
-        now_s = self._clock.now_s()
-        known = self._lagging.get(host)
-        first = known is None or known.version != version
-        if not first and now_s - known.first_seen_s < PUSH_GRACE_S:
-            return False
-        self._lagging[host] = _Ack(version, now_s)
-        return not first
-
     def all_reported(self, names: Iterable[str]) -> bool:
         """Returns whether all these hosts have sent a heartbeat."""
         return all(name in self._reports for name in names)
--- a/greengagefall/gateway/router.py
+++ b/greengagefall/gateway/router.py
@@ -16,6 +16,8 @@
 from greengagefall.utils.metrics import count
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from greengagefall.gateway.model import CallerRequest, Route, Service
     from greengagefall.gateway.peers import Peers
     from greengagefall.gateway.view import ClusterView
@@ -59,12 +61,20 @@
         view: Cluster view of this host.
         peers: Calls to other hosts.
         clock: Clock that counts suspended time.
+        request_update: Called when a dispatcher has a newer assignment than this host.
     """
 
-    def __init__(self, view: ClusterView, peers: Peers, clock: Clock) -> None:
+    def __init__(
+        self,
+        view: ClusterView,
+        peers: Peers,
+        clock: Clock,
+        request_update: Callable[[], None] = lambda: None,
+    ) -> None:
         self._view = view
         self._peers = peers
         self._clock = clock
+        self._request_update = request_update
         self._dispatcher_loads = DispatcherLoads(clock)
         self._budgets: dict[str, RetryBudget] = {}
         self._random = random.Random()
@@ -114,6 +124,8 @@
             if isinstance(outcome, Dispatched):
                 return Answer(outcome.status, outcome.headers, outcome.body)
             sends += outcome.sent
+            if outcome.reason == outcomes.NOT_OWNER:
+                self._request_update()
             remaining_s = deadline_s - self._clock.now_s()
             retry = (
                 attempts < MAX_ATTEMPTS
--- a/greengagefall/tests/ownership_exploration_tests.py
+++ b/greengagefall/tests/ownership_exploration_tests.py
@@ -12,7 +12,7 @@
 import unittest
 from unittest import mock
 
-from greengagefall.gateway import coordinator, grants, host_reports
+from greengagefall.gateway import coordinator, grants, host_reports, publishing
 from greengagefall.gateway.view import ClusterView
 from greengagefall.tests.ownership_simulation import Simulation, VirtualLoop
 
@@ -199,3 +199,13 @@
 
         with mock.patch.object(grants.GrantManager, "_may_grant", ignore_assignment_age):
             self.assert_caught()
+
+    def test_oracle_detects_planted_acknowledgement_of_a_version_that_was_only_sent(self):
+        push = publishing.AssignmentPublisher._push
+
+        async def acknowledge_unread(self, target, message):
+            self._reports.record_ack(target, message.version)
+            await push(self, target, message)
+
+        with mock.patch.object(publishing.AssignmentPublisher, "_push", acknowledge_unread):
+            self.assert_caught()
