--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -186,8 +186,8 @@
             self._view.is_assignment_current,
             partial(self._view.is_entry_current, server_id),
             self._open_pool(entry.address),
-            RESTART_DETECTION_HEARTBEATS * self._view.settings.heartbeat_s
-            + self._view.entry_lag_s(),
+            RESTART_DETECTION_HEARTBEATS * self._view.settings.heartbeat_s,
+            self._view.store_lag_s,
         )
         self._channels[incarnation] = channel
         channel.start()
--- a/greengagefall/gateway/following.py
+++ b/greengagefall/gateway/following.py
@@ -1,4 +1,7 @@
-"""Follows the keys of the store with a prefix: reads all of them, then watches for changes."""
+"""Follows the keys of the store with a prefix: reads all of them, then watches for changes.
+
+While another host passes the changes on, a host does not watch by itself; see ``relaying``.
+"""
 
 from __future__ import annotations
 
@@ -6,7 +9,7 @@
 import logging
 import math
 from contextlib import nullcontext
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from result import Err
 
@@ -37,6 +40,24 @@
 RESYNC_DELAY_S = 1.5
 # Running servers have written their entries again within this time after a store outage.
 OUTAGE_RECOVERY_GRACE_S = 2.2
+# Deletions that are remembered, so that they can be passed on to other hosts.
+MAX_DELETIONS = 2000
+
+
+class PrefixChanges(NamedTuple):
+    """Changes of the keys with a prefix.
+
+    Attributes:
+        revision: Revision of the store up to which the keys are known.
+        complete: Whether ``puts`` holds all keys, also unchanged ones.
+        puts: New and changed keys.
+        deletions: Deleted keys with the revision of their deletion.
+    """
+
+    revision: int
+    complete: bool
+    puts: list[KeyValue]
+    deletions: list[tuple[str, int]]
 
 
 class PrefixWatcher:
@@ -53,6 +74,12 @@
         host_count: Number of hosts that follow the prefix.
         batch: Context manager entered around the calls for all changes of one answer.
         retention_s: How long the store keeps changes.
+
+    Attributes:
+        on_change: Called after each change of the keys or of the known revision.
+        revision: Revision of the store up to which the keys are known; 0 before the first read.
+        last_change: Revision of the last known change of a key.
+        loaded: Set once all keys were read.
     """
 
     def __init__(
@@ -77,14 +104,30 @@
         self._host_count = host_count
         self._batch = batch
         self._watch_timeout_s = WATCH_RETENTION_SHARE * retention_s
-        self._revisions: dict[str, int] = {}
+        self._key_values: dict[str, KeyValue] = {}
+        self._deletions: dict[str, int] = {}
+        self._complete_since = 0
         self._pending_removals: dict[str, asyncio.TimerHandle] = {}
         self._task: asyncio.Task | None = None
         self._reachable_since_s = -math.inf
         self._resync_s = math.inf
         self._unreachable = False
+        self._watching = False
+        self.on_change: Callable[[], None] = lambda: None
+        self.revision = 0
+        self.last_change = 0
         self.loaded = asyncio.Event()
 
+    @property
+    def watching(self) -> bool:
+        """Whether this host itself watches the keys and can have missed no change."""
+        return self._watching and self._resync_s == math.inf
+
+    @property
+    def reachable_since_s(self) -> float:
+        """When the store was reached again after the last outage."""
+        return self._reachable_since_s
+
     def is_current(self, key: str) -> bool:
         """Returns whether the store has a key now and no change of it can have been missed.
 
@@ -95,16 +138,24 @@
             return False
         if self._clock.now_s() < self._reachable_since_s + OUTAGE_RECOVERY_GRACE_S:
             return False
-        return key in self._revisions and key not in self._pending_removals
+        return key in self._key_values and key not in self._pending_removals
 
     def start(self) -> None:
-        """Starts the task that reads and watches the keys."""
-        self._task = asyncio.create_task(self._run(), name=f"follow {self._prefix}")
+        """Starts the task that reads and watches the keys, unless it runs."""
+        if self._task is None:
+            self._task = asyncio.create_task(self._run(), name=f"follow {self._prefix}")
 
-    def close(self) -> None:
-        """Stops the task and the timers of pending removals."""
+    def pause(self) -> None:
+        """Stops watching; the known keys stay."""
         if self._task is not None:
             self._task.cancel()
+            self._task = None
+        self._watching = False
+        self._resync_s = math.inf
+
+    def close(self) -> None:
+        """Stops the task and the timers of pending removals."""
+        self.pause()
         for timer in self._pending_removals.values():
             timer.cancel()
 
@@ -130,19 +181,16 @@
         self._note_reachable()
         if self._clock.now_s() >= self._resync_s:
             self._resync_s = math.inf
-        found = {key_value.key for key_value in read.ok_value.key_values}
-        with self._batch():
-            for key_value in read.ok_value.key_values:
-                self._put(key_value)
-            for key in [key for key in self._revisions if key not in found]:
-                self._delete(key, read.ok_value.revision)
-        self.loaded.set()
-        return read.ok_value.revision
+        revision = read.ok_value.revision
+        self._apply(PrefixChanges(revision, True, read.ok_value.key_values, []))
+        self._watching = True
+        return revision
 
     async def _read_changes(self, revision: int) -> int | None:
         timeout_s = min(self._watch_timeout_s, max(0.0, self._resync_s - self._clock.now_s()))
         read = await self._store.watch(self._prefix, revision, timeout_s)
         if isinstance(read, Err):
+            self._watching = False
             self._resync_s = self._clock.now_s() + RESYNC_DELAY_S
             if isinstance(read.err_value, StoreCompactedError):
                 log.info(
@@ -153,16 +201,66 @@
             self._note_unreachable(read.err_value)
             return None
         self._note_reachable()
+        events = read.ok_value.events
         with self._batch():
-            for change in read.ok_value.events:
+            for change in events:
                 if change.deleted:
                     self._delete(change.key_value.key, change.key_value.mod_revision)
                 else:
                     self._put(change.key_value)
-        if read.ok_value.events:
+        self._advance(read.ok_value.revision)
+        if events:
             await asyncio.sleep(self.batch_delay_s())
         return read.ok_value.revision
 
+    def changes_since(self, revision: int) -> PrefixChanges:
+        """Returns the changes after a revision; all keys if the deletions are not known."""
+        complete = revision < self._complete_since or not revision
+        puts = [
+            key_value
+            for key_value in self._key_values.values()
+            if (complete or key_value.mod_revision > revision)
+            and key_value.key not in self._pending_removals
+        ]
+        deletions = [
+            (key, deleted)
+            for key, deleted in self._deletions.items()
+            if not complete and deleted > revision
+        ]
+        return PrefixChanges(self.revision, complete, puts, deletions)
+
+    def apply_relayed(self, changes: PrefixChanges, reachable_since_s: float) -> None:
+        """Applies changes that another host passed on.
+
+        Args:
+            changes: The changes since ``revision``.
+            reachable_since_s: When that host reached the store again after its last outage.
+        """
+        if changes.revision < self.revision:
+            return
+        self._note_reachable()
+        self._reachable_since_s = max(self._reachable_since_s, reachable_since_s)
+        self._apply(changes)
+
+    def _apply(self, changes: PrefixChanges) -> None:
+        with self._batch():
+            for key_value in changes.puts:
+                self._put(key_value)
+            for key, revision in changes.deletions:
+                self._delete(key, revision)
+            if changes.complete:
+                found = {key_value.key for key_value in changes.puts}
+                for key in [key for key in self._key_values if key not in found]:
+                    self._delete(key, changes.revision)
+        self._advance(changes.revision)
+        self.loaded.set()
+
+    def _advance(self, revision: int) -> None:
+        if not self._complete_since:
+            self._complete_since = revision
+        self.revision = max(self.revision, revision)
+        self.on_change()
+
     def batch_delay_s(self) -> float:
         """Returns the delay before the next watch call, in which changes accumulate."""
         return min(
@@ -173,14 +271,19 @@
         timer = self._pending_removals.pop(key_value.key, None)
         if timer is not None:
             timer.cancel()
-        if key_value.mod_revision <= self._revisions.get(key_value.key, 0):
+        known = self._key_values.get(key_value.key)
+        if known is not None and key_value.mod_revision <= known.mod_revision:
             return
-        self._revisions[key_value.key] = key_value.mod_revision
+        self._deletions.pop(key_value.key, None)
+        self._key_values[key_value.key] = key_value
+        self.last_change = max(self.last_change, key_value.mod_revision)
         self._on_put(key_value)
 
     def _delete(self, key: str, revision: int) -> None:
-        if revision < self._revisions.get(key, 0):
+        known = self._key_values.get(key)
+        if known is None or revision < known.mod_revision:
             return
+        self._note_deletion(key, revision)
         grace_s = self._reachable_since_s + OUTAGE_RECOVERY_GRACE_S - self._clock.now_s()
         if self._keep_through_outage and grace_s > 0:
             if key not in self._pending_removals:
@@ -191,9 +294,16 @@
 
     def _remove(self, key: str) -> None:
         self._pending_removals.pop(key, None)
-        if self._revisions.pop(key, None) is not None:
+        if self._key_values.pop(key, None) is not None:
             self._on_delete(key)
 
+    def _note_deletion(self, key: str, revision: int) -> None:
+        self._deletions.setdefault(key, revision)
+        self.last_change = max(self.last_change, revision)
+        while len(self._deletions) > MAX_DELETIONS:
+            oldest = next(iter(self._deletions))
+            self._complete_since = max(self._complete_since, self._deletions.pop(oldest))
+
     def _note_unreachable(self, error: Exception) -> None:
         if not self._unreachable:
             log.warning(
--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -59,9 +59,10 @@
         clock: Clock that counts suspended time.
         is_assignment_current: Whether the assignment is recent enough for renewing grants.
         is_entry_current: Whether this host would know by now if the server had restarted.
-        restart_detection_s: Time after a lost connection during which nothing is granted. A new
-            incarnation of the server must not get the old fencing tokens; by then the store has
-            its entry.
+        restart_detection_s: Time after a lost connection by which the store has the entry of a new
+            incarnation. Nothing is granted until this host knows the entries of that time, since a
+            new incarnation must not get the old fencing tokens.
+        store_lag_s: Returns how long ago this host certainly knew all entries.
     """
 
     def __init__(
@@ -73,8 +74,10 @@
         is_assignment_current: Callable[[], bool],
         is_entry_current: Callable[[], bool],
         restart_detection_s: float = 0.0,
+        store_lag_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._restart_detection_s = restart_detection_s
+        self._store_lag_s = store_lag_s
         # A dispatcher that takes over may still have the entry of an earlier incarnation.
         self._unverified = True
         self._unverified_since_s = clock.now_s()
@@ -121,7 +124,7 @@
         return key_range is not None and self._tracker.holds(key, key_range.fence)
 
     def on_connection_lost(self) -> None:
-        """Suspends grants for ``restart_detection_s``, since the server may have restarted."""
+        """Suspends grants, since the server may have restarted."""
         self._mark_unverified(self._restart_detection_s)
 
     def on_request_executed(self, sent_s: float) -> None:
@@ -225,7 +228,8 @@
         """Returns whether the server may have restarted without the store showing it yet."""
         if not self._unverified:
             return False
-        if self._clock.now_s() >= self._unverified_until_s and self._is_entry_current():
+        known_s = self._clock.now_s() - self._store_lag_s()
+        if known_s >= self._unverified_until_s and self._is_entry_current():
             self._unverified = False
         return self._unverified
 
--- a/greengagefall/gateway/handlers.py
+++ b/greengagefall/gateway/handlers.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
+from greengagefall.gateway.relaying import NOT_RELAYING
 from greengagefall.ownership import rows
 from greengagefall.ownership.exceptions import AssignmentError
 from greengagefall.ownership.model import EMPTY_ASSIGNMENT
@@ -18,6 +19,7 @@
     KeysGranted,
     KeysReleased,
     ReleaseKeys,
+    StorePoll,
 )
 from greengagefall.protocol.messages import Failure, Hello
 from greengagefall.utils.registry import Registry
@@ -25,6 +27,7 @@
 if TYPE_CHECKING:
     from greengagefall.gateway.coordinator import Coordinator
     from greengagefall.gateway.dispatchers import ChannelManager
+    from greengagefall.gateway.relaying import StoreRelay
     from greengagefall.gateway.view import ClusterView
 
 log = logging.getLogger(__name__)
@@ -47,12 +50,14 @@
 
     Attributes:
         coordinator: The coordinator while this host is elected, else None.
+        relay: Passes changes of the store on; None if this host does not.
     """
 
     def __init__(self, view: ClusterView, channels: ChannelManager) -> None:
         self._view = view
         self._channels = channels
         self.coordinator: Coordinator | None = None
+        self.relay: StoreRelay | None = None
 
     def handle(self, peer: Hello, message: Any) -> Any:
         """Returns the reply to a message, or a coroutine for it."""
@@ -97,6 +102,13 @@
         self._view.update_assignment(assignment)
         return AssignmentAck(0, self._view.assignment.version)
 
+    @HANDLERS.register(StorePoll.__name__)
+    async def on_store_poll(self, message: StorePoll) -> Any:
+        """Returns changes of the store."""
+        if self.relay is None:
+            return NOT_RELAYING
+        return await self.relay.poll(message)
+
     @HANDLERS.register(ReleaseKeys.__name__)
     async def on_release(self, message: ReleaseKeys) -> Any:
         """Has a server release keys."""
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -25,6 +25,7 @@
     ServerRecords,
     encode_host,
 )
+from greengagefall.gateway.relaying import RelayFollower, StoreRelay
 from greengagefall.gateway.router import Router
 from greengagefall.gateway.status_http import StatusServer
 from greengagefall.gateway.view import ClusterView, HostRecord
@@ -79,8 +80,11 @@
             self._lease_store, self.view, clock, self._become_coordinator, self._step_down
         )
         self._watchers = self._make_watchers()
+        self._relay = StoreRelay(self._watchers, PlatformStore(settings.store_address), clock)
+        self._handlers.relay = self._relay
+        self._follower = RelayFollower(self._watchers, self._relay, self.view, self._peers, clock)
         self.view.is_entry_in_store = self._is_entry_in_store
-        self.view.entry_lag_s = self._watchers[0].batch_delay_s
+        self.view.store_lag_s = self._follower.lag_s
         self._register_task: asyncio.Task | None = None
         self._stopping = False
 
@@ -89,8 +93,7 @@
         await self._peers.start()
         self._status.start()
         self._callers.start()
-        for watcher in self._watchers:
-            watcher.start()
+        self._follower.start()
         self._channels.start()
         self._heartbeats.start()
         self._election.start()
@@ -128,6 +131,8 @@
         await self._status.close()
         self._heartbeats.close()
         self._channels.close()
+        self._follower.close()
+        self._relay.close()
         for watcher in self._watchers:
             watcher.close()
         if self._register_task is not None:
@@ -201,6 +206,7 @@
             self.settings.peer_address,
             self.settings.zone,
             self.settings.cpu_cores,
+            True,
         )
         key = HOST_PREFIX + record.host
         while True:
--- a/greengagefall/gateway/records.py
+++ b/greengagefall/gateway/records.py
@@ -120,6 +120,7 @@
         str(fields["address"]),
         str(fields["zone"]),
         float(fields["weight"]),
+        bool(fields.get("relays", False)),
     )
 
 
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -74,7 +74,9 @@
         is_assignment_current: Whether the assignment is recent enough for renewing grants.
         is_entry_current: Whether this host would know by now if the server had restarted.
         pool: Connections to the server.
-        restart_detection_s: Time after a lost connection during which no keys are granted.
+        restart_detection_s: Time after a lost connection by which a restarted server has written
+            its entry.
+        store_lag_s: Returns how long ago this host certainly knew all entries.
 
     Attributes:
         entry: Newest entry of the incarnation.
@@ -94,6 +96,7 @@
         is_entry_current: Callable[[], bool],
         pool: ConnectionPool,
         restart_detection_s: float = 0.0,
+        store_lag_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.entry = entry
         self.incarnation = entry.incarnation
@@ -113,6 +116,7 @@
                 is_assignment_current,
                 is_entry_current,
                 restart_detection_s,
+                store_lag_s,
             )
             pool.on_idle_close = self._grants.on_connection_lost
         self._queued_requests: dict[int, _QueuedRequest] = {}
--- a/greengagefall/gateway/view.py
+++ b/greengagefall/gateway/view.py
@@ -42,6 +42,7 @@
         address: ``IP:port`` at which it accepts connections of other entry hosts.
         zone: Its availability zone.
         weight: Number of processor cores that it may use.
+        relays: Whether it passes changes of the store on to hosts that ask for them.
     """
 
     host: str
@@ -49,6 +50,7 @@
     address: str
     zone: str
     weight: float
+    relays: bool = False
 
     @property
     def incarnation(self) -> HostIncarnation:
@@ -64,15 +66,17 @@
         host_incarnation: The incarnation of this host.
         routing_table: Newest routing configuration.
         servers: Entries of backend servers by id.
-        evacuated_since_s: When this host learned of the evacuation of each evacuated zone, by zone.
+        evacuated_since_s: Earliest time at which the evacuation of each evacuated zone can have
+            begun, by zone.
         hosts: Entry hosts by name.
         coordinator: The coordinator according to the store.
         assignment: Newest assignment.
-        draining_since_s: When this host first saw each server as draining or removed, by id.
+        draining_since_s: Earliest time at which each draining or removed server can have begun to
+            leave, by id.
         is_entry_in_store: Returns whether the store has a server's entry now and no change of it
             can have been missed.
-        entry_lag_s: Returns the maximum delay with which this host learns of a changed entry while
-            entries are current.
+        store_lag_s: Returns how long ago this host certainly knew all changes in the store, at
+            most.
     """
 
     def __init__(
@@ -91,7 +95,7 @@
         self._latest_start_ms: dict[str, int] = {}
         self._latest_by_address: dict[str, ServerIncarnation] = {}
         self.is_entry_in_store: Callable[[str], bool] = lambda server_id: True
-        self.entry_lag_s: Callable[[], float] = lambda: 0.0
+        self.store_lag_s: Callable[[], float] = lambda: 0.0
         self._valid_until_s = 0.0
         self._listeners: list[Callable[[], None]] = []
         self._open_batches = 0
@@ -149,7 +153,7 @@
         if not entry.draining:
             self.draining_since_s.pop(entry.server_id, None)
         elif entry.server_id not in self.draining_since_s:
-            self.draining_since_s[entry.server_id] = self._clock.now_s()
+            self.draining_since_s[entry.server_id] = self._earliest_s()
         self.notify_listeners()
 
     def remove_server(self, server_id: str) -> None:
@@ -157,7 +161,7 @@
         if self.servers.pop(server_id, None) is None:
             return
         log.info("Backend server's entry was removed from the store.", extra={"server": server_id})
-        self.draining_since_s.setdefault(server_id, self._clock.now_s())
+        self.draining_since_s.setdefault(server_id, self._earliest_s())
         self.notify_listeners()
 
     def is_entry_current(self, server_id: str) -> bool:
@@ -193,7 +197,7 @@
             return
         log.info("Zone evacuation changed.", extra={"zone": zone, "evacuated": evacuated})
         if evacuated:
-            self.evacuated_since_s[zone] = self._clock.now_s()
+            self.evacuated_since_s[zone] = self._earliest_s()
         else:
             del self.evacuated_since_s[zone]
         self.notify_listeners()
@@ -219,6 +223,10 @@
         """Returns a service of the routing configuration, or None if it is unknown."""
         return self.routing_table.services.get(name)
 
+    def _earliest_s(self) -> float:
+        """Returns the earliest time at which a change that is seen now can have happened."""
+        return self._clock.now_s() - self.store_lag_s()
+
     def is_usable(self, entry: ServerEntry) -> bool:
         """Returns whether a server may get new requests and keys according to the records."""
         return not entry.draining and entry.zone not in self.evacuated_since_s
--- a/greengagefall/platform/store.py
+++ b/greengagefall/platform/store.py
@@ -113,6 +113,12 @@
             return Ok(None)
         return _parsed(answer, lambda fields: _key_value(fields))
 
+    async def is_reachable(self, key: str) -> bool:
+        """Returns whether the store answers, by a cheap read of a key that may be out of date."""
+        query = {"key": key, "allowStale": 1}
+        called = await self._call("probe", "GET", "/greengagefall/kv-key", query)
+        return not isinstance(called, Err)
+
     async def range(self, prefix: str) -> Result[RangeResult, StoreError]:
         """Returns all keys with a prefix, page by page."""
         key_values: list[KeyValue] = []
--- a/greengagefall/protocol/gateway_messages.py
+++ b/greengagefall/protocol/gateway_messages.py
@@ -228,3 +228,40 @@
 
     call_id: int
     granted: bool
+
+
+@message("sp")
+class StorePoll(NamedTuple):
+    """Asks a host that watches the store for the changes of keys since some revisions.
+
+    Attributes:
+        call_id: Id of the call on this connection.
+        revisions: For each followed prefix, the revision up to which the sender knows its keys;
+            0 if it knows none.
+        wait_ms: How long the reply may wait for a change.
+    """
+
+    call_id: int
+    revisions: list[int]
+    wait_ms: int
+
+
+@message("sc")
+class StoreChanges(NamedTuple):
+    """Changes of keys in the store, as a reply to a ``StorePoll``.
+
+    Attributes:
+        call_id: Id of the ``StorePoll``.
+        prefixes: For each followed prefix: the revision up to which the keys are known, whether
+            ``puts`` holds all keys, the puts as key, value and revision, and the deletions as key
+            and revision.
+        verified_age_ms: Time from the last proof that the sender knew all changes until this reply.
+        waited_ms: Time from the receipt of the ``StorePoll`` until this reply.
+        reachable_ms: Time for which the sender has reached the store without interruption.
+    """
+
+    call_id: int
+    prefixes: list[list[Any]]
+    verified_age_ms: int
+    waited_ms: int
+    reachable_ms: int
