--- a/greengagefall/gateway/relaying.py
+++ b/greengagefall/gateway/relaying.py
@@ -47,6 +47,8 @@
 # A relay that failed is not polled for this long; the pause doubles with each failure in a row.
 FAILED_RELAY_PAUSE_S = 2.0
 MAX_FAILED_RELAY_PAUSE_S = 30.0
+# A relay that answers but is not up to date is not polled for this long.
+OUTDATED_RELAY_PAUSE_S = 0.3
 # A host that starts waits this long for a relay before it reads all keys from the store.
 STARTUP_WAIT_S = 1.5
 CHECK_INTERVAL_S = 0.1
@@ -202,6 +204,7 @@
         self._started_s = clock.now_s()
         self._verified_s = clock.now_s()
         self._failed: dict[str, _FailedRelay] = {}
+        self._outdated_until_s: dict[str, float] = {}
         self._failed_last = False
         self._task: asyncio.Task | None = None
         self.relayed = False
@@ -268,18 +271,19 @@
             return None
         own = self._view.host_incarnation.host
         now_s = self._clock.now_s()
-        usable = [
+        alive = [
             record
             for record in self._ranked()
             if record.host != own
             and (record.host not in self._failed or self._failed[record.host].until_s <= now_s)
         ]
+        usable = [
+            record
+            for record in alive[:RELAYS_PER_ZONE]
+            if self._outdated_until_s.get(record.host, 0.0) <= now_s
+        ]
         # Hosts divide themselves among the relays.
-        return min(
-            usable[:RELAYS_PER_ZONE],
-            key=lambda record: hash64(own, record.host),
-            default=None,
-        )
+        return min(usable, key=lambda record: hash64(own, record.host), default=None)
 
     async def _poll(self, relay: HostRecord) -> bool:
         """Polls a relay once; returns whether it was up to date."""
@@ -289,11 +293,14 @@
             0, [watcher.revision for watcher in self._watchers], int(wait_s * MS_PER_S)
         )
         reply = await self._peers.call(relay.host, message, wait_s + POLL_TIMEOUT_S)
+        if isinstance(reply, Failure) and reply.reason == NOT_RELAYING.reason:
+            self._note_outdated(relay, None)
+            return False
         if not isinstance(reply, StoreChanges):
-            self._note_failure(relay, "no changes")
+            self._note_failed(relay)
             return False
         if reply.verified_age_ms > MAX_RELAY_AGE_S * MS_PER_S:
-            self._note_failure(relay, f"verified {reply.verified_age_ms} ms ago")
+            self._note_outdated(relay, reply.verified_age_ms)
             return False
         self._failed.pop(relay.host, None)
         self._failed_last = False
@@ -335,9 +342,24 @@
         for watcher in self._watchers:
             watcher.start()
 
-    def _note_failure(self, relay: HostRecord, reason: str) -> None:
+    def _note_outdated(self, relay: HostRecord, verified_age_ms: int | None) -> None:
+        """Pauses a relay that is alive but does not know all changes."""
+        self._failed_last = True
+        self._outdated_until_s[relay.host] = self._clock.now_s() + OUTDATED_RELAY_PAUSE_S
+        count("relay_failures", reason="outdated")
+        log.info(
+            "Relay does not know all changes; it is not polled for a while.",
+            extra={
+                "relay": relay.host,
+                "verified_age_ms": verified_age_ms,
+                "unverified_s": round(self._clock.now_s() - self._verified_s, 3),
+            },
+        )
+
+    def _note_failed(self, relay: HostRecord) -> None:
+        """Pauses a relay that does not answer."""
         self._failed_last = True
-        count("relay_failures")
+        count("relay_failures", reason="no_answer")
         if self._is_starting():
             return
         before = self._failed.get(relay.host)
@@ -345,10 +367,9 @@
         pause_s = min(pause_s, MAX_FAILED_RELAY_PAUSE_S)
         self._failed[relay.host] = _FailedRelay(self._clock.now_s() + pause_s, pause_s)
         log.info(
-            "Relay is not up to date or does not answer; it is not polled for a while.",
+            "Relay does not answer; it is not polled for a while.",
             extra={
                 "relay": relay.host,
-                "reason": reason,
                 "pause_s": pause_s,
                 "unverified_s": round(self._clock.now_s() - self._verified_s, 3),
             },
--- /dev/null
+++ b/greengagefall/tests/gateway_relaying_tests.py
@@ -0,0 +1,365 @@
+"""Tests in virtual time that no host depends on a relay which is lost, silent or out of date."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from result import Err, Ok
+
+from greengagefall.gateway.following import PrefixWatcher
+from greengagefall.gateway.handlers import PeerHandlers
+from greengagefall.gateway.peers import REPLY_LOST, UNREACHABLE
+from greengagefall.gateway.records import (
+    HOST_PREFIX,
+    MEMBERS_PREFIX,
+    MemberRecords,
+    OperatorRecords,
+    ServerRecords,
+    encode_host,
+)
+from greengagefall.gateway.relaying import RELAYS_PER_ZONE, RelayFollower, StoreRelay
+from greengagefall.gateway.view import ClusterView, HostRecord
+from greengagefall.ownership.model import HostIncarnation
+from greengagefall.platform.records import EVACUATION_PREFIX, OPERATOR_PREFIX, SERVERS_PREFIX
+from greengagefall.platform.store import KeyValue, RangeResult, WatchEvent, WatchResult
+from greengagefall.store.exceptions import StoreUnavailableError
+from greengagefall.tests.ownership_simulation import LoopClock, VirtualLoop
+
+ZONE = "a"
+HOST_COUNT = 12
+# The shortest time in which operators expect a change to be in force.
+MAX_LAG_S = 2.0
+CALL_TIMEOUT_S = 1.0
+# Time after which the operating system closes the connection of a silent watch.
+KEEPALIVE_S = 3.0
+FAULT_S = 6.0
+SEEDS = range(8)
+
+
+def server_entry(state: str) -> bytes:
+    fields = {
+        "service": "proofdesk",
+        "address": "127.0.0.1:1",
+        "zone": ZONE,
+        "maxConcurrency": 6,
+        "state": state,
+        "warmupLeftS": 0,
+        "born": 1,
+    }
+    return json.dumps(fields).encode()
+
+
+class VirtualStore:
+    """The store's keys and events, and which hosts are cut off from it."""
+
+    def __init__(self) -> None:
+        self.key_values: dict[str, KeyValue] = {}
+        self.events: list[WatchEvent] = []
+        self.revision = 1
+        self.cut: set[str] = set()
+        self.calls = 0
+        self.changed = asyncio.Event()
+
+    def put(self, key: str, value: bytes) -> None:
+        self.revision += 1
+        self.key_values[key] = KeyValue(key, value, self.revision)
+        self._publish(WatchEvent(self.key_values[key], False))
+
+    def delete(self, key: str) -> None:
+        self.revision += 1
+        del self.key_values[key]
+        self._publish(WatchEvent(KeyValue(key, b"", self.revision), True))
+
+    def _publish(self, event: WatchEvent) -> None:
+        self.events.append(event)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class HostStore:
+    """The store as one host reaches it."""
+
+    def __init__(self, store: VirtualStore, host: str) -> None:
+        self._store = store
+        self._host = host
+
+    async def _reach(self) -> bool:
+        self._store.calls += 1
+        await asyncio.sleep(0.004)
+        if self._host not in self._store.cut:
+            return True
+        await asyncio.sleep(CALL_TIMEOUT_S)
+        return False
+
+    async def range(self, prefix):
+        if not await self._reach():
+            return Err(StoreUnavailableError("cut off"))
+        found = [kv for key, kv in self._store.key_values.items() if key.startswith(prefix)]
+        return Ok(RangeResult(found, self._store.revision))
+
+    async def is_reachable(self, key):
+        return await self._reach()
+
+    async def watch(self, prefix, revision, wait_s):
+        if not await self._reach():
+            return Err(StoreUnavailableError("cut off"))
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + wait_s
+        while True:
+            if self._host in self._store.cut:
+                await asyncio.sleep(KEEPALIVE_S)
+                return Err(StoreUnavailableError("connection closed"))
+            events = [
+                event
+                for event in self._store.events
+                if event.key_value.mod_revision > revision
+                and event.key_value.key.startswith(prefix)
+            ]
+            remaining_s = end_s - loop.time()
+            if events or remaining_s <= 0:
+                return Ok(WatchResult(events, self._store.revision))
+            try:
+                async with asyncio.timeout(min(0.05, remaining_s)):
+                    await self._store.changed.wait()
+            except TimeoutError:
+                continue
+
+
+class Host:
+    """One entry host with its own watches, relay and follower."""
+
+    def __init__(self, zone: Zone, name: str) -> None:
+        self.name = name
+        clock = LoopClock(zone.loop)
+        self.view = ClusterView(SimpleNamespace(zone=ZONE), HostIncarnation(name, 1), clock)
+        store = HostStore(zone.store, name)
+        prefixes = [
+            (SERVERS_PREFIX, ServerRecords(self.view)),
+            (OPERATOR_PREFIX, OperatorRecords(self.view)),
+            (MEMBERS_PREFIX, MemberRecords(self.view)),
+        ]
+        self.watchers = [
+            PrefixWatcher(
+                store,
+                prefix,
+                records.put,
+                records.delete,
+                clock,
+                keep_through_outage=prefix == SERVERS_PREFIX,
+                batch=self.view.batch_notifications,
+            )
+            for prefix, records in prefixes
+        ]
+        relay = StoreRelay(self.watchers, store, clock)
+        self.handlers = PeerHandlers(self.view, None)
+        self.handlers.relay = relay
+        peers = SimpleNamespace(call=lambda *args: zone.call(name, *args))
+        self.follower = RelayFollower(self.watchers, relay, self.view, peers, clock)
+        self.view.store_lag_s = self.follower.lag_s
+
+    def record(self, weight: float) -> HostRecord:
+        return HostRecord(self.name, 1, "127.0.0.1:1", ZONE, weight, True)
+
+
+class Zone:
+    """The hosts of one zone, one store and the faults between them.
+
+    Attributes:
+        unreachable: Hosts that no call reaches, as after a kill.
+        silent: Hosts that answer nothing, as while they are paused or their answers get lost.
+    """
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self.loop = loop
+        self.store = VirtualStore()
+        self.unreachable: set[str] = set()
+        self.silent: set[str] = set()
+        self.hosts = {f"h{number:02}": Host(self, f"h{number:02}") for number in range(HOST_COUNT)}
+        for number, host in enumerate(self.hosts.values()):
+            record = host.record(3.0 if number < 3 else 1.0)
+            self.store.put(HOST_PREFIX + host.name, encode_host(record))
+        self.store.put("servers/s1", server_entry("ready"))
+        self.store.put("servers/gone", server_entry("ready"))
+
+    def start(self) -> None:
+        for host in self.hosts.values():
+            host.follower.start()
+
+    async def call(self, sender, name, message, timeout_s):
+        await asyncio.sleep(0.002)
+        if name in self.unreachable:
+            return UNREACHABLE
+        if name in self.silent:
+            await asyncio.sleep(timeout_s)
+            return REPLY_LOST
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self.hosts[name].handlers.handle(None, message)
+        except TimeoutError:
+            return REPLY_LOST
+
+    def relays(self) -> list[str]:
+        return [host.name for host in self.hosts.values() if not host.follower.relayed]
+
+
+def set_kill(zone: Zone, relays: list[str], active: bool) -> None:
+    zone.unreachable = set(relays) if active else set()
+
+
+def set_silence(zone: Zone, relays: list[str], active: bool) -> None:
+    zone.silent = set(relays) if active else set()
+
+
+def set_store_cut(zone: Zone, relays: list[str], active: bool) -> None:
+    zone.store.cut = set(relays) if active else set()
+
+
+FAULTS = {"killed": set_kill, "silent": set_silence, "cut from the store": set_store_cut}
+
+
+def run_virtual(run):
+    """Runs a coroutine function with a zone in virtual time."""
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    try:
+        return loop.run_until_complete(run(Zone(loop)))
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
+        asyncio.set_event_loop(None)
+
+
+async def play(zone: Zone, fault, count: int, seed: int) -> list[str]:
+    """Injects a fault on relays, changes the store, and returns what hosts did not learn."""
+    rng = random.Random(seed)
+    zone.start()
+    await asyncio.sleep(5.0 + rng.random())
+    affected = zone.relays()[:count]
+    fault(zone, affected, True)
+    await asyncio.sleep(2.0 * rng.random())
+    zone.store.put(EVACUATION_PREFIX + "b", b"{}")
+    zone.store.put("servers/s1", server_entry("draining"))
+    zone.store.delete("servers/gone")
+    changed_s = zone.loop.now_s
+    await asyncio.sleep(MAX_LAG_S)
+    faults = []
+    for host in zone.hosts.values():
+        if host.name not in affected:
+            faults += stale_facts(host, changed_s)
+    await asyncio.sleep(FAULT_S)
+    fault(zone, affected, False)
+    await asyncio.sleep(FAULT_S)
+    for host in zone.hosts.values():
+        faults += stale_facts(host, zone.loop.now_s)
+    return faults
+
+
+def stale_facts(host: Host, changed_s: float) -> list[str]:
+    """Returns what a host does not know, or dates later than it happened."""
+    facts = []
+    if host.view.evacuated_since_s.get("b", float("inf")) > changed_s:
+        facts.append(f"{host.name}: evacuation")
+    if host.view.draining_since_s.get("s1", float("inf")) > changed_s:
+        facts.append(f"{host.name}: draining server")
+    if "gone" in host.view.servers:
+        facts.append(f"{host.name}: removed server")
+    return facts
+
+
+class RelayTests(unittest.TestCase):
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def test_only_the_relays_watch_the_store(self):
+        async def run(zone):
+            zone.start()
+            await asyncio.sleep(5.0)
+            relays, calls = zone.relays(), zone.store.calls
+            await asyncio.sleep(30.0)
+            return relays, zone.store.calls - calls
+
+        relays, calls = run_virtual(run)
+        self.assertEqual(relays, ["h00", "h01"])
+        # Three watches of 14 s and a cheap probe each 0.3 s for each relay.
+        self.assertLess(calls, RELAYS_PER_ZONE * (3 * 4 + 101))
+
+    def test_a_change_reaches_all_hosts_soon(self):
+        async def run(zone):
+            zone.start()
+            await asyncio.sleep(5.0)
+            zone.store.put(EVACUATION_PREFIX + "b", b"{}")
+            await asyncio.sleep(0.5)
+            return [host.name for host in zone.hosts.values() if not host.view.evacuated_since_s]
+
+        self.assertEqual(run_virtual(run), [])
+
+    def test_a_lost_relay_delays_no_change_beyond_the_operators_limits(self):
+        for name, fault in FAULTS.items():
+            for count in (1, RELAYS_PER_ZONE):
+                for seed in SEEDS:
+                    with self.subTest(fault=name, relays=count, seed=seed):
+                        faults = run_virtual(
+                            lambda zone, fault=fault, count=count, seed=seed: play(
+                                zone, fault, count, seed
+                            )
+                        )
+                        self.assertEqual(faults, [])
+
+    def test_lost_relays_are_replaced(self):
+        async def run(zone):
+            zone.start()
+            await asyncio.sleep(5.0)
+            set_kill(zone, ["h00", "h01"], True)
+            await asyncio.sleep(20.0)
+            return zone.relays()
+
+        self.assertEqual(run_virtual(run), ["h00", "h01", "h02", "h03"])
+
+    def test_a_store_outage_removes_no_server_that_comes_back(self):
+        async def run(zone):
+            zone.start()
+            await asyncio.sleep(5.0)
+            zone.store.cut = set(zone.hosts)
+            await asyncio.sleep(5.0)
+            zone.store.delete("servers/s1")
+            zone.store.cut = set()
+            removed = []
+            for _ in range(18):
+                await asyncio.sleep(0.1)
+                removed += [h.name for h in zone.hosts.values() if "s1" not in h.view.servers]
+            zone.store.put("servers/s1", server_entry("ready"))
+            await asyncio.sleep(5.0)
+            removed += [h.name for h in zone.hosts.values() if "s1" not in h.view.servers]
+            return removed, zone.relays()
+
+        self.assertEqual(run_virtual(run), ([], ["h00", "h01"]))
+
+    def caught(self, fault, count: int) -> bool:
+        return any(
+            run_virtual(lambda zone, seed=seed: play(zone, fault, count, seed)) for seed in SEEDS
+        )
+
+    def test_a_planted_relay_that_always_seems_verified_is_caught(self):
+        reply = StoreRelay._reply
+
+        def claim_verified(self, message, received_s):
+            return reply(self, message, received_s)._replace(verified_age_ms=0)
+
+        with (
+            mock.patch.object(StoreRelay, "_reply", claim_verified),
+            mock.patch.object(PrefixWatcher, "watching", True),
+        ):
+            self.assertTrue(self.caught(set_store_cut, RELAYS_PER_ZONE))
+
+    def test_a_planted_date_of_changes_at_their_arrival_is_caught(self):
+        with mock.patch.object(RelayFollower, "lag_s", lambda self: 0.0):
+            self.assertTrue(self.caught(set_silence, RELAYS_PER_ZONE))
