--- a/greengagefall/gateway/relaying.py
+++ b/greengagefall/gateway/relaying.py
@@ -113,7 +113,7 @@
 
     def _has_news(self, revisions: list[int]) -> bool:
         return any(
-            watcher.last_change > revision
+            min(watcher.last_change, watcher.revision) > revision
             for watcher, revision in zip(self._watchers, revisions, strict=True)
         )
 
--- a/greengagefall/ownership/shares.py
+++ b/greengagefall/ownership/shares.py
@@ -59,24 +59,53 @@
     if load_per_s >= capacity_per_s:
         factor = load_per_s / capacity_per_s if capacity_per_s else 0.0
         return {server.incarnation: factor * server.capacity_per_s for server in servers}
-    spare_per_s = _spare_per_s(servers, load_per_s)
-    return {server.incarnation: _target(server, spare_per_s) for server in servers}
+    bounds = [_bounds(server) for server in servers]
+    spare_per_s = _spare_per_s(bounds, load_per_s)
+    return {
+        server.incarnation: _target(one, spare_per_s)
+        for server, one in zip(servers, bounds, strict=True)
+    }
 
 
-def _spare_per_s(servers: Sequence[ServerCapacity], load_per_s: float) -> float:
+class _Bounds(NamedTuple):
+    """The share of a server as a function of the spare rate, prepared for many evaluations.
+
+    Attributes:
+        min_per_s: Least share.
+        max_per_s: Greatest share.
+        busy_per_s: Share without any spare rate.
+        slots: Number of slots.
+    """
+
+    min_per_s: float
+    max_per_s: float
+    busy_per_s: float
+    slots: int
+
+
+def _bounds(server: ServerCapacity) -> _Bounds:
+    capacity_per_s = server.capacity_per_s
+    return _Bounds(
+        MIN_SHARE * capacity_per_s,
+        capacity_per_s,
+        server.slots / server.service_time_s,
+        server.slots,
+    )
+
+
+def _spare_per_s(bounds: Sequence[_Bounds], load_per_s: float) -> float:
     """Returns the spare rate of each slot when the servers share a load."""
     low = 0.0
-    high = max(1 / server.service_time_s for server in servers)
+    high = max(one.busy_per_s / one.slots for one in bounds)
     for _ in range(BISECTIONS):
         middle = (low + high) / 2
-        if sum(_target(server, middle) for server in servers) > load_per_s:
+        if sum(_target(one, middle) for one in bounds) > load_per_s:
             low = middle
         else:
             high = middle
     return low
 
 
-def _target(server: ServerCapacity, spare_per_s: float) -> float:
-    uniform_target = server.slots * (1 / server.service_time_s - spare_per_s)
-    min_target = MIN_SHARE * server.capacity_per_s
-    return min(server.capacity_per_s, max(min_target, uniform_target))
+def _target(bounds: _Bounds, spare_per_s: float) -> float:
+    min_per_s, max_per_s, busy_per_s, slots = bounds
+    return min(max_per_s, max(min_per_s, busy_per_s - slots * spare_per_s))
