--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -191,7 +191,7 @@
         return self._watchers[0].is_current(platform_records.SERVERS_PREFIX + server_id)
 
     def _host_count(self) -> int:
-        return len(self.view.hosts)
+        return self._follower.watching_host_count()
 
     def _is_ready(self) -> bool:
         if self._stopping or not self.view.routing_table.version:
--- a/greengagefall/gateway/relaying.py
+++ b/greengagefall/gateway/relaying.py
@@ -233,6 +233,12 @@
         reachable_since_s = max(watcher.reachable_since_s for watcher in self._watchers)
         return now_s - max(self._verified_s, reachable_since_s)
 
+    def watching_host_count(self) -> int:
+        """Returns the approximate number of hosts that watch the store now."""
+        if not self._is_relay():
+            return len(self._view.hosts)
+        return RELAYS_PER_ZONE * len({record.zone for record in self._view.hosts.values()})
+
     async def _run(self) -> None:
         while True:
             relay = self._choose()
