--- a/greengagefall/gateway/dispatch_planning.py
+++ b/greengagefall/gateway/dispatch_planning.py
@@ -2,14 +2,17 @@
 
 A server keeps its dispatcher while that host may dispatch. The exception is a dispatcher of another
 zone: it is replaced once a host of the server's zone may dispatch. A new dispatcher is chosen from
-the server's zone if possible, so that a request crosses zones at most once; among these hosts, the
-one with the fewest slots per processor core is chosen. The servers of a service without keys share
-one dispatcher in each zone, so that their requests wait in one queue. The coordinator dispatches
-only if no other host can.
+the server's zone if possible, so that a request crosses zones at most once. In a zone with many
+hosts only the strongest ones dispatch, as many as its servers need, since every host keeps a link
+to each dispatcher. Among these hosts, the one with the fewest slots per processor core is chosen.
+The servers of a service without keys share one dispatcher in each zone, so that their requests wait
+in one queue. The coordinator dispatches only if no other host can.
 """
 
 from __future__ import annotations
 
+import math
+from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
 from greengagefall.ownership.model import DispatcherRecord, HostIncarnation
@@ -20,6 +23,12 @@
     from greengagefall.gateway.model import ServerEntry
 
 
+# Servers that a dispatcher should have before another host of the zone dispatches too.
+SERVERS_PER_DISPATCHER = 6
+# Hosts of a zone that always share its servers, so that the loss of one costs a small part of them.
+MIN_ZONE_DISPATCHERS = 6
+
+
 class DispatcherCandidate(NamedTuple):
     """An entry host that may become a dispatcher.
 
@@ -74,9 +83,10 @@
         if entry.service not in keyed_services:
             pool_dispatchers.setdefault((entry.service, entry.zone), host.incarnation)
     unplaced += [entry for entry in servers.values() if entry.server_id not in current]
+    strongest = _strongest_hosts(hosts, servers, coordinator)
     for entry in sorted(unplaced, key=lambda entry: entry.server_id):
         group = (entry.service, entry.zone)
-        chosen = pool_dispatchers.get(group) or _least_loaded(entry.zone, hosts, slots, coordinator)
+        chosen = pool_dispatchers.get(group) or _least_loaded(entry.zone, strongest, slots)
         previous = current.get(entry.server_id)
         if chosen is None:
             if previous is not None:
@@ -100,14 +110,29 @@
     return any(other.zone == entry.zone for other in hosts)
 
 
-def _least_loaded(
-    zone: str,
+def _strongest_hosts(
     hosts: list[DispatcherCandidate],
-    slots: Mapping[HostIncarnation, int],
+    servers: Mapping[str, ServerEntry],
     coordinator: HostIncarnation,
-) -> HostIncarnation | None:
+) -> list[DispatcherCandidate]:
+    """Returns the hosts of each zone that should dispatch its servers."""
     others = [host for host in hosts if host.incarnation != coordinator] or hosts
-    candidates = [host for host in others if host.zone == zone] or others
+    ranked = sorted(others, key=lambda host: (-host.weight, host.incarnation))
+    server_counts = Counter(entry.zone for entry in servers.values())
+    chosen_counts: Counter[str] = Counter()
+    chosen = []
+    for host in ranked:
+        needed = math.ceil(server_counts[host.zone] / SERVERS_PER_DISPATCHER)
+        if chosen_counts[host.zone] < max(MIN_ZONE_DISPATCHERS, needed):
+            chosen_counts[host.zone] += 1
+            chosen.append(host)
+    return chosen
+
+
+def _least_loaded(
+    zone: str, hosts: list[DispatcherCandidate], slots: Mapping[HostIncarnation, int]
+) -> HostIncarnation | None:
+    candidates = [host for host in hosts if host.zone == zone] or hosts
     if not candidates:
         return None
     chosen = min(
--- a/greengagefall/gateway/peers.py
+++ b/greengagefall/gateway/peers.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from greengagefall.gateway.view import ClusterView
+    from greengagefall.gateway.view import ClusterView, HostRecord
 
 log = logging.getLogger(__name__)
 
@@ -49,6 +49,7 @@
         )
         self._server = PeerServer(settings.peer_address, self._hello, handler)
         self._links = PeerLinks(self._hello, self._ignore_message)
+        self._known_hosts: dict[str, HostRecord] = {}
         view.add_listener(self._update_links)
 
     async def start(self) -> None:
@@ -83,6 +84,9 @@
         return host == self._view.host_incarnation.host or self._links.is_connected(host)
 
     def _update_links(self) -> None:
+        if self._view.hosts == self._known_hosts:
+            return
+        self._known_hosts = dict(self._view.hosts)
         others = [
             record
             for record in self._view.hosts.values()
--- a/greengagefall/gateway/relaying.py
+++ b/greengagefall/gateway/relaying.py
@@ -38,7 +38,7 @@
 # In a smaller zone, all hosts watch the store.
 MIN_ZONE_HOSTS = 8
 # Longest wait of a poll for a change, and for the reply in addition to that.
-POLL_WAIT_S = 0.3
+POLL_WAIT_S = 0.5
 POLL_TIMEOUT_S = 0.4
 # Pause after a reply with changes, in which further ones accumulate.
 CHANGE_PAUSE_S = 0.15
--- a/greengagefall/gateway/router.py
+++ b/greengagefall/gateway/router.py
@@ -54,6 +54,18 @@
     retry_after_ms: int
 
 
+class _Pool(NamedTuple):
+    """The dispatchers of a service without keys.
+
+    Attributes:
+        slots: Slots of the usable servers that each host dispatches.
+        same_zone_hosts: Hosts that dispatch servers in this host's zone.
+    """
+
+    slots: dict[str, int]
+    same_zone_hosts: set[str]
+
+
 class Router:
     """Finds owner and dispatcher, sends the request, and retries where that is safe.
 
@@ -77,6 +89,8 @@
         self._request_update = request_update
         self._dispatcher_loads = DispatcherLoads(clock)
         self._budgets: dict[str, RetryBudget] = {}
+        self._pools: dict[str, _Pool] = {}
+        view.add_listener(self._pools.clear)
         self._random = random.Random()
 
     async def route(self, request: CallerRequest) -> Answer | Refusal:
@@ -200,22 +214,29 @@
             if dispatching is None:
                 return outcomes.failure(outcomes.NO_DISPATCHER)
             return dispatching.dispatcher.host, key_range.owner.server_id
+        pool = self._pool(service.name)
+        host = self._dispatcher_loads.choose(service.name, pool.slots, pool.same_zone_hosts)
+        if host is None:
+            return outcomes.failure(outcomes.NO_SERVER)
+        return host, ""
+
+    def _pool(self, service: str) -> _Pool:
+        """Returns the dispatchers of a service without keys, built anew after each change."""
+        pool = self._pools.get(service)
+        if pool is not None:
+            return pool
         slots: dict[str, int] = {}
         same_zone_hosts: set[str] = set()
         for entry in self._view.servers.values():
-            dispatching = assignment.dispatchers.get(entry.server_id)
-            if entry.service != service.name or dispatching is None:
-                continue
-            if not self._view.is_usable(entry):
+            dispatching = self._view.assignment.dispatchers.get(entry.server_id)
+            if entry.service != service or dispatching is None or not self._view.is_usable(entry):
                 continue
             host = dispatching.dispatcher.host
             slots[host] = slots.get(host, 0) + entry.slots
             if entry.zone == self._view.settings.zone:
                 same_zone_hosts.add(host)
-        host = self._dispatcher_loads.choose(service.name, slots, same_zone_hosts)
-        if host is None:
-            return outcomes.failure(outcomes.NO_SERVER)
-        return host, ""
+        pool = self._pools[service] = _Pool(slots, same_zone_hosts)
+        return pool
 
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
--- a/greengagefall/tests/gateway_router_tests.py
+++ b/greengagefall/tests/gateway_router_tests.py
@@ -155,6 +155,14 @@
         limits = self.view.settings.limits
         self.assertLess(len(peers.calls) - 300, limits.retry_extra + limits.retry_ratio * 300)
 
+    async def test_pooled_request_follows_changes_of_the_servers(self):
+        await self.route_request("/pool/1", key=-1)
+        self.view.set_evacuated("x", True)
+        await self.router.route(self.request("/pool/2", key=-1))
+        self.view.set_evacuated("x", False)
+        await self.router.route(self.request("/pool/3", key=-1))
+        self.assertEqual([host for host, _ in self.peers.calls], ["near", "far", "near"])
+
     async def test_pooled_request_stays_in_the_zone_while_it_has_spare_capacity(self):
         await self.route_request("/pool/1", key=-1)
         self.assertEqual(self.peers.calls[0][0], "near")
