--- a/greengagefall/gateway/relaying.py
+++ b/greengagefall/gateway/relaying.py
@@ -254,6 +254,8 @@
         """Returns whether this host has no keys yet and still waits for a relay."""
         if self._is_relay() or all(watcher.loaded.is_set() for watcher in self._watchers):
             return False
+        if self._watchers[-1].loaded.is_set() and not self._ranked():
+            return False
         return self._clock.now_s() - self._started_s < STARTUP_WAIT_S
 
     def _ranked(self) -> list[HostRecord]:
--- a/greengagefall/tests/gateway_relaying_tests.py
+++ b/greengagefall/tests/gateway_relaying_tests.py
@@ -23,7 +23,12 @@
     ServerRecords,
     encode_host,
 )
-from greengagefall.gateway.relaying import RELAYS_PER_ZONE, RelayFollower, StoreRelay
+from greengagefall.gateway.relaying import (
+    MIN_ZONE_HOSTS,
+    RELAYS_PER_ZONE,
+    RelayFollower,
+    StoreRelay,
+)
 from greengagefall.gateway.view import ClusterView, HostRecord
 from greengagefall.ownership.model import HostIncarnation
 from greengagefall.platform.records import EVACUATION_PREFIX, OPERATOR_PREFIX, SERVERS_PREFIX
@@ -175,12 +180,12 @@
         silent: Hosts that answer nothing, as while they are paused or their answers get lost.
     """
 
-    def __init__(self, loop: VirtualLoop) -> None:
+    def __init__(self, loop: VirtualLoop, host_count: int = HOST_COUNT) -> None:
         self.loop = loop
         self.store = VirtualStore()
         self.unreachable: set[str] = set()
         self.silent: set[str] = set()
-        self.hosts = {f"h{number:02}": Host(self, f"h{number:02}") for number in range(HOST_COUNT)}
+        self.hosts = {f"h{number:02}": Host(self, f"h{number:02}") for number in range(host_count)}
         for number, host in enumerate(self.hosts.values()):
             record = host.record(3.0 if number < 3 else 1.0)
             self.store.put(HOST_PREFIX + host.name, encode_host(record))
@@ -223,12 +228,12 @@
 FAULTS = {"killed": set_kill, "silent": set_silence, "cut from the store": set_store_cut}
 
 
-def run_virtual(run):
+def run_virtual(run, host_count: int = HOST_COUNT):
     """Runs a coroutine function with a zone in virtual time."""
     loop = VirtualLoop()
     asyncio.set_event_loop(loop)
     try:
-        return loop.run_until_complete(run(Zone(loop)))
+        return loop.run_until_complete(run(Zone(loop, host_count)))
     finally:
         for task in asyncio.all_tasks(loop):
             task.cancel()
@@ -292,6 +297,33 @@
         # Three watches of 14 s and a cheap probe each 0.3 s for each relay.
         self.assertLess(calls, RELAYS_PER_ZONE * (3 * 4 + 101))
 
+    def test_hosts_know_the_store_soon_after_they_start(self):
+        async def run(zone):
+            zone.start()
+            await asyncio.sleep(0.5)
+            return [host.name for host in zone.hosts.values() if "s1" not in host.view.servers]
+
+        for host_count in (MIN_ZONE_HOSTS - 1, HOST_COUNT):
+            with self.subTest(hosts=host_count):
+                self.assertEqual(run_virtual(run, host_count), [])
+
+    def test_hosts_of_a_small_zone_watch_by_themselves(self):
+        async def run(zone):
+            zone.start()
+            await asyncio.sleep(5.0)
+            return len(zone.relays())
+
+        self.assertEqual(run_virtual(run, MIN_ZONE_HOSTS - 1), MIN_ZONE_HOSTS - 1)
+
+    def test_a_host_that_starts_without_its_relays_watches_by_itself(self):
+        async def run(zone):
+            set_silence(zone, ["h00", "h01"], True)
+            zone.start()
+            await asyncio.sleep(2.5)
+            return [host.name for host in zone.hosts.values() if "s1" not in host.view.servers]
+
+        self.assertEqual(run_virtual(run), [])
+
     def test_a_change_reaches_all_hosts_soon(self):
         async def run(zone):
             zone.start()
