--- a/greengagefall/platform/grants.py
+++ b/greengagefall/platform/grants.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from greengagefall.platform.requests import json_request
+from greengagefall.platform.requests import EXPECTED_SERVER_HEADER, json_request
 
 if TYPE_CHECKING:
     from greengagefall.dispatch.connection_pool import HttpRequest
@@ -15,13 +15,15 @@
 HANDOVER_HEADER = "Handover"
 HTTP_OK = 200
 HTTP_CONFLICT = 409
+# Another server has the address.
+HTTP_MISDIRECTED = 421
 
 
 def grant_request(key_range: KeyRange, grant_duration_s: float, handover_token: str) -> HttpRequest:
-    """Returns the call that grants a key range or renews its grant.
+    """Returns the call that grants a key range to its owner or renews its grant.
 
     Args:
-        key_range: First and last key, both inclusive, and the fencing token.
+        key_range: First and last key, both inclusive, owner and fencing token.
         grant_duration_s: Time for which the server may hold the keys, from the call's arrival.
         handover_token: Handover token of the release by the former owner, empty without one.
     """
@@ -33,10 +35,15 @@
     }
     if handover_token:
         fields["handover"] = handover_token
-    return json_request("POST", GRANT_PATH, fields)
+    return _addressed(json_request("POST", GRANT_PATH, fields), key_range.owner.server_id)
 
 
-def release_request(first: int, last: int, fence: int) -> HttpRequest:
+def release_request(server_id: str, first: int, last: int, fence: int) -> HttpRequest:
     """Returns the call that releases keys; the server then refuses lower fencing tokens."""
     fields = {"from": first, "target": last, "fence": fence}
-    return json_request("POST", RELEASE_PATH, fields)
+    return _addressed(json_request("POST", RELEASE_PATH, fields), server_id)
+
+
+def _addressed(request: HttpRequest, server_id: str) -> HttpRequest:
+    """Returns the call with the id of its server, so that another one at the address refuses it."""
+    return request._replace(headers=[*request.headers, [EXPECTED_SERVER_HEADER, server_id]])
