--- a/greengagefall/gateway/coordinator.py
+++ b/greengagefall/gateway/coordinator.py
@@ -19,7 +19,7 @@
 from greengagefall.gateway.move_planning import MovePlanner
 from greengagefall.gateway.publishing import AssignmentPublisher
 from greengagefall.gateway.records import ASSIGNMENT_KEY
-from greengagefall.ownership import planning, rows
+from greengagefall.ownership import key_moves, rows
 from greengagefall.ownership.exceptions import AssignmentError
 from greengagefall.ownership.model import (
     EMPTY_ASSIGNMENT,
@@ -220,7 +220,7 @@
             or self._clock.now_s() - self._released_since_s > RELEASED_WRITE_DELAY_S
         ):
             for service in wanted.key_ranges:
-                wanted = planning.merge_adjacent_ranges(wanted, service)
+                wanted = key_moves.merge_adjacent_ranges(wanted, service)
             await self._write(wanted)
         self._begin_moves()
 
@@ -317,7 +317,7 @@
                 },
             )
             count("key_moves")
-        return planning.apply_moves(assignment, service.name, moves)
+        return key_moves.apply_moves(assignment, service.name, moves)
 
     async def _write(self, wanted: Assignment) -> None:
         """Writes an assignment and, once it is stored, publishes it."""
--- a/greengagefall/gateway/following.py
+++ b/greengagefall/gateway/following.py
@@ -1,6 +1,7 @@
 """Follows the keys of the store with a prefix: reads all of them, then watches for changes.
 
-While another host passes the changes on, a host does not watch by itself; see ``relaying``.
+While another host passes the changes on, a host does not watch by itself; see
+``relay_following``.
 """
 
 from __future__ import annotations
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -25,7 +25,8 @@
     ServerRecords,
     encode_host,
 )
-from greengagefall.gateway.relaying import RelayFollower, StoreRelay
+from greengagefall.gateway.relay_following import RelayFollower
+from greengagefall.gateway.relaying import StoreRelay
 from greengagefall.gateway.router import Router
 from greengagefall.gateway.status_http import StatusServer
 from greengagefall.gateway.view import ClusterView, HostRecord
--- a/greengagefall/gateway/host_reports.py
+++ b/greengagefall/gateway/host_reports.py
@@ -7,10 +7,10 @@
 
 from greengagefall.gateway.view import ASSIGNMENT_VALIDITY_S
 from greengagefall.limits.server_queue import INITIAL_SERVICE_TIME_S
+from greengagefall.ownership.balance import LoadEstimate
 from greengagefall.ownership.key_grants import MAX_DELIVERY_DELAY_S, max_grant_lifetime_s
 from greengagefall.ownership.key_load import KeyRates
 from greengagefall.ownership.model import HostIncarnation
-from greengagefall.ownership.planning import LoadEstimate
 from greengagefall.ownership.shares import ServerCapacity
 
 if TYPE_CHECKING:
--- a/greengagefall/gateway/move_planning.py
+++ b/greengagefall/gateway/move_planning.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from greengagefall.gateway.host_reports import HostReports
     from greengagefall.gateway.model import ServerEntry, Service
+    from greengagefall.ownership.key_moves import KeyMove
     from greengagefall.ownership.model import Assignment, KeyRange
     from greengagefall.utils.clock import Clock
 
@@ -64,7 +65,7 @@
 
     def plan(
         self, assignment: Assignment, service: Service, usable: list[ServerEntry]
-    ) -> list[planning.KeyMove]:
+    ) -> list[KeyMove]:
         """Returns the moves that should begin now.
 
         Args:
--- a/greengagefall/tests/gateway_move_planning_tests.py
+++ b/greengagefall/tests/gateway_move_planning_tests.py
@@ -13,8 +13,8 @@
     LOAD_PLAN_INTERVAL_S,
     MovePlanner,
 )
+from greengagefall.ownership.key_moves import apply_moves
 from greengagefall.ownership.model import EMPTY_ASSIGNMENT, LAST_KEY, NO_INCARNATION
-from greengagefall.ownership.planning import apply_moves
 from greengagefall.protocol.gateway_messages import HostBeat
 from greengagefall.utils.clock import ManualClock
 
--- a/greengagefall/tests/gateway_relaying_tests.py
+++ b/greengagefall/tests/gateway_relaying_tests.py
@@ -23,12 +23,12 @@
     ServerRecords,
     encode_host,
 )
-from greengagefall.gateway.relaying import (
+from greengagefall.gateway.relay_following import (
     MIN_ZONE_HOSTS,
     RELAYS_PER_ZONE,
     RelayFollower,
-    StoreRelay,
 )
+from greengagefall.gateway.relaying import StoreRelay
 from greengagefall.gateway.view import ClusterView, HostRecord
 from greengagefall.ownership.model import HostIncarnation
 from greengagefall.platform.records import EVACUATION_PREFIX, OPERATOR_PREFIX, SERVERS_PREFIX
--- a/greengagefall/tests/ownership_planning_tests.py
+++ b/greengagefall/tests/ownership_planning_tests.py
@@ -5,21 +5,16 @@
 import random
 import unittest
 
+from greengagefall.ownership.balance import LoadEstimate
 from greengagefall.ownership.key_load import KeyCounter, KeyRates
+from greengagefall.ownership.key_moves import apply_moves, merge_adjacent_ranges
 from greengagefall.ownership.model import (
     EMPTY_ASSIGNMENT,
     LAST_KEY,
     NO_INCARNATION,
     ServerIncarnation,
 )
-from greengagefall.ownership.planning import (
-    LoadEstimate,
-    PlanInput,
-    apply_moves,
-    merge_adjacent_ranges,
-    plan_moves,
-    plan_urgent_moves,
-)
+from greengagefall.ownership.planning import PlanInput, plan_moves, plan_urgent_moves
 from greengagefall.ownership.shares import ServerCapacity
 
 SERVICE = "proofdesk"
