--- a/greengagefall/gateway/coordinator.py
+++ b/greengagefall/gateway/coordinator.py
@@ -314,9 +314,10 @@
                     "source": move.source.server_id,
                     "target": move.target.server_id,
                     "per_s": round(move.load_per_s, 1),
+                    "reason": move.reason,
                 },
             )
-            count("key_moves")
+            count("key_moves", reason=move.reason)
         return key_moves.apply_moves(assignment, service.name, moves)
 
     async def _write(self, wanted: Assignment) -> None:
--- a/greengagefall/ownership/balance.py
+++ b/greengagefall/ownership/balance.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from greengagefall.ownership.key_moves import KeyMove
+from greengagefall.ownership.key_moves import REASON_NO_OWNER, KeyMove
 from greengagefall.ownership.model import LAST_KEY
 from greengagefall.ownership.shares import target_loads
 
@@ -114,14 +114,19 @@
         )
 
     def move(
-        self, first: int, last: int, source: ServerIncarnation, target: ServerIncarnation
+        self,
+        first: int,
+        last: int,
+        source: ServerIncarnation,
+        target: ServerIncarnation,
+        reason: str = REASON_NO_OWNER,
     ) -> KeyMove:
         """Applies a move to the loads and returns it."""
         load = self.range_load(first, last)
         if source in self._load:
             self._load[source] -= load
         self._load[target] += load
-        return KeyMove(first, last, source, target, load)
+        return KeyMove(first, last, source, target, load, reason)
 
 
 def prefix_end(balance: Balance, first: int, last: int, wanted: float) -> int:
--- a/greengagefall/ownership/key_moves.py
+++ b/greengagefall/ownership/key_moves.py
@@ -10,6 +10,12 @@
     from collections.abc import Iterable
 
 
+REASON_NO_OWNER = "no_usable_owner"
+REASON_NEW_SERVER = "new_server"
+REASON_OVERLOAD = "overload"
+REASON_EXCESS = "more_than_share"
+
+
 class KeyMove(NamedTuple):
     """A planned change of owner.
 
@@ -19,6 +25,7 @@
         source: Present owner; ``NO_INCARNATION`` for keys without one.
         target: New owner.
         load_per_s: Requests per second of the keys, as planned.
+        reason: Why the keys move.
     """
 
     first: int
@@ -26,6 +33,7 @@
     source: ServerIncarnation
     target: ServerIncarnation
     load_per_s: float = 0.0
+    reason: str = REASON_NO_OWNER
 
 
 def apply_moves(assignment: Assignment, service: str, moves: Iterable[KeyMove]) -> Assignment:
--- a/greengagefall/ownership/planning.py
+++ b/greengagefall/ownership/planning.py
@@ -20,7 +20,12 @@
     part_to_move,
     prefix_end,
 )
-from greengagefall.ownership.key_moves import KeyMove
+from greengagefall.ownership.key_moves import (
+    REASON_EXCESS,
+    REASON_NEW_SERVER,
+    REASON_OVERLOAD,
+    KeyMove,
+)
 from greengagefall.ownership.model import LAST_KEY, NO_INCARNATION
 
 if TYPE_CHECKING:
@@ -165,10 +170,12 @@
         self._settling = plan_input.settling
         self._busy = {key_range.owner for key_range in plan_input.key_ranges if key_range.moving}
         self._busy |= {key_range.source for key_range in plan_input.key_ranges if key_range.moving}
+        self._reason = ""
         self._max_moves = max(MIN_MOVE_LIMIT, int(MOVING_SHARE * server_count))
 
     def fill_new_servers(self, balance: Balance) -> None:
         """Moves keys to servers without keys, for a part of their share."""
+        self._reason = REASON_NEW_SERVER
         owners = {key_range.owner for key_range in self._key_ranges}
         for incarnation in sorted(balance.servers):
             if incarnation in owners or incarnation in self._busy or self._is_complete():
@@ -180,6 +187,7 @@
 
     def relieve_overloaded(self, balance: Balance) -> None:
         """Moves keys of overloaded servers to the servers with the lowest excess."""
+        self._reason = REASON_OVERLOAD
         max_utilisation = max(FULL_UTILISATION, EXCESS_FACTOR * balance.mean_utilisation())
         for source in self._descending(balance, balance.utilisation):
             if self._is_complete() or balance.utilisation(source) < max_utilisation:
@@ -191,6 +199,7 @@
 
     def shift_excess(self, balance: Balance) -> None:
         """Moves load beyond the shares, preferably to owners of neighbouring keys."""
+        self._reason = REASON_EXCESS
         for source in self._descending(balance, balance.excess):
             if self._is_complete() or balance.excess(source) < MIN_EXCESS:
                 return
@@ -216,7 +225,7 @@
         source: ServerIncarnation,
         target: ServerIncarnation,
     ) -> None:
-        self.moves.append(balance.move(first, last, source, target))
+        self.moves.append(balance.move(first, last, source, target, self._reason))
         self._busy.add(source)
         self._busy.add(target)
 
--- a/greengagefall/tests/ownership_planning_tests.py
+++ b/greengagefall/tests/ownership_planning_tests.py
@@ -7,7 +7,12 @@
 
 from greengagefall.ownership.balance import LoadEstimate
 from greengagefall.ownership.key_load import KeyCounter, KeyRates
-from greengagefall.ownership.key_moves import apply_moves, merge_adjacent_ranges
+from greengagefall.ownership.key_moves import (
+    REASON_NEW_SERVER,
+    REASON_OVERLOAD,
+    apply_moves,
+    merge_adjacent_ranges,
+)
 from greengagefall.ownership.model import (
     EMPTY_ASSIGNMENT,
     LAST_KEY,
@@ -120,6 +125,7 @@
         assignment, moves = self.apply_plans([*servers, server("new")], rates, assignment)
         self.assertTrue(moves)
         self.assertGreater(self.load(assignment, rates, "new"), 3)
+        self.assertEqual(moves[0].reason, REASON_NEW_SERVER)
 
     def test_a_balanced_load_moves_nothing(self):
         servers = [server(name) for name in "abcd"]
@@ -207,6 +213,7 @@
         moves = plan_moves(plan_input)
         self.assertEqual(moves[0].source, assignment.find_key_range(SERVICE, 1020).owner)
         self.assertGreater(moves[0].load_per_s, 5.0)
+        self.assertEqual(moves[0].reason, REASON_OVERLOAD)
 
     def test_the_end_with_fewer_keys_is_moved(self):
         """The busy keys of the overloaded server are the last ones of its range."""
