--- a/greengagefall/gateway/following.py
+++ b/greengagefall/gateway/following.py
@@ -237,11 +237,10 @@
             changes: The changes since ``revision``.
             reachable_since_s: When that host reached the store again after its last outage.
         """
-        if changes.revision < self.revision:
-            return
         self._note_reachable()
         self._reachable_since_s = max(self._reachable_since_s, reachable_since_s)
-        self._apply(changes)
+        if changes.revision >= self.revision:
+            self._apply(changes)
 
     def _apply(self, changes: PrefixChanges) -> None:
         with self._batch():
--- a/greengagefall/gateway/relay_following.py
+++ b/greengagefall/gateway/relay_following.py
@@ -134,7 +134,7 @@
             if relay is None and not self._is_starting():
                 self._watch()
             if relay is None or self._is_starting():
-                self.lag_s()
+                self.lag_s()  # Notes what the own watches prove.
                 await asyncio.sleep(CHECK_INTERVAL_S)
 
     def _is_starting(self) -> bool:
@@ -197,9 +197,17 @@
         if reply.verified_age_ms > MAX_RELAY_AGE_S * MS_PER_S:
             self._note_outdated(relay, reply.verified_age_ms)
             return False
+        try:
+            changed = self._apply(reply)
+        except (ValueError, TypeError) as error:
+            log.error(
+                "Reply of a relay is malformed; it is not polled for a while.",
+                extra={"relay": relay.host, "error": repr(error)},
+            )
+            self._note_failed(relay)
+            return False
         self._failed.pop(relay.host, None)
         self._failed_last = False
-        changed = self._apply(reply)
         self._verified_s = max(
             self._verified_s, sent_s + (reply.waited_ms - reply.verified_age_ms) / MS_PER_S
         )
--- a/greengagefall/tests/gateway_relaying_tests.py
+++ b/greengagefall/tests/gateway_relaying_tests.py
@@ -12,7 +12,7 @@
 
 from result import Err, Ok
 
-from greengagefall.gateway.following import PrefixWatcher
+from greengagefall.gateway.following import OUTAGE_RECOVERY_GRACE_S, PrefixWatcher
 from greengagefall.gateway.handlers import PeerHandlers
 from greengagefall.gateway.peers import REPLY_LOST, UNREACHABLE
 from greengagefall.gateway.records import (
@@ -33,6 +33,7 @@
 from greengagefall.ownership.model import HostIncarnation
 from greengagefall.platform.records import EVACUATION_PREFIX, OPERATOR_PREFIX, SERVERS_PREFIX
 from greengagefall.platform.store import KeyValue, RangeResult, WatchEvent, WatchResult
+from greengagefall.protocol.gateway_messages import StoreChanges
 from greengagefall.store.exceptions import StoreUnavailableError
 from greengagefall.tests.ownership_simulation import LoopClock, VirtualLoop
 
@@ -346,6 +347,29 @@
                         )
                         self.assertEqual(faults, [])
 
+    def test_hosts_of_a_relay_with_malformed_replies_watch_by_themselves(self):
+        def reply_malformed(self, message, received_s):
+            return StoreChanges(0, [[1]], 0, 0, 0)
+
+        with mock.patch.object(StoreRelay, "_reply", reply_malformed):
+            faults = run_virtual(lambda zone: play(zone, set_kill, 0, 1))
+        self.assertEqual(faults, [])
+
+    def test_a_host_that_follows_again_after_an_outage_knows_the_store_as_reachable(self):
+        """Its own watch ended at a later revision than that of the relay."""
+
+        async def run(zone):
+            zone.start()
+            await asyncio.sleep(5.0)
+            host = zone.hosts["h05"]
+            servers = host.watchers[0]
+            servers.revision += 100
+            servers._unreachable = True
+            await asyncio.sleep(OUTAGE_RECOVERY_GRACE_S + 1.0)
+            return host.follower.relayed, servers.is_current("servers/s1")
+
+        self.assertEqual(run_virtual(run), (True, True))
+
     def test_lost_relays_are_replaced(self):
         async def run(zone):
             zone.start()
