Read the assignment at once after a restart of all hosts

Ruled out: the start itself (0.2 s), grants (they follow within 50 ms). Change: a host without an assignment, whose coordinator does not answer, reads the store at once; a coordinator that is new to a host gets a heartbeat at once. The rule for grants is unchanged: an assignment that was read is valid for 8 s from the read.

--- a/greengagefall/gateway/beats.py
+++ b/greengagefall/gateway/beats.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,7 @@
     from greengagefall.gateway.dispatchers import ChannelManager
     from greengagefall.gateway.peers import Peers
     from greengagefall.gateway.view import ClusterView
+    from greengagefall.ownership.model import HostIncarnation
     from greengagefall.platform.store import PlatformStore
     from greengagefall.utils.clock import Clock
 
@@ -28,7 +30,8 @@
 HEARTBEAT_TIMEOUT_S = 0.6
 # Minimum interval between heartbeats that are sent to get a newer assignment soon.
 UPDATE_INTERVAL_S = 0.05
-# The assignment is read from the store if the coordinator has not answered for this long.
+# The assignment is read from the store if the coordinator has not answered for this long; a host
+# that has none yet reads it at once.
 STORE_READ_DELAY_S = 1.5
 STORE_READ_INTERVAL_S = 1.0
 
@@ -58,19 +61,23 @@
         self._store = store
         self._clock = clock
         self._last_answered_s = clock.now_s()
-        self._last_store_read_s = 0.0
+        self._last_store_read_s = -math.inf
+        self._known_coordinator: HostIncarnation | None = None
         self._update_needed = asyncio.Event()
         self._task: asyncio.Task | None = None
         self.stopping = False
 
     def start(self) -> None:
         """Starts the task that sends heartbeats."""
+        self._view.add_listener(self._on_change)
         self._task = asyncio.create_task(self._run(), name="beats")
 
     def close(self) -> None:
         """Stops the task that sends heartbeats."""
         if self._task is not None:
+            self._view.remove_listener(self._on_change)
             self._task.cancel()
+            self._task = None
 
     def request_update(self) -> None:
         """Sends a heartbeat soon; the coordinator answers it with a newer assignment."""
@@ -97,13 +104,18 @@
                     reply.assignment_version, sent_s - reply.verified_age_ms / MS_PER_S
                 )
                 return
-        if (
-            sent_s - self._last_answered_s > STORE_READ_DELAY_S
-            and sent_s - self._last_store_read_s > STORE_READ_INTERVAL_S
-        ):
+        starting = coordinator is not None and not self._view.assignment.version
+        silent = sent_s - self._last_answered_s > STORE_READ_DELAY_S
+        if (starting or silent) and sent_s - self._last_store_read_s > STORE_READ_INTERVAL_S:
             self._last_store_read_s = sent_s
             await self._read_assignment()
 
+    def _on_change(self) -> None:
+        """Sends a heartbeat soon to a coordinator that is new to this host."""
+        if self._view.coordinator != self._known_coordinator:
+            self._known_coordinator = self._view.coordinator
+            self.request_update()
+
     async def _run(self) -> None:
         while True:
             self._update_needed.clear()
--- a/greengagefall/gateway/publishing.py
+++ b/greengagefall/gateway/publishing.py
@@ -72,7 +72,7 @@
         """
         before = self._newest
         self.set_newest(newest)
-        for target in concerned_hosts(before, newest) - {own}:
+        for target in sorted(concerned_hosts(before, newest) - {own}):
             self._start(target, before.version)
 
     def bring_up_to_date(self, target: HostIncarnation, version: int) -> None:
