--- a/greengagefall/gateway/relay_following.py
+++ b/greengagefall/gateway/relay_following.py
@@ -113,12 +113,15 @@
 
         Changes during an outage of the store can't be older than its end.
         """
-        now_s = self._clock.now_s()
+        self._note_own_proof()
+        reachable_since_s = max(watcher.reachable_since_s for watcher in self._watchers)
+        return self._clock.now_s() - max(self._verified_s, reachable_since_s)
+
+    def _note_own_proof(self) -> None:
+        """Notes up to when this host certainly knows all changes by its own watches."""
         if all(watcher.watching for watcher in self._watchers):
             lag_s = max(watcher.batch_delay_s() for watcher in self._watchers)
-            self._verified_s = max(self._verified_s, now_s - lag_s)
-        reachable_since_s = max(watcher.reachable_since_s for watcher in self._watchers)
-        return now_s - max(self._verified_s, reachable_since_s)
+            self._verified_s = max(self._verified_s, self._clock.now_s() - lag_s)
 
     def watching_host_count(self) -> int:
         """Returns the approximate number of hosts that watch the store now."""
@@ -134,7 +137,7 @@
             if relay is None and not self._is_starting():
                 self._watch()
             if relay is None or self._is_starting():
-                self.lag_s()  # Notes what the own watches prove.
+                self._note_own_proof()
                 await asyncio.sleep(CHECK_INTERVAL_S)
 
     def _is_starting(self) -> bool:
