--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from greengagefall.dispatch.exceptions import (
+    AnswerTimeoutError,
     DispatchError,
     NotSentError,
     SendRefusedError,
@@ -124,7 +125,7 @@
 
     def on_connection_lost(self) -> None:
         """Suspends grants, since the server may have restarted."""
-        self._mark_unverified()
+        self._mark_unverified(self._restart_detection_s)
 
     def on_request_executed(self, sent_s: float) -> None:
         """Takes an executed request for a held key as proof that the incarnation is the same.
@@ -216,12 +217,12 @@
                 return key_range
         return None
 
-    def _mark_unverified(self) -> None:
-        """Marks the incarnation as unverified until the store would show a later one."""
+    def _mark_unverified(self, min_s: float) -> None:
+        """Marks the incarnation as unverified for at least ``min_s``."""
         now_s = self._clock.now_s()
         self._unverified = True
         self._unverified_since_s = now_s
-        self._unverified_until_s = now_s + self._restart_detection_s
+        self._unverified_until_s = max(self._unverified_until_s, now_s + min_s)
 
     def _is_unverified(self) -> bool:
         """Returns whether the server may have restarted without the store showing it yet."""
@@ -276,8 +277,10 @@
             return False
         except DispatchError as error:
             self._health.record_failure(refused=isinstance(error, NotSentError))
-            # Also after a mere timeout, the next connection may reach a later incarnation.
-            self._mark_unverified()
+            # After a mere timeout no wait is needed if the store shows the current incarnation.
+            self._mark_unverified(
+                0.0 if isinstance(error, AnswerTimeoutError) else self._restart_detection_s
+            )
             count("grant_failures", error=type(error).__name__)
             return False
         self._health.record_answer()
@@ -287,7 +290,7 @@
             # accept this lower one.
             self._superseded_grants.add(grant_id)
         if answer.status == calls.HTTP_MISDIRECTED:
-            self._mark_unverified()
+            self._mark_unverified(self._restart_detection_s)
         if answer.status != calls.HTTP_OK:
             count("grants_refused", status=str(answer.status))
             log.warning(
