--- a/greengagefall/gateway/move_planning.py
+++ b/greengagefall/gateway/move_planning.py
@@ -43,6 +43,8 @@
 
 
 class _RecentMove(NamedTuple):
+    """Bounds of keys that were moved, and when the move was planned."""
+
     first: int
     last: int
     planned_s: float
--- a/greengagefall/gateway/publishing.py
+++ b/greengagefall/gateway/publishing.py
@@ -25,6 +25,8 @@
 
 
 class _LastPush(NamedTuple):
+    """The newest version that was sent to a host, and when."""
+
     version: int
     sent_s: float
 
--- a/greengagefall/gateway/relay_following.py
+++ b/greengagefall/gateway/relay_following.py
@@ -56,6 +56,8 @@
 
 
 class _FailedRelay(NamedTuple):
+    """A relay that did not answer: until when it is not polled, and for how long in all."""
+
     until_s: float
     pause_s: float
 
--- a/greengagefall/gateway/relaying.py
+++ b/greengagefall/gateway/relaying.py
@@ -26,6 +26,8 @@
 # Interval between proofs that the store answers, and how long they go on after the last poll.
 PROBE_INTERVAL_S = 0.3
 PROBE_AFTER_POLL_S = 3.0
+# Longest reported time without an outage, for a host that has seen none.
+MAX_REACHABLE_S = 1e6
 NOT_RELAYING = Failure(0, "not_relaying")
 
 
@@ -99,7 +101,7 @@
             ],
             _to_ms(now_s - self._verified_s),
             int((now_s - received_s) * MS_PER_S),
-            _to_ms(min(now_s - reachable_since_s, 1e6)),
+            _to_ms(min(now_s - reachable_since_s, MAX_REACHABLE_S)),
         )
 
     def _wake(self) -> None:
