--- a/greengagefall/ownership/balance.py
+++ b/greengagefall/ownership/balance.py
@@ -20,7 +20,7 @@
 MIN_EXCESS = 0.2
 # Standard errors by which a load has to exceed a bound: for an overloaded server, which is relieved
 # soon, and for load beyond a share, which can wait for a better estimate.
-OVERLOAD_ERRORS = 2.0
+OVERLOAD_ERRORS = 1.0
 EXCESS_ERRORS = 3.0
 # Total utilisation that is spread evenly over all keys in addition to the known rates, so that
 # keys with unknown load are distributed too.
