--- a/greengagefall/ownership/balance.py
+++ b/greengagefall/ownership/balance.py
@@ -9,7 +9,7 @@
 from greengagefall.ownership.shares import target_loads
 
 if TYPE_CHECKING:
-    from collections.abc import Container
+    from collections.abc import Container, Iterable
 
     from greengagefall.ownership.key_load import KeyRates
     from greengagefall.ownership.model import KeyRange, ServerIncarnation
@@ -79,6 +79,15 @@
         """Returns the load of a server as a fraction of its capacity."""
         return self._load[incarnation] / self.servers[incarnation].capacity_per_s
 
+    def room_per_s(self, incarnation: ServerIncarnation) -> float:
+        """Returns the requests per second that a server could execute beside its load."""
+        return self.servers[incarnation].capacity_per_s - self._load[incarnation]
+
+    def busy_key(self, key_ranges: Iterable[KeyRange]) -> tuple[int, float]:
+        """Returns the busiest key of some key ranges and its requests per second."""
+        found = [self.rates.busiest_key(one.first, one.last) for one in key_ranges]
+        return max(found, key=lambda row: row[1], default=(0, 0.0))
+
     def mean_utilisation(self) -> float:
         """Returns the load of all servers as a fraction of their total capacity."""
         capacity = sum(server.capacity_per_s for server in self.servers.values())
--- a/greengagefall/ownership/key_load.py
+++ b/greengagefall/ownership/key_load.py
@@ -102,6 +102,15 @@
         high = bisect_right(self._keys, last)
         return self._sums[high] - self._sums[low]
 
+    def busiest_key(self, first: int, last: int) -> tuple[int, float]:
+        """Returns the busiest key from ``first`` to ``last`` and its requests per second."""
+        low = bisect_left(self._keys, first)
+        high = bisect_right(self._keys, last)
+        if low == high:
+            return first, 0.0
+        index = max(range(low, high), key=lambda at: self._sums[at + 1] - self._sums[at])
+        return self._keys[index], self._sums[index + 1] - self._sums[index]
+
     def prefix_end(self, first: int, last: int, max_rate_per_s: float) -> int:
         """Returns the last key of the longest prefix whose rate is at most ``max_rate_per_s``.
 
--- a/greengagefall/ownership/planning.py
+++ b/greengagefall/ownership/planning.py
@@ -49,7 +49,9 @@
 # Largest load that one move of keys without a usable owner adds to a server, as a fraction of its
 # capacity.
 ORPHAN_SHARE = 0.3
-# Ratio of capacities that justifies a move of a single busy key to a faster server.
+# Rate of a key, as a fraction of its server's capacity, from which it may be moved alone.
+BUSY_KEY_SHARE = 0.5
+# Ratio of the room for a busy key at two servers that justifies its move.
 MIN_RELOCATION_GAIN = 1.25
 
 
@@ -194,8 +196,8 @@
                 return
             if not balance.is_overloaded(source, max_utilisation):
                 continue
-            if not self._move_to_least_loaded(balance, source):
-                self._relocate(balance, source)
+            if not self._relocate_busy_key(balance, source):
+                self._move_to_least_loaded(balance, source)
 
     def shift_excess(self, balance: Balance) -> None:
         """Moves load beyond the shares, preferably to owners of neighbouring keys."""
@@ -311,26 +313,28 @@
                 return True
         return False
 
-    def _relocate(self, balance: Balance, source: ServerIncarnation) -> None:
-        """Moves a single key that overloads its server to the server with the highest capacity.
+    def _relocate_busy_key(self, balance: Balance, source: ServerIncarnation) -> bool:
+        """Moves a key that overloads its server alone to the server with most room for it.
 
-        Servers can't share a key, so the fastest server can serve most of its requests.
+        Servers can't share a key, so the keys beside it would have to leave one after the other.
+
+        Returns:
+            Whether the key was moved.
         """
-        key_ranges = self._ranges_not_moving(source)
+        key, rate_per_s = balance.busy_key(self._ranges_not_moving(source))
         others = [
             incarnation
             for incarnation in balance.servers
             if incarnation not in self._busy and incarnation != source
         ]
-        if len(key_ranges) != 1 or key_ranges[0].size != 1 or not others:
-            return
-        best = max(
-            others,
-            key=lambda incarnation: (balance.servers[incarnation].capacity_per_s, incarnation),
-        )
-        present = balance.servers[source].capacity_per_s
-        if balance.servers[best].capacity_per_s >= MIN_RELOCATION_GAIN * present:
-            self._add(balance, key_ranges[0].first, key_ranges[0].last, source, best)
+        if rate_per_s < BUSY_KEY_SHARE * balance.servers[source].capacity_per_s or not others:
+            return False
+        best = max(others, key=lambda incarnation: (balance.room_per_s(incarnation), incarnation))
+        present_room_per_s = balance.room_per_s(source) + rate_per_s
+        if balance.room_per_s(best) < MIN_RELOCATION_GAIN * present_room_per_s:
+            return False
+        self._add(balance, key, key, source, best)
+        return True
 
 
 def _neighbours(key_ranges: tuple[KeyRange, ...], index: int) -> list[KeyRange]:
--- a/greengagefall/tests/ownership_planning_tests.py
+++ b/greengagefall/tests/ownership_planning_tests.py
@@ -108,6 +108,31 @@
         self.assertEqual(owner.server_id, "fast")
         self.assertEqual(self.load(assignment, rates, "fast"), 35.0)
 
+    def test_a_busy_key_leaves_its_neighbours_in_one_move(self):
+        """One of many keys of a server suddenly gets more requests than the server can execute."""
+        servers = [server("a"), server("b"), server("c"), server("fast", 0.05)]
+        rates = dict.fromkeys(range(0, 65000, 1300), 0.5)
+        assignment, _ = self.apply_plans(servers, rates_of(rates))
+        key = next(
+            key
+            for key in rates
+            if assignment.find_key_range(SERVICE, key).owner.server_id != "fast"
+            and assignment.find_key_range(SERVICE, key).size > 10
+        )
+        plan_input = input_of(
+            assignment.key_ranges[SERVICE], servers, rates_of({**rates, key: 33.0})
+        )
+        move = plan_moves(plan_input)[0]
+        self.assertEqual((move.first, move.last), (key, key))
+        self.assertEqual(move.target.server_id, "fast")
+
+    def test_a_busy_key_stays_where_no_other_server_has_more_room(self):
+        servers = [server(name) for name in "abcd"]
+        rates = {1030: 35.0, 2000: 3.0, 2100: 3.0}
+        assignment, _ = self.apply_plans(servers, rates_of(rates))
+        plan_input = input_of(assignment.key_ranges[SERVICE], servers, rates_of(rates))
+        self.assertEqual(plan_moves(plan_input), [])
+
     def test_keys_of_a_removed_server_go_to_several_others(self):
         servers = [server(name) for name in "abcd"]
         rates = rates_of(dict.fromkeys(range(0, 65000, 2000), 1.0))
