--- a/greengagefall/tests/gateway_soak_tests.py
+++ b/greengagefall/tests/gateway_soak_tests.py
@@ -16,7 +16,7 @@
     async def test_a_short_soak_finds_nothing(self):
         result = await run_soak(3, SECONDS, show=lambda line: None)
         self.assertEqual(result.violations, [])
-        self.assertGreater(result.statuses[200], 100)
+        self.assertGreater(result.statuses[200], 100, dict(result.statuses))
 
 
 class CheckTests(unittest.TestCase):
