Log and count each grant and release without an answer

Each such call is now one line with call, keys, fence, error, whether it was sent, and its age; release_failures counts beside grant_failures.

--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -26,6 +26,7 @@
 
 log = logging.getLogger(__name__)
 
+MS_PER_S = 1000.0
 GRANT_TIMEOUT_S = 0.5
 RETRY_INTERVAL_S = 0.2
 RELEASE_MIN_WAIT_S = 1.0
@@ -195,14 +196,17 @@
             if remaining_s <= 0:
                 return ReleaseOutcome(False, "", 0.0)
             request = calls.release_request(self._incarnation.server_id, first, last, fence)
+            sent_s = self._clock.now_s()
             try:
                 answer = await self._pool.exchange(request, remaining_s, lambda: True)
-            except NotSentError:
+            except NotSentError as error:
                 self._health.record_failure(refused=True)
+                self._log_unanswered("release", (first, last, fence), sent_s, error)
                 ends_in_s = max(0.0, grants_end_s - self._clock.now_s())
                 return ReleaseOutcome(False, "", ends_in_s)
-            except DispatchError:
+            except DispatchError as error:
                 self._health.record_failure()
+                self._log_unanswered("release", (first, last, fence), sent_s, error)
                 await asyncio.sleep(RELEASE_RETRY_INTERVAL_S)
                 continue
             self._health.record_answer()
@@ -211,6 +215,26 @@
                 return ReleaseOutcome(True, token, 0.0)
             await asyncio.sleep(RETRY_INTERVAL_S)
 
+    def _log_unanswered(
+        self, call: str, grant_id: tuple[int, int, int], sent_s: float, error: DispatchError
+    ) -> None:
+        """Logs and counts a call without an answer; unless not sent, it may still arrive."""
+        first, last, fence = grant_id
+        count(f"{call}_failures", error=type(error).__name__)
+        log.info(
+            "Backend server did not answer a grant or release of keys.",
+            extra={
+                "server": self._incarnation.server_id,
+                "call": call,
+                "first": first,
+                "last": last,
+                "fence": fence,
+                "error": type(error).__name__,
+                "not_sent": isinstance(error, NotSentError),
+                "age_ms": int((self._clock.now_s() - sent_s) * MS_PER_S),
+            },
+        )
+
     def _find_key_range(self, key: int) -> KeyRange | None:
         for key_range in self._key_ranges:
             if key_range.first <= key <= key_range.last:
@@ -281,7 +305,7 @@
             self._mark_unverified(
                 0.0 if isinstance(error, AnswerTimeoutError) else self._restart_detection_s
             )
-            count("grant_failures", error=type(error).__name__)
+            self._log_unanswered("grant", grant_id, sent_s, error)
             return False
         self._health.record_answer()
         if answer.status == calls.HTTP_CONFLICT:
