--- a/greengagefall/tests/dispatch_connection_pool_tests.py
+++ b/greengagefall/tests/dispatch_connection_pool_tests.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import contextlib
+import signal
 import socket
 import struct
+import sys
 import unittest
 
 from tornado.iostream import IOStream
@@ -203,5 +205,77 @@
             await self.send(pool)
 
 
+class HeldUpRequestTests(unittest.IsolatedAsyncioTestCase):
+    """The server's operating system accepts connections, but the server reads nothing at first."""
+
+    RECEIVE_BUFFER_BYTES = 4096
+    # More than fits into the server's buffer, so that the sender's operating system holds a part.
+    HELD_UP_BODY = b"x" * 500_000
+    GIVE_UP_S = 0.3
+    # Sends one request without an answer and says so; run by a process that is then killed.
+    SENDER = """
+import asyncio, sys
+from greengagefall.dispatch.connection_pool import ConnectionPool, HttpRequest
+def started():
+    print("sending", flush=True)
+    return True
+body = b"x" * int(sys.argv[2])
+pool = ConnectionPool(sys.argv[1], 1000)
+asyncio.run(pool.exchange(HttpRequest("POST", "/a", [], body), 30.0, started))
+"""
+
+    async def asyncSetUp(self):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.RECEIVE_BUFFER_BYTES)
+        self.listener.setblocking(False)
+        self.addCleanup(self.listener.close)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+
+    async def read_all(self) -> tuple[int, bool]:
+        """Returns the bytes that arrive and whether the connection was reset."""
+        loop = asyncio.get_running_loop()
+        received_bytes = 0
+        connection, _ = await loop.sock_accept(self.listener)
+        with connection:
+            connection.setblocking(False)
+            async with asyncio.timeout(TIMEOUT_S):
+                try:
+                    while data := await loop.sock_recv(connection, 65_536):
+                        received_bytes += len(data)
+                except ConnectionResetError:
+                    return received_bytes, True
+        return received_bytes, False
+
+    async def give_up(self, body: bytes) -> None:
+        pool = ConnectionPool(self.address, LIMIT_BYTES)
+        self.addCleanup(pool.close)
+        with self.assertRaises(AnswerTimeoutError):
+            await pool.exchange(HttpRequest("POST", "/a", [], body), self.GIVE_UP_S, lambda: True)
+
+    async def test_a_request_that_was_given_up_does_not_arrive_later(self):
+        await self.give_up(self.HELD_UP_BODY)
+        received_bytes, reset = await self.read_all()
+        self.assertLess(received_bytes, len(self.HELD_UP_BODY))
+        self.assertTrue(reset)
+
+    async def test_giving_up_a_small_request_resets_its_connection(self):
+        await self.give_up(b"{}")
+        self.assertTrue((await self.read_all())[1])
+
+    async def test_a_request_of_a_killed_process_does_not_arrive_later(self):
+        size_bytes = str(len(self.HELD_UP_BODY))
+        sender = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-c", self.SENDER, self.address, size_bytes),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        await sender.stdout.readline()
+        await asyncio.sleep(self.GIVE_UP_S)
+        sender.send_signal(signal.SIGKILL)
+        await sender.wait()
+        received_bytes, reset = await self.read_all()
+        self.assertLess(received_bytes, len(self.HELD_UP_BODY))
+        self.assertTrue(reset)
+
+
 if __name__ == "__main__":
     unittest.main()
