Reset connections to servers, so that nothing arrives after it was given up

What callers saw: two servers held the same keys after a network cut (OWNER), so that a request could be executed by a server that no longer owned its key.

Cause: a grant that was written as the cut began got no answer and was given up after 0.5 s. Closing its connection only announced the end: the operating system went on sending what the connection held, 6.2 s after the send with success, after the cut had healed. The keys had moved meanwhile, when all grants were taken to have expired; the former owner had never seen the newer fence, since the releases could not reach it either, and took its keys back.

Fix: a connection to a server is reset when its socket ends, by a close or with the process, which discards what is not delivered yet.

Ruled out: a send after the heal under an older assignment (the logs show none), keys that moved before the expiry of the grants they knew of (the moves came later than that).

--- a/greengagefall/bench/tcp_proxy.py
+++ b/greengagefall/bench/tcp_proxy.py
@@ -4,12 +4,10 @@
 
 import asyncio
 import contextlib
-import socket
-import struct
+
+from greengagefall.utils.sockets import reset_on_close
 
 CHUNK_BYTES = 65_536
-# With this value of SO_LINGER, closing a socket resets its connection.
-NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class TcpProxy:
@@ -60,7 +58,7 @@
         for writer in list(self._writers):
             sock = writer.get_extra_info("socket")
             with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+                reset_on_close(sock)
             writer.transport.abort()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/greengagefall/dispatch/connection_pool.py
+++ b/greengagefall/dispatch/connection_pool.py
@@ -24,7 +24,7 @@
     NotSentError,
     SendRefusedError,
 )
-from greengagefall.utils.sockets import enable_tcp_keepalive
+from greengagefall.utils.sockets import enable_tcp_keepalive, reset_on_close
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -271,6 +271,8 @@
             raise NotSentError(f"{self.address} closed the connection as soon as it was open")
         stream.set_nodelay(True)
         _detect_broken_connections(stream.socket)
+        # A network that is cut may hold a request up; it must not arrive once it was given up.
+        reset_on_close(stream.socket)
         return stream
 
     def _keep_or_close(self, stream: IOStream, headers: HTTPHeaders) -> None:
--- a/greengagefall/tests/dispatch_connection_pool_tests.py
+++ b/greengagefall/tests/dispatch_connection_pool_tests.py
@@ -6,7 +6,6 @@
 import contextlib
 import signal
 import socket
-import struct
 import sys
 import unittest
 
@@ -22,13 +21,12 @@
     NotSentError,
     SendRefusedError,
 )
+from greengagefall.utils.sockets import reset_on_close
 
 LIMIT_BYTES = 1000
 TIMEOUT_S = 1.0
 REQUEST = HttpRequest("GET", "/a", [["Request-Id", "one"]], b"")
 COMPLETE_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
-# SO_LINGER value with which closing a socket resets the connection.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class ScriptedAnswer:
@@ -79,8 +77,7 @@
         if answer.ending:
             await asyncio.sleep(0.05)
         if answer.ending == "reset":
-            sock = writer.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            reset_on_close(writer.get_extra_info("socket"))
         if answer.ending:
             writer.close()
             return False
--- a/greengagefall/utils/sockets.py
+++ b/greengagefall/utils/sockets.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import socket
+import struct
+
+# SO_LINGER, enabled with a time of 0 s.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def enable_tcp_keepalive(sock: socket.socket, idle_s: int, interval_s: int, probes: int) -> None:
@@ -20,3 +24,15 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, idle_s)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, interval_s)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes)
+
+
+def reset_on_close(sock: socket.socket) -> None:
+    """Makes the end of the socket reset its connection and discard what is not delivered yet.
+
+    That holds for a close as for the end of the process. Otherwise the operating system goes on
+    sending, so that the peer may receive a message long after its sender has given it up.
+
+    Args:
+        sock: A TCP socket.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
