Explore cuts that hold calls to servers up and deliver them later

Now the network can also hold calls up and deliver them up to 3 s after the cut, unless their sender has given them up, which resets the connection.

--- a/greengagefall/tests/ownership_exploration_tests.py
+++ b/greengagefall/tests/ownership_exploration_tests.py
@@ -14,7 +14,7 @@
 
 from greengagefall.gateway import assignment_store, grants, host_reports, publishing, range_moves
 from greengagefall.gateway.view import ClusterView
-from greengagefall.tests.ownership_simulation import Simulation, VirtualLoop
+from greengagefall.tests.ownership_simulation import SimulatedPool, Simulation, VirtualLoop
 
 SEED_COUNT = 15
 # Seeds that found a fault once, with that fault.
@@ -48,6 +48,8 @@
     *("kill", "kill_all", "kill_all", "peers", "store_cut", "crash", "drain", "late"),
     *["restored"] * 4,
 )
+# "held_up" has the network hold up calls to servers and deliver them after its end.
+HELD_UP_FAULT_KINDS = (*FAULT_KINDS, *["held_up"] * 4)
 FAULTS_END_S = 25.0
 # Time after the last fault; it covers the longest wait for the grants of an unreachable dispatcher.
 RECOVERY_S = 20.0
@@ -118,6 +120,13 @@
         await asyncio.sleep(0.3)
         server.restart(new_id=kind == "replaced")
         server.up = True
+    elif kind == "held_up":
+        held_up = rng.sample(list(simulation.servers.values()), 2)
+        for one in held_up:
+            one.calls_pass.clear()
+        await asyncio.sleep(duration_s)
+        for one in held_up:
+            one.calls_pass.set()
     elif kind == "unlisted":
         server.registered = False
         await asyncio.sleep(duration_s)
@@ -196,6 +205,20 @@
                 self.assertEqual(violations, [])
                 self.assertTrue(held, "not all keys are held after the recovery time")
 
+    def test_no_key_is_held_twice_after_the_network_held_calls_up(self):
+        for seed in range(SEED_COUNT):
+            with self.subTest(seed=seed):
+                violations, held = explore(seed, HELD_UP_FAULT_KINDS)
+                self.assertEqual(violations, [])
+                self.assertTrue(held, "not all keys are held after the recovery time")
+
+    def test_oracle_detects_planted_delivery_of_calls_that_were_given_up(self):
+        with mock.patch.object(SimulatedPool, "resets_given_up_calls", False):
+            caught = any(
+                explore(seed, HELD_UP_FAULT_KINDS)[0] for seed in range(PLANTED_SEED_COUNT)
+            )
+        self.assertTrue(caught)
+
     def test_oracle_detects_planted_use_of_the_assignment_of_an_older_copy(self):
         with mock.patch.object(assignment_store, "restores_since", lambda stored, restores: 0):
             caught = any(
--- a/greengagefall/tests/ownership_simulation.py
+++ b/greengagefall/tests/ownership_simulation.py
@@ -53,6 +53,8 @@
 GRANT_PATH_SUFFIX = "grant"
 # Time after which the store drops the entry of a server that no longer writes it.
 ENTRY_TTL_S = 1.5
+# Longest time from the end of a cut to the retransmission of what it held up.
+MAX_RETRANSMISSION_S = 3.0
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
@@ -94,6 +96,7 @@
     """A simulated backend server that follows the platform's rules for grants.
 
     Attributes:
+        calls_pass: Cleared while the network holds up calls to the server, to deliver them later.
         rate_limit: The requests per second that its answers name, empty for none.
         requests: Name of the host that sent each request, and when it arrived.
     """
@@ -104,6 +107,8 @@
         self.zone = zone
         self.up = True
         self.registered = True
+        self.calls_pass = asyncio.Event()
+        self.calls_pass.set()
         self.draining = False
         self.start_ms = 1
         self.server_id = name
@@ -175,7 +180,13 @@
 
 
 class SimulatedPool:
-    """Simulates the connections of one host to one server."""
+    """Simulates the connections of one host to one server.
+
+    Attributes:
+        resets_given_up_calls: Whether giving a call up discards what the network holds of it.
+    """
+
+    resets_given_up_calls = True
 
     def __init__(self, simulation: Simulation, host: SimulatedHost, address: str) -> None:
         self.on_idle_close = None
@@ -199,6 +210,8 @@
         if not may_send():
             raise SendRefusedError(f"the call to {server.name} is no longer current")
         arrived_s = simulation.loop.now_s
+        if not server.calls_pass.is_set():
+            return await self._exchange_held_up(request, timeout_s)
         request_id = dict(request.headers).get(REQUEST_ID_HEADER)
         if request_id is not None:
             return await self._execute(request_id)
@@ -214,6 +227,27 @@
             raise AnswerTimeoutError(f"no answer from {server.name} within {timeout_s} s")
         return answer
 
+    async def _exchange_held_up(self, request, timeout_s: float) -> HttpAnswer:
+        answered = asyncio.get_running_loop().create_future()
+        delivery = asyncio.create_task(self._deliver_late(request, self._server.start_ms, answered))
+        self._simulation.deliveries.add(delivery)
+        delivery.add_done_callback(self._simulation.deliveries.discard)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await answered
+        except TimeoutError as error:
+            raise AnswerTimeoutError(f"no answer within {timeout_s} s") from error
+        finally:
+            if self.resets_given_up_calls:
+                delivery.cancel()
+
+    async def _deliver_late(self, request, start_ms: int, answered: asyncio.Future) -> None:
+        await self._server.calls_pass.wait()
+        await asyncio.sleep(self._simulation.rng.uniform(0.0, MAX_RETRANSMISSION_S))
+        answer = self._apply(request, self._simulation.loop.now_s, start_ms)
+        if answer is not None and not answered.done():
+            answered.set_result(answer)
+
     async def _execute(self, request_id: str) -> HttpAnswer:
         server = self._server
         server.requests.append((self._host.name, self._simulation.loop.now_s))
@@ -402,6 +436,7 @@
         self.lost_share = 0.0
         self.violations: list[str] = []
         self.cuts: set[frozenset[str]] = set()
+        self.deliveries: set[asyncio.Task] = set()
         self.server_entries: dict[str, tuple[ServerEntry, float]] = {}
         self.leases: dict[int, tuple[float, float]] = {}
         self.lease_by_key: dict[str, int] = {}
