Reset a link to a silent host, so that its messages do not arrive later

A host behind a cut could execute a request seconds after its caller had been told that the outcome is unknown, with the whole time limit counted from the late arrival; orders to grant or release keys and heartbeats arrived late, too.

The test holds up what a link sends: before, the connection ended normally, so that all of it would have arrived; now it is reset.

--- a/greengagefall/protocol/link.py
+++ b/greengagefall/protocol/link.py
@@ -32,6 +32,7 @@
 from greengagefall.protocol.gateway_messages import Dispatch
 from greengagefall.protocol.messages import Cancel, Forward, Hello
 from greengagefall.utils.metrics import count
+from greengagefall.utils.sockets import reset_on_close
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -260,6 +261,10 @@
             self.address,
         )
         count("peer_probe_failures")
+        # What the peer has not received is given up, and must not arrive once it answers again.
+        sock = connection.transport.get_extra_info("socket")
+        if sock.fileno() >= 0:
+            reset_on_close(sock)
         connection.transport.abort()
 
     async def _run(self) -> None:
--- a/greengagefall/tests/link_tests.py
+++ b/greengagefall/tests/link_tests.py
@@ -228,6 +228,51 @@
         self.assertLessEqual(max(delays_ms), link.RECONNECT_CAP_MS)
 
 
+class HeldUpMessageTests(LinkTestCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.passes = True
+        self.ended_by_reset = asyncio.get_running_loop().create_future()
+        relay = await asyncio.start_server(self.relay, "127.0.0.1", 0)
+        self.addCleanup(relay.close)
+        address = f"127.0.0.1:{relay.sockets[0].getsockname()[1]}"
+        self.link = PeerLink(address, hello_of("a"))
+        await self.link.start()
+        self.addAsyncCleanup(self.link.close)
+        await eventually(lambda: self.link.connected)
+
+    async def relay(self, reader, writer) -> None:
+        """Passes the bytes of both sides on until the test stops that."""
+        host, _, port = self.server.address.rpartition(":")
+        peer_reader, peer_writer = await asyncio.open_connection(host, int(port))
+
+        async def answer() -> None:
+            while data := await peer_reader.read(65_536):
+                writer.write(data)
+
+        answering = asyncio.create_task(answer())
+        reset = False
+        try:
+            while data := await reader.read(65_536):
+                if self.passes:
+                    peer_writer.write(data)
+        except ConnectionResetError:
+            reset = True
+        finally:
+            answering.cancel()
+            peer_writer.close()
+            writer.close()
+        if not self.ended_by_reset.done():
+            self.ended_by_reset.set_result(reset)
+
+    async def test_what_a_silent_peer_did_not_receive_does_not_arrive_later(self):
+        self.passes = False
+        with self.assertRaises(PeerLostError):
+            await self.link.call(heartbeat(), CLOSE_TIMEOUT_S)
+        async with asyncio.timeout(CLOSE_TIMEOUT_S):
+            self.assertTrue(await self.ended_by_reset)
+
+
 class BadPeerTests(LinkTestCase):
     async def send_raw(self, *frames) -> None:
         """Sends raw frames and waits until the server closes the connection."""
