Take an answer without an id only as the first one on its connection

Callers saw: 503 "not run, try again" for a request that the server was executing or had executed, and such a request could be sent once more.

Cause: an answer without a request id counted as the answer of whichever request was waiting on the connection. A refusal that a faulty server writes once more on a kept connection was so taken for the next request's.

Now such an answer counts only if no other answer came before it on its connection, since it then cannot be a repeated one. Otherwise the outcome is unknown (502) and the connection is closed. The stand-in of a backend server now echoes the id with its refusals.

Evidence: real sockets, statuses 400, 421, 429 and 503, with and without id, the repeated refusal before, together with and after the next request, and through a host to a caller.

Ruled out: a repeated refusal with the earlier id (refused as an answer to another request before and after, 4 statuses each timing) and one that arrives while the connection is idle (the connection is not used again).

--- a/greengagefall/dispatch/connection_pool.py
+++ b/greengagefall/dispatch/connection_pool.py
@@ -10,6 +10,7 @@
 import logging
 import socket
 from typing import TYPE_CHECKING, NamedTuple
+from weakref import WeakSet
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
@@ -59,11 +60,16 @@
 
 
 class HttpAnswer(NamedTuple):
-    """A complete answer of a backend server."""
+    """A complete answer of a backend server.
+
+    ``first_on_connection`` tells whether no other answer arrived on its connection before, so that
+    it cannot be a repeated answer to an earlier request.
+    """
 
     status: int
     headers: HTTPHeaders
     body: bytes
+    first_on_connection: bool = False
 
 
 class _AnswerReader(HTTPMessageDelegate):
@@ -126,6 +132,7 @@
             max_header_size=MAX_HEADER_BYTES, max_body_size=answer_limit_bytes * 2
         )
         self._idle_limit_s = MAX_IDLE_S
+        self._answered: WeakSet[IOStream] = WeakSet()
         self._tcp = TCPClient()
 
     async def exchange(
@@ -226,7 +233,10 @@
         finally:
             timer.cancel()
         if reader.complete and stream.error is None:
-            answer = HttpAnswer(reader.status, reader.headers, reader.body())
+            answer = HttpAnswer(
+                reader.status, reader.headers, reader.body(), stream not in self._answered
+            )
+            self._answered.add(stream)
             if matches is not None and not matches(answer):
                 stream.close()
                 raise AnswerMismatchError(
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -244,7 +244,9 @@
 
         def matches(answer: HttpAnswer) -> bool:
             answered_id = headers.read_answer_metadata(answer.status, answer.headers).request_id
-            return answered_id == request.request_id or not answered_id
+            if not answered_id:
+                return answer.first_on_connection
+            return answered_id == request.request_id
 
         try:
             answer = await self._pool.exchange(
--- a/greengagefall/standins/platform_server.py
+++ b/greengagefall/standins/platform_server.py
@@ -203,5 +203,6 @@
 
     def _refuse(self, status: int) -> None:
         self.set_header("Not-Executed", "1")
+        self.set_header("Request-Id", self.request.headers.get("Request-Id", ""))
         self.set_status(status)
         self.finish({})
--- /dev/null
+++ b/greengagefall/tests/gateway_repeated_answers_tests.py
@@ -0,0 +1,268 @@
+"""Tests of backend servers that write an earlier refusal once more, on real connections."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import unittest
+
+from greengagefall.bench.processes import free_addresses
+from greengagefall.dispatch.connection_pool import ConnectionPool, HttpAnswer, HttpRequest
+from greengagefall.gateway.host import GatewayHost
+from greengagefall.gateway.model import (
+    NO_KEY,
+    OperatorLimits,
+    PlatformSettings,
+    ServerEntry,
+    Service,
+)
+from greengagefall.gateway.server_channel import ServerChannel
+from greengagefall.protocol.gateway_messages import Dispatch, Dispatched, NotDispatched
+from greengagefall.standins.platform_documents import caller_headers, routing, rule
+from greengagefall.standins.platform_store import PlatformStoreStandIn
+from greengagefall.utils.clock import SystemClock
+from greengagefall.utils.waiting import wait_until
+
+POOLED = Service("benchline", "/health", 100, 3.0, 5.0, False, 5.0)
+SERVER_ID = "b0"
+ZONE = "north-a"
+BODY_LIMIT = 1_000_000
+TIMEOUT_MS = 2000
+START_S = 8.0
+WORK_S = 0.05
+SETTLE_S = 0.1
+STATUS_LINES = {
+    400: "400 Bad Request",
+    421: "421 Misdirected Request",
+    429: "429 Too Many Requests",
+    503: "503 Service Unavailable",
+}
+
+
+def refusal(status: int, request_id: str) -> bytes:
+    """Returns a server's refusal, without an id if ``request_id`` is empty."""
+    echoed = f"Request-Id: {request_id}\r\n" if request_id else ""
+    head = f"HTTP/1.1 {STATUS_LINES[status]}\r\nNot-Executed: 1\r\n{echoed}"
+    return f"{head}Content-Length: 2\r\n\r\n{{}}".encode()
+
+
+class RepeatingServer:
+    """Refuses the first requests, executes the others and repeats refusals.
+
+    Args:
+        status: Status of its refusals.
+        with_id: Whether refusals carry the id of the refused request.
+        refused: Number of requests that it refuses.
+        repeats_late: Whether it repeats a refusal when the next request has arrived on the
+            connection.
+
+    Attributes:
+        executed: Ids of the executed requests.
+        connections: Number of accepted connections.
+    """
+
+    def __init__(
+        self, status: int, *, with_id: bool, refused: int = 1, repeats_late: bool = False
+    ) -> None:
+        self.executed: list[str] = []
+        self.connections = 0
+        self.address = ""
+        self._status = status
+        self._with_id = with_id
+        self._refused = refused
+        self._repeats_late = repeats_late
+        self._last: tuple[asyncio.StreamWriter, bytes] | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def close(self) -> None:
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def repeat(self) -> None:
+        """Writes the last refusal once more."""
+        writer, data = self._last
+        writer.write(data)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self._tasks.add(asyncio.current_task())
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(
+                asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError
+            ),
+        ):
+            repeated = b""
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if line)
+                await reader.readexactly(int(fields.get("Content-Length", 0)))
+                if repeated and self._repeats_late:
+                    writer.write(repeated)
+                repeated = await self._answer(fields.get("Request-Id", ""), writer)
+
+    async def _answer(self, request_id: str, writer: asyncio.StreamWriter) -> bytes:
+        """Refuses or executes a request; returns the refusal."""
+        if self._refused:
+            self._refused -= 1
+            data = refusal(self._status, request_id if self._with_id else "")
+            self._last = (writer, data)
+            writer.write(data)
+            return data
+        self.executed.append(request_id)
+        await asyncio.sleep(WORK_S)
+        head = f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nUpstream-Signature: signed\r\n"
+        writer.write(f"{head}Content-Length: 4\r\n\r\ndone".encode())
+        return b""
+
+
+def dispatch(request_id: str) -> Dispatch:
+    return Dispatch(
+        call_id=0,
+        request_id=request_id,
+        service=POOLED.name,
+        server_id=SERVER_ID,
+        key=NO_KEY,
+        method="POST",
+        host_name="shop.example",
+        target="/orders/1",
+        headers=[],
+        body=b"order",
+        remaining_ms=TIMEOUT_MS,
+        objective_ms=TIMEOUT_MS,
+        idempotent=False,
+        priority=1,
+    )
+
+
+class RepeatedRefusalTests(unittest.IsolatedAsyncioTestCase):
+    async def start(self, status: int, **options) -> ServerChannel:
+        self.server = RepeatingServer(status, **options)
+        await self.server.start()
+        self.addAsyncCleanup(self.server.close)
+        entry = ServerEntry(SERVER_ID, POOLED.name, self.server.address, ZONE, 6, False, 0.0, 1)
+        self.clock = SystemClock()
+        pool = ConnectionPool(self.server.address, BODY_LIMIT)
+        self.addCleanup(pool.close)
+        return ServerChannel(entry, POOLED, self.clock, lambda: True, lambda: True, pool)
+
+    async def submit(self, channel: ServerChannel, request_id: str) -> Dispatched | NotDispatched:
+        return await channel.submit(dispatch(request_id), self.clock.now_s())
+
+    async def assert_refused(self, channel: ServerChannel, request_id: str) -> None:
+        outcome = await self.submit(channel, request_id)
+        self.assertEqual((outcome.reason, outcome.not_run), ("server_refused", True))
+
+    async def assert_not_run_is_true(self, channel: ServerChannel, request_id: str) -> None:
+        outcome = await self.submit(channel, request_id)
+        await asyncio.sleep(WORK_S + SETTLE_S)
+        if isinstance(outcome, NotDispatched) and outcome.not_run:
+            self.assertNotIn(request_id, self.server.executed, outcome)
+
+    async def test_repeated_refusal_before_the_next_request_is_never_its_answer(self):
+        for status in STATUS_LINES:
+            for with_id in (True, False):
+                with self.subTest(status=status, with_id=with_id):
+                    channel = await self.start(status, with_id=with_id)
+                    await self.assert_refused(channel, "r-1")
+                    self.server.repeat()
+                    await asyncio.sleep(SETTLE_S)
+                    self.assertIsInstance(await self.submit(channel, "r-2"), Dispatched)
+
+    async def test_repeated_refusal_together_with_the_next_request_is_never_its_answer(self):
+        for status in STATUS_LINES:
+            for with_id in (True, False):
+                with self.subTest(status=status, with_id=with_id):
+                    channel = await self.start(status, with_id=with_id)
+                    await self.assert_refused(channel, "r-1")
+                    self.server.repeat()
+                    await self.assert_not_run_is_true(channel, "r-2")
+                    self.assertEqual(self.server.connections, 1)
+
+    async def test_repeated_refusal_after_the_next_request_is_never_its_answer(self):
+        for status in STATUS_LINES:
+            for with_id in (True, False):
+                with self.subTest(status=status, with_id=with_id):
+                    channel = await self.start(status, with_id=with_id, repeats_late=True)
+                    await self.assert_refused(channel, "r-1")
+                    await self.assert_not_run_is_true(channel, "r-2")
+                    self.assertEqual(self.server.connections, 1)
+
+    async def test_refusal_with_the_own_id_is_believed_on_a_kept_connection(self):
+        for status in STATUS_LINES:
+            with self.subTest(status=status):
+                channel = await self.start(status, with_id=True, refused=3)
+                for number in range(3):
+                    await self.assert_refused(channel, f"r-{number}")
+                self.assertEqual(self.server.connections, 1)
+
+
+class RepeatedRefusalEndToEndTests(unittest.IsolatedAsyncioTestCase):
+    async def start(self, **options) -> None:
+        self.store = PlatformStoreStandIn()
+        await self.store.start()
+        self.addAsyncCleanup(self.store.close)
+        self.server = RepeatingServer(503, repeats_late=True, **options)
+        await self.server.start()
+        self.addAsyncCleanup(self.server.close)
+        entry = {
+            "service": POOLED.name,
+            "address": self.server.address,
+            "zone": ZONE,
+            "version": "v1",
+            "maxConcurrency": 6,
+            "state": "ready",
+            "warmupLeftS": 0,
+            "sequence": 1,
+            "born": 1,
+        }
+        await self.store.put_json(f"servers/{SERVER_ID}", entry)
+        rules = [rule("orders", "/orders/", POOLED.name, kind="unsafe", attempts=2)]
+        await self.store.put_json("op/config", routing(7, rules=rules))
+        settings = PlatformSettings(
+            "edge-a",
+            ZONE,
+            *free_addresses(3),
+            self.store.address,
+            0.5,
+            1.0,
+            20.0,
+            1.0,
+            OperatorLimits(grace_period_s=4.0),
+        )
+        self.host = GatewayHost(settings, 0)
+        await self.host.start()
+        self.addAsyncCleanup(self.host.kill)
+        view = self.host.view
+        self.assertTrue(await wait_until(lambda: SERVER_ID in view.assignment.dispatchers, START_S))
+
+    async def send(self, request_id: str) -> HttpAnswer:
+        pool = ConnectionPool(self.host.settings.caller_address, BODY_LIMIT)
+        rows = caller_headers(request_id, TIMEOUT_MS, None)
+        try:
+            request = HttpRequest("POST", "/orders/1", rows, b"order")
+            return await pool.exchange(request, 4.0, lambda: True)
+        finally:
+            pool.close()
+
+    async def test_request_that_runs_is_not_sent_again_after_a_refusal_of_another(self):
+        await self.start(with_id=False, refused=1)
+        outcomes = {}
+        for number in range(4):
+            outcomes[f"r-{number}"] = (await self.send(f"r-{number}")).status
+        await asyncio.sleep(SETTLE_S)
+        for request_id, status in outcomes.items():
+            runs = self.server.executed.count(request_id)
+            self.assertLessEqual(runs, 1, outcomes)
+            if status == 503:
+                self.assertEqual(runs, 0, outcomes)
+
+
+if __name__ == "__main__":
+    unittest.main()
