Send a refused request again on another connection only

Callers saw: 503 "not run, try again" for a request that the server was executing, when the host had sent the request again after a first refusal.

Cause: the second send of a request went out on the connection that had just become idle, which is the one of the refusal. A refusal that the server wrote once more there carries the same id, so it counted as the answer of the second send.

Now the pool remembers the last 64 ids that were answered on each connection and does not send a request on one that already answered its id. An ordinary request is not affected, since each caller's attempt has its own id.

Evidence: real sockets, 4 statuses with and without id, and through a host to a caller.

Ruled out: closing each connection after a refusal. A full server refuses often, and new connections have their price.

--- a/greengagefall/dispatch/connection_pool.py
+++ b/greengagefall/dispatch/connection_pool.py
@@ -9,8 +9,9 @@
 import asyncio
 import logging
 import socket
+from collections import deque
 from typing import TYPE_CHECKING, NamedTuple
-from weakref import WeakSet
+from weakref import WeakKeyDictionary
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
@@ -45,18 +46,25 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# Ids of the last requests that are remembered for each connection.
+MAX_REMEMBERED_IDS = 64
 
 
 BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE"})
 
 
 class HttpRequest(NamedTuple):
-    """A request to a backend server; ``headers`` are name and value pairs."""
+    """A request to a backend server; ``headers`` are name and value pairs.
+
+    ``request_id`` is the id by which its answer is recognized, empty without one. A request that
+    is sent again does not use a connection on which its id was answered before.
+    """
 
     method: str
     path: str
     headers: list[list[str]]
     body: bytes
+    request_id: str = ""
 
 
 class HttpAnswer(NamedTuple):
@@ -132,7 +140,7 @@
             max_header_size=MAX_HEADER_BYTES, max_body_size=answer_limit_bytes * 2
         )
         self._idle_limit_s = MAX_IDLE_S
-        self._answered: WeakSet[IOStream] = WeakSet()
+        self._answered_ids: WeakKeyDictionary[IOStream, deque[str]] = WeakKeyDictionary()
         self._tcp = TCPClient()
 
     async def exchange(
@@ -162,7 +170,7 @@
         """
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + timeout_s
-        stream = await self._acquire(min(timeout_s, CONNECT_TIMEOUT_S))
+        stream = await self._acquire(min(timeout_s, CONNECT_TIMEOUT_S), request.request_id)
         if not may_send():
             self._return_to_idle(stream)
             raise SendRefusedError(
@@ -206,12 +214,13 @@
             raise NotSentError(
                 f"the connection to {self.address} was closed before the send"
             ) from error
-        return await self._read_answer(stream, connection, remaining_s, matches)
+        return await self._read_answer(stream, connection, request, remaining_s, matches)
 
     async def _read_answer(
         self,
         stream: IOStream,
         connection: HTTP1Connection,
+        request: HttpRequest,
         remaining_s: float,
         matches: Callable[[HttpAnswer], bool] | None,
     ) -> HttpAnswer:
@@ -233,10 +242,8 @@
         finally:
             timer.cancel()
         if reader.complete and stream.error is None:
-            answer = HttpAnswer(
-                reader.status, reader.headers, reader.body(), stream not in self._answered
-            )
-            self._answered.add(stream)
+            first = self._record_answer(stream, request.request_id)
+            answer = HttpAnswer(reader.status, reader.headers, reader.body(), first)
             if matches is not None and not matches(answer):
                 stream.close()
                 raise AnswerMismatchError(
@@ -257,10 +264,21 @@
             f"the connection to {self.address} ended before the answer was complete"
         )
 
-    async def _acquire(self, timeout_s: float) -> IOStream:
+    def _record_answer(self, stream: IOStream, request_id: str) -> bool:
+        """Records an answer on a connection; returns whether it is the first one there."""
+        first = stream not in self._answered_ids
+        answered = self._answered_ids.setdefault(stream, deque(maxlen=MAX_REMEMBERED_IDS))
+        if request_id:
+            answered.append(request_id)
+        return first
+
+    async def _acquire(self, timeout_s: float, request_id: str) -> IOStream:
         now_s = asyncio.get_running_loop().time()
-        while self._idle:
-            stream, idle_since_s = self._idle.pop()
+        for index in reversed(range(len(self._idle))):
+            stream, idle_since_s = self._idle[index]
+            if request_id in self._answered_ids.get(stream, ()):
+                continue
+            del self._idle[index]
             if stream.closed():
                 continue
             stream.set_close_callback(None)
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -235,6 +235,7 @@
                 self.incarnation.server_id,
             ),
             request.body,
+            request.request_id,
         )
 
         def may_send() -> bool:
--- a/greengagefall/tests/gateway_repeated_answers_tests.py
+++ b/greengagefall/tests/gateway_repeated_answers_tests.py
@@ -194,6 +194,14 @@
                     await self.assert_not_run_is_true(channel, "r-2")
                     self.assertEqual(self.server.connections, 1)
 
+    async def test_request_sent_again_is_not_refused_by_the_refusal_of_its_earlier_send(self):
+        for status in STATUS_LINES:
+            for with_id in (True, False):
+                with self.subTest(status=status, with_id=with_id):
+                    channel = await self.start(status, with_id=with_id, repeats_late=True)
+                    await self.assert_refused(channel, "r-1")
+                    await self.assert_not_run_is_true(channel, "r-1")
+
     async def test_refusal_with_the_own_id_is_believed_on_a_kept_connection(self):
         for status in STATUS_LINES:
             with self.subTest(status=status):
@@ -263,6 +271,12 @@
             if status == 503:
                 self.assertEqual(runs, 0, outcomes)
 
+    async def test_request_sent_again_after_a_refusal_gets_its_own_answer(self):
+        await self.start(with_id=True, refused=1)
+        answer = await self.send("r-1")
+        self.assertEqual((answer.status, answer.body), (200, b"done"))
+        self.assertEqual(self.server.executed, ["r-1"])
+
 
 if __name__ == "__main__":
     unittest.main()
