Test that an answer which ends within its head is never a success

Another operator's callers got a 200 with an empty or short body, framed as whole, when a server stopped in the middle of its answer's head and closed.

That cannot happen here: Tornado's connection reads a head up to its blank line and reports a closed connection otherwise; a line without a colon, an unusable or contradictory length and an unknown transfer coding are errors. An interim answer (1xx) before it changes nothing.

--- a/greengagefall/tests/dispatch_connection_pool_tests.py
+++ b/greengagefall/tests/dispatch_connection_pool_tests.py
@@ -135,6 +135,30 @@
                 with self.subTest(data=data, ending=ending):
                     await self.assert_fails(AnswerLostError, ScriptedAnswer(data, ending=ending))
 
+    async def test_answer_that_ends_within_its_head_is_lost(self):
+        head = b"HTTP/1.1 200 OK\r\nRequest-Id: one\r\nContent-Length: 5\r\n\r\n"
+        interim = b"HTTP/1.1 103 Early Hints\r\nRequest-Id: one\r\n\r\n"
+        for before in (b"", interim):
+            for size_bytes in range(len(head)):
+                data = before + head[:size_bytes]
+                with self.subTest(data=data):
+                    await self.assert_fails(AnswerLostError, ScriptedAnswer(data, ending="close"))
+
+    async def test_answer_with_a_broken_or_contradictory_head_is_lost(self):
+        for fields in (
+            b"Content-Le",
+            b"Content-Length",
+            b"Content-Length: ",
+            b"Content-Length: 5\r\nContent-Length: 3",
+            b"Content-Length: 5, 3",
+            b"Content-Length: -1",
+            b"Content-Length: 3\r\nTransfer-Encoding: chunked",
+            b"Transfer-Encoding: chun",
+        ):
+            data = b"HTTP/1.1 200 OK\r\n" + fields + b"\r\n\r\nhello"
+            with self.subTest(fields=fields):
+                await self.assert_fails(AnswerLostError, ScriptedAnswer(data, ending="close"))
+
     async def test_malformed_answer_is_lost(self):
         for data in (b"\x00\x01\x02\r\n\r\n", b"HTTP/1.1 abc\r\n\r\n", b"garbage\r\n\r\n"):
             with self.subTest(data=data):
--- a/greengagefall/tests/gateway_repeated_answers_tests.py
+++ b/greengagefall/tests/gateway_repeated_answers_tests.py
@@ -6,29 +6,20 @@
 import contextlib
 import unittest
 
-from greengagefall.bench.processes import free_addresses
-from greengagefall.dispatch.connection_pool import ConnectionPool, HttpAnswer, HttpRequest
-from greengagefall.gateway.host import GatewayHost
-from greengagefall.gateway.model import (
-    NO_KEY,
-    OperatorLimits,
-    PlatformSettings,
-    ServerEntry,
-    Service,
-)
+from greengagefall.dispatch.connection_pool import ConnectionPool
+from greengagefall.gateway.model import NO_KEY, ServerEntry
 from greengagefall.gateway.server_channel import ServerChannel
 from greengagefall.protocol.gateway_messages import Dispatch, Dispatched, NotDispatched
-from greengagefall.standins.platform_documents import caller_headers, routing, rule
-from greengagefall.standins.platform_store import PlatformStoreStandIn
+from greengagefall.tests.one_server_gateway import (
+    BODY_LIMIT,
+    POOLED,
+    SERVER_ID,
+    TIMEOUT_MS,
+    ZONE,
+    OneServerGatewayTests,
+)
 from greengagefall.utils.clock import SystemClock
-from greengagefall.utils.waiting import wait_until
-
-POOLED = Service("benchline", "/health", 100, 3.0, 5.0, False, 5.0)
-SERVER_ID = "b0"
-ZONE = "north-a"
-BODY_LIMIT = 1_000_000
-TIMEOUT_MS = 2000
-START_S = 8.0
+
 WORK_S = 0.05
 SETTLE_S = 0.1
 STATUS_LINES = {
@@ -211,53 +202,12 @@
                 self.assertEqual(self.server.connections, 1)
 
 
-class RepeatedRefusalEndToEndTests(unittest.IsolatedAsyncioTestCase):
+class RepeatedRefusalEndToEndTests(OneServerGatewayTests):
     async def start(self, **options) -> None:
-        self.store = PlatformStoreStandIn()
-        await self.store.start()
-        self.addAsyncCleanup(self.store.close)
         self.server = RepeatingServer(503, repeats_late=True, **options)
         await self.server.start()
         self.addAsyncCleanup(self.server.close)
-        entry = {
-            "service": POOLED.name,
-            "address": self.server.address,
-            "zone": ZONE,
-            "version": "v1",
-            "maxConcurrency": 6,
-            "state": "ready",
-            "warmupLeftS": 0,
-            "sequence": 1,
-            "born": 1,
-        }
-        await self.store.put_json(f"servers/{SERVER_ID}", entry)
-        rules = [rule("orders", "/orders/", POOLED.name, kind="unsafe", attempts=2)]
-        await self.store.put_json("op/config", routing(7, rules=rules))
-        settings = PlatformSettings(
-            "edge-a",
-            ZONE,
-            *free_addresses(3),
-            self.store.address,
-            0.5,
-            1.0,
-            20.0,
-            1.0,
-            OperatorLimits(grace_period_s=4.0),
-        )
-        self.host = GatewayHost(settings, 0)
-        await self.host.start()
-        self.addAsyncCleanup(self.host.kill)
-        view = self.host.view
-        self.assertTrue(await wait_until(lambda: SERVER_ID in view.assignment.dispatchers, START_S))
-
-    async def send(self, request_id: str) -> HttpAnswer:
-        pool = ConnectionPool(self.host.settings.caller_address, BODY_LIMIT)
-        rows = caller_headers(request_id, TIMEOUT_MS, None)
-        try:
-            request = HttpRequest("POST", "/orders/1", rows, b"order")
-            return await pool.exchange(request, 4.0, lambda: True)
-        finally:
-            pool.close()
+        await self.start_host(self.server.address)
 
     async def test_request_that_runs_is_not_sent_again_after_a_refusal_of_another(self):
         await self.start(with_id=False, refused=1)
