Do not take an answer without length as whole at the timeout

Callers saw: 200 with a part of the server's body, framed as whole, when a server's answer had no length and stopped without closing its connection.

Cause: such a body ends when its connection is closed. The timeout of an exchange closes the connection too, and the answer then counted as complete.

Evidence: real sockets, in the pool and through a host to a caller. Before: AssertionError: 200 != 504 : b'hel' AssertionError: AnswerTimeoutError not raised After: 19 tests of both modules pass.

Ruled out: a reset of the connection (an error of the stream, was noticed before) and a caller that disconnects (the exchange is cancelled).

--- a/greengagefall/dispatch/connection_pool.py
+++ b/greengagefall/dispatch/connection_pool.py
@@ -228,7 +228,9 @@
         timeouts: list[bool] = []
 
         def expire() -> None:
-            timeouts.append(True)
+            # Closing the stream also ends a body without length, which is not complete then.
+            if not reader.complete:
+                timeouts.append(True)
             stream.close()
 
         timer = asyncio.get_running_loop().call_later(remaining_s, expire)
@@ -241,7 +243,7 @@
             raise
         finally:
             timer.cancel()
-        if reader.complete and stream.error is None:
+        if reader.complete and stream.error is None and not timeouts:
             first = self._record_answer(stream, request.request_id)
             answer = HttpAnswer(reader.status, reader.headers, reader.body(), first)
             if matches is not None and not matches(answer):
--- a/greengagefall/tests/dispatch_connection_pool_tests.py
+++ b/greengagefall/tests/dispatch_connection_pool_tests.py
@@ -124,6 +124,9 @@
             AnswerLostError, ScriptedAnswer(b"HTTP/1.1 200 OK\r\n\r\nhel", ending="reset")
         )
 
+    async def test_answer_without_length_is_incomplete_at_the_timeout(self):
+        await self.assert_fails(AnswerTimeoutError, ScriptedAnswer(b"HTTP/1.1 200 OK\r\n\r\nhel"))
+
     async def test_truncated_answer_is_lost(self):
         for data in (
             b"",
--- a/greengagefall/tests/gateway_partial_answers_tests.py
+++ b/greengagefall/tests/gateway_partial_answers_tests.py
@@ -7,6 +7,8 @@
 
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nUpstream-Signature: signed\r\n"
 HTTP_BAD_GATEWAY = 502
+HTTP_GATEWAY_TIMEOUT = 504
+SHORT_TIMEOUT_MS = 400
 
 
 class PartialAnswerTests(OneServerGatewayTests):
@@ -30,6 +32,11 @@
             with self.subTest(head=head):
                 self.assertEqual((await self.send("r-1")).status, HTTP_BAD_GATEWAY)
 
+    async def test_answer_without_length_that_does_not_end_in_time_is_no_success(self):
+        await self.start(ScriptedAnswer(HEAD + b"\r\nhel"))
+        answer = await self.send("r-1", SHORT_TIMEOUT_MS)
+        self.assertEqual(answer.status, HTTP_GATEWAY_TIMEOUT, answer.body)
+
     async def test_answer_without_length_that_ends_with_its_connection_is_whole(self):
         await self.start(ScriptedAnswer(HEAD + b"\r\nhello", ending="close"))
         answer = await self.send("r-1")
