Confirm grants and releases by answers of their own kind only

Could happen: a release counted as confirmed while the server was still at work on the keys, which were then granted to another server; or a grant that the server had not applied counted as held.

Cause: grants and releases share the connections of callers' requests and took any 200 as theirs, also one that a faulty server writes once more for an earlier request, grant or release.

Now an answer with a request's id or signature answers neither; a confirmed release needs the handover token, and a grant's answer has none. An answer of another kind closes the connection, and the call is sent again, without a wait for a restart, since the server was not lost.

Left: a repeated 409 of another grant, or a 200 of one, still counts for a grant; these answers carry nothing to tell them apart. The first makes the keys wait for their next assignment, the second is noticed by the 421.

--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from greengagefall.dispatch.exceptions import (
+    AnswerMismatchError,
     AnswerTimeoutError,
     DispatchError,
     NotSentError,
@@ -198,14 +199,17 @@
             request = calls.release_request(self._incarnation.server_id, first, last, fence)
             sent_s = self._clock.now_s()
             try:
-                answer = await self._pool.exchange(request, remaining_s, lambda: True)
+                answer = await self._pool.exchange(
+                    request, remaining_s, lambda: True, calls.may_answer_release
+                )
             except NotSentError as error:
                 self._health.record_failure(refused=True)
                 self._log_unanswered("release", (first, last, fence), sent_s, error)
                 ends_in_s = max(0.0, grants_end_s - self._clock.now_s())
                 return ReleaseOutcome(False, "", ends_in_s)
             except DispatchError as error:
-                self._health.record_failure()
+                if not isinstance(error, AnswerMismatchError):
+                    self._health.record_failure()
                 self._log_unanswered("release", (first, last, fence), sent_s, error)
                 await asyncio.sleep(RELEASE_RETRY_INTERVAL_S)
                 continue
@@ -296,9 +300,14 @@
             return allowed
 
         try:
-            answer = await self._pool.exchange(request, GRANT_TIMEOUT_S, may_send)
+            answer = await self._pool.exchange(
+                request, GRANT_TIMEOUT_S, may_send, calls.may_answer_grant
+            )
         except SendRefusedError:
             return False
+        except AnswerMismatchError as error:
+            self._log_unanswered("grant", grant_id, sent_s, error)
+            return False
         except DispatchError as error:
             self._health.record_failure(refused=isinstance(error, NotSentError))
             # After a mere timeout no wait is needed if the store shows the current incarnation.
