Close a dispatcher's connection after an answer to another request

The twin of the gateway's faults in the dispatcher's own protocol.

Callers saw: a refusal "not run" for a request that the server was executing, when it had been sent again after a first refusal; and crossed_answer for a request that came after a crossed answer.

Cause: a resent request could use the connection of its refusal, which carries the same id when the server repeats it. After an answer with another id the connection was kept, and the answer that was still due there crossed the next request.

Now the pool gets the request's id and the check of the answer, as in the gateway. An answer without an id is still never believed here. The fake pool of request_outcome_tests applies that check too; its other checks stay.

Ruled out: a repeated refusal as the answer of another request (the id was compared before too; a test of it passes on the old code).

Left: replies of the control interface carry no id, so a repeated reply to an earlier grant would count for a later one.

--- a/greengagefall/dispatch/server_dispatcher.py
+++ b/greengagefall/dispatch/server_dispatcher.py
@@ -17,6 +17,7 @@
 from greengagefall.dispatch.connection_pool import ConnectionPool
 from greengagefall.dispatch.exceptions import (
     AnswerLostError,
+    AnswerMismatchError,
     AnswerTimeoutError,
     AnswerTooLargeError,
     NotSentError,
@@ -28,8 +29,8 @@
 from greengagefall.dispatch.server_health import DOWN, ServerHealth
 from greengagefall.dispatch.server_http import (
     INCARNATION_HEADER,
-    REQUEST_ID_HEADER,
     answer_message,
+    answers_request,
     not_run_reason,
     server_request,
 )
@@ -377,7 +378,10 @@
         request = server_request(forward, remaining_s, self.right.fence, slice_fence)
         try:
             answer = await self._pool.exchange(
-                request, remaining_s, lambda: self._may_send(forward)
+                request,
+                remaining_s,
+                lambda: self._may_send(forward),
+                lambda answer: answers_request(forward, answer),
             )
         except SendRefusedError:
             return self._refuse(forward, self._refusal_reason(forward) or refusals.NOT_CONFIRMED)
@@ -385,6 +389,13 @@
             self.health.on_failure()
             self._mark_unverified()
             return self._refuse(forward, refusals.SERVER_UNREACHABLE)
+        except AnswerMismatchError:
+            log.error(
+                "Server %s answered with the id of another request. The answer is discarded; "
+                "the request is refused as crossed_answer.",
+                self.server_key,
+            )
+            return self._refuse(forward, refusals.CROSSED_ANSWER)
         except AnswerTimeoutError:
             return self._refuse(forward, refusals.TIMED_OUT)
         except AnswerTooLargeError:
@@ -409,14 +420,6 @@
         return check(self.right.may_send(), "no_send_without_right", server=self.server_key)
 
     def _outcome(self, forward: Forward, answer: HttpAnswer) -> Outcome:
-        answer_request_id = answer.headers.get(REQUEST_ID_HEADER)
-        if answer_request_id != forward.request_id:
-            log.error(
-                "Server %s answered with the id of another request. The answer is discarded; "
-                "the request is refused as crossed_answer.",
-                self.server_key,
-            )
-            return self._refuse(forward, refusals.CROSSED_ANSWER)
         incarnation = answer.headers.get(INCARNATION_HEADER)
         if incarnation and incarnation != self._incarnation:
             self.admission.on_cold_start()
--- a/greengagefall/dispatch/server_http.py
+++ b/greengagefall/dispatch/server_http.py
@@ -41,7 +41,12 @@
     if forward.slice_id >= 0:
         headers.append([SLICE_HEADER, str(forward.slice_id)])
         headers.append([SLICE_FENCE_HEADER, str(slice_fence)])
-    return HttpRequest(forward.method, forward.path, headers, forward.body)
+    return HttpRequest(forward.method, forward.path, headers, forward.body, forward.request_id)
+
+
+def answers_request(forward: Forward, answer: HttpAnswer) -> bool:
+    """Returns whether an answer carries the id of the request."""
+    return answer.headers.get(REQUEST_ID_HEADER) == forward.request_id
 
 
 def not_run_reason(answer: HttpAnswer) -> str:
--- a/greengagefall/tests/request_outcome_tests.py
+++ b/greengagefall/tests/request_outcome_tests.py
@@ -18,6 +18,7 @@
 from greengagefall.dispatch.connection_pool import HttpAnswer
 from greengagefall.dispatch.exceptions import (
     AnswerLostError,
+    AnswerMismatchError,
     AnswerTimeoutError,
     AnswerTooLargeError,
     NotSentError,
@@ -67,14 +68,17 @@
         self.in_progress = []
         self.executions = Counter()
 
-    async def exchange(self, request, timeout_s, may_send):
+    async def exchange(self, request, timeout_s, may_send, matches):
         if not may_send():
             raise SendRefusedError("no right")
         request_id = dict(map(tuple, request.headers))["X-Request-Id"]
         future = asyncio.get_running_loop().create_future()
         self.in_progress.append((request_id, future))
         result = await future
-        return answer_for_result(request_id, result)
+        answer = answer_for_result(request_id, result)
+        if not matches(answer):
+            raise AnswerMismatchError(result)
+        return answer
 
     def finish(self, index, result):
         request_id, future = self.in_progress.pop(index % len(self.in_progress))
