Refuse while stopping what cannot end before the exit

Callers saw: in a planned stop, requests that came late in the grace period were taken and passed on, and their connections were closed at its end without an answer, unsafe requests too. Cause: until half of the grace period every request was taken, whatever its deadline; what is left then is grace/2 - 0.4 s. So every request whose time (deadline or the route's timeout) is longer than that could be cut: over 1.6 s at a grace period of 4 s, 2.6 s at 6 s, 4.6 s at 10 s. Fix: StopAdmission, one decision for callers, other hosts, the last moment before a send and retries: with deadline + 0.25 s after the end, the request is refused as not run (503, retry hint). Requests that fit are served as before; half of the grace period stays the latest moment, since the host exits only while it refuses. A request that waits for a slot is checked again when it would be sent. Evidence: gateway_stop_tests on real sockets (grace 4 s). Failed on: late request (1.9 s after the stop, 2 s): AssertionError: Tuples differ: (0, ['late']) != (503, []) (0: closed without an answer) deadline after the exit (5 s): AssertionError: Tuples differ: (0, ['long']) != (503, []) the same from another host: AssertionError: Failure(call_id=0, reason='lost') is not an instance of NotDispatched Passed before too, kept as guards: requests that fit are served; unsafe requests of another host are served by another dispatcher. Ruled out: the exit while requests still come (the test of a graceful stop stays green).

--- a/greengagefall/gateway/caller_http.py
+++ b/greengagefall/gateway/caller_http.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import logging
-import math
 import random
 from typing import TYPE_CHECKING
 
@@ -14,7 +13,7 @@
 from tornado.iostream import StreamClosedError
 
 from greengagefall.gateway import outcomes
-from greengagefall.gateway.router import Answer, Refusal
+from greengagefall.gateway.router import Answer
 from greengagefall.platform import requests as headers
 from greengagefall.utils.metrics import count, observe_ms
 from greengagefall.utils.waiting import wait_until
@@ -23,7 +22,7 @@
     from tornado.httputil import HTTPServerRequest
 
     from greengagefall.gateway.model import CallerRequest
-    from greengagefall.gateway.router import Router
+    from greengagefall.gateway.router import Refusal, Router
     from greengagefall.utils.clock import Clock
 
 log = logging.getLogger(__name__)
@@ -50,7 +49,6 @@
 
     Attributes:
         closing_connections: Whether answers ask callers to close the connection.
-        refuse_from_s: Time from which new requests are refused because the process stops.
     """
 
     def __init__(self, address: str, router: Router, clock: Clock) -> None:
@@ -67,7 +65,6 @@
             body_timeout=BODY_TIMEOUT_S,
         )
         self.closing_connections = False
-        self.refuse_from_s = math.inf
 
     def start(self) -> None:
         """Opens the port."""
@@ -91,11 +88,6 @@
     async def _serve(self, request: HTTPServerRequest) -> None:
         started_s = self._clock.now_s()
         caller_request = headers.read_caller_request(request)
-        if started_s >= self.refuse_from_s:
-            retry_after_ms = outcomes.OUTCOMES[outcomes.STOPPING].retry_after_ms
-            refusal = Refusal(outcomes.STOPPING, retry_after_ms)
-            self._refuse(request, caller_request, refusal, 0.0)
-            return
         work = asyncio.ensure_future(self._router.route(caller_request))
         request.connection.set_close_callback(work.cancel)
         try:
--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import math
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -12,6 +11,7 @@
 from greengagefall.gateway import outcomes
 from greengagefall.gateway.model import NO_KEY
 from greengagefall.gateway.server_channel import ServerChannel
+from greengagefall.gateway.stop_admission import StopAdmission
 from greengagefall.limits.server_rate_limit import UNLIMITED
 from greengagefall.ownership.key_load import KeyCounter
 from greengagefall.ownership.model import ServerIncarnation
@@ -57,9 +57,7 @@
         view: The cluster view of this host.
         clock: Clock that counts suspended time.
         open_pool: Creates the connection pool of a server from its address.
-
-    Attributes:
-        refuse_from_s: Time from which new requests are refused because the process stops.
+        stop: Which requests are taken while this host stops; by default it never stops.
     """
 
     def __init__(
@@ -67,9 +65,10 @@
         view: ClusterView,
         clock: Clock,
         open_pool: Callable[[str], ConnectionPool] = _open_pool,
+        stop: StopAdmission | None = None,
     ) -> None:
         self._open_pool = open_pool
-        self.refuse_from_s = math.inf
+        self._stop = stop or StopAdmission(clock)
         self._view = view
         self._clock = clock
         self._channels: dict[ServerIncarnation, ServerChannel] = {}
@@ -114,7 +113,7 @@
     async def submit(self, request: Dispatch) -> Dispatched | NotDispatched:
         """Executes a request on one of this host's servers, or returns why there is no answer."""
         received_s = self._clock.now_s()
-        if received_s >= self.refuse_from_s:
+        if not self._stop.accepts(received_s + request.remaining_ms / MS_PER_S):
             return self._refuse(request, outcomes.STOPPING)
         channel = self._choose(request)
         if channel is None:
@@ -197,6 +196,7 @@
             self._open_pool(entry.address),
             RESTART_DETECTION_HEARTBEATS * self._view.settings.heartbeat_s,
             self._view.store_lag_s,
+            self._stop,
         )
         self._channels[incarnation] = channel
         named_per_s = self._view.rate_limits.get(incarnation)
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -29,6 +29,7 @@
 from greengagefall.gateway.relaying import StoreRelay
 from greengagefall.gateway.router import Router
 from greengagefall.gateway.status_http import StatusServer
+from greengagefall.gateway.stop_admission import StopAdmission
 from greengagefall.gateway.view import ClusterView, HostRecord
 from greengagefall.ownership.model import UNKNOWN_RESTORES, HostIncarnation
 from greengagefall.platform import records as platform_records
@@ -44,10 +45,6 @@
 REGISTER_RETRY_S = 0.3
 REGISTER_CHECK_S = 2.0
 MIN_REFUSE_S = 0.2
-# Share of the grace period after which new requests are refused, so that earlier ones can finish.
-REFUSE_SHARE = 0.5
-# Part of the grace period that is reserved for the exit of the process itself.
-EXIT_RESERVE_S = 0.4
 
 
 class GatewayHost:
@@ -66,13 +63,16 @@
         self.view = ClusterView(settings, self.host_incarnation, clock)
         self._store = PlatformStore(settings.store_address)
         self._lease_store = PlatformStore(settings.store_address)
-        self._channels = ChannelManager(self.view, clock)
+        self._stop = StopAdmission(clock)
+        self._channels = ChannelManager(self.view, clock, stop=self._stop)
         self._handlers = PeerHandlers(self.view, self._channels)
         self._peers = Peers(self.view, self._handlers.handle)
         self._heartbeats = HeartbeatSender(
             self.view, self._peers, self._channels, self._store, clock
         )
-        self._router = Router(self.view, self._peers, clock, self._heartbeats.request_update)
+        self._router = Router(
+            self.view, self._peers, clock, self._heartbeats.request_update, self._stop
+        )
         self._callers = CallerServer(settings.caller_address, self._router, clock)
         ip = settings.readiness_address.rpartition(":")[0]
         metrics_address = f"{ip}:{metrics_port}" if metrics_port else ""
@@ -115,16 +115,12 @@
         self._election.stopping = True
         self._heartbeats.stopping = True
         log.info("Stopping.")
-        grace_s = self.view.settings.limits.grace_period_s
-        stopped_s = self._clock.now_s()
-        refuse_from_s = stopped_s + REFUSE_SHARE * grace_s
-        self._callers.refuse_from_s = refuse_from_s
-        self._channels.refuse_from_s = refuse_from_s
+        times = self._stop.begin(self.view.settings.limits.grace_period_s)
         await self._election.close()
         await self._heartbeats.send_heartbeat()
         # The host must refuse new requests before it exits, since one could arrive at any moment.
-        await asyncio.sleep(max(0.0, refuse_from_s - self._clock.now_s()) + MIN_REFUSE_S)
-        drained = await self._drain(stopped_s + grace_s - EXIT_RESERVE_S)
+        await asyncio.sleep(max(0.0, times.refuse_from_s - self._clock.now_s()) + MIN_REFUSE_S)
+        drained = await self._drain(times.end_s)
         log.info("Stopped.", extra={"drained": drained})
         await self._close_parts()
 
--- a/greengagefall/gateway/router.py
+++ b/greengagefall/gateway/router.py
@@ -11,6 +11,7 @@
 from greengagefall.gateway.model import NO_KEY
 from greengagefall.gateway.peers import UNREACHABLE
 from greengagefall.gateway.pool_choice import DispatcherLoads
+from greengagefall.gateway.stop_admission import StopAdmission
 from greengagefall.limits.retry_budget import RetryBudget
 from greengagefall.protocol.gateway_messages import Dispatch, Dispatched, NotDispatched
 from greengagefall.utils.metrics import count
@@ -74,6 +75,7 @@
         peers: Calls to other hosts.
         clock: Clock that counts suspended time.
         request_update: Called when a dispatcher has a newer assignment than this host.
+        stop: Which requests are taken while this host stops; by default it never stops.
     """
 
     def __init__(
@@ -82,11 +84,13 @@
         peers: Peers,
         clock: Clock,
         request_update: Callable[[], None] = lambda: None,
+        stop: StopAdmission | None = None,
     ) -> None:
         self._view = view
         self._peers = peers
         self._clock = clock
         self._request_update = request_update
+        self._stop = stop or StopAdmission(clock)
         self._dispatcher_loads = DispatcherLoads(clock)
         self._budgets: dict[str, RetryBudget] = {}
         self._pools: dict[str, _Pool] = {}
@@ -111,6 +115,8 @@
         if service.keyed and request.key == NO_KEY:
             return self._refuse(outcomes.NO_KEY)
         deadline_s = started_s + min(request.timeout_s, route.timeout_s)
+        if not self._stop.accepts(deadline_s):
+            return self._refuse(outcomes.STOPPING)
         self._budget(service.name).on_first_attempt()
         return await self._attempt_until_final(request, route, service, started_s, deadline_s)
 
@@ -144,6 +150,7 @@
             retry = (
                 attempts < MAX_ATTEMPTS
                 and remaining_s > REROUTE_PAUSE_S
+                and self._stop.fits(deadline_s)
                 and self._may_repeat(route, service, outcome, sends)
             )
             self._log(request, service, outcome, attempts, retry)
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -19,6 +19,7 @@
 from greengagefall.gateway.model import NO_KEY
 from greengagefall.gateway.server_health import ServerHealth
 from greengagefall.gateway.slot_waiting import ADMITTED, SlotWaiting
+from greengagefall.gateway.stop_admission import StopAdmission
 from greengagefall.limits.server_queue import ServerQueue
 from greengagefall.limits.server_rate_limit import ServerRateLimit, logged_rate_per_s
 from greengagefall.platform import requests as headers
@@ -66,6 +67,7 @@
         restart_detection_s: Time after a lost connection by which a restarted server has written
             its entry.
         store_lag_s: Returns how long ago this host certainly knew all entries.
+        stop: Which requests are sent while this host stops; by default it never stops.
 
     Attributes:
         entry: Newest entry of the incarnation.
@@ -87,6 +89,7 @@
         pool: ConnectionPool,
         restart_detection_s: float = 0.0,
         store_lag_s: Callable[[], float] = lambda: 0.0,
+        stop: StopAdmission | None = None,
     ) -> None:
         self.entry = entry
         self.incarnation = entry.incarnation
@@ -97,6 +100,7 @@
         self._service = service
         self._clock = clock
         self._pool = pool
+        self._stop = stop or StopAdmission(clock)
         self._grants: GrantManager | None = None
         if service.keyed:
             self._grants = GrantManager(
@@ -224,6 +228,8 @@
         remaining_s = deadline_s - sent_s
         if remaining_s <= 0:
             return self._refusal(request, outcomes.DEADLINE_PASSED)
+        if not self._stop.fits(deadline_s):
+            return self._refusal(request, outcomes.STOPPING)
         message = HttpRequest(
             request.method,
             request.target,
@@ -239,7 +245,7 @@
         )
 
         def may_send() -> bool:
-            if self.admission_closed:
+            if self.admission_closed or not self._stop.fits(deadline_s):
                 return False
             return self._grants is None or self._grants.holds(request.key)
 
@@ -254,7 +260,8 @@
                 message, remaining_s + ANSWER_MARGIN_S, may_send, matches
             )
         except SendRefusedError:
-            return self._refusal(request, outcomes.NOT_GRANTED)
+            fits = self._stop.fits(deadline_s)
+            return self._refusal(request, outcomes.NOT_GRANTED if fits else outcomes.STOPPING)
         except NotSentError:
             self._on_connection_lost()
             self.health.record_failure(refused=True)
--- a/greengagefall/standins/platform_documents.py
+++ b/greengagefall/standins/platform_documents.py
@@ -29,9 +29,11 @@
     }
 
 
-def rule(name: str, prefix: str, service: str, kind: str, attempts: int = 1) -> dict:
+def rule(
+    name: str, prefix: str, service: str, kind: str, attempts: int = 1, timeout_s: float = 2.0
+) -> dict:
     """Returns a routing rule of a configuration."""
-    action = {"service": service, "timeoutS": 2.0, "attempts": attempts}
+    action = {"service": service, "timeoutS": timeout_s, "attempts": attempts}
     return {
         "name": name,
         "kind": kind,
--- /dev/null
+++ b/greengagefall/tests/gateway_stop_tests.py
@@ -0,0 +1,185 @@
+"""Tests that a planned stop of a gateway host cuts no request, on real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+
+from greengagefall.bench.processes import free_addresses
+from greengagefall.dispatch.connection_pool import ConnectionPool, HttpRequest
+from greengagefall.dispatch.exceptions import AnswerLostError
+from greengagefall.gateway import outcomes
+from greengagefall.gateway.host import GatewayHost
+from greengagefall.gateway.model import NO_KEY, OperatorLimits, PlatformSettings
+from greengagefall.protocol.gateway_messages import Dispatch, NotDispatched
+from greengagefall.standins.platform_documents import HOST_NAME, caller_headers, routing, rule
+from greengagefall.standins.platform_server import PlatformServerStandIn
+from greengagefall.standins.platform_store import PlatformStoreStandIn
+from greengagefall.utils.waiting import wait_until
+
+ZONES = ("north-a", "north-b")
+START_S = 8.0
+BODY_LIMIT_BYTES = 64_000_000
+MS_PER_S = 1000
+# An answer that does not come within this time counts as cut.
+PATIENCE_S = 12.0
+GRACE_S = 4.0
+RUN = 200
+NOT_RUN = 503
+CUT = 0
+
+
+class StopTestCase(unittest.IsolatedAsyncioTestCase):
+    hosts_count = 1
+
+    async def asyncSetUp(self):
+        self.store = PlatformStoreStandIn()
+        await self.store.start()
+        self.addAsyncCleanup(self.store.close)
+        self.servers = [
+            PlatformServerStandIn("p0", "proofdesk", ZONES[0], keyed=True),
+            PlatformServerStandIn("b0", "benchline", ZONES[0], keyed=False),
+        ]
+        for server in self.servers:
+            await server.start()
+            self.addAsyncCleanup(server.close)
+            await self.store.put_json(f"servers/{server.server_id}", server.entry())
+        rules = [
+            rule("drafts", "/drafts/", "proofdesk", kind="safe", attempts=2, timeout_s=2.0),
+            rule("approvals", "/approvals/", "proofdesk", kind="unsafe", timeout_s=30.0),
+            rule("orders", "/orders/", "benchline", kind="unsafe", timeout_s=30.0),
+        ]
+        await self.store.put_json("op/config", routing(7, rules=rules))
+        self.hosts = [self.make_host(f"edge-{number}") for number in range(self.hosts_count)]
+        for host in self.hosts:
+            await host.start()
+            self.addAsyncCleanup(host.kill)
+        self.assertTrue(await wait_until(self.all_granted, START_S))
+
+    def make_host(self, name):
+        limits = OperatorLimits(grace_period_s=GRACE_S)
+        return GatewayHost(
+            PlatformSettings(
+                name,
+                ZONES[0],
+                *free_addresses(3),
+                self.store.address,
+                0.5,
+                1.0,
+                20.0,
+                1.0,
+                limits,
+            ),
+            0,
+        )
+
+    def all_granted(self):
+        held = self.servers[0].holds(0) and self.servers[0].holds(65_535)
+        routed = all(
+            host.view.routing_table.version
+            and len(host.view.servers) == 2
+            and len(host.view.assignment.dispatchers) == 2
+            for host in self.hosts
+        )
+        return held and routed
+
+    def begin_stop(self):
+        """Begins to stop the first host; in tests of several, the pooled server's dispatcher."""
+        self.stopped_s = time.monotonic()
+        self.stop = asyncio.create_task(self.hosts[0].close())
+
+    async def sleep_until(self, after_stop_s):
+        await asyncio.sleep(self.stopped_s + after_stop_s - time.monotonic())
+
+    async def send(self, path, request_id, timeout_s, key=None, host=0, body=b"x"):
+        """Returns the status of the answer, ``CUT`` if the connection ended without one."""
+        pool = ConnectionPool(self.hosts[host].settings.caller_address, BODY_LIMIT_BYTES)
+        rows = caller_headers(request_id, int(timeout_s * MS_PER_S), key)
+        try:
+            answer = await pool.exchange(
+                HttpRequest("POST", path, rows, body), PATIENCE_S, lambda: True
+            )
+        except AnswerLostError:
+            return CUT
+        finally:
+            pool.close()
+        return answer.status
+
+    def executed(self):
+        return [request_id for server in self.servers for request_id in server.executed]
+
+
+class StopTests(StopTestCase):
+    async def test_request_that_comes_late_in_the_grace_period_is_not_cut(self):
+        self.servers[1].work_s = 1.9
+        self.begin_stop()
+        await self.sleep_until(1.9)
+        status = await self.send("/orders/1", "late", 2.0)
+        self.assertEqual((status, self.executed()), (NOT_RUN, []))
+
+    async def test_request_whose_deadline_is_after_the_exit_is_not_cut(self):
+        self.servers[1].work_s = 4.5
+        self.begin_stop()
+        await self.sleep_until(0.1)
+        status = await self.send("/orders/1", "long", 5.0)
+        self.assertEqual((status, self.executed()), (NOT_RUN, []))
+
+    async def test_requests_that_fit_into_the_grace_period_are_served(self):
+        for server in self.servers:
+            server.work_s = 1.0
+        self.begin_stop()
+        await self.sleep_until(1.5)
+        statuses = await asyncio.gather(
+            self.send("/orders/1", "pooled", 1.5), self.send("/drafts/1", "keyed", 1.5, key=1)
+        )
+        self.assertEqual(statuses, [RUN, RUN])
+
+
+class DispatchStopTests(StopTestCase):
+    hosts_count = 2
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        dispatching = self.hosts[0].view.assignment.dispatchers["b0"]
+        self.hosts.sort(key=lambda host: host.host_incarnation != dispatching.dispatcher)
+
+    async def dispatch(self, request_id, timeout_s):
+        """Sends a request for the pooled server from the second host to the stopping one."""
+        message = Dispatch(
+            0,
+            request_id,
+            "benchline",
+            "",
+            NO_KEY,
+            "POST",
+            HOST_NAME,
+            "/orders/1",
+            [],
+            b"x",
+            int(timeout_s * MS_PER_S),
+            int(timeout_s * MS_PER_S),
+            False,
+            1,
+        )
+        stopping = self.hosts[0].host_incarnation.host
+        return await self.hosts[1]._peers.call(stopping, message, PATIENCE_S)
+
+    async def test_request_of_another_host_whose_deadline_is_after_the_exit_is_not_cut(self):
+        self.servers[1].work_s = 4.5
+        self.begin_stop()
+        reply = await self.dispatch("sent-on", 5.0)
+        self.assertIsInstance(reply, NotDispatched)
+        self.assertEqual((reply.reason, reply.not_run), (outcomes.STOPPING, True))
+        self.assertEqual(self.executed(), [])
+
+    async def test_unsafe_requests_to_a_stopping_dispatcher_are_served_by_another(self):
+        self.begin_stop()
+        statuses = await asyncio.gather(
+            *(
+                self.send(path, f"{path}{number}", 5.0, key=key, host=1)
+                for number in range(4)
+                for path, key in (("/orders/", None), ("/approvals/", 1))
+            )
+        )
+        self.assertEqual(statuses, [RUN] * 8)
