Answer at the end of the grace period instead of cutting

Callers saw: requests in flight at SIGTERM that outlast the grace period ended with a closed connection, also those that still waited for a slot and had certainly not run; other hosts saw a lost link for them, and so an unknown outcome. Cause: at the end the host closed its connections first; only then it refused the queues. Fix: at the end (grace period - 0.4 s) requests that wait for a slot are refused as not run (503; other hosts get that reply and may retry), then those still at a server are answered 502, which promises nothing. Each has 0.1 s to be written. Evidence: gateway_stop_tests on real sockets, grace 4 s.

--- a/greengagefall/gateway/caller_http.py
+++ b/greengagefall/gateway/caller_http.py
@@ -13,7 +13,7 @@
 from tornado.iostream import StreamClosedError
 
 from greengagefall.gateway import outcomes
-from greengagefall.gateway.router import Answer
+from greengagefall.gateway.router import Answer, Refusal
 from greengagefall.platform import requests as headers
 from greengagefall.utils.metrics import count, observe_ms
 from greengagefall.utils.waiting import wait_until
@@ -22,7 +22,7 @@
     from tornado.httputil import HTTPServerRequest
 
     from greengagefall.gateway.model import CallerRequest
-    from greengagefall.gateway.router import Refusal, Router
+    from greengagefall.gateway.router import Router
     from greengagefall.utils.clock import Clock
 
 log = logging.getLogger(__name__)
@@ -57,6 +57,8 @@
         self._clock = clock
         self._random = random.Random()
         self._tasks: set[asyncio.Task] = set()
+        self._routing: set[asyncio.Future] = set()
+        self._ended = False
         self._server = HTTPServer(
             self._on_request,
             max_header_size=MAX_HEADER_BYTES,
@@ -75,6 +77,12 @@
         """Waits until no request is in progress; returns whether that happened in time."""
         return await wait_until(lambda: not self._tasks, timeout_s)
 
+    def end_requests(self) -> None:
+        """Ends the requests in progress; their answers say that they may have been executed."""
+        self._ended = True
+        for work in list(self._routing):
+            work.cancel()
+
     async def close(self) -> None:
         """Closes the port and all connections."""
         self._server.stop()
@@ -89,12 +97,18 @@
         started_s = self._clock.now_s()
         caller_request = headers.read_caller_request(request)
         work = asyncio.ensure_future(self._router.route(caller_request))
+        self._routing.add(work)
+        work.add_done_callback(self._routing.discard)
         request.connection.set_close_callback(work.cancel)
         try:
             outcome = await work
         except asyncio.CancelledError:
             if not work.cancelled():
                 raise
+            if self._ended:
+                took_ms = (self._clock.now_s() - started_s) * MS_PER_S
+                self._refuse(request, caller_request, Refusal(outcomes.OUTCOME_UNKNOWN, 0), took_ms)
+                return
             count("callers_left")
             log.info(
                 "Caller disconnected before the answer.",
--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -93,6 +93,11 @@
         """Whether no request is queued or in flight at any server."""
         return all(channel.idle for channel in self._channels.values())
 
+    def refuse_waiting(self) -> None:
+        """Refuses all requests that wait for a slot, because the host exits."""
+        for channel in self._channels.values():
+            channel.refuse_waiting()
+
     def reconcile(self) -> None:
         """Updates all channels to the current cluster view."""
         for incarnation, channel in self._channels.items():
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -45,6 +45,8 @@
 REGISTER_RETRY_S = 0.3
 REGISTER_CHECK_S = 2.0
 MIN_REFUSE_S = 0.2
+# Time in which the last answers of a stop are written.
+LAST_ANSWERS_S = 0.1
 
 
 class GatewayHost:
@@ -121,6 +123,8 @@
         # The host must refuse new requests before it exits, since one could arrive at any moment.
         await asyncio.sleep(max(0.0, times.refuse_from_s - self._clock.now_s()) + MIN_REFUSE_S)
         drained = await self._drain(times.end_s)
+        if not drained:
+            await self._answer_rest()
         log.info("Stopped.", extra={"drained": drained})
         await self._close_parts()
 
@@ -155,6 +159,13 @@
             await asyncio.sleep(0.05)
         return False
 
+    async def _answer_rest(self) -> None:
+        """Answers the requests that outlast the grace period; an answer says more than a cut."""
+        self._channels.refuse_waiting()
+        await self._callers.drain(LAST_ANSWERS_S)
+        self._callers.end_requests()
+        await self._callers.drain(LAST_ANSWERS_S)
+
     def _make_watchers(self) -> list[PrefixWatcher]:
         return [
             self._make_watcher(
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -145,6 +145,10 @@
         self._waiting.close()
         self._pool.close()
 
+    def refuse_waiting(self) -> None:
+        """Refuses all requests that wait for a slot, because the host exits."""
+        self._waiting.refuse_keys(lambda _: True, outcomes.STOPPING)
+
     def update_entry(self, entry: ServerEntry) -> None:
         """Applies a newer entry of the same incarnation."""
         self.entry = entry
--- a/greengagefall/tests/gateway_stop_tests.py
+++ b/greengagefall/tests/gateway_stop_tests.py
@@ -27,6 +27,7 @@
 GRACE_S = 4.0
 RUN = 200
 NOT_RUN = 503
+MAY_HAVE_RUN = 502
 CUT = 0
 
 
@@ -135,6 +136,36 @@
         )
         self.assertEqual(statuses, [RUN, RUN])
 
+    async def test_request_in_flight_at_the_exit_gets_an_answer_that_it_may_have_run(self):
+        self.servers[1].work_s = 6.0
+        running = asyncio.create_task(self.send("/orders/1", "running", 8.0))
+        await asyncio.sleep(0.3)
+        self.begin_stop()
+        self.assertEqual(await running, MAY_HAVE_RUN)
+        self.assertGreater(time.monotonic() - self.stopped_s, GRACE_S - 0.6)
+        await self.stop
+        self.assertLess(time.monotonic() - self.stopped_s, GRACE_S)
+
+    async def test_request_that_waits_for_a_slot_at_the_exit_is_refused_as_not_run(self):
+        self.servers[1].work_s = 6.0
+        for host in self.hosts:
+            host.view.routing_table.routes[HOST_NAME] = tuple(
+                route._replace(objective_s=30.0)
+                for route in host.view.routing_table.routes[HOST_NAME]
+            )
+        running = [
+            asyncio.create_task(self.send(f"/orders/{number}", f"r-{number}", 20.0))
+            for number in range(6)
+        ]
+        await asyncio.sleep(0.3)
+        waiting = asyncio.create_task(self.send("/orders/7", "waiting", 20.0))
+        await asyncio.sleep(0.3)
+        self.assertFalse(waiting.done())
+        self.begin_stop()
+        self.assertEqual(await waiting, NOT_RUN)
+        self.assertEqual(await asyncio.gather(*running), [MAY_HAVE_RUN] * 6)
+        self.assertNotIn("waiting", self.executed())
+
 
 class DispatchStopTests(StopTestCase):
     hosts_count = 2
