Wait for the next dispatcher when the present one stops

Callers saw (with the refusal of what does not fit): requests that other hosts sent to a stopping dispatcher came back as 503 within 0.26 s, though another host took the servers over 0.3 s after the stop. Cause: a `stopping` refusal was retried every 45 ms or so, four attempts in all; while the coordinator itself stops and another is elected, all four reached the same host. Fix: after `stopping` the router waits until it would choose another host, at most 0.5 s and the deadline; nothing was sent, so that is safe for unsafe requests too. Without a takeover in that time it answers the refusal instead of trying the same host again. Evidence: gateway_stop_tests.CoordinatorStopTests on real sockets, 20 unsafe requests (deadline 5 s, grace 4 s) through the other host from the moment of the stop.

--- a/greengagefall/gateway/router.py
+++ b/greengagefall/gateway/router.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
 from greengagefall.gateway import outcomes
@@ -15,6 +16,7 @@
 from greengagefall.limits.retry_budget import RetryBudget
 from greengagefall.protocol.gateway_messages import Dispatch, Dispatched, NotDispatched
 from greengagefall.utils.metrics import count
+from greengagefall.utils.waiting import wait_until
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -33,6 +35,8 @@
 # the route's max_attempts nor against the retry budget.
 MAX_ATTEMPTS = 4
 REROUTE_PAUSE_S = 0.03
+# Longest wait for another dispatcher after the present one refused because its host is stopping.
+TAKEOVER_WAIT_S = 0.5
 
 
 class Answer(NamedTuple):
@@ -55,6 +59,13 @@
     retry_after_ms: int
 
 
+class _Target(NamedTuple):
+    """Where a request is sent; the server id is empty if the dispatcher chooses a server."""
+
+    host: str
+    server_id: str
+
+
 class _Pool(NamedTuple):
     """The dispatchers of a service without keys.
 
@@ -140,7 +151,11 @@
         attempts = 0
         while True:
             attempts += 1
-            outcome = await self._send(request, route, service, started_s, deadline_s)
+            target = self._target(request, service)
+            if isinstance(target, NotDispatched):
+                outcome = target
+            else:
+                outcome = await self._send(request, route, service, target, started_s, deadline_s)
             if isinstance(outcome, Dispatched):
                 return Answer(outcome.status, outcome.headers, outcome.body)
             sends += outcome.sent
@@ -157,6 +172,11 @@
             if not retry:
                 return Refusal(outcome.reason, outcome.retry_after_ms)
             await asyncio.sleep(REROUTE_PAUSE_S * (1 + self._random.random()))
+            if outcome.reason != outcomes.STOPPING:
+                continue
+            wait_s = min(TAKEOVER_WAIT_S, deadline_s - self._clock.now_s())
+            if not await wait_until(partial(self._moved, request, service, target), wait_s):
+                return Refusal(outcome.reason, outcome.retry_after_ms)
 
     def _may_repeat(
         self, route: Route, service: Service, outcome: NotDispatched, sends: int
@@ -176,12 +196,10 @@
         request: CallerRequest,
         route: Route,
         service: Service,
+        target: _Target,
         started_s: float,
         deadline_s: float,
     ) -> Dispatched | NotDispatched:
-        target = self._target(request, service)
-        if isinstance(target, NotDispatched):
-            return target
         host, server_id = target
         now_s = self._clock.now_s()
         message = Dispatch(
@@ -210,8 +228,13 @@
             return outcomes.failure(outcomes.DISPATCHER_UNREACHABLE)
         return outcomes.failure(outcomes.OUTCOME_UNKNOWN, sent=True)
 
-    def _target(self, request: CallerRequest, service: Service) -> tuple[str, str] | NotDispatched:
-        """Returns the dispatcher's host and the server id, empty for the dispatcher to choose."""
+    def _moved(self, request: CallerRequest, service: Service, before: _Target) -> bool:
+        """Returns whether another host would get the request now."""
+        target = self._target(request, service)
+        return isinstance(target, _Target) and target.host != before.host
+
+    def _target(self, request: CallerRequest, service: Service) -> _Target | NotDispatched:
+        """Returns where to send a request now, or why that is unknown."""
         assignment = self._view.assignment
         if service.keyed:
             key_range = assignment.find_key_range(service.name, request.key)
@@ -220,12 +243,12 @@
             dispatching = assignment.dispatchers.get(key_range.owner.server_id)
             if dispatching is None:
                 return outcomes.failure(outcomes.NO_DISPATCHER)
-            return dispatching.dispatcher.host, key_range.owner.server_id
+            return _Target(dispatching.dispatcher.host, key_range.owner.server_id)
         pool = self._pool(service.name)
         host = self._dispatcher_loads.choose(service.name, pool.slots, pool.same_zone_hosts)
         if host is None:
             return outcomes.failure(outcomes.NO_SERVER)
-        return host, ""
+        return _Target(host, "")
 
     def _pool(self, service: str) -> _Pool:
         """Returns the dispatchers of a service without keys, built anew after each change."""
--- a/greengagefall/tests/gateway_stop_tests.py
+++ b/greengagefall/tests/gateway_stop_tests.py
@@ -214,3 +214,25 @@
             )
         )
         self.assertEqual(statuses, [RUN] * 8)
+
+
+class CoordinatorStopTests(StopTestCase):
+    async def test_unsafe_requests_are_served_while_the_coordinator_and_dispatcher_stops(self):
+        other = self.make_host("edge-1")
+        self.hosts.append(other)
+        self.addAsyncCleanup(other.kill)
+        await other.start()
+        self.assertTrue(await wait_until(self.all_granted, START_S))
+        await asyncio.sleep(1.0)
+        stopping = self.hosts[0].host_incarnation
+        self.assertEqual(other.view.coordinator, stopping)
+        dispatchers = other.view.assignment.dispatchers
+        self.assertEqual({dispatchers[name].dispatcher for name in ("p0", "b0")}, {stopping})
+        self.begin_stop()
+        running = []
+        for number in range(10):
+            for path, key in (("/orders/", None), ("/approvals/", 1)):
+                send = self.send(path, f"{path}{number}", 5.0, key=key, host=1)
+                running.append(asyncio.create_task(send))
+            await asyncio.sleep(0.05)
+        self.assertEqual(await asyncio.gather(*running), [RUN] * 20)
