Exit only when bodies are read and answers are written

Callers saw: in a planned stop a large answer to a slow reader ended midway, and a request whose body was still on its way was cut, though the grace period had time left (grace 4 s: cut at 2.2 s). Cause: the host exited as soon as no request was in progress; one whose body is still read had not begun, one whose answer was handed to the socket had ended. Closing the connection then drops the bytes not yet sent. Fix: CallerConnections knows both, and the drain waits for them, at most until the end of the stop. Evidence: gateway_stop_tests.CallerConnectionStopTests on real sockets.

--- a/greengagefall/gateway/caller_http.py
+++ b/greengagefall/gateway/caller_http.py
@@ -8,11 +8,11 @@
 import random
 from typing import TYPE_CHECKING
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, ResponseStartLine, responses
 from tornado.iostream import StreamClosedError
 
 from greengagefall.gateway import outcomes
+from greengagefall.gateway.caller_connections import CallerConnections
 from greengagefall.gateway.router import Answer, Refusal
 from greengagefall.platform import requests as headers
 from greengagefall.utils.metrics import count, observe_ms
@@ -59,7 +59,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._routing: set[asyncio.Future] = set()
         self._ended = False
-        self._server = HTTPServer(
+        self._server = CallerConnections(
             self._on_request,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
@@ -74,8 +74,8 @@
         self._server.listen(int(port), address=host, backlog=1024)
 
     async def drain(self, timeout_s: float) -> bool:
-        """Waits until no request is in progress; returns whether that happened in time."""
-        return await wait_until(lambda: not self._tasks, timeout_s)
+        """Waits until no request is read, in progress or written; returns if that was in time."""
+        return await wait_until(lambda: not self._tasks and not self._server.busy, timeout_s)
 
     def end_requests(self) -> None:
         """Ends the requests in progress; their answers say that they may have been executed."""
--- a/greengagefall/standins/platform_server.py
+++ b/greengagefall/standins/platform_server.py
@@ -27,6 +27,7 @@
         fences: First key, last key and fence of each accepted grant and release.
         refused_grants: Number of grants refused because the server had seen a higher fence.
         work_s: Service time of a request in seconds.
+        answer_bytes: Bytes that answers are padded to.
         swallow_grants: Number of next grants that are not applied and get no answer for
             ``SWALLOWED_GRANT_S``.
         reset_grants: Number of next grants that are not applied and whose connection is closed.
@@ -46,6 +47,7 @@
         self.keyed = keyed
         self.work_s = work_s
         self.start_ms = int(time.time() * 1000)
+        self.answer_bytes = 0
         self.executed: list[str] = []
         self.grants: dict[tuple[int, int], tuple[int, float]] = {}
         self.fences: list[tuple[int, int, int]] = []
@@ -197,7 +199,8 @@
         self.set_header("Upstream-Load", LOAD_HEADER_VALUE)
         if self.server.rate_limit_per_s:
             self.set_header("Server-Limit", str(self.server.rate_limit_per_s))
-        self.finish(f"{self.server.server_id}:{self.request.uri}")
+        body = f"{self.server.server_id}:{self.request.uri}"
+        self.finish(body.ljust(self.server.answer_bytes))
 
     get = post = put = delete = execute
 
--- a/greengagefall/tests/gateway_stop_tests.py
+++ b/greengagefall/tests/gateway_stop_tests.py
@@ -236,3 +236,81 @@
                 running.append(asyncio.create_task(send))
             await asyncio.sleep(0.05)
         self.assertEqual(await asyncio.gather(*running), [RUN] * 20)
+
+
+class CallerConnectionStopTests(StopTestCase):
+    async def open_connection(self):
+        host, _, port = self.hosts[0].settings.caller_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    def request_bytes(self, request_id, timeout_s, body_bytes=1):
+        rows = caller_headers(request_id, int(timeout_s * MS_PER_S), None)
+        lines = [f"{name}: {value}" for name, value in rows]
+        head = ["POST /orders/1 HTTP/1.1", *lines, f"Content-Length: {body_bytes}", "", ""]
+        return "\r\n".join(head).encode()
+
+    async def read_status(self, reader):
+        """Reads one answer; returns its status, ``CUT`` if it is missing or incomplete."""
+        try:
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), PATIENCE_S)
+            length = int(head.lower().partition(b"content-length:")[2].split(b"\r\n")[0])
+            await reader.readexactly(length)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return CUT
+        return int(head.split()[1])
+
+    async def test_body_that_is_read_when_the_host_could_exit_is_answered(self):
+        reader, writer = await self.open_connection()
+        writer.write(self.request_bytes("slow-body", 1.0, body_bytes=2) + b"x")
+        await asyncio.sleep(0.2)
+        self.begin_stop()
+        await self.sleep_until(3.0)
+        writer.write(b"x")
+        self.assertEqual(await self.read_status(reader), NOT_RUN)
+        await self.stop
+        self.assertEqual(self.executed(), [])
+
+    async def test_body_that_never_ends_does_not_hold_the_exit_up(self):
+        _, writer = await self.open_connection()
+        writer.write(self.request_bytes("endless-body", 1.0, body_bytes=2) + b"x")
+        await asyncio.sleep(0.2)
+        self.begin_stop()
+        await self.stop
+        self.assertLess(time.monotonic() - self.stopped_s, GRACE_S)
+
+    async def test_large_answer_to_a_slow_reader_is_complete_at_the_exit(self):
+        self.servers[1].answer_bytes = 16_000_000
+        reader, writer = await self.open_connection()
+        writer.write(self.request_bytes("large", 1.5) + b"x")
+        await asyncio.sleep(0.5)
+        self.begin_stop()
+        await self.sleep_until(2.8)
+        self.assertEqual(await self.read_status(reader), RUN)
+        await self.stop
+
+    async def test_pipelined_requests_are_all_answered_during_a_stop(self):
+        self.servers[1].work_s = 0.5
+        reader, writer = await self.open_connection()
+        self.begin_stop()
+        await self.sleep_until(1.8)
+        for number in range(4):
+            writer.write(self.request_bytes(f"pipelined-{number}", 1.5) + b"x")
+        statuses = [await self.read_status(reader) for _ in range(4)]
+        self.assertEqual(statuses, [RUN, NOT_RUN, NOT_RUN, NOT_RUN])
+        self.assertEqual(self.executed(), ["pipelined-0"])
+
+    async def test_requests_on_a_kept_connection_up_to_the_exit_are_never_cut_once_passed_on(self):
+        self.servers[1].work_s = 0.05
+        reader, writer = await self.open_connection()
+        self.begin_stop()
+        statuses = []
+        while not self.stop.done():
+            request_id = f"kept-{len(statuses)}"
+            writer.write(self.request_bytes(request_id, 0.4) + b"x")
+            statuses.append((request_id, await self.read_status(reader)))
+            await asyncio.sleep(0.005)
+        answered = [request_id for request_id, status in statuses if status == RUN]
+        self.assertEqual(self.executed(), answered)
+        self.assertIn(NOT_RUN, [status for _, status in statuses])
