Exit only when requests of other hosts have their replies

Other hosts saw: a request that waited for its key at a stopping dispatcher got no reply, since the dispatcher exited; they had to take it as an unknown outcome, so an unsafe request ended 502 although it had not run. Cause: the dispatcher counted as idle while a request waited for a grant (at most 0.5 s): it was neither queued nor in flight. Fix: each request counts from its arrival to its outcome; one still in flight after its caller left counts as before.

--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -75,6 +75,7 @@
         self._unneeded_since_s: dict[ServerIncarnation, float] = {}
         self._key_counters: dict[str, KeyCounter] = {}
         self._task: asyncio.Task | None = None
+        self._submitted = 0
         view.add_listener(self.reconcile)
 
     def start(self) -> None:
@@ -90,8 +91,8 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no request is queued or in flight at any server."""
-        return all(channel.idle for channel in self._channels.values())
+        """Whether no request is without an outcome, or still in flight after its caller left."""
+        return not self._submitted and all(channel.idle for channel in self._channels.values())
 
     def refuse_waiting(self) -> None:
         """Refuses all requests that wait for a slot, because the host exits."""
@@ -126,7 +127,11 @@
             return self._refuse(request, reason)
         if request.key != NO_KEY and channel.grants is not None:
             self._key_counters.setdefault(request.service, KeyCounter()).add(request.key)
-        return await channel.submit(request, received_s)
+        self._submitted += 1
+        try:
+            return await channel.submit(request, received_s)
+        finally:
+            self._submitted -= 1
 
     async def release(self, order: ReleaseKeys) -> ReleaseOutcome | None:
         """Has a server release keys; None if this host has no channel or an older assignment."""
--- a/greengagefall/tests/gateway_stop_tests.py
+++ b/greengagefall/tests/gateway_stop_tests.py
@@ -175,14 +175,14 @@
         dispatching = self.hosts[0].view.assignment.dispatchers["b0"]
         self.hosts.sort(key=lambda host: host.host_incarnation != dispatching.dispatcher)
 
-    async def dispatch(self, request_id, timeout_s):
-        """Sends a request for the pooled server from the second host to the stopping one."""
+    async def dispatch(self, request_id, timeout_s, service="benchline", server_id="", key=NO_KEY):
+        """Sends a request from the second host to the stopping one."""
         message = Dispatch(
             0,
             request_id,
-            "benchline",
-            "",
-            NO_KEY,
+            service,
+            server_id,
+            key,
             "POST",
             HOST_NAME,
             "/orders/1",
@@ -204,6 +204,18 @@
         self.assertEqual((reply.reason, reply.not_run), (outcomes.STOPPING, True))
         self.assertEqual(self.executed(), [])
 
+    async def test_request_of_another_host_that_waits_for_its_key_at_the_exit_gets_a_reply(self):
+        self.hosts[0].view.update_assignment = lambda _: None
+        self.begin_stop()
+        await self.sleep_until(1.5)
+        self.servers[0].swallow_grants = 100
+        self.servers[0].release_keys(0, 65_535)
+        await self.dispatch("without-key", 1.0, "proofdesk", "p0", 1)
+        await self.sleep_until(1.9)
+        reply = await self.dispatch("waiting", 1.0, "proofdesk", "p0", 1)
+        self.assertIsInstance(reply, NotDispatched)
+        self.assertEqual((reply.reason, reply.not_run), (outcomes.NOT_GRANTED, True))
+
     async def test_unsafe_requests_to_a_stopping_dispatcher_are_served_by_another(self):
         self.begin_stop()
         statuses = await asyncio.gather(
