Test signals and settings changes during a planned stop

One host as a process, a slow server (1.9 s), 80 unsafe requests from SIGTERM on over 4 s; meanwhile a second SIGTERM, a settings file with another grace period, SIGHUP and SIGINT. No request that ran ends cut or with a promise that it did not run; the process ends with code 0 within the 4 s that the loop of the test takes at least (grace period 4 s). Ruled out: the other signals and the settings neither cut, shorten nor prolong a stop; the end stays where the first SIGTERM put it.

--- a/greengagefall/tests/gateway_stop_tests.py
+++ b/greengagefall/tests/gateway_stop_tests.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import signal
 import time
 import unittest
 
+from greengagefall.bench.gateway_fleet import GatewayFleet
 from greengagefall.bench.processes import free_addresses
 from greengagefall.dispatch.connection_pool import ConnectionPool, HttpRequest
-from greengagefall.dispatch.exceptions import AnswerLostError
+from greengagefall.dispatch.exceptions import AnswerLostError, NotSentError
 from greengagefall.gateway import outcomes
 from greengagefall.gateway.host import GatewayHost
 from greengagefall.gateway.model import NO_KEY, OperatorLimits, PlatformSettings
@@ -326,3 +329,51 @@
         answered = [request_id for request_id, status in statuses if status == RUN]
         self.assertEqual(self.executed(), answered)
         self.assertIn(NOT_RUN, [status for _, status in statuses])
+
+
+class ProcessStopTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.fleet = GatewayFleet(hosts=1, servers=1)
+        self.addAsyncCleanup(self.fleet.close)
+        await self.fleet.start()
+        while await self.send("before", 2.0) != RUN:
+            continue
+        for server in self.fleet.servers.values():
+            server.executed.clear()
+            server.work_s = 1.9
+
+    async def send(self, request_id, timeout_s):
+        """Returns the status, ``CUT`` if a sent request got no answer, None if nothing was sent."""
+        pool = ConnectionPool(self.fleet.callers["edge-0"], BODY_LIMIT_BYTES)
+        rows = caller_headers(request_id, int(timeout_s * MS_PER_S), 1)
+        try:
+            request = HttpRequest("POST", "/approvals/1", rows, b"x")
+            return (await pool.exchange(request, PATIENCE_S, lambda: True)).status
+        except NotSentError:
+            return None
+        except AnswerLostError:
+            return CUT
+        finally:
+            pool.close()
+
+    async def test_signals_and_settings_changes_during_a_stop_neither_cut_nor_prolong_it(self):
+        processes = self.fleet.processes
+        pid = processes.pid("edge-0")
+        path = processes.log_dir / "edge-0.conf"
+        running = {}
+        signals = {0: signal.SIGTERM, 6: signal.SIGTERM, 10: signal.SIGHUP, 14: signal.SIGINT}
+        for number in range(80):
+            if number == 8:
+                path.write_text(path.read_text().replace("gracePeriodS=4.0", "gracePeriodS=20"))
+            if number in signals:
+                os.kill(pid, signals[number])
+            request_id = f"r-{number}"
+            send = self.send(request_id, (0.7, 1.6, 5.0)[number % 3])
+            running[request_id] = asyncio.create_task(send)
+            await asyncio.sleep(0.05)
+        self.assertFalse(processes.is_running("edge-0"))
+        self.assertEqual(processes.stop("edge-0"), 0)
+        statuses = {request_id: await task for request_id, task in running.items()}
+        executed = [name for server in self.fleet.servers.values() for name in server.executed]
+        self.assertGreater(len(executed), 0)
+        self.assertEqual([name for name in executed if statuses[name] in (CUT, NOT_RUN)], [])
