Refuse in the older entry host too what cannot end before its exit

Callers saw (same fault as in the gateway, own program): a request that came on a kept connection late in the drain was forwarded and cut when the drain timeout expired. With the default of 30 s it needs a request that comes so late or lasts so long; shown with 2 s. Cause: requests were taken until the host closed. Fix: StopAdmission moves to limits/ and serves both programs. The stop begins with SIGTERM and ends at the notice plus the drain timeout; while connections are closed nothing is taken any more. Other hosts: from SIGTERM on the older host refuses all their requests (stop_accepting), so nothing of theirs is taken late. Open there: a request still at its server when the drain timeout expires is cut without an answer.

--- a/greengagefall/entry/caller_interface.py
+++ b/greengagefall/entry/caller_interface.py
@@ -13,6 +13,7 @@
 from greengagefall.entry.http_answers import write_answer, write_refusal
 from greengagefall.entry.request import read_request
 from greengagefall.limits.caller_share import CallerLimiter
+from greengagefall.limits.stop_admission import StopAdmission
 from greengagefall.protocol import refusals
 from greengagefall.protocol.make_refusal import make_refusal
 from greengagefall.protocol.messages import Answer
@@ -28,6 +29,7 @@
     from greengagefall.entry.request import CallerRequest
     from greengagefall.protocol.messages import Refusal
     from greengagefall.routing.model import RoutingConfig
+    from greengagefall.utils.clock import Clock
 
 log = logging.getLogger(__name__)
 
@@ -49,13 +51,18 @@
         state: Documents of this host.
         forwarder: Forwards requests to backend servers.
         admin: Answers requests of operators.
+        clock: Clock that counts suspended time.
     """
 
-    def __init__(self, listen: str, state: HostState, forwarder: Forwarder, admin: Admin) -> None:
+    def __init__(
+        self, listen: str, state: HostState, forwarder: Forwarder, admin: Admin, clock: Clock
+    ) -> None:
         self._listen = listen
         self._state = state
         self._forwarder = forwarder
         self._admin = admin
+        self._clock = clock
+        self._stop = StopAdmission(clock)
         limits = state.config_holder.current.limits
         self._limiter = CallerLimiter(limits.caller_in_flight, limits.entry_in_flight)
         self._tasks: set[asyncio.Task] = set()
@@ -84,6 +91,11 @@
         """Number of callers' requests without an outcome."""
         return self._limiter.in_flight
 
+    def begin_stop(self, grace_s: float) -> None:
+        """Refuses from now on what cannot end within ``grace_s``; answers ask to reconnect."""
+        self.stopping = True
+        self._stop.begin(grace_s)
+
     async def drain(self, timeout_s: float) -> bool:
         """Stops accepting connections and waits until no request is in flight.
 
@@ -96,6 +108,7 @@
     async def close(self) -> None:
         """Closes the port and all connections."""
         self._server.stop()
+        self._stop.refuse_new()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -120,6 +133,10 @@
             write_refusal(request, make_refusal(bad_request.request_id, bad_request.reason))
             return
         caller_request = read.ok_value
+        if not self._stop.accepts(self._clock.now_s() + caller_request.timeout_ms / MS_PER_S):
+            refusal = make_refusal(caller_request.request_id, refusals.STOPPING)
+            write_refusal(request, refusal, self.stopping)
+            return
         acquired = self._limiter.try_acquire(caller_request.caller)
         if isinstance(acquired, Err):
             refusal = acquired.err_value
--- a/greengagefall/entry/host.py
+++ b/greengagefall/entry/host.py
@@ -99,7 +99,7 @@
             settings.allow_faults,
         )
         self.caller_interface = CallerInterface(
-            settings.http_listen, self.state, self.forwarder, admin
+            settings.http_listen, self.state, self.forwarder, admin, clock
         )
         self.bootstrap = Bootstrap(
             self.state,
@@ -124,7 +124,7 @@
     async def stop(self) -> None:
         """Stops the host as planned: resigns dispatch rights, finishes requests, closes."""
         self.stopping = True
-        self.caller_interface.stopping = True
+        self.caller_interface.begin_stop(STOP_NOTICE_S + self._settings.drain_timeout_s)
         self._push_status()
         log.info("Entry host is stopping. Requests in flight: %d.", self.caller_interface.in_flight)
         await self._hand_over()
--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -11,8 +11,8 @@
 from greengagefall.gateway import outcomes
 from greengagefall.gateway.model import NO_KEY
 from greengagefall.gateway.server_channel import ServerChannel
-from greengagefall.gateway.stop_admission import StopAdmission
 from greengagefall.limits.server_rate_limit import UNLIMITED
+from greengagefall.limits.stop_admission import StopAdmission
 from greengagefall.ownership.key_load import KeyCounter
 from greengagefall.ownership.model import ServerIncarnation
 from greengagefall.utils.metrics import count
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -29,8 +29,8 @@
 from greengagefall.gateway.relaying import StoreRelay
 from greengagefall.gateway.router import Router
 from greengagefall.gateway.status_http import StatusServer
-from greengagefall.gateway.stop_admission import StopAdmission
 from greengagefall.gateway.view import ClusterView, HostRecord
+from greengagefall.limits.stop_admission import StopAdmission
 from greengagefall.ownership.model import UNKNOWN_RESTORES, HostIncarnation
 from greengagefall.platform import records as platform_records
 from greengagefall.platform.store import PlatformStore, Put
--- a/greengagefall/gateway/router.py
+++ b/greengagefall/gateway/router.py
@@ -12,8 +12,8 @@
 from greengagefall.gateway.model import NO_KEY
 from greengagefall.gateway.peers import UNREACHABLE
 from greengagefall.gateway.pool_choice import DispatcherLoads
-from greengagefall.gateway.stop_admission import StopAdmission
 from greengagefall.limits.retry_budget import RetryBudget
+from greengagefall.limits.stop_admission import StopAdmission
 from greengagefall.protocol.gateway_messages import Dispatch, Dispatched, NotDispatched
 from greengagefall.utils.metrics import count
 from greengagefall.utils.waiting import wait_until
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -19,9 +19,9 @@
 from greengagefall.gateway.model import NO_KEY
 from greengagefall.gateway.server_health import ServerHealth
 from greengagefall.gateway.slot_waiting import ADMITTED, SlotWaiting
-from greengagefall.gateway.stop_admission import StopAdmission
 from greengagefall.limits.server_queue import ServerQueue
 from greengagefall.limits.server_rate_limit import ServerRateLimit, logged_rate_per_s
+from greengagefall.limits.stop_admission import StopAdmission
 from greengagefall.platform import requests as headers
 from greengagefall.protocol.gateway_messages import Dispatched, NotDispatched
 from greengagefall.utils.metrics import count, observe_ms
--- a/greengagefall/gateway/stop_admission.py
+++ b/greengagefall/limits/stop_admission.py
@@ -57,6 +57,10 @@
             self.times = plan_stop(self._clock.now_s(), grace_s)
         return self.times
 
+    def refuse_new(self) -> None:
+        """Takes no new request from now on, because the host exits."""
+        self.times = self.times._replace(refuse_from_s=self._clock.now_s())
+
     def fits(self, deadline_s: float) -> bool:
         """Returns whether a request with this deadline ends before the host does."""
         return deadline_s + LATE_ANSWER_S <= self.times.end_s
--- a/greengagefall/tests/gateway_stop_admission_tests.py
+++ b/greengagefall/tests/limits_stop_admission_tests.py
@@ -5,7 +5,7 @@
 import math
 import unittest
 
-from greengagefall.gateway.stop_admission import (
+from greengagefall.limits.stop_admission import (
     EXIT_RESERVE_S,
     LATE_ANSWER_S,
     NOT_STOPPING,
