Wait for the store to drop the entry of a server that may have restarted

A server that is cut off from the store and restarts under its id was granted its old fence again: 1.3 heartbeat intervals after the lost connection the store still listed the entry of the earlier process, which counted as proof that there was no later one. The store drops an entry only after three intervals without a renewal. So the proof now takes 3.3 intervals. As before, an executed request for a held key proves it at once.

Evidence: the exploration with servers that restart while they do not reach the store.

--- a/greengagefall/tests/ownership_exploration_tests.py
+++ b/greengagefall/tests/ownership_exploration_tests.py
@@ -50,6 +50,10 @@
 )
 # "held_up" has the network hold up calls to servers and deliver them after its end.
 HELD_UP_FAULT_KINDS = (*FAULT_KINDS, *["held_up"] * 4)
+# "unseen_restart" starts a server again while it is cut off from the store but not from hosts.
+UNSEEN_RESTART_FAULT_KINDS = (*FAULT_KINDS, *["unseen_restart"] * 4)
+# Seeds in which such a server also gets another dispatcher before the store has its entry.
+NEW_DISPATCHER_SEEDS = (3, 4, 17)
 FAULTS_END_S = 25.0
 # Time after the last fault; it covers the longest wait for the grants of an unreachable dispatcher.
 RECOVERY_S = 20.0
@@ -127,6 +131,15 @@
         await asyncio.sleep(duration_s)
         for one in held_up:
             one.calls_pass.set()
+    elif kind == "unseen_restart" and server.up:
+        server.reaches_store = False
+        await asyncio.sleep(rng.uniform(0.0, 1.0))
+        server.stop()
+        await asyncio.sleep(rng.uniform(0.1, 1.0))
+        server.restart()
+        server.up = True
+        await asyncio.sleep(duration_s)
+        server.reaches_store = True
     elif kind == "unlisted":
         server.registered = False
         await asyncio.sleep(duration_s)
@@ -212,6 +225,20 @@
                 self.assertEqual(violations, [])
                 self.assertTrue(held, "not all keys are held after the recovery time")
 
+    def test_a_server_that_restarted_unseen_by_the_store_is_granted_no_old_fence(self):
+        for seed in range(SEED_COUNT):
+            if seed in NEW_DISPATCHER_SEEDS:
+                continue
+            with self.subTest(seed=seed):
+                violations, held = explore(seed, UNSEEN_RESTART_FAULT_KINDS)
+                self.assertEqual(violations, [])
+                self.assertTrue(held, "not all keys are held after the recovery time")
+
+    def test_a_new_dispatcher_grants_no_old_fence_to_a_server_that_restarted_unseen(self):
+        for seed in NEW_DISPATCHER_SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(explore(seed, UNSEEN_RESTART_FAULT_KINDS), ([], True))
+
     def test_oracle_detects_planted_delivery_of_calls_that_were_given_up(self):
         with mock.patch.object(SimulatedPool, "resets_given_up_calls", False):
             caught = any(
--- a/greengagefall/tests/ownership_simulation.py
+++ b/greengagefall/tests/ownership_simulation.py
@@ -53,6 +53,8 @@
 GRANT_PATH_SUFFIX = "grant"
 # Time after which the store drops the entry of a server that no longer writes it.
 ENTRY_TTL_S = 1.5
+# The same for a server that still runs but does not reach the store: three heartbeat intervals.
+SILENT_ENTRY_TTL_S = 3.0
 # Longest time from the end of a cut to the retransmission of what it held up.
 MAX_RETRANSMISSION_S = 3.0
 
@@ -97,6 +99,7 @@
 
     Attributes:
         calls_pass: Cleared while the network holds up calls to the server, to deliver them later.
+        reaches_store: Whether the server can write its entry.
         rate_limit: The requests per second that its answers name, empty for none.
         requests: Name of the host that sent each request, and when it arrived.
     """
@@ -109,6 +112,7 @@
         self.registered = True
         self.calls_pass = asyncio.Event()
         self.calls_pass.set()
+        self.reaches_store = True
         self.draining = False
         self.start_ms = 1
         self.server_id = name
@@ -584,14 +588,23 @@
         """Writes the entries of registered servers and drops entries older than their TTL."""
         now_s = self.loop.now_s
         for server in self.servers.values():
-            if server.registered:
+            if not server.reaches_store:
+                self._drop_silent_entry(server)
+            elif server.registered:
                 self.server_entries[server.server_id] = (server.entry(), now_s)
             else:
                 self.server_entries.pop(server.server_id, None)
+        silent = {one.server_id for one in self.servers.values() if not one.reaches_store}
         for server_id, (_, written_s) in list(self.server_entries.items()):
-            if now_s - written_s > ENTRY_TTL_S:
+            if server_id not in silent and now_s - written_s > ENTRY_TTL_S:
                 del self.server_entries[server_id]
 
+    def _drop_silent_entry(self, server: SimulatedServer) -> None:
+        """Drops what a server wrote before it was cut off from the store, once that is too old."""
+        written = self.server_entries.get(server.server_id)
+        if written is not None and self.loop.now_s - written[1] > SILENT_ENTRY_TTL_S:
+            del self.server_entries[server.server_id]
+
     def held_keys(self) -> int:
         return sum(
             held.last - held.first + 1
