Count a grant's latest arrival from the reset of its connection

It can arrive until its connection is reset, and a busy event loop resets it late. The dispatcher's word on when its grants have expired was then too early by that delay, and the keys could go on while the grant was in force.

Now the expiry counts from the reset, if that is later. What the grant manager does with a call without an answer and with a refusal are methods of their own.

--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -305,37 +305,43 @@
             )
         except SendRefusedError:
             return False
-        except AnswerMismatchError as error:
-            self._log_unanswered("grant", grant_id, sent_s, error)
-            return False
         except DispatchError as error:
-            self._health.record_failure(refused=isinstance(error, NotSentError))
-            # After a mere timeout no wait is needed if the store shows the current incarnation.
-            self._mark_unverified(
-                0.0 if isinstance(error, AnswerTimeoutError) else self._restart_detection_s
-            )
             self._log_unanswered("grant", grant_id, sent_s, error)
+            self._on_unanswered(key_range, error)
             return False
         self._health.record_answer()
-        if answer.status == calls.HTTP_CONFLICT:
-            # Another host sent a higher fencing token under a newer assignment. This grant is not
-            # repeated: a new incarnation of the server would not know that token and would
-            # accept this lower one.
-            self._superseded_grants.add(grant_id)
-        if answer.status == calls.HTTP_MISDIRECTED:
-            self._mark_unverified(self._restart_detection_s)
         if answer.status != calls.HTTP_OK:
-            count("grants_refused", status=str(answer.status))
-            log.warning(
-                "Backend server refused a grant of keys; retrying unless the status is 409.",
-                extra={
-                    "server": self._incarnation.server_id,
-                    "run": grant_id,
-                    "status": answer.status,
-                },
-            )
+            self._on_refused(grant_id, answer.status)
             return False
         self._tracker.record_granted(key_range.first, key_range.last, key_range.fence, sent_s)
         self._handover_tokens.pop(grant_id, None)
         self._granted.set()
         return True
+
+    def _on_unanswered(self, key_range: KeyRange, error: DispatchError) -> None:
+        """Records that a grant got no answer; its connection has been reset."""
+        sent = not isinstance(error, NotSentError)
+        if sent:
+            self._tracker.record_given_up(key_range.first, key_range.last)
+        if isinstance(error, AnswerMismatchError):
+            return
+        self._health.record_failure(refused=not sent)
+        # After a mere timeout no wait is needed if the store shows the current incarnation.
+        self._mark_unverified(
+            0.0 if isinstance(error, AnswerTimeoutError) else self._restart_detection_s
+        )
+
+    def _on_refused(self, grant_id: tuple[int, int, int], status: int) -> None:
+        """Records why the server refused a grant; 409 ends its repetition."""
+        if status == calls.HTTP_CONFLICT:
+            # Another host sent a higher fencing token under a newer assignment. This grant is not
+            # repeated: a new incarnation of the server would not know that token and would
+            # accept this lower one.
+            self._superseded_grants.add(grant_id)
+        if status == calls.HTTP_MISDIRECTED:
+            self._mark_unverified(self._restart_detection_s)
+        count("grants_refused", status=str(status))
+        log.warning(
+            "Backend server refused a grant of keys; retrying unless the status is 409.",
+            extra={"server": self._incarnation.server_id, "run": grant_id, "status": status},
+        )
--- a/greengagefall/ownership/key_grants.py
+++ b/greengagefall/ownership/key_grants.py
@@ -2,7 +2,7 @@
 
 A grant is in force from its arrival at the server for the grant duration, measured by the server's
 clock. An answered call arrived no later than its answer. An unanswered call is assumed to arrive at
-most ``MAX_DELIVERY_DELAY_S`` after it was sent.
+most ``MAX_DELIVERY_DELAY_S`` after it was sent, or until its connection was reset if that is later.
 """
 
 from __future__ import annotations
@@ -42,6 +42,10 @@
             first, last, self._clock.now_s() + MAX_DELIVERY_DELAY_S + self._max_lifetime_s
         )
 
+    def record_given_up(self, first: int, last: int) -> None:
+        """Records that an unanswered grant can no longer arrive, its connection being reset."""
+        self._extend_expiry(first, last, self._clock.now_s() + self._max_lifetime_s)
+
     def record_granted(self, first: int, last: int, fence: int, sent_s: float) -> None:
         """Records that the server accepted a grant that was sent at ``sent_s``."""
         self._extend_expiry(first, last, self._clock.now_s() + self._max_lifetime_s)
--- a/greengagefall/tests/gateway_grants_tests.py
+++ b/greengagefall/tests/gateway_grants_tests.py
@@ -6,17 +6,19 @@
 import unittest
 from types import SimpleNamespace
 
-from greengagefall.dispatch.exceptions import SendRefusedError
+from greengagefall.dispatch.exceptions import AnswerTimeoutError, SendRefusedError
 from greengagefall.gateway.grants import GrantManager
 from greengagefall.gateway.server_health import ServerHealth
+from greengagefall.ownership.key_grants import max_grant_lifetime_s
 from greengagefall.ownership.model import KeyRange, ServerIncarnation
-from greengagefall.utils.clock import SystemClock
+from greengagefall.utils.clock import ManualClock, SystemClock
 from greengagefall.utils.waiting import wait_until
 
 INCARNATION = ServerIncarnation("s1", 1)
 KEY_RANGE = KeyRange(0, 9, INCARNATION, 1)
 # The server renews its entry every 1.5 s, and changes arrive up to 0.5 s late.
 RESTART_DETECTION_S = 1.3 * 1.5 + 0.5
+STALL_S = 1.0
 
 
 class GrantingPool:
@@ -81,5 +83,24 @@
         self.assertEqual(len(self.pool.sent_s), 1)
 
 
+class LateTimeoutTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_timeout_that_fires_late_prolongs_the_wait_for_the_grant(self):
+        clock = ManualClock()
+
+        class StalledPool:
+            async def exchange(self, request, timeout_s, may_send, matches=None):
+                may_send()
+                clock.advance(timeout_s + STALL_S)
+                raise AnswerTimeoutError("the event loop was busy")
+
+        manager = GrantManager(
+            INCARNATION, StalledPool(), ServerHealth(clock), clock, lambda: True, lambda: True
+        )
+        manager.set_key_ranges([KEY_RANGE])
+        await manager.grant(*KEY_RANGE[:2], KEY_RANGE.fence, "")
+        expires_s = manager._tracker.grants_expired_by_s(KEY_RANGE.first, KEY_RANGE.last)
+        self.assertAlmostEqual(expires_s, clock.now_s() + max_grant_lifetime_s())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/greengagefall/tests/ownership_holds_tests.py
+++ b/greengagefall/tests/ownership_holds_tests.py
@@ -47,6 +47,13 @@
         self.assertEqual(self.tracker.grants_expired_by_s(100, 200), 0.0)
         self.assertFalse(self.tracker.holds(50, 1))
 
+    def test_a_grant_that_was_given_up_late_may_be_in_force_from_then(self):
+        self.tracker.record_sent(0, 99)
+        self.clock.advance(MAX_DELIVERY_DELAY_S + 1.0)
+        self.tracker.record_given_up(0, 99)
+        expected_s = self.clock.now_s() + max_grant_lifetime_s()
+        self.assertAlmostEqual(self.tracker.grants_expired_by_s(50, 60), expected_s)
+
     def test_an_answered_grant_is_confirmed_from_the_time_it_was_sent(self):
         self.tracker.record_sent(0, 99)
         self.clock.advance(0.2)
