Ignore an order to release keys that the server owns again

A server refuses no release, so it stopped serving the keys until the next renewal, up to 0.6 s later.

The test, in virtual time, failed before: the order was carried out (ReleaseOutcome is not None).

--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -135,12 +135,19 @@
             self._submitted -= 1
 
     async def release(self, order: ReleaseKeys) -> ReleaseOutcome | None:
-        """Has a server release keys; None if this host has no channel or an older assignment."""
+        """Has a server release keys; None if this host cannot or the order is outdated.
+
+        It cannot without a channel or with an older assignment. An order that arrives late may
+        concern keys that the server has owned again since; they must not be taken from it.
+        """
         if order.version > self._view.assignment.version:
             return None
         channel = self._channels.get(ServerIncarnation(order.server_id, order.start_ms))
         if channel is None or channel.grants is None:
             return None
+        if channel.grants.owns_above(order.first, order.last, order.fence):
+            log.info("Outdated order to release keys is ignored.", extra=_order_fields(order))
+            return None
         outcome = await channel.grants.release(order.first, order.last, order.fence)
         log.info(
             "Release of keys finished.",
--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -143,6 +143,13 @@
         """Returns whether the server owns the key according to the assignment."""
         return self._find_key_range(key) is not None
 
+    def owns_above(self, first: int, last: int, fence: int) -> bool:
+        """Returns whether the server owns any of these keys under a higher fencing token."""
+        return any(
+            key_range.first <= last and first <= key_range.last and key_range.fence > fence
+            for key_range in self._key_ranges
+        )
+
     async def wait_until_held(self, key: int, timeout_s: float) -> bool:
         """Waits until the server holds a key; returns whether it does in time."""
         loop = asyncio.get_running_loop()
