Hold data back in the soak's proxy as a partition does

What: TcpProxy.hold and release. Held data is kept for each direction of each connection and delivered in order after the release, later by a time that the caller of release draws; a close follows the data; a reset by the sender, during the hold or before the late delivery, discards it, and the target sees a reset after the release. New connections are accepted, but reach the target after the release; one that ends earlier has sent nothing. When the target's process ends behind a hold (reset), callers see it after the release. A reset is now passed on as a reset; before, the other side was closed. Why: silent cuts of the soak drop data and reset the connection, so a grant that TCP delivers seconds after it was given up never arrived in it.

--- a/greengagefall/bench/tcp_proxy.py
+++ b/greengagefall/bench/tcp_proxy.py
@@ -4,12 +4,83 @@
 
 import asyncio
 import contextlib
+from collections import deque
+from typing import TYPE_CHECKING
 
 from greengagefall.utils.sockets import reset_on_close
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 CHUNK_BYTES = 65_536
 
 
+class _Pipe:
+    """One direction of a connection: what was read on one side and not yet delivered to the other.
+
+    Attributes:
+        to_target: Whether the direction is that to the target.
+        chunks: Data not yet delivered, in order.
+        closed: Whether the sender closed the connection; delivered after the data.
+        was_reset: Whether the sender reset the connection.
+        late_until_s: Time of the loop before which nothing is delivered.
+        changed: Set when any of these attributes changed.
+    """
+
+    def __init__(self, *, to_target: bool) -> None:
+        self.to_target = to_target
+        self.chunks: deque[bytes] = deque()
+        self.closed = False
+        self.was_reset = False
+        self.late_until_s = 0.0
+        self.changed = asyncio.Event()
+
+    def has_ended(self) -> bool:
+        """Returns whether the sender closed or reset the connection."""
+        return self.closed or self.was_reset
+
+    def is_pending(self) -> bool:
+        """Returns whether anything is left to deliver."""
+        return bool(self.chunks) or self.has_ended()
+
+    async def wait_for_change(self, timeout_s: float | None) -> None:
+        """Waits until an attribute changes, at most ``timeout_s``; None means without a limit."""
+        self.changed.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self.changed.wait()
+
+    def lose_data(self) -> None:
+        """Discards the data; what is left to deliver is a reset."""
+        self.chunks.clear()
+        self.was_reset = True
+        self.changed.set()
+
+
+class _Connection:
+    """A connection through the proxy; ``target_writer`` is None until it has reached the target."""
+
+    def __init__(self, caller_writer: asyncio.StreamWriter) -> None:
+        self.caller_writer = caller_writer
+        self.target_writer: asyncio.StreamWriter | None = None
+        self.to_target = _Pipe(to_target=True)
+        self.from_target = _Pipe(to_target=False)
+
+    def pipes(self) -> tuple[_Pipe, _Pipe]:
+        """Returns both directions."""
+        return self.to_target, self.from_target
+
+    def reset(self) -> None:
+        """Resets both sides."""
+        _reset(self.caller_writer)
+        self.reset_target()
+
+    def reset_target(self) -> None:
+        """Resets the side of the target."""
+        if self.target_writer is not None:
+            _reset(self.target_writer)
+
+
 class TcpProxy:
     """Forwards connections to one address and injects faults.
 
@@ -22,14 +93,20 @@
         drops_to_target: Whether data sent to the target is dropped.
         drops_from_target: Whether data sent by the target is dropped.
         refuses: Whether new connections are closed immediately.
+        holds_to_target: Whether data sent to the target is held back.
+        holds_from_target: Whether data sent by the target is held back.
+        discarded: How often held data was lost because its sender reset the connection.
     """
 
     def __init__(self, target: str) -> None:
         self.address = ""
         self.target = target
+        self.holds_to_target = False
+        self.holds_from_target = False
+        self.discarded = 0
         self.clear_faults()
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        self._connections: set[_Connection] = set()
         self._tasks: set[asyncio.Task] = set()
 
     async def start(self) -> None:
@@ -41,59 +118,152 @@
         """Stops listening and closes all connections."""
         if self._server is not None:
             self._server.close()
-        self.reset()
+        for connection in list(self._connections):
+            connection.reset()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def clear_faults(self) -> None:
-        """Ends all faults."""
+        """Ends all faults except a hold, which ``release`` ends."""
         self.delay_s = 0.0
         self.drops_to_target = False
         self.drops_from_target = False
         self.refuses = False
 
+    def is_holding(self) -> bool:
+        """Returns whether data is held back in any direction."""
+        return self.holds_to_target or self.holds_from_target
+
+    def hold(self, *, to_target: bool = True, from_target: bool = True) -> None:
+        """Holds data back as a network partition does, until ``release``.
+
+        The held data of a sender that resets its connection is discarded. New connections are
+        accepted, but reach the target only after the release; a sender that ends such a connection
+        earlier has sent nothing.
+        """
+        self.holds_to_target = to_target
+        self.holds_from_target = from_target
+
+    def release(self, late_s: Callable[[], float] = lambda: 0.0) -> None:
+        """Ends a hold; what was held is delivered in order.
+
+        Args:
+            late_s: Returns how long after the release the data of one direction of a connection is
+                delivered, since its sender repeats what was lost only after a while.
+        """
+        now_s = asyncio.get_running_loop().time()
+        for connection in self._connections:
+            for pipe in connection.pipes():
+                if self._is_held(pipe) and pipe.is_pending():
+                    pipe.late_until_s = now_s + late_s()
+                pipe.changed.set()
+        self.holds_to_target = False
+        self.holds_from_target = False
+
     def reset(self) -> None:
-        """Resets all connections."""
-        for writer in list(self._writers):
-            sock = writer.get_extra_info("socket")
-            with contextlib.suppress(OSError):
-                reset_on_close(sock)
-            writer.transport.abort()
+        """Resets all connections, as the end of the target's process does.
+
+        While data from the target is held, callers see that only after the release.
+        """
+        for connection in list(self._connections):
+            if not self.is_holding():
+                connection.reset()
+            elif connection.target_writer is not None:
+                connection.reset_target()
+                connection.to_target.chunks.clear()
+                connection.from_target.lose_data()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        if self.refuses:
+        connection = _Connection(writer)
+        self._connections.add(connection)
+        reading = asyncio.create_task(self._read(connection.to_target, reader))
+        try:
+            target_reader = await self._connect(connection)
+            if target_reader is not None:
+                await asyncio.gather(
+                    reading,
+                    self._deliver(connection.to_target, connection.target_writer),
+                    self._read(connection.from_target, target_reader),
+                    self._deliver(connection.from_target, writer),
+                )
+        except asyncio.CancelledError:
+            pass
+        finally:
+            reading.cancel()
+            self._connections.discard(connection)
             writer.close()
-            return
+            if connection.target_writer is not None:
+                connection.target_writer.close()
+
+    async def _connect(self, connection: _Connection) -> asyncio.StreamReader | None:
+        """Connects to the target, after a hold; returns None if the connection is over."""
+        held = self.is_holding()
+        while self.is_holding():
+            await connection.to_target.wait_for_change(None)
+        if held:
+            await asyncio.sleep(
+                connection.to_target.late_until_s - asyncio.get_running_loop().time()
+            )
+            if connection.to_target.has_ended():
+                return None
+        if self.refuses:
+            return None
         host, _, port = self.target.rpartition(":")
         try:
-            target_reader, target_writer = await asyncio.open_connection(host, int(port))
+            reader, connection.target_writer = await asyncio.open_connection(host, int(port))
         except OSError:
-            writer.transport.abort()
-            return
-        writers = {writer, target_writer}
-        self._writers |= writers
-        with contextlib.suppress(asyncio.CancelledError):
-            await asyncio.gather(
-                self._forward(reader, target_writer, to_target=True),
-                self._forward(target_reader, writer, to_target=False),
-            )
-        self._writers -= writers
-        for stream_writer in writers:
-            stream_writer.close()
+            connection.caller_writer.transport.abort()
+            return None
+        return reader
 
-    async def _forward(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, to_target: bool
-    ) -> None:
-        with contextlib.suppress(OSError):
+    def _is_held(self, pipe: _Pipe) -> bool:
+        return self.holds_to_target if pipe.to_target else self.holds_from_target
+
+    async def _read(self, pipe: _Pipe, reader: asyncio.StreamReader) -> None:
+        """Reads even while data is held, so that a reset by the sender is noticed."""
+        try:
             while data := await reader.read(CHUNK_BYTES):
+                if not (self.drops_to_target if pipe.to_target else self.drops_from_target):
+                    pipe.chunks.append(data)
+                    pipe.changed.set()
+        except OSError:
+            if self._is_held(pipe) or pipe.late_until_s > asyncio.get_running_loop().time():
+                self.discarded += bool(pipe.chunks)
+                pipe.chunks.clear()
+            pipe.was_reset = True
+        else:
+            pipe.closed = True
+        pipe.changed.set()
+
+    async def _deliver(self, pipe: _Pipe, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError):
+            while data := await self._next_chunk(pipe):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
-                if self.drops_to_target if to_target else self.drops_from_target:
-                    continue
                 writer.write(data)
                 await writer.drain()
+        if pipe.was_reset:
+            _reset(writer)
         writer.close()
+
+    async def _next_chunk(self, pipe: _Pipe) -> bytes:
+        """Waits for data that may be delivered; returns none after the last."""
+        while True:
+            wait_s = None
+            if pipe.is_pending() and not self._is_held(pipe):
+                wait_s = pipe.late_until_s - asyncio.get_running_loop().time()
+                if wait_s <= 0:
+                    return pipe.chunks.popleft() if pipe.chunks else b""
+            await pipe.wait_for_change(wait_s)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Resets a connection."""
+    sock = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        reset_on_close(sock)
+    writer.transport.abort()
