Hold servers and the store back in the soak, and check fences

What: faults server_held (one to three servers, 0.5 to 5 s, both directions or one; in a third of the cases the servers crash behind the hold and restart, in a third their entries are lost meanwhile), host_killed_behind_hold, store_held and orders_late (servers apply half of their grants and releases 2 to 6 s late and without an answer, a grant's time counting from its arrival). What was held is delivered 0 to 3 s after the hold. The fleet also reports keys taken by a fence that is not above those of all other servers and incarnations; it reported only holds that overlap at the moment of a grant. A delayed grant whose time is over takes nothing. Why: the soak could not show a grant that arrives seconds after its sender gave it up, and did not know which fences keys were taken with. Evidence: CheckTests and DelayedOrdersTests of gateway_soak_tests, 7 tests, passed.

--- a/greengagefall/bench/gateway_faults.py
+++ b/greengagefall/bench/gateway_faults.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
+from greengagefall.bench.gateway_fleet import ENTRY_EXPIRY_S
 from greengagefall.bench.processes import STOP_TIMEOUT_S
 from greengagefall.utils.registry import Registry
 from greengagefall.utils.waiting import wait_until
@@ -14,12 +15,21 @@
     from collections.abc import Awaitable, Callable
 
     from greengagefall.bench.gateway_fleet import GatewayFleet
+    from greengagefall.bench.tcp_proxy import TcpProxy
 
 FAULTS: Registry[Callable[[GatewayFleet, random.Random], Awaitable[None]]] = Registry("fault")
 
 SHORT_RANGE_S = (0.2, 2.0)
 LONG_RANGE_S = (0.5, 5.0)
 LINK_DELAY_S = 0.15
+# TCP repeats data that a partition held up only this long after the partition has ended.
+MAX_LATE_S = 3.0
+CRASH_SHARE = 1 / 3
+ENTRY_LOSS_SHARE = 1 / 2
+MAX_HELD_SERVERS = 3
+HELD_DIRECTIONS = ((True, True), (True, True), (True, False), (False, True))
+LATE_ORDERS_RANGE_S = (2.0, 6.0)
+LATE_ORDERS_SHARE = 1 / 2
 LIMITS_PER_S = (1.0, 8.0)
 # A server's limit has to be kept this long after it was first named.
 LIMIT_KNOWN_S = 3.0
@@ -137,12 +147,7 @@
 @FAULTS.register("server_crash")
 async def server_crash(fleet: GatewayFleet, rng: random.Random) -> None:
     """Crashes a server and restarts it under the same id."""
-    name = rng.choice(list(fleet.servers))
-    if fleet.server_links[name].refuses:
-        return
-    await fleet.crash_server(name)
-    await asyncio.sleep(rng.uniform(*SHORT_RANGE_S))
-    await fleet.restart_server(name)
+    await _crash_and_restart(fleet, rng.choice(list(fleet.servers)), rng)
 
 
 @FAULTS.register("server_drains")
@@ -155,6 +160,61 @@
         await fleet.write_server_entry(name)
 
 
+@FAULTS.register("server_held")
+async def server_held(fleet: GatewayFleet, rng: random.Random) -> None:
+    """Holds back what hosts and some servers send each other, and delivers it late.
+
+    Some of these servers crash behind the partition and restart as new incarnations, and some lose
+    their entries meanwhile.
+    """
+    names = _names_not_held(fleet, rng)
+    duration_s = rng.uniform(*LONG_RANGE_S)
+    behind = []
+    if rng.random() < CRASH_SHARE:
+        behind = [_crash_and_restart(fleet, name, rng) for name in names]
+    elif rng.random() < ENTRY_LOSS_SHARE:
+        behind = [_lose_entry(fleet, name, duration_s) for name in names]
+    links = [fleet.server_links[name] for name in names]
+    await asyncio.gather(_hold(links, rng, duration_s), *behind)
+
+
+@FAULTS.register("host_killed_behind_hold")
+async def host_killed_behind_hold(fleet: GatewayFleet, rng: random.Random) -> None:
+    """Kills a host while what it sent to some servers is held back, and restarts it."""
+    host = rng.choice(fleet.hosts())
+    links = [fleet.server_links[name] for name in _names_not_held(fleet, rng)]
+    duration_s = rng.uniform(*LONG_RANGE_S)
+    holding = asyncio.create_task(_hold(links, rng, duration_s))
+    await asyncio.sleep(duration_s * rng.random())
+    if fleet.processes.is_running(host):
+        fleet.processes.kill(host)
+        await _restart_after(fleet, host, rng.uniform(*SHORT_RANGE_S))
+    await holding
+
+
+@FAULTS.register("store_held")
+async def store_held(fleet: GatewayFleet, rng: random.Random) -> None:
+    """Holds back what some hosts and the store send each other, and delivers it late."""
+    hosts = rng.sample(fleet.hosts(), rng.randint(1, len(fleet.hosts())))
+    links = [fleet.store_links[host] for host in hosts if not fleet.store_links[host].is_holding()]
+    await _hold(links, rng, rng.uniform(*LONG_RANGE_S))
+
+
+@FAULTS.register("orders_late")
+async def orders_late(fleet: GatewayFleet, rng: random.Random) -> None:
+    """Has some servers apply a part of their grants and releases late and without an answer."""
+    names = rng.sample(list(fleet.servers), rng.randint(1, MAX_HELD_SERVERS))
+
+    def delay_s() -> float:
+        return rng.uniform(*LATE_ORDERS_RANGE_S) if rng.random() < LATE_ORDERS_SHARE else 0.0
+
+    for name in names:
+        fleet.servers[name].order_delay_s = delay_s
+    await asyncio.sleep(rng.uniform(*LONG_RANGE_S))
+    for name in names:
+        fleet.servers[name].order_delay_s = lambda: 0.0
+
+
 @FAULTS.register("configuration")
 async def configuration(fleet: GatewayFleet, rng: random.Random) -> None:
     """Writes several configuration versions in quick succession."""
@@ -163,7 +223,39 @@
         await asyncio.sleep(rng.uniform(0.0, 0.3))
 
 
-async def _impair(link: Any, rng: random.Random) -> None:
+def _names_not_held(fleet: GatewayFleet, rng: random.Random) -> list[str]:
+    """Draws some servers whose connections are not held back already."""
+    names = rng.sample(list(fleet.servers), rng.randint(1, MAX_HELD_SERVERS))
+    return [name for name in names if not fleet.server_links[name].is_holding()]
+
+
+async def _hold(links: list[TcpProxy], rng: random.Random, duration_s: float) -> None:
+    """Holds data back for a while, in both directions or in one of them."""
+    to_target, from_target = rng.choice(HELD_DIRECTIONS)
+    for link in links:
+        link.hold(to_target=to_target, from_target=from_target)
+    await asyncio.sleep(duration_s)
+    for link in links:
+        link.release(lambda: rng.uniform(0.0, MAX_LATE_S))
+
+
+async def _crash_and_restart(fleet: GatewayFleet, name: str, rng: random.Random) -> None:
+    if fleet.server_links[name].refuses:
+        return
+    await fleet.crash_server(name)
+    await asyncio.sleep(rng.uniform(*SHORT_RANGE_S))
+    await fleet.restart_server(name)
+
+
+async def _lose_entry(fleet: GatewayFleet, name: str, duration_s: float) -> None:
+    """Deletes a server's entry while it is cut off for longer than the entry lasts."""
+    if duration_s > ENTRY_EXPIRY_S:
+        await fleet.expire_server_entry(name)
+        await asyncio.sleep(duration_s - ENTRY_EXPIRY_S)
+        await fleet.renew_server_entry(name)
+
+
+async def _impair(link: TcpProxy, rng: random.Random) -> None:
     """Delays, resets or drops the data that passes through a proxy, for a while.
 
     Data is dropped in both directions or in one of them.
--- a/greengagefall/bench/gateway_fleet.py
+++ b/greengagefall/bench/gateway_fleet.py
@@ -39,6 +39,16 @@
     text: str
 
 
+class _TakenKeys(NamedTuple):
+    """Keys that an incarnation of a server took by a grant."""
+
+    service: str
+    server_id: str
+    start_ms: int
+    first: int
+    last: int
+
+
 class GatewayFleet:
     """Gateway hosts as processes, with servers and store inside the current process.
 
@@ -68,6 +78,7 @@
         self._ports = PortBlock()
         self._planted_fault = planted_fault
         self._crashed: set[str] = set()
+        self._taken: dict[_TakenKeys, int] = {}
         self._version = 1
         self._states: dict[str, str] = {}
         self._hosts = [f"edge-{number}" for number in range(hosts)]
@@ -138,8 +149,7 @@
         link.refuses = True
         link.reset()
         self.servers[name].restart()
-        await asyncio.sleep(ENTRY_EXPIRY_S)
-        await self.store.delete(SERVERS_PREFIX + name)
+        await self.expire_server_entry(name)
 
     async def restart_server(self, name: str) -> None:
         """Restarts a crashed server under its id as a new incarnation."""
@@ -147,6 +157,16 @@
         self._crashed.discard(name)
         await self.write_server_entry(name)
 
+    async def expire_server_entry(self, name: str) -> None:
+        """Deletes the entry of a server that no longer reaches the platform."""
+        await asyncio.sleep(ENTRY_EXPIRY_S)
+        await self.store.delete(SERVERS_PREFIX + name)
+
+    async def renew_server_entry(self, name: str) -> None:
+        """Writes the last entry of a server that reaches the platform again."""
+        if name not in self._crashed:
+            await self.write_server_entry(name, self._states[name])
+
     async def write_all_again(self) -> None:
         """Writes what operators and servers wrote last, after a restore of the store."""
         await self.store.put_json(ROUTING_KEY, routing(self._version))
@@ -201,15 +221,36 @@
         self.processes.start(spec)
 
     def _check_owner(self, server: PlatformServerStandIn, first: int, last: int) -> None:
-        """Records a violation if another running server holds any of the granted keys."""
+        """Records a violation if a grant gives a server keys that it must not have.
+
+        These are keys that another running server holds, and keys that another server or another
+        incarnation took by a fence that is not lower.
+        """
         now_s = time.monotonic()
+        fence, grant_end_s = server.grants[first, last]
+        if grant_end_s <= now_s:
+            return
+        granted = f"{server.server_id} was granted keys {first}-{last} by fence {fence}"
         for name, other in self.servers.items():
             if other is server or other.service != server.service or name in self._crashed:
                 continue
-            for (low, high), (fence, end_s) in other.grants.items():
+            for (low, high), (held_fence, end_s) in other.grants.items():
                 if low <= last and first <= high and end_s > now_s:
-                    text = (
-                        f"{server.server_id} was granted keys {first}-{last}, but {name} holds "
-                        f"some of them by fence {fence}"
-                    )
+                    text = f"{granted}, but {name} holds some of them by fence {held_fence}"
                     self.violations.append(Violation(now_s, text))
+        taken = _TakenKeys(server.service, server.server_id, server.start_ms, first, last)
+        for earlier, earlier_fence in self._taken.items():
+            if _is_same_incarnation(earlier, taken) or earlier.service != taken.service:
+                continue
+            overlap = earlier.first <= last and first <= earlier.last
+            if overlap and earlier_fence >= fence:
+                text = (
+                    f"{granted}, but {earlier.server_id} took some of them by {earlier_fence} "
+                    f"before, as incarnation {earlier.start_ms}"
+                )
+                self.violations.append(Violation(now_s, text))
+        self._taken[taken] = max(fence, self._taken.get(taken, 0))
+
+
+def _is_same_incarnation(one: _TakenKeys, other: _TakenKeys) -> bool:
+    return (one.server_id, one.start_ms) == (other.server_id, other.start_ms)
--- a/greengagefall/standins/platform_server.py
+++ b/greengagefall/standins/platform_server.py
@@ -31,6 +31,9 @@
         swallow_grants: Number of next grants that are not applied and get no answer for
             ``SWALLOWED_GRANT_S``.
         reset_grants: Number of next grants that are not applied and whose connection is closed.
+        order_delay_s: Returns how long the next grant or release stays unanswered before it is
+            applied, 0 for an order that is applied and answered at once. A delayed order gets no
+            answer at all. The time of a delayed grant counts from its arrival.
         handover_tokens: Tokens of releases that grants passed to this server.
         wrong_answers: Number of next answers that carry the id of another request.
         rate_limit_per_s: Requests per second that answers name as the server's limit, 0 for none.
@@ -54,6 +57,7 @@
         self.refused_grants = 0
         self.swallow_grants = 0
         self.reset_grants = 0
+        self.order_delay_s: Callable[[], float] = lambda: 0.0
         self.handover_tokens: list[str] = []
         self.wrong_answers = 0
         self.rate_limit_per_s = 0.0
@@ -136,8 +140,27 @@
         self.server = server
 
 
-class _GrantHandler(_ServerHandler):
+class _OrderHandler(_ServerHandler):
+    async def delay(self) -> bool:
+        """Delays the order if the server does; returns whether it may still be applied."""
+        delay_s = self.server.order_delay_s()
+        if not delay_s:
+            return True
+        start_ms = self.server.start_ms
+        # Without this, Tornado answers when the handler returns.
+        self._auto_finish = False
+        await asyncio.sleep(delay_s)
+        return self.server.start_ms == start_ms
+
+    def answer(self) -> None:
+        """Answers with 200 unless the order was delayed."""
+        if self._auto_finish:
+            self.finish({})
+
+
+class _GrantHandler(_OrderHandler):
     async def post(self) -> None:
+        arrived_s = time.monotonic()
         body = self.json_body()
         first, last, fence = body["from"], body["target"], body["fence"]
         if self.server.reset_grants > 0:
@@ -148,25 +171,36 @@
             self.server.swallow_grants -= 1
             await asyncio.sleep(SWALLOWED_GRANT_S)
             return
+        if not await self.delay():
+            return
         if self.server.highest_fence(first, last) > fence:
             self.server.refused_grants += 1
-            raise tornado.web.HTTPError(409)
+            if self._auto_finish:
+                raise tornado.web.HTTPError(409)
+            return
+        end_s = arrived_s + body["holdS"]
+        known_fence, known_end_s = self.server.grants.get((first, last), (0, 0.0))
+        if known_fence == fence:
+            # A delayed grant does not shorten a newer one.
+            end_s = max(end_s, known_end_s)
         self.server.fences.append((first, last, fence))
         self.server.release_keys(first, last)
-        self.server.grants[first, last] = (fence, time.monotonic() + body["holdS"])
+        self.server.grants[first, last] = (fence, end_s)
         if "handover" in body:
             self.server.handover_tokens.append(body["handover"])
         self.server.on_grant(self.server, first, last)
-        self.finish({})
+        self.answer()
 
 
-class _ReleaseHandler(_ServerHandler):
-    def post(self) -> None:
+class _ReleaseHandler(_OrderHandler):
+    async def post(self) -> None:
         body = self.json_body()
+        if not await self.delay():
+            return
         self.server.fences.append((body["from"], body["target"], body["fence"]))
         self.server.release_keys(body["from"], body["target"])
         self.set_header("Handover", f"{self.server.server_id}-{body['fence']}")
-        self.finish({})
+        self.answer()
 
 
 class _HealthHandler(_ServerHandler):
--- a/greengagefall/tests/gateway_soak_tests.py
+++ b/greengagefall/tests/gateway_soak_tests.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import unittest
 
 from greengagefall.bench.gateway_fleet import GatewayFleet
 from greengagefall.bench.gateway_soak import CallRecord, check_records, run_soak
 from greengagefall.bench.tcp_proxy import TcpProxy
+from greengagefall.dispatch.connection_pool import ConnectionPool
+from greengagefall.dispatch.exceptions import AnswerTimeoutError
+from greengagefall.ownership.model import KeyRange, ServerIncarnation
+from greengagefall.platform.grants import grant_request
+from greengagefall.standins.platform_server import PlatformServerStandIn
 
 SECONDS = 10.0
+ORDER_DELAY_S = 0.3
+ORDER_TIMEOUT_S = 0.1
 
 
 class SoakTests(unittest.IsolatedAsyncioTestCase):
@@ -55,6 +63,72 @@
             server.on_grant(server, 0, 9)
         self.assertIn("p0 holds some of them by fence 1", fleet.violations[0].text)
 
+    def found_after(self, *grants: tuple[str, int, int, int, float]) -> list[str]:
+        """Returns what is found after grants: server, first and last key, fence, hold in s."""
+        fleet = GatewayFleet(1, 2)
+        for name, first, last, fence, hold_s in grants:
+            server = fleet.servers[name]
+            server.grants[first, last] = (fence, time.monotonic() + hold_s)
+            fleet._check_owner(server, first, last)
+            server.grants.clear()
+            if name == "p1":
+                server.restart()
+        return [violation.text for violation in fleet.violations]
+
+    def test_keys_taken_with_rising_fences_pass(self):
+        renewed = ("p0", 0, 9, 1, 1.0)
+        moved = ("p1", 5, 9, 2, 1.0)
+        beside = ("p1", 10, 19, 1, 1.0)
+        already_over = ("p0", 0, 9, 1, 0.0)
+        self.assertEqual(self.found_after(renewed, renewed, beside, moved, already_over), [])
+
+    def test_keys_taken_with_an_old_fence_are_found(self):
+        for text, grants in (
+            ("but p1 took some of them by 2", (("p1", 5, 9, 2, 1.0), ("p0", 0, 9, 1, 1.0))),
+            ("but p1 took some of them by 2", (("p1", 5, 9, 2, 1.0), ("p0", 0, 9, 2, 1.0))),
+            ("but p1 took some of them by 2", (("p1", 0, 9, 2, 1.0), ("p1", 0, 9, 2, 1.0))),
+        ):
+            with self.subTest(grants=grants):
+                found = self.found_after(*grants)
+                self.assertEqual(len(found), 1)
+                self.assertIn(text, found[0])
+
+
+class DelayedOrdersTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.server = PlatformServerStandIn("p0", "proofdesk", "north-a", keyed=True)
+        await self.server.start()
+        self.addAsyncCleanup(self.server.close)
+        self.pool = ConnectionPool(self.server.address, 1000)
+        self.addCleanup(self.pool.close)
+
+    async def grant(self, fence: int, delay_s: float) -> int:
+        """Sends a grant of keys 0 to 9 for 10 s; returns the status, 0 without an answer."""
+        self.server.order_delay_s = lambda: delay_s
+        key_range = KeyRange(0, 9, ServerIncarnation("p0", 1), fence)
+        try:
+            request = grant_request(key_range, 10.0, "")
+            return (await self.pool.exchange(request, ORDER_TIMEOUT_S, lambda: True)).status
+        except AnswerTimeoutError:
+            return 0
+
+    async def test_a_delayed_grant_is_applied_without_an_answer_and_counts_from_its_arrival(self):
+        arrived_s = time.monotonic()
+        self.assertEqual(await self.grant(1, ORDER_DELAY_S), 0)
+        self.assertEqual(self.server.grants, {})
+        await asyncio.sleep(ORDER_DELAY_S)
+        self.assertLess(self.server.grants[0, 9][1], arrived_s + 10 + ORDER_DELAY_S)
+
+    async def test_a_delayed_grant_does_not_follow_a_higher_fence_or_a_restart(self):
+        await self.grant(1, ORDER_DELAY_S)
+        self.assertEqual(await self.grant(2, 0.0), 200)
+        await asyncio.sleep(ORDER_DELAY_S)
+        self.assertEqual(self.server.grants[0, 9][0], 2)
+        await self.grant(3, ORDER_DELAY_S)
+        self.server.restart()
+        await asyncio.sleep(ORDER_DELAY_S)
+        self.assertEqual(self.server.grants, {})
+
 
 class ProxyTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
