Hold servers back from some hosts, reload hosts, and log a soak's events

What: fault server_held_from_some_hosts: the proxy holds back only connections from ports of the chosen hosts' processes. Fault hosts_reload: hosts get SIGHUP. events.log beside the hosts' logs has the faults, each grant that a server took and the violations, with the time of day.

--- a/greengagefall/bench/gateway_faults.py
+++ b/greengagefall/bench/gateway_faults.py
@@ -21,6 +21,7 @@
 
 SHORT_RANGE_S = (0.2, 2.0)
 LONG_RANGE_S = (0.5, 5.0)
+RELOAD_RANGE_S = (0.1, 0.4)
 LINK_DELAY_S = 0.15
 # TCP repeats data that a partition held up only this long after the partition has ended.
 MAX_LATE_S = 3.0
@@ -83,6 +84,16 @@
     fleet.processes.resume(host)
 
 
+@FAULTS.register("hosts_reload")
+async def hosts_reload(fleet: GatewayFleet, rng: random.Random) -> None:
+    """Has some hosts read their settings again, one after the other."""
+    for host in rng.sample(fleet.hosts(), rng.randint(1, len(fleet.hosts()))):
+        if fleet.processes.is_running(host):
+            fleet.processes.reload(host)
+        # A process that is still starting has no handler for the signal and ends.
+        await _restart_after(fleet, host, rng.uniform(*RELOAD_RANGE_S))
+
+
 @FAULTS.register("store_refuses")
 async def store_refuses(fleet: GatewayFleet, rng: random.Random) -> None:
     """Makes the store refuse every call."""
@@ -175,9 +186,23 @@
     elif rng.random() < ENTRY_LOSS_SHARE:
         behind = [_lose_entry(fleet, name, duration_s) for name in names]
     links = [fleet.server_links[name] for name in names]
+    fleet.log_event(f"hold of {names} for {duration_s:.2f} s")
     await asyncio.gather(_hold(links, rng, duration_s), *behind)
 
 
+@FAULTS.register("server_held_from_some_hosts")
+async def server_held_from_some_hosts(fleet: GatewayFleet, rng: random.Random) -> None:
+    """Holds back what some hosts and some servers send each other; the other hosts reach them."""
+    hosts = rng.sample(fleet.hosts(), rng.randint(1, len(fleet.hosts()) - 1))
+    links = [fleet.server_links[name] for name in _names_not_held(fleet, rng)]
+
+    def is_cut_off(port: int) -> bool:
+        running = [host for host in hosts if fleet.processes.is_running(host)]
+        return any(port in fleet.processes.ports(host) for host in running)
+
+    await _hold(links, rng, rng.uniform(*LONG_RANGE_S), is_cut_off)
+
+
 @FAULTS.register("host_killed_behind_hold")
 async def host_killed_behind_hold(fleet: GatewayFleet, rng: random.Random) -> None:
     """Kills a host while what it sent to some servers is held back, and restarts it."""
@@ -229,11 +254,16 @@
     return [name for name in names if not fleet.server_links[name].is_holding()]
 
 
-async def _hold(links: list[TcpProxy], rng: random.Random, duration_s: float) -> None:
+async def _hold(
+    links: list[TcpProxy],
+    rng: random.Random,
+    duration_s: float,
+    concerns: Callable[[int], bool] = lambda caller_port: True,
+) -> None:
     """Holds data back for a while, in both directions or in one of them."""
     to_target, from_target = rng.choice(HELD_DIRECTIONS)
     for link in links:
-        link.hold(to_target=to_target, from_target=from_target)
+        link.hold(to_target=to_target, from_target=from_target, concerns=concerns)
     await asyncio.sleep(duration_s)
     for link in links:
         link.release(lambda: rng.uniform(0.0, MAX_LATE_S))
--- a/greengagefall/bench/gateway_fleet.py
+++ b/greengagefall/bench/gateway_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import datetime
 import time
 from typing import NamedTuple
 
@@ -23,6 +24,7 @@
 START_TIMEOUT_S = 20.0
 # Time from a server's crash until the stand-in store deletes its entry.
 ENTRY_EXPIRY_S = 1.5
+EVENTS_LOG = "events.log"
 # The operators allow a server that names a rate limit this much more in any window.
 LIMIT_FACTOR = 1.5
 LIMIT_EXTRA_REQUESTS = 5
@@ -119,6 +121,12 @@
             await server.close()
         await self.store.close()
 
+    def log_event(self, text: str) -> None:
+        """Appends a line with the time of day to the events, which lie beside the hosts' logs."""
+        now = datetime.datetime.now()
+        with (self.processes.log_dir / EVENTS_LOG).open("a", encoding="utf-8") as events:
+            events.write(f"{now.isoformat(' ', 'milliseconds')} {text}\n")
+
     def hosts(self) -> list[str]:
         """Returns the names of all hosts."""
         return list(self._hosts)
@@ -228,29 +236,32 @@
         """
         now_s = time.monotonic()
         fence, grant_end_s = server.grants[first, last]
+        granted = f"{server.server_id} was granted keys {first}-{last} by fence {fence}"
+        self.log_event(f"{granted} for {grant_end_s - now_s:.2f} s")
         if grant_end_s <= now_s:
             return
-        granted = f"{server.server_id} was granted keys {first}-{last} by fence {fence}"
         for name, other in self.servers.items():
             if other is server or other.service != server.service or name in self._crashed:
                 continue
             for (low, high), (held_fence, end_s) in other.grants.items():
                 if low <= last and first <= high and end_s > now_s:
-                    text = f"{granted}, but {name} holds some of them by fence {held_fence}"
-                    self.violations.append(Violation(now_s, text))
+                    self._report(f"{granted}, but {name} holds some of them by fence {held_fence}")
         taken = _TakenKeys(server.service, server.server_id, server.start_ms, first, last)
         for earlier, earlier_fence in self._taken.items():
             if _is_same_incarnation(earlier, taken) or earlier.service != taken.service:
                 continue
             overlap = earlier.first <= last and first <= earlier.last
             if overlap and earlier_fence >= fence:
-                text = (
+                self._report(
                     f"{granted}, but {earlier.server_id} took some of them by {earlier_fence} "
                     f"before, as incarnation {earlier.start_ms}"
                 )
-                self.violations.append(Violation(now_s, text))
         self._taken[taken] = max(fence, self._taken.get(taken, 0))
 
+    def _report(self, text: str) -> None:
+        self.log_event(f"VIOLATION: {text}")
+        self.violations.append(Violation(time.monotonic(), text))
+
 
 def _is_same_incarnation(one: _TakenKeys, other: _TakenKeys) -> bool:
     return (one.server_id, one.start_ms) == (other.server_id, other.start_ms)
--- a/greengagefall/bench/gateway_soak.py
+++ b/greengagefall/bench/gateway_soak.py
@@ -124,6 +124,12 @@
         return record
 
 
+async def _inject(fleet: GatewayFleet, rng: random.Random, name: str) -> None:
+    fleet.log_event(f"{name} begins")
+    await FAULTS[name](fleet, rng)
+    fleet.log_event(f"{name} ends")
+
+
 async def inject_faults(fleet: GatewayFleet, rng: random.Random, end_s: float) -> Counter[str]:
     """Injects faults, some of them concurrently, and waits until all have ended."""
     injected: Counter[str] = Counter()
@@ -131,7 +137,7 @@
     while time.monotonic() < end_s:
         name = rng.choice(sorted(FAULTS.names()))
         injected[name] += 1
-        running.add(asyncio.create_task(FAULTS[name](fleet, rng)))
+        running.add(asyncio.create_task(_inject(fleet, rng, name)))
         await asyncio.sleep(rng.expovariate(1 / MEAN_BETWEEN_FAULTS_S))
     await asyncio.gather(*running)
     return injected
--- a/greengagefall/bench/processes.py
+++ b/greengagefall/bench/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import random
 import signal
@@ -16,6 +17,9 @@
 STOP_TIMEOUT_S = 10.0
 PORTS = range(12_000, 32_000)
 PORTS_PER_BLOCK = 200
+# Columns of /proc/net/tcp.
+LOCAL_ADDRESS_COLUMN = 1
+INODE_COLUMN = 9
 
 
 class ProcessSpec(NamedTuple):
@@ -149,6 +153,10 @@
         """Requests a graceful termination without waiting for it."""
         self._running[name].terminate()
 
+    def reload(self, name: str) -> None:
+        """Has a process read its settings again."""
+        self._running[name].send_signal(signal.SIGHUP)
+
     def is_running(self, name: str) -> bool:
         """Returns whether the process has not ended."""
         process = self._running.get(name)
@@ -158,6 +166,21 @@
         """Returns the process id."""
         return self._running[name].pid
 
+    def ports(self, name: str) -> set[int]:
+        """Returns the local ports of the open TCP sockets of a running process."""
+        inodes = set()
+        for entry in Path(f"/proc/{self.pid(name)}/fd").iterdir():
+            # The process may close files meanwhile.
+            with contextlib.suppress(FileNotFoundError):
+                inodes.add(entry.readlink().name.removeprefix("socket:").strip("[]"))
+        rows = Path("/proc/net/tcp").read_text(encoding="ascii").splitlines()[1:]
+        columns = [row.split() for row in rows]
+        return {
+            int(row[LOCAL_ADDRESS_COLUMN].partition(":")[2], 16)
+            for row in columns
+            if row[INODE_COLUMN] in inodes
+        }
+
     def names(self) -> list[str]:
         """Returns the names of all processes started."""
         return list(self._specs)
--- a/greengagefall/bench/tcp_proxy.py
+++ b/greengagefall/bench/tcp_proxy.py
@@ -15,6 +15,10 @@
 CHUNK_BYTES = 65_536
 
 
+def _concerns_all(caller_port: int) -> bool:
+    return True
+
+
 class _Pipe:
     """One direction of a connection: what was read on one side and not yet delivered to the other.
 
@@ -58,11 +62,22 @@
 
 
 class _Connection:
-    """A connection through the proxy; ``target_writer`` is None until it has reached the target."""
+    """A connection through the proxy.
+
+    Attributes:
+        caller_writer: Side of the caller.
+        caller_port: Port of the caller.
+        target_writer: Side of the target, None until the connection has reached it.
+        concerned: Whether a hold concerns this connection.
+        to_target: Direction to the target.
+        from_target: Direction from the target.
+    """
 
     def __init__(self, caller_writer: asyncio.StreamWriter) -> None:
         self.caller_writer = caller_writer
+        self.caller_port: int = caller_writer.get_extra_info("peername")[1]
         self.target_writer: asyncio.StreamWriter | None = None
+        self.concerned = False
         self.to_target = _Pipe(to_target=True)
         self.from_target = _Pipe(to_target=False)
 
@@ -103,6 +118,7 @@
         self.target = target
         self.holds_to_target = False
         self.holds_from_target = False
+        self._concerns = _concerns_all
         self.discarded = 0
         self.clear_faults()
         self._server: asyncio.Server | None = None
@@ -135,13 +151,27 @@
         """Returns whether data is held back in any direction."""
         return self.holds_to_target or self.holds_from_target
 
-    def hold(self, *, to_target: bool = True, from_target: bool = True) -> None:
+    def hold(
+        self,
+        *,
+        to_target: bool = True,
+        from_target: bool = True,
+        concerns: Callable[[int], bool] = _concerns_all,
+    ) -> None:
         """Holds data back as a network partition does, until ``release``.
 
         The held data of a sender that resets its connection is discarded. New connections are
         accepted, but reach the target only after the release; a sender that ends such a connection
         earlier has sent nothing.
+
+        Args:
+            to_target: Whether data to the target is held.
+            from_target: Whether data from the target is held.
+            concerns: Returns whether connections from this port of a caller are held.
         """
+        self._concerns = concerns
+        for connection in self._connections:
+            connection.concerned = concerns(connection.caller_port)
         self.holds_to_target = to_target
         self.holds_from_target = from_target
 
@@ -155,7 +185,7 @@
         now_s = asyncio.get_running_loop().time()
         for connection in self._connections:
             for pipe in connection.pipes():
-                if self._is_held(pipe) and pipe.is_pending():
+                if self._is_held(connection, pipe) and pipe.is_pending():
                     pipe.late_until_s = now_s + late_s()
                 pipe.changed.set()
         self.holds_to_target = False
@@ -167,7 +197,7 @@
         While data from the target is held, callers see that only after the release.
         """
         for connection in list(self._connections):
-            if not self.is_holding():
+            if not self._is_cut(connection):
                 connection.reset()
             elif connection.target_writer is not None:
                 connection.reset_target()
@@ -179,16 +209,17 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         connection = _Connection(writer)
+        connection.concerned = self.is_holding() and self._concerns(connection.caller_port)
         self._connections.add(connection)
-        reading = asyncio.create_task(self._read(connection.to_target, reader))
+        reading = asyncio.create_task(self._read(connection, connection.to_target, reader))
         try:
             target_reader = await self._connect(connection)
             if target_reader is not None:
                 await asyncio.gather(
                     reading,
-                    self._deliver(connection.to_target, connection.target_writer),
-                    self._read(connection.from_target, target_reader),
-                    self._deliver(connection.from_target, writer),
+                    self._deliver(connection, connection.to_target, connection.target_writer),
+                    self._read(connection, connection.from_target, target_reader),
+                    self._deliver(connection, connection.from_target, writer),
                 )
         except asyncio.CancelledError:
             pass
@@ -201,8 +232,8 @@
 
     async def _connect(self, connection: _Connection) -> asyncio.StreamReader | None:
         """Connects to the target, after a hold; returns None if the connection is over."""
-        held = self.is_holding()
-        while self.is_holding():
+        held = self._is_cut(connection)
+        while self._is_cut(connection):
             await connection.to_target.wait_for_change(None)
         if held:
             await asyncio.sleep(
@@ -220,10 +251,17 @@
             return None
         return reader
 
-    def _is_held(self, pipe: _Pipe) -> bool:
+    def _is_cut(self, connection: _Connection) -> bool:
+        return connection.concerned and self.is_holding()
+
+    def _is_held(self, connection: _Connection, pipe: _Pipe) -> bool:
+        if not connection.concerned:
+            return False
         return self.holds_to_target if pipe.to_target else self.holds_from_target
 
-    async def _read(self, pipe: _Pipe, reader: asyncio.StreamReader) -> None:
+    async def _read(
+        self, connection: _Connection, pipe: _Pipe, reader: asyncio.StreamReader
+    ) -> None:
         """Reads even while data is held, so that a reset by the sender is noticed."""
         try:
             while data := await reader.read(CHUNK_BYTES):
@@ -231,7 +269,8 @@
                     pipe.chunks.append(data)
                     pipe.changed.set()
         except OSError:
-            if self._is_held(pipe) or pipe.late_until_s > asyncio.get_running_loop().time():
+            held = self._is_held(connection, pipe)
+            if held or pipe.late_until_s > asyncio.get_running_loop().time():
                 self.discarded += bool(pipe.chunks)
                 pipe.chunks.clear()
             pipe.was_reset = True
@@ -239,9 +278,11 @@
             pipe.closed = True
         pipe.changed.set()
 
-    async def _deliver(self, pipe: _Pipe, writer: asyncio.StreamWriter) -> None:
+    async def _deliver(
+        self, connection: _Connection, pipe: _Pipe, writer: asyncio.StreamWriter
+    ) -> None:
         with contextlib.suppress(OSError):
-            while data := await self._next_chunk(pipe):
+            while data := await self._next_chunk(connection, pipe):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
                 writer.write(data)
@@ -250,11 +291,11 @@
             _reset(writer)
         writer.close()
 
-    async def _next_chunk(self, pipe: _Pipe) -> bytes:
+    async def _next_chunk(self, connection: _Connection, pipe: _Pipe) -> bytes:
         """Waits for data that may be delivered; returns none after the last."""
         while True:
             wait_s = None
-            if pipe.is_pending() and not self._is_held(pipe):
+            if pipe.is_pending() and not self._is_held(connection, pipe):
                 wait_s = pipe.late_until_s - asyncio.get_running_loop().time()
                 if wait_s <= 0:
                     return pipe.chunks.popleft() if pipe.chunks else b""
--- a/greengagefall/tests/tcp_proxy_tests.py
+++ b/greengagefall/tests/tcp_proxy_tests.py
@@ -87,6 +87,21 @@
         self.proxy.release()
         self.assertEqual(await reader.read(1), b"b")
 
+    async def test_holds_only_the_connections_concerned(self):
+        _, held = await self.connect_to_target()
+        _, free = await self.connect()
+        held_port = held.get_extra_info("sockname")[1]
+        self.proxy.hold(concerns=lambda port: port == held_port)
+        held.write(b"a")
+        free.write(b"b")
+        await self.until(lambda: self.received)
+        _, new = await self.connect()
+        new.write(b"c")
+        await self.until(lambda: len(self.received) == 2)
+        self.proxy.release()
+        await self.until(lambda: len(self.received) == 3)
+        self.assertEqual(self.received, [b"b", b"c", b"a"])
+
     async def test_delivers_the_close_after_the_data(self):
         _, writer = await self.connect_to_target()
         self.proxy.hold()
