Lose what a crashed server of the soak had received

What: a stand-in server that crashed closes connections instead of executing what was already in its socket.

--- a/greengagefall/bench/gateway_fleet.py
+++ b/greengagefall/bench/gateway_fleet.py
@@ -156,6 +156,7 @@
         link = self.server_links[name]
         link.refuses = True
         link.reset()
+        self.servers[name].crashed = True
         self.servers[name].restart()
         await self.expire_server_entry(name)
 
@@ -163,6 +164,7 @@
         """Restarts a crashed server under its id as a new incarnation."""
         self.server_links[name].clear_faults()
         self._crashed.discard(name)
+        self.servers[name].crashed = False
         await self.write_server_entry(name)
 
     async def expire_server_entry(self, name: str) -> None:
--- a/greengagefall/standins/platform_server.py
+++ b/greengagefall/standins/platform_server.py
@@ -22,6 +22,7 @@
 
     Attributes:
         server_id: Id of the server.
+        crashed: Whether the server's process has ended; requests that it has received are lost.
         executed: Ids of the requests that it executed, in order of their start.
         grants: Fence and expiry, as a time of ``time.monotonic``, by granted key range.
         fences: First key, last key and fence of each accepted grant and release.
@@ -51,6 +52,7 @@
         self.work_s = work_s
         self.start_ms = int(time.time() * 1000)
         self.answer_bytes = 0
+        self.crashed = False
         self.executed: list[str] = []
         self.grants: dict[tuple[int, int], tuple[int, float]] = {}
         self.fences: list[tuple[int, int, int]] = []
@@ -139,6 +141,11 @@
     def initialize(self, server: PlatformServerStandIn) -> None:
         self.server = server
 
+    def prepare(self) -> None:
+        if self.server.crashed:
+            self.request.connection.stream.close()
+            raise tornado.web.Finish
+
 
 class _OrderHandler(_ServerHandler):
     async def delay(self) -> bool:
