Wake watches of the stand-in store without a lock

What: each change sets an asyncio.Event and puts a new one in its place; before, watches waited on an asyncio.Condition with a timeout. No run has shown that the hang is gone; it was seen once.

--- a/greengagefall/standins/platform_store.py
+++ b/greengagefall/standins/platform_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import time
 from typing import Any
@@ -38,7 +39,7 @@
         self._revision = 1
         self._compacted_revision = 0
         self._leases: dict[int, tuple[float, float]] = {}
-        self._changed = asyncio.Condition()
+        self._changed = asyncio.Event()
         self._expiry_task: asyncio.Task | None = None
         root = "/greengagefall/"
         handler_args = {"store": self}
@@ -105,8 +106,7 @@
         """Drops all history; watches from an earlier revision are answered with 410."""
         self._compacted_revision = self._revision
         self._events.clear()
-        async with self._changed:
-            self._changed.notify_all()
+        self._wake_watches()
 
     def compact_to(self, revision: int) -> None:
         """Drops the history up to a revision, as a store does when it compacts old revisions."""
@@ -138,8 +138,7 @@
         self._compacted_revision = self._revision
         self.restores += 1
         self.close_watches()
-        async with self._changed:
-            self._changed.notify_all()
+        self._wake_watches()
 
     def value(self, key: str) -> bytes:
         """Returns the value of a key."""
@@ -190,16 +189,17 @@
             remaining_s = end_s - time.monotonic()
             if (found and not self.delay_watch_events) or remaining_s <= 0:
                 return found
-            async with self._changed:
-                try:
-                    await asyncio.wait_for(self._changed.wait(), min(remaining_s, 0.5))
-                except TimeoutError:
-                    continue
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(min(remaining_s, 0.5)):
+                    await self._changed.wait()
 
     async def _publish(self, event: dict[str, Any]) -> None:
         self._events.append(event)
-        async with self._changed:
-            self._changed.notify_all()
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
 
     async def _expire_leases(self) -> None:
         while True:
