Draw a soak's faults from its seed alone, and hold servers longer and in series

What: the faults, their times and their parameters depend on the seed only; each fault has a generator of its own. Half of the holds last 3 to 5 s. New fault servers_held_in_series: two holds, the second soon after the first. Why: callers and faults drew from one generator, so the faults of a seed differed from run to run: seed 23 had other faults at 60 s and at 45 s, and a failing seed could not be repeated. Keys move about 4.6 s after a cut began (probe of one server held for 5 s that loses its entry, on the code before: the new owner got them at 4.62 s), so short holds seldom show a grant that comes too late.

--- a/greengagefall/bench/gateway_faults.py
+++ b/greengagefall/bench/gateway_faults.py
@@ -28,6 +28,8 @@
 CRASH_SHARE = 1 / 3
 ENTRY_LOSS_SHARE = 1 / 2
 MAX_HELD_SERVERS = 3
+# Holds shorter than the time in which keys move to another server, and longer ones.
+HOLD_RANGES_S = ((0.5, 3.0), (3.0, 5.0))
 HELD_DIRECTIONS = ((True, True), (True, True), (True, False), (False, True))
 LATE_ORDERS_RANGE_S = (2.0, 6.0)
 LATE_ORDERS_SHARE = 1 / 2
@@ -179,7 +181,7 @@
     their entries meanwhile.
     """
     names = _names_not_held(fleet, rng)
-    duration_s = rng.uniform(*LONG_RANGE_S)
+    duration_s = rng.uniform(*rng.choice(HOLD_RANGES_S))
     behind = []
     if rng.random() < CRASH_SHARE:
         behind = [_crash_and_restart(fleet, name, rng) for name in names]
@@ -190,6 +192,14 @@
     await asyncio.gather(_hold(links, rng, duration_s), *behind)
 
 
+@FAULTS.register("servers_held_in_series")
+async def servers_held_in_series(fleet: GatewayFleet, rng: random.Random) -> None:
+    """Holds servers back again soon after the first time."""
+    for _ in range(2):
+        await server_held(fleet, rng)
+        await asyncio.sleep(rng.uniform(*SHORT_RANGE_S))
+
+
 @FAULTS.register("server_held_from_some_hosts")
 async def server_held_from_some_hosts(fleet: GatewayFleet, rng: random.Random) -> None:
     """Holds back what some hosts and some servers send each other; the other hosts reach them."""
@@ -200,7 +210,7 @@
         running = [host for host in hosts if fleet.processes.is_running(host)]
         return any(port in fleet.processes.ports(host) for host in running)
 
-    await _hold(links, rng, rng.uniform(*LONG_RANGE_S), is_cut_off)
+    await _hold(links, rng, rng.uniform(*rng.choice(HOLD_RANGES_S)), is_cut_off)
 
 
 @FAULTS.register("host_killed_behind_hold")
@@ -208,7 +218,7 @@
     """Kills a host while what it sent to some servers is held back, and restarts it."""
     host = rng.choice(fleet.hosts())
     links = [fleet.server_links[name] for name in _names_not_held(fleet, rng)]
-    duration_s = rng.uniform(*LONG_RANGE_S)
+    duration_s = rng.uniform(*rng.choice(HOLD_RANGES_S))
     holding = asyncio.create_task(_hold(links, rng, duration_s))
     await asyncio.sleep(duration_s * rng.random())
     if fleet.processes.is_running(host):
--- a/greengagefall/bench/gateway_soak.py
+++ b/greengagefall/bench/gateway_soak.py
@@ -130,14 +130,19 @@
     fleet.log_event(f"{name} ends")
 
 
-async def inject_faults(fleet: GatewayFleet, rng: random.Random, end_s: float) -> Counter[str]:
-    """Injects faults, some of them concurrently, and waits until all have ended."""
+async def inject_faults(fleet: GatewayFleet, seed: int, end_s: float) -> Counter[str]:
+    """Injects faults, some of them concurrently, and waits until all have ended.
+
+    Faults, their times and their parameters depend on the seed only: each fault draws from a
+    generator of its own.
+    """
+    rng = random.Random(f"faults {seed}")
     injected: Counter[str] = Counter()
     running = set()
     while time.monotonic() < end_s:
         name = rng.choice(sorted(FAULTS.names()))
         injected[name] += 1
-        running.add(asyncio.create_task(_inject(fleet, rng, name)))
+        running.add(asyncio.create_task(_inject(fleet, random.Random(rng.random()), name)))
         await asyncio.sleep(rng.expovariate(1 / MEAN_BETWEEN_FAULTS_S))
     await asyncio.gather(*running)
     return injected
@@ -197,23 +202,22 @@
     """Runs one soak and checks its records.
 
     Args:
-        seed: Seed of faults and requests; timing still differs between runs.
+        seed: Seed of faults and requests; what else happens meanwhile differs between runs.
         seconds: Duration of load and fault injection.
         hosts: Number of gateway processes.
         servers: Number of servers of the keyed service.
         planted_fault: Name of a planted fault, empty for none.
         show: Called with each line of the report.
     """
-    rng = random.Random(seed)
     fleet = GatewayFleet(hosts, servers, planted_fault)
-    callers = Callers(fleet, rng)
+    callers = Callers(fleet, random.Random(seed))
     try:
         await fleet.start()
         end_s = time.monotonic() + seconds
         async with asyncio.TaskGroup() as group:
             for _ in range(CALLERS):
                 group.create_task(callers.run(end_s))
-            injecting = group.create_task(inject_faults(fleet, rng, end_s))
+            injecting = group.create_task(inject_faults(fleet, seed, end_s))
         violations = await check_recovery(fleet, callers)
         violations += fleet.violations
     finally:
