Cut answers off in the head and repeat refusals in the soak

What: faults answers_cut_in_head and refusals_repeated: for a while, some stand-in servers close the connection in the head of a fifth of their answers, or refuse a fifth of their requests (503, not executed) and send the refusal again after 20 ms. Evidence: ServerTests, 5 tests, passed.

--- a/greengagefall/bench/gateway_faults.py
+++ b/greengagefall/bench/gateway_faults.py
@@ -7,6 +7,7 @@
 
 from greengagefall.bench.gateway_fleet import ENTRY_EXPIRY_S
 from greengagefall.bench.processes import STOP_TIMEOUT_S
+from greengagefall.standins.platform_server import CUT_IN_HEAD, REFUSED_TWICE
 from greengagefall.utils.registry import Registry
 from greengagefall.utils.waiting import wait_until
 
@@ -33,6 +34,7 @@
 HELD_DIRECTIONS = ((True, True), (True, True), (True, False), (False, True))
 LATE_ORDERS_RANGE_S = (2.0, 6.0)
 LATE_ORDERS_SHARE = 1 / 2
+SPOILED_SHARE = 1 / 5
 LIMITS_PER_S = (1.0, 8.0)
 # A server's limit has to be kept this long after it was first named.
 LIMIT_KNOWN_S = 3.0
@@ -250,6 +252,18 @@
         fleet.servers[name].order_delay_s = lambda: 0.0
 
 
+@FAULTS.register("answers_cut_in_head")
+async def answers_cut_in_head(fleet: GatewayFleet, rng: random.Random) -> None:
+    """Has some servers close connections in the head of a part of their answers."""
+    await _spoil_answers(fleet, rng, CUT_IN_HEAD)
+
+
+@FAULTS.register("refusals_repeated")
+async def refusals_repeated(fleet: GatewayFleet, rng: random.Random) -> None:
+    """Has some servers refuse a part of their requests and send each refusal twice."""
+    await _spoil_answers(fleet, rng, REFUSED_TWICE)
+
+
 @FAULTS.register("configuration")
 async def configuration(fleet: GatewayFleet, rng: random.Random) -> None:
     """Writes several configuration versions in quick succession."""
@@ -258,6 +272,15 @@
         await asyncio.sleep(rng.uniform(0.0, 0.3))
 
 
+async def _spoil_answers(fleet: GatewayFleet, rng: random.Random, spoiled: str) -> None:
+    names = rng.sample(list(fleet.servers), rng.randint(1, MAX_HELD_SERVERS))
+    for name in names:
+        fleet.servers[name].spoil_answer = lambda: spoiled if rng.random() < SPOILED_SHARE else ""
+    await asyncio.sleep(rng.uniform(*LONG_RANGE_S))
+    for name in names:
+        fleet.servers[name].spoil_answer = lambda: ""
+
+
 def _names_not_held(fleet: GatewayFleet, rng: random.Random) -> list[str]:
     """Draws some servers whose connections are not held back already."""
     names = rng.sample(list(fleet.servers), rng.randint(1, MAX_HELD_SERVERS))
--- a/greengagefall/standins/platform_server.py
+++ b/greengagefall/standins/platform_server.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from typing import TYPE_CHECKING, Any
 
+import tornado.iostream
 import tornado.web
 
 from greengagefall.standins.http import HttpListener, JsonHandler
@@ -15,6 +17,9 @@
 
 LOAD_HEADER_VALUE = "1,0,6,100"
 SWALLOWED_GRANT_S = 1.0
+CUT_IN_HEAD = "cut_in_head"
+REFUSED_TWICE = "refused_twice"
+REFUSAL_DELAY_S = 0.02
 
 
 class PlatformServerStandIn:
@@ -37,6 +42,9 @@
             answer at all. The time of a delayed grant counts from its arrival.
         handover_tokens: Tokens of releases that grants passed to this server.
         wrong_answers: Number of next answers that carry the id of another request.
+        spoil_answer: Returns what happens to the next answer: ``CUT_IN_HEAD`` for an answer whose
+            connection is closed in its head, ``REFUSED_TWICE`` for a refusal that is sent again
+            after ``REFUSAL_DELAY_S``; an empty string for none of these.
         rate_limit_per_s: Requests per second that answers name as the server's limit, 0 for none.
         limited_s: Times of the requests that were executed while the limit was named.
         on_grant: Called with this server and the first and last key of each accepted grant.
@@ -62,6 +70,7 @@
         self.order_delay_s: Callable[[], float] = lambda: 0.0
         self.handover_tokens: list[str] = []
         self.wrong_answers = 0
+        self.spoil_answer: Callable[[], str] = lambda: ""
         self.rate_limit_per_s = 0.0
         self.limited_s: list[float] = []
         self.on_grant: Callable[[PlatformServerStandIn, int, int], None] = _ignore_grant
@@ -228,10 +237,21 @@
         if self.server.keyed and not self.server.holds(int(headers.get("Shard-Key", -1))):
             self._refuse(421)
             return
+        spoiled = self.server.spoil_answer()
+        if spoiled == REFUSED_TWICE:
+            await self._refuse_twice(request_id)
+            return
         self.server.executed.append(request_id)
         if self.server.rate_limit_per_s:
             self.server.limited_s.append(time.monotonic())
         await asyncio.sleep(self.server.work_s)
+        if spoiled == CUT_IN_HEAD:
+            self._auto_finish = False
+            stream = self.request.connection.stream
+            with contextlib.suppress(tornado.iostream.StreamClosedError):
+                await stream.write(b"HTTP/1.1 200 OK\r\nRequest-")
+            stream.close()
+            return
         if self.server.wrong_answers > 0:
             self.server.wrong_answers -= 1
             request_id = "of-another-request"
@@ -243,6 +263,14 @@
         body = f"{self.server.server_id}:{self.request.uri}"
         self.finish(body.ljust(self.server.answer_bytes))
 
+    async def _refuse_twice(self, request_id: str) -> None:
+        stream = self.request.connection.stream
+        self._refuse(503)
+        await asyncio.sleep(REFUSAL_DELAY_S)
+        head = f"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nRequest-Id: {request_id}\r\n"
+        with contextlib.suppress(tornado.iostream.StreamClosedError):
+            await stream.write(f"{head}Content-Length: 2\r\n\r\n{{}}".encode())
+
     get = post = put = delete = execute
 
     def _refuse(self, status: int) -> None:
--- a/greengagefall/tests/gateway_soak_tests.py
+++ b/greengagefall/tests/gateway_soak_tests.py
@@ -12,7 +12,11 @@
 from greengagefall.bench.tcp_proxy import TcpProxy
 from greengagefall.ownership.model import KeyRange, ServerIncarnation
 from greengagefall.platform.grants import grant_request
-from greengagefall.standins.platform_server import PlatformServerStandIn
+from greengagefall.standins.platform_server import (
+    CUT_IN_HEAD,
+    REFUSED_TWICE,
+    PlatformServerStandIn,
+)
 
 SECONDS = 10.0
 ORDER_DELAY_S = 1.5
@@ -133,6 +137,29 @@
         self.server.crashed = False
         self.assertEqual(self.server.grants, {})
 
+    async def request(self) -> bytes:
+        """Sends a request and returns what the server sends, until it closes or sent two bodies."""
+        self.server.grants[0, 9] = (1, float("inf"))
+        host, _, port = self.server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        head = "GET /a HTTP/1.1\r\nHost: a\r\nRequest-Id: one\r\nShard-Key: 1\r\n"
+        writer.write(f"{head}Expected-Instance: p0\r\n\r\n".encode())
+        received = b""
+        while received.count(b"{}") < 2 and (data := await reader.read(100)):
+            received += data
+        return received
+
+    async def test_a_refusal_is_sent_twice_and_the_request_not_executed(self):
+        self.server.spoil_answer = lambda: REFUSED_TWICE
+        self.assertEqual((await self.request()).count(b"Request-Id: one"), 2)
+        self.assertEqual(self.server.executed, [])
+
+    async def test_an_executed_request_is_cut_off_in_the_head_of_its_answer(self):
+        self.server.spoil_answer = lambda: CUT_IN_HEAD
+        self.assertEqual(await self.request(), b"HTTP/1.1 200 OK\r\nRequest-")
+        self.assertEqual(self.server.executed, ["one"])
+
     async def test_a_delayed_grant_does_not_follow_a_higher_fence_or_a_restart(self):
         await self.grant(1, ORDER_DELAY_S)
         self.assertEqual(await self.grant(2, 0.0), ANSWERED)
