Split the simulation of key ownership by job

It had over 600 lines: virtual time, servers, network, store, hosts, and the simulation with its oracle now have a module each. The store's data moves from the simulation to a class of its own. Nothing else changes.

--- a/greengagefall/tests/gateway_beats_tests.py
+++ b/greengagefall/tests/gateway_beats_tests.py
@@ -15,7 +15,7 @@
 from greengagefall.ownership.model import EMPTY_ASSIGNMENT, UNKNOWN_RESTORES, HostIncarnation
 from greengagefall.platform.store import KeyValue
 from greengagefall.protocol.gateway_messages import BeatReply
-from greengagefall.tests.ownership_simulation import LoopClock, VirtualLoop
+from greengagefall.tests.virtual_time import LoopClock, VirtualLoop
 
 OWN = HostIncarnation("h0", 2)
 DEAD = HostIncarnation("h1", 1)
--- a/greengagefall/tests/gateway_rate_limit_tests.py
+++ b/greengagefall/tests/gateway_rate_limit_tests.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import unittest
+from typing import TYPE_CHECKING
 
 from tornado.httputil import HTTPHeaders
 
@@ -14,13 +15,12 @@
 from greengagefall.limits.server_queue import LIMITED_BURST_REQUESTS
 from greengagefall.ownership.model import LAST_KEY, KeyRange
 from greengagefall.protocol.gateway_messages import Dispatch, NotDispatched
-from greengagefall.tests.ownership_simulation import (
-    SERVICE,
-    LoopClock,
-    SimulatedHost,
-    Simulation,
-    VirtualLoop,
-)
+from greengagefall.tests.ownership_simulation import Simulation
+from greengagefall.tests.simulated_servers import SERVICE
+from greengagefall.tests.virtual_time import LoopClock, VirtualLoop
+
+if TYPE_CHECKING:
+    from greengagefall.tests.simulated_hosts import SimulatedHost
 
 KEYED = Service("proofdesk", "/health", 100, 3.0, 5.0, True, 5.0)
 POOLED = KEYED._replace(name="benchline", keyed=False)
--- a/greengagefall/tests/ownership_exploration_tests.py
+++ b/greengagefall/tests/ownership_exploration_tests.py
@@ -14,7 +14,9 @@
 
 from greengagefall.gateway import assignment_store, grants, host_reports, publishing, range_moves
 from greengagefall.gateway.view import ClusterView
-from greengagefall.tests.ownership_simulation import SimulatedPool, Simulation, VirtualLoop
+from greengagefall.tests.ownership_simulation import Simulation
+from greengagefall.tests.simulated_network import SimulatedPool
+from greengagefall.tests.virtual_time import VirtualLoop
 
 SEED_COUNT = 15
 # Seeds that found a fault once, with that fault.
@@ -109,7 +111,7 @@
     elif kind == "restored":
         simulation.store_up = False
         await asyncio.sleep(rng.uniform(0.2, 3.0))
-        simulation.restore(duration_s)
+        simulation.store_data.restore(duration_s)
         simulation.store_up = True
         simulation.store_reachable_since_s = simulation.loop.now_s
     elif kind == "crash" and server.up:
--- a/greengagefall/tests/relaying_simulation.py
+++ b/greengagefall/tests/relaying_simulation.py
@@ -33,7 +33,7 @@
     WatchResult,
 )
 from greengagefall.store.exceptions import StoreCompactedError, StoreUnavailableError
-from greengagefall.tests.ownership_simulation import LoopClock, VirtualLoop
+from greengagefall.tests.virtual_time import LoopClock, VirtualLoop
 
 ZONE = "a"
 HOST_COUNT = 12
--- /dev/null
+++ b/greengagefall/tests/simulated_network.py
@@ -0,0 +1,144 @@
+"""The simulated connections of a host to backend servers and to other hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING
+
+from tornado.httputil import HTTPHeaders
+
+from greengagefall.dispatch.connection_pool import HttpAnswer
+from greengagefall.dispatch.exceptions import AnswerTimeoutError, NotSentError, SendRefusedError
+from greengagefall.gateway.peers import REPLY_LOST, UNREACHABLE
+from greengagefall.platform.requests import (
+    RATE_LIMIT_HEADER,
+    REQUEST_ID_HEADER,
+    SIGNATURE_HEADER,
+)
+
+if TYPE_CHECKING:
+    from greengagefall.tests.ownership_simulation import Simulation
+    from greengagefall.tests.simulated_hosts import SimulatedHost
+
+SERVICE_TIME_S = 0.2
+GRANT_PATH_SUFFIX = "grant"
+# Longest time from the end of a cut to the retransmission of what it held up.
+MAX_RETRANSMISSION_S = 3.0
+
+
+class SimulatedPool:
+    """Simulates the connections of one host to one server.
+
+    Attributes:
+        resets_given_up_calls: Whether giving a call up discards what the network holds of it.
+    """
+
+    resets_given_up_calls = True
+
+    def __init__(self, simulation: Simulation, host: SimulatedHost, address: str) -> None:
+        self.on_idle_close = None
+        self.host_name = host.name
+        self._simulation = simulation
+        self._host = host
+        self._server = simulation.servers[address.partition(":")[0]]
+        self._server.pools.append(self)
+
+    def close(self) -> None:
+        """Does nothing."""
+
+    async def exchange(self, request, timeout_s, may_send, matches=None) -> HttpAnswer:
+        simulation, server = self._simulation, self._server
+        rng = simulation.rng
+        await asyncio.sleep(rng.uniform(0.0005, 0.005))
+        if not server.up or simulation.is_cut(self._host.name, server.name):
+            if server.up or rng.random() < 0.5:
+                await asyncio.sleep(min(timeout_s, 0.5))
+            raise NotSentError(f"no connection to {server.name}")
+        if not may_send():
+            raise SendRefusedError(f"the call to {server.name} is no longer current")
+        arrived_s = simulation.loop.now_s
+        if not server.calls_pass.is_set():
+            return await self._exchange_held_up(request, timeout_s)
+        request_id = dict(request.headers).get(REQUEST_ID_HEADER)
+        if request_id is not None:
+            return await self._execute(request_id)
+        if rng.random() < simulation.delayed_share:
+            delay_s = rng.uniform(0.5, 6.0)
+            simulation.loop.call_later(delay_s, self._apply, request, arrived_s, server.start_ms)
+            await asyncio.sleep(timeout_s)
+            raise AnswerTimeoutError(f"no answer from {server.name} within {timeout_s} s")
+        answer = self._apply(request, arrived_s, server.start_ms)
+        await asyncio.sleep(rng.uniform(0.0005, 0.005))
+        if rng.random() < simulation.lost_share:
+            await asyncio.sleep(timeout_s)
+            raise AnswerTimeoutError(f"no answer from {server.name} within {timeout_s} s")
+        return answer
+
+    async def _exchange_held_up(self, request, timeout_s: float) -> HttpAnswer:
+        answered = asyncio.get_running_loop().create_future()
+        delivery = asyncio.create_task(self._deliver_late(request, self._server.start_ms, answered))
+        self._simulation.deliveries.add(delivery)
+        delivery.add_done_callback(self._simulation.deliveries.discard)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await answered
+        except TimeoutError as error:
+            raise AnswerTimeoutError(f"no answer within {timeout_s} s") from error
+        finally:
+            if self.resets_given_up_calls:
+                delivery.cancel()
+
+    async def _deliver_late(self, request, start_ms: int, answered: asyncio.Future) -> None:
+        await self._server.calls_pass.wait()
+        await asyncio.sleep(self._simulation.rng.uniform(0.0, MAX_RETRANSMISSION_S))
+        answer = self._apply(request, self._simulation.loop.now_s, start_ms)
+        if answer is not None and not answered.done():
+            answered.set_result(answer)
+
+    async def _execute(self, request_id: str) -> HttpAnswer:
+        server = self._server
+        server.requests.append((self._host.name, self._simulation.loop.now_s))
+        await asyncio.sleep(SERVICE_TIME_S)
+        fields = {REQUEST_ID_HEADER: request_id, SIGNATURE_HEADER: "signed"}
+        if server.rate_limit:
+            fields[RATE_LIMIT_HEADER] = server.rate_limit
+        return HttpAnswer(200, HTTPHeaders(fields), b"")
+
+    def _apply(self, request, arrived_s: float, start_ms: int) -> HttpAnswer | None:
+        server = self._server
+        if not server.up or server.start_ms != start_ms:
+            return None
+        if not request.body:
+            return HttpAnswer(200, HTTPHeaders({"Instance-Id": server.server_id}), b"")
+        fields = json.loads(request.body)
+        if request.path.endswith(GRANT_PATH_SUFFIX):
+            return HttpAnswer(server.grant(fields, arrived_s), HTTPHeaders(), b"")
+        server.fences.append((fields["from"], fields["target"], fields["fence"]))
+        server.release(fields["from"], fields["target"])
+        return HttpAnswer(200, HTTPHeaders({"Handover": f"{fields['fence']}"}), b"")
+
+
+class SimulatedPeers:
+    """Simulates the calls of one host to other hosts."""
+
+    def __init__(self, simulation: Simulation, host: SimulatedHost) -> None:
+        self._simulation = simulation
+        self._host = host
+
+    async def call(self, name, message, timeout_s):
+        target = self._simulation.hosts.get(name)
+        if name != self._host.name:
+            await asyncio.sleep(self._simulation.rng.uniform(0.0005, 0.003))
+            if target is None or not target.up or self._simulation.is_cut(self._host.name, name):
+                await asyncio.sleep(self._simulation.rng.choice((0.0, timeout_s)))
+                return UNREACHABLE
+        try:
+            async with asyncio.timeout(timeout_s):
+                reply = target.handlers.handle(target.hello, message)
+                reply = await reply if hasattr(reply, "__await__") else reply
+        except TimeoutError:
+            return REPLY_LOST
+        if self._simulation.rng.random() < self._simulation.lost_share:
+            return REPLY_LOST
+        return reply
--- /dev/null
+++ b/greengagefall/tests/virtual_time.py
@@ -0,0 +1,31 @@
+"""An event loop whose time is virtual, and the clock that shows its time."""
+
+from __future__ import annotations
+
+import asyncio
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time jumps to the next timer instead of waiting for it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+
+    def time(self) -> float:
+        return self.now_s
+
+    def _run_once(self) -> None:
+        if not self._ready and self._scheduled:
+            self.now_s = max(self.now_s, self._scheduled[0].when())
+        super()._run_once()
+
+
+class LoopClock:
+    """Provides the loop's time through the product's clock interface."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self._loop = loop
+
+    def now_s(self) -> float:
+        return self._loop.now_s
