--- a/greengagefall/tests/gateway_outdated_orders_tests.py
+++ b/greengagefall/tests/gateway_outdated_orders_tests.py
@@ -7,7 +7,9 @@
 import unittest
 
 from greengagefall.protocol.gateway_messages import ReleaseKeys
-from greengagefall.tests.ownership_simulation import SERVICE, Simulation, VirtualLoop
+from greengagefall.tests.ownership_simulation import Simulation
+from greengagefall.tests.simulated_servers import SERVICE
+from greengagefall.tests.virtual_time import VirtualLoop
 
 SETTLED_S = 5.0
 
