Share what the tests' raw servers do with connections

Four scripted servers of tests listened, kept tasks and closed connections each by itself; a base class does it now. No assertion changes. The tests of the connection pool no longer print errors of a closed event loop, since each connection is closed.

--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -229,7 +229,7 @@
     def _log_unanswered(
         self, call: str, grant_id: tuple[int, int, int], sent_s: float, error: DispatchError
     ) -> None:
-        """Logs and counts a call without an answer; unless not sent, it may still arrive."""
+        """Logs and counts a call without an answer; if sent, the server may have taken it."""
         first, last, fence = grant_id
         count(f"{call}_failures", error=type(error).__name__)
         log.info(
--- a/greengagefall/tests/dispatch_connection_pool_tests.py
+++ b/greengagefall/tests/dispatch_connection_pool_tests.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import signal
 import socket
 import sys
@@ -21,6 +20,7 @@
     NotSentError,
     SendRefusedError,
 )
+from greengagefall.tests.connection_server import ConnectionServer
 from greengagefall.utils.sockets import reset_on_close
 
 LIMIT_BYTES = 1000
@@ -38,37 +38,20 @@
         self.late = late
 
 
-class ScriptedServer:
+class ScriptedServer(ConnectionServer):
     """Answers consecutive requests with the given bytes."""
 
     def __init__(self, answers: list[ScriptedAnswer]) -> None:
+        super().__init__()
         self._answers = answers
-        self._server: asyncio.Server | None = None
-        self.connections = 0
         self.requests: list[bytes] = []
-        self._tasks: set[asyncio.Task] = set()
-
-    async def start(self) -> str:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
-
-    async def close(self) -> None:
-        self._server.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    async def _serve(self, reader, writer) -> None:
-        self.connections += 1
-        self._tasks.add(asyncio.current_task())
-        with contextlib.suppress(
-            asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError
-        ):
-            while self._answers:
-                self.requests.append(await reader.readuntil(b"\r\n\r\n"))
-                if not await self._answer(self._answers.pop(0), writer):
-                    return
-            await reader.read()
+
+    async def serve(self, reader, writer) -> None:
+        while self._answers:
+            self.requests.append(await reader.readuntil(b"\r\n\r\n"))
+            if not await self._answer(self._answers.pop(0), writer):
+                return
+        await reader.read()
 
     async def _answer(self, answer: ScriptedAnswer, writer) -> bool:
         """Writes an answer; returns whether the connection stays open."""
--- a/greengagefall/tests/dispatch_repeated_answers_tests.py
+++ b/greengagefall/tests/dispatch_repeated_answers_tests.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import unittest
 from types import SimpleNamespace
 
@@ -13,6 +12,7 @@
 from greengagefall.dispatch.server_dispatcher import ServerDispatcher
 from greengagefall.protocol import refusals
 from greengagefall.protocol.messages import Answer, Refusal
+from greengagefall.tests.connection_server import ConnectionServer
 from greengagefall.tests.request_outcome_tests import BACK_END, CONFIG, forward_message
 from greengagefall.utils.clock import SystemClock
 
@@ -20,7 +20,7 @@
 WORK_S = 0.05
 
 
-class RepeatingServer:
+class RepeatingServer(ConnectionServer):
     """Refuses the first request and repeats the refusal when the next one arrives there.
 
     Attributes:
@@ -28,42 +28,25 @@
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self.executed: list[str] = []
         self._refused = False
-        self._tasks: set[asyncio.Task] = set()
-
-    async def start(self) -> str:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
-
-    async def close(self) -> None:
-        self._server.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._tasks.add(asyncio.current_task())
-        with (
-            contextlib.closing(writer),
-            contextlib.suppress(
-                asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError
-            ),
-        ):
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        refusal = b""
+        while True:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            request_id = head.partition("X-Request-Id: ")[2].partition("\r\n")[0]
+            writer.write(refusal)
             refusal = b""
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                request_id = head.partition("X-Request-Id: ")[2].partition("\r\n")[0]
-                writer.write(refusal)
-                refusal = b""
-                if self._refused:
-                    self.executed.append(request_id)
-                    await asyncio.sleep(WORK_S)
-                    writer.write(_answer_bytes("200 OK", request_id))
-                    continue
-                self._refused = True
-                refusal = _answer_bytes("503 Unavailable", request_id, "X-Not-Run: shedding\r\n")
-                writer.write(refusal)
+            if self._refused:
+                self.executed.append(request_id)
+                await asyncio.sleep(WORK_S)
+                writer.write(_answer_bytes("200 OK", request_id))
+                continue
+            self._refused = True
+            refusal = _answer_bytes("503 Unavailable", request_id, "X-Not-Run: shedding\r\n")
+            writer.write(refusal)
 
 
 def _answer_bytes(status: str, request_id: str, fields: str = "") -> bytes:
--- a/greengagefall/tests/gateway_repeated_answers_tests.py
+++ b/greengagefall/tests/gateway_repeated_answers_tests.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import unittest
 
 from greengagefall.dispatch.connection_pool import ConnectionPool
 from greengagefall.gateway.model import NO_KEY, ServerEntry
 from greengagefall.gateway.server_channel import ServerChannel
 from greengagefall.protocol.gateway_messages import Dispatch, Dispatched, NotDispatched
+from greengagefall.tests.connection_server import ConnectionServer
 from greengagefall.tests.one_server_gateway import (
     BODY_LIMIT,
     POOLED,
@@ -37,7 +37,7 @@
     return f"{head}Content-Length: 2\r\n\r\n{{}}".encode()
 
 
-class RepeatingServer:
+class RepeatingServer(ConnectionServer):
     """Refuses the first requests, executes the others and repeats refusals.
 
     Args:
@@ -49,54 +49,33 @@
 
     Attributes:
         executed: Ids of the executed requests.
-        connections: Number of accepted connections.
     """
 
     def __init__(
         self, status: int, *, with_id: bool, refused: int = 1, repeats_late: bool = False
     ) -> None:
+        super().__init__()
         self.executed: list[str] = []
-        self.connections = 0
-        self.address = ""
         self._status = status
         self._with_id = with_id
         self._refused = refused
         self._repeats_late = repeats_late
         self._last: tuple[asyncio.StreamWriter, bytes] | None = None
-        self._tasks: set[asyncio.Task] = set()
-
-    async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
-
-    async def close(self) -> None:
-        self._server.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def repeat(self) -> None:
         """Writes the last refusal once more."""
         writer, data = self._last
         writer.write(data)
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.connections += 1
-        self._tasks.add(asyncio.current_task())
-        with (
-            contextlib.closing(writer),
-            contextlib.suppress(
-                asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError
-            ),
-        ):
-            repeated = b""
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if line)
-                await reader.readexactly(int(fields.get("Content-Length", 0)))
-                if repeated and self._repeats_late:
-                    writer.write(repeated)
-                repeated = await self._answer(fields.get("Request-Id", ""), writer)
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        repeated = b""
+        while True:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if line)
+            await reader.readexactly(int(fields.get("Content-Length", 0)))
+            if repeated and self._repeats_late:
+                writer.write(repeated)
+            repeated = await self._answer(fields.get("Request-Id", ""), writer)
 
     async def _answer(self, request_id: str, writer: asyncio.StreamWriter) -> bytes:
         """Refuses or executes a request; returns the refusal."""
--- a/greengagefall/tests/gateway_repeated_grant_answers_tests.py
+++ b/greengagefall/tests/gateway_repeated_grant_answers_tests.py
@@ -11,6 +11,7 @@
 from greengagefall.gateway.grants import GrantManager
 from greengagefall.gateway.server_health import ServerHealth
 from greengagefall.ownership.model import KeyRange, ServerIncarnation
+from greengagefall.tests.connection_server import ConnectionServer
 from greengagefall.utils.clock import SystemClock
 from greengagefall.utils.waiting import wait_until
 
@@ -23,7 +24,7 @@
 RELEASED_KEYS = (200, 299, 4)
 
 
-class RepeatingGrantServer:
+class RepeatingGrantServer(ConnectionServer):
     """Repeats the last answer of each connection when the next call arrives on it.
 
     Attributes:
@@ -33,37 +34,20 @@
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self.granted = 0
         self.working = 0
         self.refuses = False
-        self._tasks: set[asyncio.Task] = set()
-
-    async def start(self) -> str:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
-
-    async def close(self) -> None:
-        self._server.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._tasks.add(asyncio.current_task())
-        with (
-            contextlib.closing(writer),
-            contextlib.suppress(
-                asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError
-            ),
-        ):
-            repeated = b""
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                length = head.partition("Content-Length: ")[2].partition("\r\n")[0] or 0
-                await reader.readexactly(int(length))
-                writer.write(repeated)
-                repeated = await self._answer(head, repeats=bool(repeated))
-                writer.write(repeated)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        repeated = b""
+        while True:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            length = head.partition("Content-Length: ")[2].partition("\r\n")[0] or 0
+            await reader.readexactly(int(length))
+            writer.write(repeated)
+            repeated = await self._answer(head, repeats=bool(repeated))
+            writer.write(repeated)
 
     async def _answer(self, head: str, *, repeats: bool) -> bytes:
         if "/grant" in head:
