Keep the faults of the ownership exploration in a registry

One function injected all sixteen kinds in a chain of branches. Each kind is a small function now, registered under its name. What is drawn, and in which order, is as before, so that seeds keep their meaning; an unknown kind is an error instead of no fault.

--- a/greengagefall/tests/ownership_exploration_tests.py
+++ b/greengagefall/tests/ownership_exploration_tests.py
@@ -14,6 +14,7 @@
 
 from greengagefall.gateway import assignment_store, grants, host_reports, publishing, range_moves
 from greengagefall.gateway.view import ClusterView
+from greengagefall.tests.ownership_faults import inject_fault
 from greengagefall.tests.ownership_simulation import Simulation
 from greengagefall.tests.simulated_network import SimulatedPool
 from greengagefall.tests.virtual_time import VirtualLoop
@@ -42,19 +43,16 @@
     "zone",
     "path",
 )
-# "replaced" starts a server with a new id at the address of a stopped one. It occurs twice, and
-# "store" twice, so that these faults are chosen more often.
+# Kinds that occur several times are chosen more often.
 REUSED_ADDRESS_FAULT_KINDS = (*FAULT_KINDS, "replaced", "replaced", "store")
-# "restored" has the store come back from an older copy of its data.
 RESTORED_FAULT_KINDS = (
     *("kill", "kill_all", "kill_all", "peers", "store_cut", "crash", "drain", "late"),
     *["restored"] * 4,
 )
-# "held_up" has the network hold up calls to servers and deliver them after its end.
 HELD_UP_FAULT_KINDS = (*FAULT_KINDS, *["held_up"] * 4)
-# "unseen_restart" starts a server again while it is cut off from the store but not from hosts.
 UNSEEN_RESTART_FAULT_KINDS = (*FAULT_KINDS, *["unseen_restart"] * 4)
-# Seeds in which such a server also gets another dispatcher before the store has its entry.
+# Seeds in which a server that restarted unseen by the store also gets another dispatcher before
+# the store has its entry.
 NEW_DISPATCHER_SEEDS = (3, 4, 17)
 FAULTS_END_S = 25.0
 # Time after the last fault; it covers the longest wait for the grants of an unreachable dispatcher.
@@ -64,105 +62,13 @@
 SENT_VERSION_SEEDS = (39, 84, 86, 111, 112)
 
 
-async def _inject_fault(simulation: Simulation, kinds: tuple[str, ...]) -> None:
-    """Injects one fault and ends it after a random time."""
-    rng = simulation.rng
-    hosts = list(simulation.hosts.values())
-    host = rng.choice(hosts)
-    server = rng.choice(list(simulation.servers.values()))
-    duration_s = rng.uniform(0.3, 9.0)
-    kind = rng.choice(kinds)
-    if kind == "kill" and host.up:
-        await host.kill()
-        await asyncio.sleep(rng.uniform(0.3, 4.0))
-        simulation.start_host(host.name, host.zone)
-    elif kind == "kill_all":
-        running = [one for one in hosts if one.up]
-        for one in running:
-            await one.kill()
-        await asyncio.sleep(rng.uniform(0.3, 2.0))
-        for one in running:
-            simulation.start_host(one.name, one.zone)
-    elif kind in ("peers", "store_cut", "path", "zone"):
-        unreachable = {
-            "peers": [other.name for other in hosts if other is not host],
-            "store_cut": ["store"],
-            "path": [server.name],
-            "zone": [
-                *(other.name for other in hosts if other.zone != host.zone),
-                *(other.name for other in simulation.servers.values() if other.zone != host.zone),
-                "store",
-            ],
-        }[kind]
-        affected = [host.name]
-        if kind == "zone":
-            affected = [other.name for other in hosts if other.zone == host.zone]
-            affected += [one.name for one in simulation.servers.values() if one.zone == host.zone]
-        cuts = {frozenset((one, other)) for one in affected for other in unreachable}
-        simulation.cuts |= cuts
-        await asyncio.sleep(duration_s)
-        simulation.cuts -= cuts
-        simulation.store_reachable_since_s = simulation.loop.now_s
-    elif kind == "store":
-        simulation.store_up = False
-        await asyncio.sleep(duration_s)
-        simulation.store_up = True
-        simulation.store_reachable_since_s = simulation.loop.now_s
-    elif kind == "restored":
-        simulation.store_up = False
-        await asyncio.sleep(rng.uniform(0.2, 3.0))
-        simulation.store_data.restore(duration_s)
-        simulation.store_up = True
-        simulation.store_reachable_since_s = simulation.loop.now_s
-    elif kind == "crash" and server.up:
-        server.stop()
-        await asyncio.sleep(0.8)
-        server.registered = False
-        await asyncio.sleep(duration_s)
-        server.restart()
-        server.up = server.registered = True
-    elif kind in ("restarted", "replaced") and server.up:
-        server.stop()
-        await asyncio.sleep(0.3)
-        server.restart(new_id=kind == "replaced")
-        server.up = True
-    elif kind == "held_up":
-        held_up = rng.sample(list(simulation.servers.values()), 2)
-        for one in held_up:
-            one.calls_pass.clear()
-        await asyncio.sleep(duration_s)
-        for one in held_up:
-            one.calls_pass.set()
-    elif kind == "unseen_restart" and server.up:
-        server.reaches_store = False
-        await asyncio.sleep(rng.uniform(0.0, 1.0))
-        server.stop()
-        await asyncio.sleep(rng.uniform(0.1, 1.0))
-        server.restart()
-        server.up = True
-        await asyncio.sleep(duration_s)
-        server.reaches_store = True
-    elif kind == "unlisted":
-        server.registered = False
-        await asyncio.sleep(duration_s)
-        server.registered = True
-    elif kind == "drain":
-        server.draining = True
-        await asyncio.sleep(duration_s)
-        server.draining = False
-    elif kind == "late":
-        simulation.delayed_share = simulation.lost_share = 0.3
-        await asyncio.sleep(duration_s)
-        simulation.delayed_share = simulation.lost_share = 0.0
-
-
 async def _run_faults(simulation: Simulation, kinds: tuple[str, ...]) -> bool:
     """Injects faults, then waits for the recovery; returns whether all keys are held after it."""
     delivery = asyncio.create_task(simulation.deliver_records())
     await asyncio.sleep(5.0)
     faults = set()
     while simulation.loop.now_s < FAULTS_END_S:
-        faults.add(asyncio.create_task(_inject_fault(simulation, kinds)))
+        faults.add(asyncio.create_task(inject_fault(simulation, kinds)))
         await asyncio.sleep(simulation.rng.expovariate(0.5))
     await asyncio.gather(*faults)
     await asyncio.sleep(RECOVERY_S)
