--- a/greengagefall/tests/ownership_exploration_tests.py
+++ b/greengagefall/tests/ownership_exploration_tests.py
@@ -10,6 +10,7 @@
 import contextlib
 import logging
 import unittest
+from typing import TYPE_CHECKING
 from unittest import mock
 
 from greengagefall.gateway import assignment_store, grants, host_reports, publishing, range_moves
@@ -19,6 +20,9 @@
 from greengagefall.tests.simulated_network import SimulatedPool
 from greengagefall.tests.virtual_time import VirtualLoop
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 SEED_COUNT = 15
 # Seeds that found a fault once, with that fault.
 REGRESSIONS = {
@@ -105,42 +109,28 @@
         logging.disable(logging.CRITICAL)
         self.addCleanup(logging.disable, logging.NOTSET)
 
-    def test_no_key_is_held_twice_and_all_are_held_again(self):
-        for seed in (*range(SEED_COUNT), *REGRESSIONS):
+    def assert_none_found(self, seeds: Iterable[int], kinds: tuple[str, ...]) -> None:
+        for seed in seeds:
             with self.subTest(seed=seed):
-                violations, held = explore(seed)
+                violations, held = explore(seed, kinds)
                 self.assertEqual(violations, [])
                 self.assertTrue(held, "not all keys are held after the recovery time")
 
+    def test_no_key_is_held_twice_and_all_are_held_again(self):
+        self.assert_none_found((*range(SEED_COUNT), *REGRESSIONS), FAULT_KINDS)
+
     def test_a_new_server_at_a_reused_address_is_granted_no_lower_fence(self):
-        for seed in range(SEED_COUNT):
-            with self.subTest(seed=seed):
-                violations, held = explore(seed, REUSED_ADDRESS_FAULT_KINDS)
-                self.assertEqual(violations, [])
-                self.assertTrue(held, "not all keys are held after the recovery time")
+        self.assert_none_found(range(SEED_COUNT), REUSED_ADDRESS_FAULT_KINDS)
 
     def test_no_key_is_held_twice_after_the_store_came_back_from_an_older_copy(self):
-        for seed in range(SEED_COUNT):
-            with self.subTest(seed=seed):
-                violations, held = explore(seed, RESTORED_FAULT_KINDS)
-                self.assertEqual(violations, [])
-                self.assertTrue(held, "not all keys are held after the recovery time")
+        self.assert_none_found(range(SEED_COUNT), RESTORED_FAULT_KINDS)
 
     def test_no_key_is_held_twice_after_the_network_held_calls_up(self):
-        for seed in range(SEED_COUNT):
-            with self.subTest(seed=seed):
-                violations, held = explore(seed, HELD_UP_FAULT_KINDS)
-                self.assertEqual(violations, [])
-                self.assertTrue(held, "not all keys are held after the recovery time")
+        self.assert_none_found(range(SEED_COUNT), HELD_UP_FAULT_KINDS)
 
     def test_a_server_that_restarted_unseen_by_the_store_is_granted_no_old_fence(self):
-        for seed in range(SEED_COUNT):
-            if seed in NEW_DISPATCHER_SEEDS:
-                continue
-            with self.subTest(seed=seed):
-                violations, held = explore(seed, UNSEEN_RESTART_FAULT_KINDS)
-                self.assertEqual(violations, [])
-                self.assertTrue(held, "not all keys are held after the recovery time")
+        seeds = [seed for seed in range(SEED_COUNT) if seed not in NEW_DISPATCHER_SEEDS]
+        self.assert_none_found(seeds, UNSEEN_RESTART_FAULT_KINDS)
 
     def test_a_new_dispatcher_grants_no_old_fence_to_a_server_that_restarted_unseen(self):
         for seed in NEW_DISPATCHER_SEEDS:
