Move the keys held back after a restore out of the watcher of a prefix

The watcher reads pages, watches, applies changes and passes them on; which keys of a restored store wait, and until when, is a decision without input and output of its own. It is in gateway/held_back.py now. Behaviour is unchanged.

--- a/greengagefall/gateway/following.py
+++ b/greengagefall/gateway/following.py
@@ -14,6 +14,7 @@
 
 from result import Err
 
+from greengagefall.gateway.held_back import HeldBackKeys
 from greengagefall.ownership.model import UNKNOWN_RESTORES
 from greengagefall.store.backoff import Backoff
 from greengagefall.store.exceptions import StoreCompactedError
@@ -121,8 +122,7 @@
         self._on_delete = on_delete
         self._clock = clock
         self._keep_through_outage = keep_through_outage
-        self._reverts = reverts
-        self._restore_grace_s = restore_grace_s
+        self._held_back = HeldBackKeys(clock, reverts, restore_grace_s)
         self._host_count = host_count
         self._batch = batch
         self._watch_timeout_s = WATCH_RETENTION_SHARE * retention_s
@@ -132,10 +132,7 @@
         self._pending_removals: dict[str, asyncio.TimerHandle] = {}
         self._task: asyncio.Task | None = None
         self._reachable_since_s = -math.inf
-        self._restored_s = -math.inf
         self._resync_s = math.inf
-        self._withdrawn: set[str] = set()
-        self._held_back: set[str] = set()
         self._unreachable = False
         self._watching = False
         self.on_change: Callable[[], None] = lambda: None
@@ -147,7 +144,7 @@
     @property
     def watching(self) -> bool:
         """Whether this host itself watches the keys and can have missed no change."""
-        return self._watching and self._resync_s == math.inf and not self._held_back
+        return self._watching and self._resync_s == math.inf and not self._held_back.keys
 
     @property
     def reachable_since_s(self) -> float:
@@ -164,7 +161,7 @@
             return False
         if self._clock.now_s() < self._grace_ends_s():
             return False
-        unsettled = key in self._pending_removals or key in self._held_back
+        unsettled = key in self._pending_removals or key in self._held_back.keys
         return key in self._key_values and not unsettled
 
     def start(self) -> None:
@@ -179,9 +176,9 @@
             self._task = None
         self._watching = False
         self._resync_s = math.inf
-        if self._held_back:
+        if self._held_back.keys:
             # Has a relay send all keys, those that were held back included.
-            self._held_back = set()
+            self._held_back.release()
             self.revision = 0
 
     def close(self) -> None:
@@ -220,9 +217,7 @@
 
     def _next_full_read_s(self) -> float:
         """Returns when all keys have to be read again, apart from failures."""
-        if not self._held_back:
-            return self._resync_s
-        return min(self._resync_s, self._restored_s + self._restore_grace_s)
+        return min(self._resync_s, self._held_back.next_read_s())
 
     async def _read_changes(self, revision: int) -> int | None:
         remaining_s = self._next_full_read_s() - self._clock.now_s()
@@ -290,7 +285,7 @@
         if restores > self.restores:
             self._note_restores(restores)
         # A relay passes keys on only once none is held back.
-        self._restored_s = -math.inf
+        self._held_back.end_grace()
         self._reachable_since_s = max(self._reachable_since_s, reachable_since_s)
         if changes.revision >= self.revision:
             self._apply(changes)
@@ -311,30 +306,21 @@
         """Applies a read of all keys, except what looks like an earlier state after a restore."""
         found = {key_value.key: key_value for key_value in changes.puts}
         missing = self._key_values.keys() - found.keys()
-        self._held_back = {
-            key for key in [*found, *missing] if self._is_earlier_state(key, found.get(key))
-        }
-        if self._held_back:
+        self._held_back.choose(self._key_values, found)
+        if self._held_back.keys:
             log.info(
                 "Keys that look older than known after a restore are left as they are for now.",
-                extra={"prefix": self._prefix, "keys": sorted(self._held_back)[:MAX_LOGGED_KEYS]},
+                extra={
+                    "prefix": self._prefix,
+                    "keys": sorted(self._held_back.keys)[:MAX_LOGGED_KEYS],
+                },
             )
         for key, key_value in found.items():
-            if key not in self._held_back:
+            if key not in self._held_back.keys:
                 self._put(key_value)
-        for key in missing - self._held_back:
+        for key in missing - self._held_back.keys:
             self._delete(key, changes.revision)
 
-    def _is_earlier_state(self, key: str, found: KeyValue | None) -> bool:
-        """Returns whether what the store has of a key may be from before the known state."""
-        if self._clock.now_s() >= self._restored_s + self._restore_grace_s:
-            return False
-        known = self._key_values.get(key)
-        written_since = known is not None and known.mod_revision > 0
-        if written_since or (known is None and key not in self._withdrawn):
-            return False
-        return self._reverts(known, found)
-
     def _advance(self, revision: int) -> None:
         if not self._complete_since:
             self._complete_since = revision
@@ -355,8 +341,7 @@
         if known is not None and key_value.mod_revision <= known.mod_revision:
             return
         self._deletions.pop(key_value.key, None)
-        self._withdrawn.discard(key_value.key)
-        self._held_back.discard(key_value.key)
+        self._held_back.note_put(key_value.key)
         self._key_values[key_value.key] = key_value
         self.last_change = max(self.last_change, key_value.mod_revision)
         unchanged = known is not None and not known.mod_revision and known.value == key_value.value
@@ -368,7 +353,7 @@
         if known is None or revision < known.mod_revision:
             return
         self._note_deletion(key, revision)
-        self._held_back.discard(key)
+        self._held_back.note_deletion(key)
         grace_s = self._grace_ends_s() - self._clock.now_s()
         if self._keep_through_outage and grace_s > 0:
             if key not in self._pending_removals:
@@ -379,7 +364,7 @@
 
     def _grace_ends_s(self) -> float:
         """Returns when the writers of the keys have written their current state again."""
-        return max(self._reachable_since_s, self._restored_s) + OUTAGE_RECOVERY_GRACE_S
+        return max(self._reachable_since_s, self._held_back.restored_s) + OUTAGE_RECOVERY_GRACE_S
 
     def _remove(self, key: str) -> None:
         self._pending_removals.pop(key, None)
@@ -402,8 +387,7 @@
             "Reading all keys again, since the store was restored.",
             extra={"prefix": self._prefix, "restores": restores, "revision": self.revision},
         )
-        self._restored_s = self._clock.now_s()
-        self._withdrawn = set(self._deletions)
+        self._held_back.begin_grace(self._deletions)
         self._key_values = {
             key: known._replace(mod_revision=0) for key, known in self._key_values.items()
         }
