Explore messages between hosts that arrive seconds late

Now half of all messages can arrive 0.5 to 9 s late for a while, without a reply. Other kinds draw nothing more, so that their seeds keep their meaning.

A grant's time limit and the longest delay that is counted for it are one constant now: the first makes the second true.

--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -13,7 +13,12 @@
     NotSentError,
     SendRefusedError,
 )
-from greengagefall.ownership.key_grants import GRANT_DURATION_S, RENEW_INTERVAL_S, KeyGrantTracker
+from greengagefall.ownership.key_grants import (
+    GRANT_DURATION_S,
+    MAX_DELIVERY_DELAY_S,
+    RENEW_INTERVAL_S,
+    KeyGrantTracker,
+)
 from greengagefall.platform import grants as calls
 from greengagefall.utils.metrics import count
 
@@ -28,7 +33,8 @@
 log = logging.getLogger(__name__)
 
 MS_PER_S = 1000.0
-GRANT_TIMEOUT_S = 0.5
+# A grant is given up, and its connection reset, when it must not arrive any more.
+GRANT_TIMEOUT_S = MAX_DELIVERY_DELAY_S
 RETRY_INTERVAL_S = 0.2
 RELEASE_MIN_WAIT_S = 1.0
 RELEASE_RETRY_INTERVAL_S = 0.1
--- a/greengagefall/tests/ownership_exploration_tests.py
+++ b/greengagefall/tests/ownership_exploration_tests.py
@@ -54,6 +54,7 @@
     *["restored"] * 4,
 )
 HELD_UP_FAULT_KINDS = (*FAULT_KINDS, *["held_up"] * 4)
+LATE_MESSAGE_FAULT_KINDS = (*FAULT_KINDS, *["late_messages"] * 4)
 UNSEEN_RESTART_FAULT_KINDS = (*FAULT_KINDS, *["unseen_restart"] * 4)
 # Seeds in which a server that restarted unseen by the store also gets another dispatcher before
 # the store has its entry.
@@ -128,6 +129,9 @@
     def test_no_key_is_held_twice_after_the_network_held_calls_up(self):
         self.assert_none_found(range(SEED_COUNT), HELD_UP_FAULT_KINDS)
 
+    def test_no_key_is_held_twice_after_messages_between_hosts_arrived_late(self):
+        self.assert_none_found(range(SEED_COUNT), LATE_MESSAGE_FAULT_KINDS)
+
     def test_a_server_that_restarted_unseen_by_the_store_is_granted_no_old_fence(self):
         seeds = [seed for seed in range(SEED_COUNT) if seed not in NEW_DISPATCHER_SEEDS]
         self.assert_none_found(seeds, UNSEEN_RESTART_FAULT_KINDS)
--- a/greengagefall/tests/ownership_faults.py
+++ b/greengagefall/tests/ownership_faults.py
@@ -194,3 +194,11 @@
     simulation.delayed_share = simulation.lost_share = 0.3
     await asyncio.sleep(target.duration_s)
     simulation.delayed_share = simulation.lost_share = 0.0
+
+
+@FAULTS.register("late_messages")
+async def late_messages(simulation: Simulation, target: FaultTarget) -> None:
+    """Delivers a part of the messages between hosts after their senders gave them up."""
+    simulation.late_message_share = 0.5
+    await asyncio.sleep(target.duration_s)
+    simulation.late_message_share = 0.0
--- a/greengagefall/tests/ownership_simulation.py
+++ b/greengagefall/tests/ownership_simulation.py
@@ -42,6 +42,7 @@
         self.store_reachable_since_s = 0.0
         self.delayed_share = 0.0
         self.lost_share = 0.0
+        self.late_message_share = 0.0
         self.violations: list[str] = []
         self.cuts: set[frozenset[str]] = set()
         self.deliveries: set[asyncio.Task] = set()
--- a/greengagefall/tests/simulated_network.py
+++ b/greengagefall/tests/simulated_network.py
@@ -25,6 +25,7 @@
 GRANT_PATH_SUFFIX = "grant"
 # Longest time from the end of a cut to the retransmission of what it held up.
 MAX_RETRANSMISSION_S = 3.0
+LATE_MESSAGE_RANGE_S = (0.5, 9.0)
 
 
 class SimulatedPool:
@@ -133,6 +134,12 @@
             if target is None or not target.up or self._simulation.is_cut(self._host.name, name):
                 await asyncio.sleep(self._simulation.rng.choice((0.0, timeout_s)))
                 return UNREACHABLE
+            late_share = self._simulation.late_message_share
+            # Without such a fault nothing is drawn, so that seeds keep their meaning.
+            if late_share and self._simulation.rng.random() < late_share:
+                self._deliver_late(target, message)
+                await asyncio.sleep(timeout_s)
+                return REPLY_LOST
         try:
             async with asyncio.timeout(timeout_s):
                 reply = target.handlers.handle(target.hello, message)
@@ -142,3 +149,17 @@
         if self._simulation.rng.random() < self._simulation.lost_share:
             return REPLY_LOST
         return reply
+
+    def _deliver_late(self, target: SimulatedHost, message) -> None:
+        """Has a message arrive after its sender gave it up; its reply is lost."""
+        delivery = asyncio.create_task(self._deliver(target, message))
+        self._simulation.deliveries.add(delivery)
+        delivery.add_done_callback(self._simulation.deliveries.discard)
+
+    async def _deliver(self, target: SimulatedHost, message) -> None:
+        await asyncio.sleep(self._simulation.rng.uniform(*LATE_MESSAGE_RANGE_S))
+        if not target.up:
+            return
+        reply = target.handlers.handle(target.hello, message)
+        if hasattr(reply, "__await__"):
+            await reply
