--- a/greengagefall/config/options.py
+++ b/greengagefall/config/options.py
@@ -21,6 +21,7 @@
 FALSE_TEXTS = ("false", "0", "no", "off")
 
 Value = TypeVar("Value")
+Number = TypeVar("Number", int, float)
 
 
 class Required:
@@ -147,18 +148,27 @@
         return tuple(parts)
 
 
-class Integer(Option[int]):
-    """Integer in a range."""
-
-    metavar = "NUMBER"
+class Ranged(Option[Number]):
+    """Number in a range, both ends included."""
 
     def __init__(
-        self, default: int | Required = REQUIRED, *, minimum: int, maximum: int, help: str
+        self,
+        default: Number | Required = REQUIRED,
+        *,
+        minimum: Number,
+        maximum: Number,
+        help: str,
     ) -> None:
         super().__init__(default, help=help)
         self.minimum = minimum
         self.maximum = maximum
 
+
+class Integer(Ranged[int]):
+    """Integer in a range."""
+
+    metavar = "NUMBER"
+
     @property
     def allowed(self) -> str:
         """Allowed values."""
@@ -173,18 +183,11 @@
         return number if self.minimum <= number <= self.maximum else None
 
 
-class DurationS(Option[float]):
+class DurationS(Ranged[float]):
     """Duration in seconds, in a range."""
 
     metavar = "SECONDS"
 
-    def __init__(
-        self, default: float | Required = REQUIRED, *, minimum: float, maximum: float, help: str
-    ) -> None:
-        super().__init__(default, help=help)
-        self.minimum = minimum
-        self.maximum = maximum
-
     @property
     def allowed(self) -> str:
         """Allowed values."""
