--- a/greengagefall/bench/planted_gateway.py
+++ b/greengagefall/bench/planted_gateway.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from greengagefall.commands.gateway import main as gateway_main
+from greengagefall.dispatch import connection_pool
 from greengagefall.gateway import outcomes
 from greengagefall.gateway.grants import GrantManager
 from greengagefall.gateway.range_moves import RangeMoves
@@ -60,6 +61,12 @@
         outcomes.OUTCOMES[name] = row._replace(http_status=503, not_run=True)
 
 
+@PLANTS.register("close_without_reset")
+def close_without_reset() -> None:
+    """Closes connections to servers without discarding what is not delivered yet."""
+    connection_pool.reset_on_close = lambda sock: None
+
+
 if __name__ == "__main__":
     plant = sys.argv.pop(1)
     PLANTS[plant]()
