Connect to IP addresses without a thread

Cause: the default resolver passes even an IP address to a thread, and the 0.5 s for connecting include the wait for it. Servers and the store are named by IP address, so the pool takes these as they are; a host name is an error, and nothing was sent.

The test stands in for threads that never run: before, NotSentError as above; now the request is answered.

--- a/greengagefall/dispatch/connection_pool.py
+++ b/greengagefall/dispatch/connection_pool.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import ipaddress
 import logging
 import socket
 from collections import deque
@@ -16,6 +17,7 @@
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
 from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import Resolver
 from tornado.tcpclient import TCPClient
 
 from greengagefall.dispatch.exceptions import (
@@ -30,6 +32,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from typing import Any
 
     from tornado.httputil import ResponseStartLine
 
@@ -114,6 +117,24 @@
         return b"".join(self._chunks)
 
 
+class _AddressResolver(Resolver):
+    """Takes IP addresses as they are; the default resolver passes even those to a thread."""
+
+    async def resolve(
+        self, host: str, port: int, family: socket.AddressFamily = socket.AF_UNSPEC
+    ) -> list[tuple[int, Any]]:
+        """Returns the address with its family.
+
+        Raises:
+            OSError: ``host`` is not an IP address.
+        """
+        try:
+            version = ipaddress.ip_address(host).version
+        except ValueError as error:
+            raise OSError(f"{host} is not an IP address") from error
+        return [(socket.AF_INET if version == 4 else socket.AF_INET6, (host, port))]
+
+
 class ConnectionPool:
     """Pool of persistent connections to one address.
 
@@ -141,7 +162,7 @@
         )
         self._idle_limit_s = MAX_IDLE_S
         self._answered_ids: WeakKeyDictionary[IOStream, deque[str]] = WeakKeyDictionary()
-        self._tcp = TCPClient()
+        self._tcp = TCPClient(resolver=_AddressResolver())
 
     async def exchange(
         self,
--- a/greengagefall/tests/dispatch_connection_pool_tests.py
+++ b/greengagefall/tests/dispatch_connection_pool_tests.py
@@ -7,6 +7,7 @@
 import socket
 import sys
 import unittest
+from unittest import mock
 
 from tornado.iostream import IOStream
 
@@ -205,6 +206,18 @@
         with self.assertRaises(NotSentError):
             await pool.exchange(REQUEST, TIMEOUT_S, lambda: True)
 
+    async def test_connecting_does_not_wait_for_a_thread(self):
+        pool = await self.start_server(ScriptedAnswer(COMPLETE_ANSWER))
+        loop = asyncio.get_running_loop()
+        never = loop.create_future()
+        with mock.patch.object(loop, "run_in_executor", lambda *_: never):
+            self.assertEqual((await self.send(pool)).body, b"hello")
+
+    async def test_a_host_name_in_place_of_an_address_means_nothing_was_sent(self):
+        pool = ConnectionPool("server.example:1", LIMIT_BYTES)
+        with self.assertRaises(NotSentError):
+            await self.send(pool)
+
     async def test_refused_connection_means_nothing_was_sent(self):
         pool = await self.start_server()
         await self.server.close()
