Undo the longer wait for the entry of a server that may have restarted

One lost connection kept grants waiting for 3.3 heartbeat intervals, about as long as the keys are held.

What it was for is red again and listed: a server that restarts under its id while it is cut off from the store is granted its old fence.

--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -41,9 +41,8 @@
 CHECK_INTERVAL_S = 0.2
 # An unneeded channel stays open for this long, for releases and late requests.
 CHANNEL_CLOSE_DELAY_S = 4.0
-# After this many heartbeat intervals the store has the entry of a restarted server, or none if the
-# server does not reach the store: it drops entries that were not renewed for three intervals.
-RESTART_DETECTION_HEARTBEATS = 3.3
+# A restarted server has written its entry to the store within this many heartbeat intervals.
+RESTART_DETECTION_HEARTBEATS = 1.3
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
--- a/greengagefall/tests/ownership_exploration_tests.py
+++ b/greengagefall/tests/ownership_exploration_tests.py
@@ -56,9 +56,6 @@
 HELD_UP_FAULT_KINDS = (*FAULT_KINDS, *["held_up"] * 4)
 LATE_MESSAGE_FAULT_KINDS = (*FAULT_KINDS, *["late_messages"] * 4)
 UNSEEN_RESTART_FAULT_KINDS = (*FAULT_KINDS, *["unseen_restart"] * 4)
-# Seeds in which a server that restarted unseen by the store also gets another dispatcher before
-# the store has its entry.
-NEW_DISPATCHER_SEEDS = (3, 4, 17)
 FAULTS_END_S = 25.0
 # Time after the last fault; it covers the longest wait for the grants of an unreachable dispatcher.
 RECOVERY_S = 20.0
@@ -133,13 +130,7 @@
         self.assert_none_found(range(SEED_COUNT), LATE_MESSAGE_FAULT_KINDS)
 
     def test_a_server_that_restarted_unseen_by_the_store_is_granted_no_old_fence(self):
-        seeds = [seed for seed in range(SEED_COUNT) if seed not in NEW_DISPATCHER_SEEDS]
-        self.assert_none_found(seeds, UNSEEN_RESTART_FAULT_KINDS)
-
-    def test_a_new_dispatcher_grants_no_old_fence_to_a_server_that_restarted_unseen(self):
-        for seed in NEW_DISPATCHER_SEEDS:
-            with self.subTest(seed=seed):
-                self.assertEqual(explore(seed, UNSEEN_RESTART_FAULT_KINDS), ([], True))
+        self.assert_none_found(range(SEED_COUNT), UNSEEN_RESTART_FAULT_KINDS)
 
     def test_oracle_detects_planted_delivery_of_calls_that_were_given_up(self):
         with mock.patch.object(SimulatedPool, "resets_given_up_calls", False):
