--- a/greengagefall/bench/processes.py
+++ b/greengagefall/bench/processes.py
@@ -38,16 +38,21 @@
     environment: tuple[tuple[str, str], ...] = ()
 
 
+_remaining_ports: list[int] = []
+
+
 def free_addresses(count: int) -> list[str]:
     """Returns ``count`` loopback addresses whose ports are free now.
 
     The ports lie below the range from which the system allocates ports of outgoing
-    connections, so that a restarted process can bind its port again.
+    connections, so that a restarted process can bind its port again. A process gets no port
+    twice, since it may not have bound the first ones yet.
     """
     addresses: list[str] = []
-    ports = random.SystemRandom().sample(PORTS, len(PORTS))
     while len(addresses) < count:
-        port = ports.pop()
+        if not _remaining_ports:
+            _remaining_ports.extend(random.SystemRandom().sample(PORTS, len(PORTS)))
+        port = _remaining_ports.pop()
         if _is_free(port):
             addresses.append(f"{LOOPBACK}:{port}")
     return addresses
