--- a/review/common/server.py
+++ b/review/common/server.py
@@ -60,6 +60,7 @@
 
     Attributes:
         up: Whether its process runs.
+        registered: Whether it keeps an entry in the store.
         counts: Returns whether the rules count a grant that arrives at a time.
         held: Keys that it no longer holds, and when it did.
         runs: Requests that it began to work on, in order.
@@ -89,6 +90,7 @@
         self._written = asyncio.Event()
         self._written_s = 0.0
         self._reaches_store = True
+        self.registered = True
         self.held: list[Held] = []
         self._holds: dict[tuple[int, int], Held] = {}
         self._fences: list[tuple[int, int, int]] = []
@@ -163,6 +165,12 @@
         self._write_entry()
         return time.monotonic()
 
+    def deregister(self) -> float:
+        """Removes its entry without reporting ``draining``; returns when the store did so."""
+        self.registered = False
+        self._store.delete(f"servers/{self.server_id}")
+        return time.monotonic()
+
     def holds(self, key: int) -> bool:
         """Returns whether the server holds a key now."""
         now_s = time.monotonic()
@@ -268,6 +276,8 @@
         self._write_entry()
         while True:
             await asyncio.sleep(0.01)
+            if not self.registered:
+                return
             silent_s = time.monotonic() - self._written_s
             if self._reaches_store and self.up:
                 if silent_s >= HEARTBEAT_S and not self._store.down:
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -29,6 +29,7 @@
         self.revision = 1
         self.down = False
         self.outages = 0
+        self.watches: set[_Watch] = set()
         self.items: dict[str, dict[str, Any]] = {}
         self._events: list[dict[str, Any]] = []
         self._leases: dict[int, tuple[float, float]] = {}
@@ -70,6 +71,13 @@
             lease: (end_s + duration_s, ttl_s) for lease, (end_s, ttl_s) in self._leases.items()
         }
 
+    def cut_watches(self) -> int:
+        """Ends the connections of all waiting watches; returns how many there were."""
+        watches = list(self.watches)
+        for watch in watches:
+            watch.request.connection.stream.close()
+        return len(watches)
+
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Writes a key; the return of this call is the acknowledgement."""
         self.revision += 1
@@ -194,7 +202,13 @@
         wait_s = int(self.get_argument("waitMs")) / 1000
         after = int(self.get_argument("after"))
         outages = self.store.outages
-        events = await self.store.events(self.get_argument("prefix"), after, wait_s)
+        self.store.watches.add(self)
+        try:
+            events = await self.store.events(self.get_argument("prefix"), after, wait_s)
+        finally:
+            self.store.watches.discard(self)
+        if self.request.connection.stream.closed():
+            return
         if self.store.outages != outages:
             await self.no_response()
         self.finish({"events": events, "at": self.store.revision})
