--- a/review/1/case.py
+++ b/review/1/case.py
@@ -130,6 +130,8 @@
         )
     served = sum(reply.status == 200 for reply in traffic.replies)
     record.say(f"{len(traffic.replies)} requests, {served} served")
+    if not served:
+        return fleet.EXIT_NOT_RUN
     broken = any(both.end_s - both.start_s > BOTH_HOLD_S for both in found)
     return fleet.EXIT_BROKEN if broken else fleet.EXIT_HELD
 
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -129,12 +130,13 @@
             await wait_for(lambda gateway=gateway: is_ready(gateway), READY_TIMEOUT_S)
 
     async def close(self) -> None:
-        """Ends all processes."""
+        """Ends all processes and removes their folder."""
         for process in self._processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
             await asyncio.to_thread(process.wait)
+        shutil.rmtree(self._folder, ignore_errors=True)
 
     def _prepare(self, ports: Ports, store_address: str, number: int) -> Gateway:
         ip = ports.ip()
