Have a restarted server release its keys before others get them

A server that is cut off from the store but not from the hosts crashes, starts again under its id and is granted the keys of its former incarnation, since the store still lists that one. Once its new entry arrives, the keys go to others at once.

Cause: RangeMoves took a newer incarnation of the former owner as proof that nothing is held, sent no release and waited for no grant to expire. The newer incarnation may hold the keys by grants that were meant for the former one.

Now every move sends the release and waits for the answer, or until all grants of the former owner have expired. A new incarnation under the same id answers the release like the former one, so that a restart that the store shows costs one more call, not a wait.

--- a/greengagefall/gateway/coordinator.py
+++ b/greengagefall/gateway/coordinator.py
@@ -81,7 +81,7 @@
         self._move_planner = MovePlanner(self._reports, clock)
         self._publisher = AssignmentPublisher(peers, self._reports, clock)
         self._step_needed = asyncio.Event()
-        self._moves = RangeMoves(view, peers, self._reports, clock, self._step_needed.set)
+        self._moves = RangeMoves(peers, self._reports, clock, self._step_needed.set)
         self._task: asyncio.Task | None = None
 
     def start(self) -> None:
--- a/greengagefall/gateway/range_moves.py
+++ b/greengagefall/gateway/range_moves.py
@@ -30,7 +30,6 @@
 
     from greengagefall.gateway.host_reports import HostReports
     from greengagefall.gateway.peers import Peers
-    from greengagefall.gateway.view import ClusterView
     from greengagefall.utils.clock import Clock
 
 log = logging.getLogger(__name__)
@@ -61,7 +60,6 @@
     """The moves of one coordinator's assignment.
 
     Args:
-        view: The cluster view of this host.
         peers: Calls to other hosts.
         reports: Reports of the entry hosts.
         clock: Clock that counts suspended time.
@@ -73,14 +71,12 @@
 
     def __init__(
         self,
-        view: ClusterView,
         peers: Peers,
         reports: HostReports,
         clock: Clock,
         on_released: Callable[[], None],
     ) -> None:
         self.released_since_s = math.inf
-        self._view = view
         self._peers = peers
         self._reports = reports
         self._clock = clock
@@ -195,10 +191,13 @@
     async def _release(self, move_id: _MoveId, key_range: KeyRange, version: int) -> str:
         """Waits until the former owner certainly holds no grant of the range.
 
+        A newer incarnation of the former owner is no proof: it may have been granted the range
+        before the store had its entry. It answers the release, too.
+
         Returns:
             The handover token; empty if the former owner did not confirm the release.
         """
-        while not self._view.has_newer_incarnation(key_range.source):
+        while True:
             ended_s = self._source_grants_end_s(move_id, key_range, version)
             reply = await self._order_release(key_range, version)
             if reply is not None and reply.released:
@@ -210,7 +209,6 @@
             if remaining_s <= 0:
                 return ""
             await asyncio.sleep(min(RETRY_INTERVAL_S, remaining_s))
-        return ""
 
     def _granters(self, key_range: KeyRange) -> tuple[HostIncarnation, ...]:
         """Returns the host incarnations that may renew grants of a range's former owner."""
