Give keys a new fence where a server may have restarted unseen

Cause: after a lost connection a dispatcher waited 1.3 heartbeat intervals and then took the store's entry as proof of the incarnation. That is how long a restarted server takes to write its entry if it reaches the store; behind a cut the old entry stays for three intervals. A new dispatcher and one that had a mere timeout did not wait at all.

Now gateway/incarnation_check.py decides: old fences wait until the store would have dropped an old entry (3.3 intervals), or for an executed request for a key held under an old fence. New fences may be granted to either incarnation as before, and where keys would lapse first, the dispatcher asks the coordinator for new fences with its heartbeat. A change of dispatcher replaces them in the same write.

--- a/greengagefall/gateway/beats.py
+++ b/greengagefall/gateway/beats.py
@@ -71,6 +71,7 @@
     def start(self) -> None:
         """Starts the task that sends heartbeats."""
         self._view.add_listener(self._on_change)
+        self._channels.on_new_fence_needed = self.request_update
         self._task = asyncio.create_task(self._run(), name="beats")
 
     def close(self) -> None:
@@ -98,6 +99,7 @@
                 self._channels.server_states(),
                 self._channels.pop_key_counts(),
                 self._channels.rate_limits(),
+                self._channels.suspect_fences(),
             )
             reply = await self._peers.call(coordinator.host, message, HEARTBEAT_TIMEOUT_S)
             if isinstance(reply, BeatReply):
--- a/greengagefall/gateway/coordinator.py
+++ b/greengagefall/gateway/coordinator.py
@@ -33,6 +33,7 @@
     from greengagefall.gateway.model import Service
     from greengagefall.gateway.peers import Peers
     from greengagefall.gateway.view import ClusterView
+    from greengagefall.ownership.model import KeyRange
     from greengagefall.platform.store import PlatformStore
     from greengagefall.utils.clock import Clock
 
@@ -180,7 +181,7 @@
             return
         self._reports.keep_servers(self._view.servers)
         cleared_sources = self._moves.clear_released_sources(self._assignment)
-        wanted = self._plan_dispatching(cleared_sources)
+        wanted = self._replace_fences(self._plan_dispatching(cleared_sources))
         for service in self._view.routing_table.services.values():
             if service.keyed:
                 wanted = self._plan_moves(wanted, service)
@@ -235,6 +236,24 @@
         }
         return assignment._replace(dispatchers=cleared)
 
+    def _replace_fences(self, assignment: Assignment) -> Assignment:
+        """Gives new fences to the keys of servers that may have restarted unseen.
+
+        A new dispatcher can't know whether a server restarted while it had none.
+        """
+        before = self._assignment.dispatchers
+        taken_over = {
+            server_id
+            for server_id, dispatching in assignment.dispatchers.items()
+            if server_id in before and dispatching.dispatcher != before[server_id].dispatcher
+        }
+
+        def is_outdated(key_range: KeyRange) -> bool:
+            owner = key_range.owner
+            return owner.server_id in taken_over or self._reports.is_suspect(owner, key_range.fence)
+
+        return key_moves.replace_fences(assignment, is_outdated)
+
     def _still_granting(
         self, server_id: str, dispatching: DispatcherRecord
     ) -> tuple[HostIncarnation, ...]:
--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -43,6 +43,8 @@
 CHANNEL_CLOSE_DELAY_S = 4.0
 # A restarted server has written its entry to the store within this many heartbeat intervals.
 RESTART_DETECTION_HEARTBEATS = 1.3
+# The store has dropped the entry of a server after this many heartbeat intervals of silence.
+ENTRY_EXPIRY_HEARTBEATS = 3.3
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
@@ -58,6 +60,9 @@
         clock: Clock that counts suspended time.
         open_pool: Creates the connection pool of a server from its address.
         stop: Which requests are taken while this host stops; by default it never stops.
+
+    Attributes:
+        on_new_fence_needed: Called while a server's keys need new fencing tokens.
     """
 
     def __init__(
@@ -72,6 +77,8 @@
         self._view = view
         self._clock = clock
         self._channels: dict[ServerIncarnation, ServerChannel] = {}
+        self.on_new_fence_needed: Callable[[], None] = lambda: None
+        self._sent_fences: dict[str, int] = {}
         self._unneeded_since_s: dict[ServerIncarnation, float] = {}
         self._key_counters: dict[str, KeyCounter] = {}
         self._task: asyncio.Task | None = None
@@ -191,6 +198,15 @@
             if self._dispatches(incarnation) and channel.rate_limit.rate_per_s != UNLIMITED
         )
 
+    def suspect_fences(self) -> tuple[list[Any], ...]:
+        """Returns the fencing tokens to replace, as ``HostBeat.suspect_fences``."""
+        return tuple(
+            [*incarnation, fence]
+            for incarnation, channel in self._channels.items()
+            if channel.grants is not None and self._dispatches(incarnation)
+            if (fence := channel.grants.fence_to_replace())
+        )
+
     def pop_key_counts(self) -> list[list[Any]]:
         """Returns the requests by key since the last call, as ``HostBeat.key_counts``."""
         return [[service, counter.pop_counts()] for service, counter in self._key_counters.items()]
@@ -214,13 +230,20 @@
             RESTART_DETECTION_HEARTBEATS * self._view.settings.heartbeat_s,
             self._view.store_lag_s,
             self._stop,
+            ENTRY_EXPIRY_HEARTBEATS * self._view.settings.heartbeat_s,
+            self._sent_fences.get(server_id, 0),
         )
+        if channel.grants is not None:
+            channel.grants.on_new_fence_needed = self._request_new_fence
         self._channels[incarnation] = channel
         named_per_s = self._view.rate_limits.get(incarnation)
         if named_per_s is not None:
             channel.take_over_rate_limit(named_per_s)
         channel.start()
 
+    def _request_new_fence(self) -> None:
+        self.on_new_fence_needed()
+
     def _choose(self, request: Dispatch) -> ServerChannel | None:
         if request.server_id:
             entry = self._view.servers.get(request.server_id)
@@ -299,9 +322,21 @@
                 continue
             since_s = self._unneeded_since_s.setdefault(incarnation, now_s)
             if now_s - since_s > CHANNEL_CLOSE_DELAY_S:
-                channel.close()
-                del self._channels[incarnation]
-                del self._unneeded_since_s[incarnation]
+                self._close(incarnation)
+
+    def _close(self, incarnation: ServerIncarnation) -> None:
+        """Closes a channel, but remembers which fencing tokens the server may have."""
+        channel = self._channels.pop(incarnation)
+        channel.close()
+        del self._unneeded_since_s[incarnation]
+        known = self._view.assignment.dispatchers
+        self._sent_fences = {
+            server_id: fence for server_id, fence in self._sent_fences.items() if server_id in known
+        }
+        if channel.grants is not None and incarnation.server_id in known:
+            before = self._sent_fences.get(incarnation.server_id, 0)
+            sent_fence = max(before, channel.grants.sent_fence)
+            self._sent_fences[incarnation.server_id] = sent_fence
 
 
 def _order_fields(order: ReleaseKeys | GrantKeys) -> dict[str, object]:
--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -13,6 +13,7 @@
     NotSentError,
     SendRefusedError,
 )
+from greengagefall.gateway.incarnation_check import IncarnationCheck
 from greengagefall.ownership.key_grants import (
     GRANT_DURATION_S,
     MAX_DELIVERY_DELAY_S,
@@ -37,6 +38,8 @@
 GRANT_TIMEOUT_S = MAX_DELIVERY_DELAY_S
 RETRY_INTERVAL_S = 0.2
 RELEASE_MIN_WAIT_S = 1.0
+# A new fencing token is requested this long before a grant expires.
+NEW_FENCE_MARGIN_S = 1.2
 RELEASE_RETRY_INTERVAL_S = 0.1
 
 
@@ -67,10 +70,13 @@
         clock: Clock that counts suspended time.
         is_assignment_current: Whether the assignment is recent enough for renewing grants.
         is_entry_current: Whether this host would know by now if the server had restarted.
-        restart_detection_s: Time after a lost connection by which the store has the entry of a new
-            incarnation. Nothing is granted until this host knows the entries of that time, since a
-            new incarnation must not get the old fencing tokens.
+        restart_detection_s: As for ``IncarnationCheck``, like the parameters after it.
         store_lag_s: Returns how long ago this host certainly knew all entries.
+        entry_expiry_s: Time in which the store drops the entry of a server that ended.
+        suspect_fence: Highest fencing token that this host may have granted to the server before.
+
+    Attributes:
+        on_new_fence_needed: Called while keys can only be granted under a new fencing token.
     """
 
     def __init__(
@@ -83,19 +89,23 @@
         is_entry_current: Callable[[], bool],
         restart_detection_s: float = 0.0,
         store_lag_s: Callable[[], float] = lambda: 0.0,
+        entry_expiry_s: float = 0.0,
+        suspect_fence: int = 0,
     ) -> None:
-        self._restart_detection_s = restart_detection_s
-        self._store_lag_s = store_lag_s
-        # A dispatcher that takes over may still have the entry of an earlier incarnation.
-        self._unverified = True
-        self._unverified_since_s = clock.now_s()
-        self._unverified_until_s = 0.0
+        self.on_new_fence_needed: Callable[[], None] = lambda: None
+        self._check = IncarnationCheck(
+            clock,
+            is_entry_current,
+            restart_detection_s,
+            entry_expiry_s,
+            store_lag_s,
+            suspect_fence,
+        )
         self._incarnation = incarnation
         self._pool = pool
         self._health = health
         self._clock = clock
         self._is_assignment_current = is_assignment_current
-        self._is_entry_current = is_entry_current
         self._tracker = KeyGrantTracker(clock)
         self._key_ranges: list[KeyRange] = []
         self._ordered_grants: set[tuple[int, int, int]] = set()
@@ -133,18 +143,38 @@
 
     def on_connection_lost(self) -> None:
         """Suspends grants, since the server may have restarted."""
-        self._mark_unverified(self._restart_detection_s)
+        self._check.on_connection_lost()
 
-    def on_request_executed(self, sent_s: float) -> None:
+    def on_request_executed(self, key: int, sent_s: float) -> None:
         """Takes an executed request for a held key as proof that the incarnation is the same.
 
         Args:
+            key: The key.
             sent_s: When the request was sent.
         """
-        if self._unverified and sent_s >= self._unverified_since_s:
-            self._unverified = False
+        key_range = self._find_key_range(key)
+        if key_range is not None and self._check.on_executed(key_range.fence, sent_s):
             self._renewal_needed.set()
 
+    @property
+    def sent_fence(self) -> int:
+        """Highest fencing token that this host may have granted to the server."""
+        return self._check.sent_fence
+
+    def fence_to_replace(self) -> int:
+        """Returns the highest fencing token that has to be replaced soon, 0 for none.
+
+        That is so if the server may have restarted and keys lapse before that is known.
+        """
+        lapse_s = self._clock.now_s() + NEW_FENCE_MARGIN_S
+        needed = any(
+            self._check.needs_new_fence(key_range.fence)
+            and self._tracker.held_until_s(key_range.first, key_range.last, key_range.fence)
+            < lapse_s
+            for key_range in self._key_ranges
+        )
+        return self._check.suspect_fence if needed else 0
+
     def owns(self, key: int) -> bool:
         """Returns whether the server owns the key according to the assignment."""
         return self._find_key_range(key) is not None
@@ -258,27 +288,11 @@
                 return key_range
         return None
 
-    def _mark_unverified(self, min_s: float) -> None:
-        """Marks the incarnation as unverified for at least ``min_s``."""
-        now_s = self._clock.now_s()
-        self._unverified = True
-        self._unverified_since_s = now_s
-        self._unverified_until_s = max(self._unverified_until_s, now_s + min_s)
-
-    def _is_unverified(self) -> bool:
-        """Returns whether the server may have restarted without the store showing it yet."""
-        if not self._unverified:
-            return False
-        known_s = self._clock.now_s() - self._store_lag_s()
-        if known_s >= self._unverified_until_s and self._is_entry_current():
-            self._unverified = False
-        return self._unverified
-
     def _may_grant(self, key_range: KeyRange) -> bool:
         if not self._is_assignment_current() or key_range not in self._key_ranges:
             return False
         grant_id = (key_range.first, key_range.last, key_range.fence)
-        if grant_id in self._superseded_grants or self._is_unverified():
+        if grant_id in self._superseded_grants or not self._check.may_grant(key_range.fence):
             return False
         return not key_range.moving or grant_id in self._ordered_grants
 
@@ -291,7 +305,10 @@
                 if self._may_grant(key_range)
             ]
             outcomes = await asyncio.gather(*sends)
-            pause_s = RENEW_INTERVAL_S if all(outcomes) else RETRY_INTERVAL_S
+            if self.fence_to_replace():
+                self.on_new_fence_needed()
+            settled = all(outcomes) and self._check.settled
+            pause_s = RENEW_INTERVAL_S if settled else RETRY_INTERVAL_S
             try:
                 async with asyncio.timeout(pause_s):
                     await self._renewal_needed.wait()
@@ -309,6 +326,7 @@
         def may_send() -> bool:
             allowed = self._may_grant(key_range)
             if allowed:
+                self._check.record_sent(key_range.fence)
                 self._tracker.record_sent(key_range.first, key_range.last)
             return allowed
 
@@ -339,10 +357,10 @@
         if isinstance(error, AnswerMismatchError):
             return
         self._health.record_failure(refused=not sent)
-        # After a mere timeout no wait is needed if the store shows the current incarnation.
-        self._mark_unverified(
-            0.0 if isinstance(error, AnswerTimeoutError) else self._restart_detection_s
-        )
+        if isinstance(error, AnswerTimeoutError):
+            self._check.on_timeout()
+        else:
+            self._check.on_connection_lost()
 
     def _on_refused(self, grant_id: tuple[int, int, int], status: int) -> None:
         """Records why the server refused a grant; 409 ends its repetition."""
@@ -352,7 +370,7 @@
             # accept this lower one.
             self._superseded_grants.add(grant_id)
         if status == calls.HTTP_MISDIRECTED:
-            self._mark_unverified(self._restart_detection_s)
+            self._check.on_connection_lost()
         count("grants_refused", status=str(status))
         log.warning(
             "Backend server refused a grant of keys; retrying unless the status is 409.",
--- a/greengagefall/gateway/host_reports.py
+++ b/greengagefall/gateway/host_reports.py
@@ -10,7 +10,7 @@
 from greengagefall.ownership.balance import LoadEstimate
 from greengagefall.ownership.key_grants import MAX_DELIVERY_DELAY_S, max_grant_lifetime_s
 from greengagefall.ownership.key_load import KeyRates
-from greengagefall.ownership.model import HostIncarnation
+from greengagefall.ownership.model import HostIncarnation, ServerIncarnation
 from greengagefall.ownership.shares import ServerCapacity
 
 if TYPE_CHECKING:
@@ -73,6 +73,7 @@
         self._service_time_s: dict[str, float] = {}
         self._steady_service_time_s: dict[str, float] = {}
         self._rate_limits: dict[str, list[Any]] = {}
+        self._suspect_fences: dict[ServerIncarnation, int] = {}
 
     def record_heartbeat(self, heartbeat: HostBeat) -> bool:
         """Records a heartbeat; returns whether the coordinator should plan again at once."""
@@ -87,8 +88,9 @@
         self._record_key_counts(heartbeat, now_s)
         health_changed = self._record_server_states(heartbeat)
         self._record_rate_limits(heartbeat)
+        suspects = self._record_suspect_fences(heartbeat)
         known = before is not None and before.heartbeat.start_ms == heartbeat.start_ms
-        return health_changed or not known or heartbeat.stopping
+        return health_changed or suspects or not known or heartbeat.stopping
 
     def record_ack(self, host: HostIncarnation, version: int) -> None:
         """Records that a host has a version of the assignment."""
@@ -158,6 +160,11 @@
         """Forgets what was reported about servers that are not known any more."""
         self.down_servers = {server_id for server_id in self.down_servers if server_id in known}
         self._rate_limits = _known_rows(self._rate_limits, known)
+        self._suspect_fences = {
+            owner: fence
+            for owner, fence in self._suspect_fences.items()
+            if owner.server_id in known
+        }
         self._service_time_s = _known_rows(self._service_time_s, known)
         self._steady_service_time_s = _known_rows(self._steady_service_time_s, known)
 
@@ -165,6 +172,10 @@
         """Returns the rate limits that servers name, as ``AssignmentPush.rate_limits``."""
         return tuple(self._rate_limits.values())
 
+    def is_suspect(self, owner: ServerIncarnation, fence: int) -> bool:
+        """Returns whether keys of a server that may have restarted need a new fencing token."""
+        return fence <= self._suspect_fences.get(owner, 0)
+
     def current_load(
         self, service: str, entries: Iterable[ServerEntry], cold_rate_per_s: float
     ) -> LoadEstimate:
@@ -260,6 +271,27 @@
         for row in heartbeat.rate_limits:
             self._rate_limits[row[0]] = row
 
+    def _record_suspect_fences(self, heartbeat: HostBeat) -> bool:
+        """Replaces the suspect fencing tokens of a host's servers; returns whether any are new."""
+        reported = {
+            ServerIncarnation(server_id, start_ms): fence
+            for server_id, start_ms, fence in heartbeat.suspect_fences
+        }
+        new = reported.items() - self._suspect_fences.items()
+        for incarnation, fence in new:
+            log.info(
+                "Backend server may have restarted unseen; its keys get new fencing tokens.",
+                extra={"server": incarnation.server_id, "fence": fence, "by": heartbeat.host},
+            )
+        dispatched = {server_id for server_id, *_ in heartbeat.server_states}
+        kept = {
+            incarnation: fence
+            for incarnation, fence in self._suspect_fences.items()
+            if incarnation.server_id not in dispatched
+        }
+        self._suspect_fences = kept | reported
+        return bool(new)
+
     def _record_key_counts(self, heartbeat: HostBeat, now_s: float) -> None:
         for service, keys_and_counts in heartbeat.key_counts:
             estimates = (
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -68,6 +68,8 @@
             its entry.
         store_lag_s: Returns how long ago this host certainly knew all entries.
         stop: Which requests are sent while this host stops; by default it never stops.
+        entry_expiry_s: Time in which the store drops the entry of a server that ended.
+        suspect_fence: Highest fencing token that this host may have granted to the server before.
 
     Attributes:
         entry: Newest entry of the incarnation.
@@ -90,6 +92,8 @@
         restart_detection_s: float = 0.0,
         store_lag_s: Callable[[], float] = lambda: 0.0,
         stop: StopAdmission | None = None,
+        entry_expiry_s: float = 0.0,
+        suspect_fence: int = 0,
     ) -> None:
         self.entry = entry
         self.incarnation = entry.incarnation
@@ -112,6 +116,8 @@
                 is_entry_current,
                 restart_detection_s,
                 store_lag_s,
+                entry_expiry_s,
+                suspect_fence,
             )
             pool.on_idle_close = self._grants.on_connection_lost
         self._waiting = SlotWaiting(self.queue)
@@ -284,7 +290,7 @@
         self._record_rate_limit(answer, sent_s)
         outcome = self._convert_answer(request, answer)
         if isinstance(outcome, Dispatched) and self._grants is not None:
-            self._grants.on_request_executed(sent_s)
+            self._grants.on_request_executed(request.key, sent_s)
         return outcome
 
     def _record_rate_limit(self, answer: HttpAnswer, sent_s: float) -> None:
--- a/greengagefall/ownership/key_grants.py
+++ b/greengagefall/ownership/key_grants.py
@@ -70,6 +70,10 @@
             for (first, last, granted_fence), until_s in self._confirmed.items()
         )
 
+    def held_until_s(self, first: int, last: int, fence: int) -> float:
+        """Returns until when the server certainly holds a range that was granted as it is."""
+        return self._confirmed.get((first, last, fence), 0.0)
+
     def grants_expired_by_s(self, first: int, last: int) -> float:
         """Returns the time from which no grant of this host is in force for any of the keys."""
         self._drop_expired()
--- a/greengagefall/ownership/key_moves.py
+++ b/greengagefall/ownership/key_moves.py
@@ -7,7 +7,7 @@
 from greengagefall.ownership.model import Assignment, KeyRange, ServerIncarnation
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
 
 REASON_NO_OWNER = "no_usable_owner"
@@ -64,6 +64,30 @@
     return kept
 
 
+def replace_fences(assignment: Assignment, is_outdated: Callable[[KeyRange], bool]) -> Assignment:
+    """Gives key ranges a new highest fence each; their owners stay.
+
+    A server accepts a grant with a higher fencing token for keys that it already holds.
+
+    Args:
+        assignment: The assignment.
+        is_outdated: Returns whether a key range that is not moving needs a new fence.
+    """
+    fence = assignment.last_fence
+    by_service = {}
+    for service, key_ranges in assignment.key_ranges.items():
+        replaced = []
+        for key_range in key_ranges:
+            if not key_range.moving and is_outdated(key_range):
+                fence += 1
+                key_range = key_range._replace(fence=fence)
+            replaced.append(key_range)
+        by_service[service] = tuple(replaced)
+    if fence == assignment.last_fence:
+        return assignment
+    return assignment._replace(last_fence=fence, key_ranges=by_service)
+
+
 def merge_adjacent_ranges(assignment: Assignment, service: str) -> Assignment:
     """Joins adjacent key ranges of one owner that are not moving, under a new highest fence.
 
--- a/greengagefall/protocol/gateway_messages.py
+++ b/greengagefall/protocol/gateway_messages.py
@@ -106,6 +106,9 @@
         key_counts: For each keyed service: its name, and keys and their counts alternately.
         rate_limits: For each server that it dispatches and that names a rate limit: id, start time
             of its incarnation, and requests per second.
+        suspect_fences: For each server that it dispatches and that may have restarted: id, start
+            time of the incarnation that owns its keys, and the highest fencing token that has to be
+            replaced before they are granted again.
     """
 
     call_id: int
@@ -116,6 +119,7 @@
     server_states: list[list[Any]]
     key_counts: list[list[Any]]
     rate_limits: Sequence[list[Any]] = ()
+    suspect_fences: Sequence[list[Any]] = ()
 
 
 @message("hr")
--- a/greengagefall/tests/gateway_grants_tests.py
+++ b/greengagefall/tests/gateway_grants_tests.py
@@ -70,7 +70,7 @@
     async def test_executed_request_for_a_held_key_verifies_the_incarnation(self):
         lost_s = await self.lose_connection()
         await asyncio.sleep(0.1)
-        self.manager.on_request_executed(self.clock.now_s())
+        self.manager.on_request_executed(KEY_RANGE.first, self.clock.now_s())
         self.assertTrue(await wait_until(lambda: self.pool.sent_s, 1.0))
         self.assertLess(self.pool.sent_s[0] - lost_s, 1.0)
 
--- a/greengagefall/tests/gateway_unseen_restart_tests.py
+++ b/greengagefall/tests/gateway_unseen_restart_tests.py
@@ -64,6 +64,13 @@
                 held_twice = [found for found in self.play(seed) if " while " in found]
                 self.assertEqual(held_twice, [])
 
+    def test_a_server_that_restarted_unseen_is_granted_no_fence_of_its_former_incarnation(self):
+        # The store's entry of the former incarnation was taken as proof that it still runs.
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                same_fence = [found for found in self.play(seed) if "had keys of it" in found]
+                self.assertEqual(same_fence, [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/greengagefall/tests/ownership_exploration_tests.py
+++ b/greengagefall/tests/ownership_exploration_tests.py
@@ -14,6 +14,7 @@
 from unittest import mock
 
 from greengagefall.gateway import assignment_store, grants, host_reports, publishing, range_moves
+from greengagefall.gateway.incarnation_check import IncarnationCheck
 from greengagefall.gateway.view import ClusterView
 from greengagefall.tests.ownership_faults import inject_fault
 from greengagefall.tests.ownership_simulation import Simulation
@@ -60,6 +61,9 @@
 # Time after the last fault; it covers the longest wait for the grants of an unreachable dispatcher.
 RECOVERY_S = 20.0
 PLANTED_SEED_COUNT = 40
+# Seeds in which a new server gets a former one's keys at its address, although grants of the former
+# one's fencing tokens wait for a proof that it did not restart.
+REUSED_ADDRESS_SEEDS = (58, 119)
 # Seeds with hosts that are cut off for longer than grants last, while their servers are replaced.
 SENT_VERSION_SEEDS = (39, 84, 86, 111, 112)
 
@@ -148,8 +152,19 @@
 
     def test_oracle_detects_planted_ignored_reuse_of_an_address(self):
         with mock.patch.object(ClusterView, "_note_address", lambda self, entry: None):
+            for seed in REUSED_ADDRESS_SEEDS:
+                with self.subTest(seed=seed):
+                    self.assertTrue(explore(seed, REUSED_ADDRESS_FAULT_KINDS)[0])
+        self.assert_none_found(REUSED_ADDRESS_SEEDS, REUSED_ADDRESS_FAULT_KINDS)
+
+    def test_oracle_detects_planted_trust_in_the_entry_of_a_restarted_server(self):
+        def ignore_suspicion(self, fence):
+            self._update()
+            return not self._unverified
+
+        with mock.patch.object(IncarnationCheck, "may_grant", ignore_suspicion):
             caught = any(
-                explore(seed, REUSED_ADDRESS_FAULT_KINDS)[0] for seed in range(PLANTED_SEED_COUNT)
+                explore(seed, UNSEEN_RESTART_FAULT_KINDS)[0] for seed in range(PLANTED_SEED_COUNT)
             )
         self.assertTrue(caught)
 
