Refuse records with fields that nothing can be computed with

The class: any record that raises something else, or decodes into what breaks later. Searched: every field of servers/ and op/. Found beside the entry's numbers: numbers of 400 digits (float arithmetic), ports out of range or in digits of other scripts, addresses that are none, ids that can't stand in a header (line ends, other scripts), texts with lone surrogates (no CBOR message can carry them to other hosts), limits that are a list, splits without weight (raise at each request), and messages as long as the record. Nested values are found sound up to the JSON decoder's own limit; they are shown in short now.

platform/fields.py checks each field once: finite, bounded, encodable.

The tests failed before: 60 checks in 7 of 10 tests, for example ValueError out of decode_server_entry for NaN.

--- a/greengagefall/platform/records.py
+++ b/greengagefall/platform/records.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
-import json
 import math
 from typing import Any
 
 from greengagefall.gateway.model import Destination, Route, RoutingTable, ServerEntry, Service
 from greengagefall.platform.exceptions import RecordError
+from greengagefall.platform.fields import (
+    MAX_NUMBER,
+    check_token,
+    read_address,
+    read_number,
+    read_object,
+    read_rows,
+    read_text,
+    read_whole_number,
+    shown,
+)
 
 SERVERS_PREFIX = "servers/"
 OPERATOR_PREFIX = "op/"
@@ -20,6 +30,8 @@
 KINDS = (KIND_SAFE, "unsafe")
 VERSION_RADIX = 16
 DEFAULT_OBJECTIVE_S = 1.0
+MAX_SLOTS = 1_000_000
+MAX_VERSION_DIGITS = 64
 
 
 def server_id_of_key(key: str) -> str:
@@ -40,30 +52,24 @@
     Raises:
         RecordError: The entry is not a JSON object, or a field is missing or malformed.
     """
-    fields = _object(key, value)
-    state = _text(key, fields, "state")
+    server_id = check_token(key, "id", server_id_of_key(key))
+    fields = read_object(key, value)
+    state = read_text(key, fields, "state")
     if state not in (STATE_READY, STATE_DRAINING):
         raise RecordError(
-            f"{key}: state is {state!r}; expected {STATE_READY!r} or {STATE_DRAINING!r}"
+            f"{key}: state is {shown(state)}; expected {STATE_READY!r} or {STATE_DRAINING!r}"
         )
-    slots = _number(key, fields, "maxConcurrency")
-    if slots < 1:
-        raise RecordError(f"{key}: maxConcurrency is {slots}; expected at least 1")
-    address = _text(key, fields, "address")
-    if not address.rpartition(":")[2].isdigit():
-        raise RecordError(f"{key}: address is {address!r}; expected IP:port")
-    start_ms = fields.get("born", 0)
-    if isinstance(start_ms, bool) or not isinstance(start_ms, int):
-        raise RecordError(f"{key}: born is {start_ms!r}; expected a whole number")
     return ServerEntry(
-        server_id=server_id_of_key(key),
-        service=_text(key, fields, "service"),
-        address=address,
-        zone=_text(key, fields, "zone"),
-        slots=int(slots),
+        server_id=server_id,
+        service=read_text(key, fields, "service"),
+        address=read_address(key, fields, "address"),
+        zone=read_text(key, fields, "zone"),
+        slots=int(read_number(key, fields, "maxConcurrency", minimum=1, maximum=MAX_SLOTS)),
         draining=state == STATE_DRAINING,
-        cold_remaining_s=max(0.0, _number(key, fields, "warmupLeftS", 0.0)),
-        start_ms=start_ms,
+        cold_remaining_s=max(
+            0.0, read_number(key, fields, "warmupLeftS", 0.0, minimum=-MAX_NUMBER)
+        ),
+        start_ms=read_whole_number(key, fields, "born", 0),
     )
 
 
@@ -73,106 +79,86 @@
     Raises:
         RecordError: The configuration is not a JSON object, or a field is missing or malformed.
     """
-    fields = _object(ROUTING_KEY, value)
-    try:
-        version = int(_text(ROUTING_KEY, fields, "version"), VERSION_RADIX)
-    except ValueError as error:
-        raise RecordError(
-            f"{ROUTING_KEY}: version is {fields['version']!r}; expected a hexadecimal number"
-        ) from error
+    fields = read_object(ROUTING_KEY, value)
     limits = fields.get("limits") or {}
+    if not isinstance(limits, dict):
+        raise RecordError(f"{ROUTING_KEY}: limits is {shown(limits)}; expected an object")
     routes: dict[str, tuple[Route, ...]] = {}
-    for listener in _rows(fields, "listeners"):
-        host_name = _text(ROUTING_KEY, listener, "hostname")
-        rules = [_route(host_name, rule) for rule in _rows(listener, "routingRules")]
+    for listener in read_rows(ROUTING_KEY, fields, "listeners"):
+        host_name = read_text(ROUTING_KEY, listener, "hostname")
+        rules = [
+            _route(host_name, rule) for rule in read_rows(ROUTING_KEY, listener, "routingRules")
+        ]
         host_routes = [*routes.get(host_name, ()), *rules]
         routes[host_name] = tuple(sorted(host_routes, key=lambda route: -len(route.prefix)))
-    services = [_service(row) for row in _rows(fields, "clusters")]
+    services = [_service(row) for row in read_rows(ROUTING_KEY, fields, "clusters")]
     return RoutingTable(
-        version=version,
+        version=_version(fields),
         routes=routes,
         services={service.name: service for service in services},
-        max_header_bytes=int(_number(ROUTING_KEY, limits, "maxHeaderBytes", 65_536)),
-        max_body_bytes=int(_number(ROUTING_KEY, limits, "maxBodyBytes", 67_108_864)),
-        idle_timeout_s=_number(ROUTING_KEY, limits, "idleTimeoutS", 60.0),
+        max_header_bytes=int(read_number(ROUTING_KEY, limits, "maxHeaderBytes", 65_536)),
+        max_body_bytes=int(read_number(ROUTING_KEY, limits, "maxBodyBytes", 67_108_864)),
+        idle_timeout_s=read_number(ROUTING_KEY, limits, "idleTimeoutS", 60.0),
     )
 
 
+def _version(fields: dict[str, Any]) -> int:
+    """Returns the version, a hexadecimal number."""
+    text = read_text(ROUTING_KEY, fields, "version")
+    try:
+        if len(text) > MAX_VERSION_DIGITS:
+            raise ValueError
+        return int(text, VERSION_RADIX)
+    except ValueError as error:
+        raise RecordError(
+            f"{ROUTING_KEY}: version is {shown(text)}; expected a hexadecimal number"
+        ) from error
+
+
 def _route(host_name: str, rule: dict[str, Any]) -> Route:
-    kind = _text(ROUTING_KEY, rule, "kind")
+    kind = read_text(ROUTING_KEY, rule, "kind")
     if kind not in KINDS:
-        raise RecordError(f"{ROUTING_KEY}: kind is {kind!r}; expected one of {KINDS}")
+        raise RecordError(f"{ROUTING_KEY}: kind is {shown(kind)}; expected one of {KINDS}")
     action = rule.get("action")
     match = rule.get("match")
     if not isinstance(action, dict) or not isinstance(match, dict):
         raise RecordError(
-            f"{ROUTING_KEY}: match and action of a routing rule must be objects: {rule!r}"
+            f"{ROUTING_KEY}: match and action of a routing rule must be objects: {shown(rule)}"
         )
-    prefix = _text(ROUTING_KEY, match, "prefix")
-    timeout_s = _number(ROUTING_KEY, action, "timeoutS")
+    prefix = read_text(ROUTING_KEY, match, "prefix")
+    timeout_s = read_number(ROUTING_KEY, action, "timeoutS")
     return Route(
-        name=str(rule.get("name", prefix)),
+        name=read_text(ROUTING_KEY, rule, "name") if "name" in rule else prefix,
         host_name=host_name,
         prefix=prefix,
         destinations=_destinations(action),
         idempotent=kind == KIND_SAFE,
-        priority=int(_number(ROUTING_KEY, rule, "priority", 0)),
-        objective_s=_number(ROUTING_KEY, rule, "latencyGoalS", DEFAULT_OBJECTIVE_S),
+        priority=int(read_number(ROUTING_KEY, rule, "priority", 0)),
+        objective_s=read_number(ROUTING_KEY, rule, "latencyGoalS", DEFAULT_OBJECTIVE_S),
         timeout_s=timeout_s,
-        max_attempts=max(1, int(_number(ROUTING_KEY, action, "attempts", 1))),
+        max_attempts=max(1, int(read_number(ROUTING_KEY, action, "attempts", 1))),
     )
 
 
 def _destinations(action: dict[str, Any]) -> tuple[Destination, ...]:
     if "trafficSplit" not in action:
-        return (Destination(_text(ROUTING_KEY, action, "service"), 1.0),)
+        return (Destination(read_text(ROUTING_KEY, action, "service"), 1.0),)
     destinations = []
-    for row in _rows(action, "trafficSplit"):
-        weight = _number(ROUTING_KEY, row, "weight")
-        destinations.append(Destination(_text(ROUTING_KEY, row, "service"), weight))
-    if not destinations:
-        raise RecordError(f"{ROUTING_KEY}: trafficSplit is empty; expected at least one service")
+    for row in read_rows(ROUTING_KEY, action, "trafficSplit"):
+        weight = read_number(ROUTING_KEY, row, "weight")
+        destinations.append(Destination(read_text(ROUTING_KEY, row, "service"), weight))
+    if not any(destination.weight for destination in destinations):
+        raise RecordError(f"{ROUTING_KEY}: trafficSplit has no service with a weight above 0")
     return tuple(destinations)
 
 
 def _service(row: dict[str, Any]) -> Service:
     return Service(
-        name=_text(ROUTING_KEY, row, "name"),
-        health_path=str(row.get("healthCheck", "/")),
-        max_connections=int(_number(ROUTING_KEY, row, "maxConnections", 100)),
-        cold_s=_number(ROUTING_KEY, row, "warmupS", 0.0),
-        cold_rate_per_s=_number(ROUTING_KEY, row, "coldPerS", math.inf),
+        name=read_text(ROUTING_KEY, row, "name"),
+        health_path=check_token(ROUTING_KEY, "healthCheck", row.get("healthCheck", "/")),
+        max_connections=int(read_number(ROUTING_KEY, row, "maxConnections", 100)),
+        cold_s=read_number(ROUTING_KEY, row, "warmupS", 0.0),
+        cold_rate_per_s=read_number(ROUTING_KEY, row, "coldPerS", math.inf),
         keyed=bool(row.get("shardEnabled", False)),
-        key_warmup_s=_number(ROUTING_KEY, row, "warmS", 0.0),
+        key_warmup_s=read_number(ROUTING_KEY, row, "warmS", 0.0),
     )
-
-
-def _object(key: str, value: bytes) -> dict[str, Any]:
-    try:
-        fields = json.loads(value)
-    except (ValueError, RecursionError) as error:
-        raise RecordError(f"{key}: value is not JSON: {error}") from error
-    if not isinstance(fields, dict):
-        raise RecordError(f"{key}: value is a JSON {type(fields).__name__}; expected an object")
-    return fields
-
-
-def _rows(fields: dict[str, Any], name: str) -> list[dict[str, Any]]:
-    rows = fields.get(name, [])
-    if not isinstance(rows, list) or not all(isinstance(row, dict) for row in rows):
-        raise RecordError(f"{ROUTING_KEY}: {name} is malformed; expected a list of JSON objects")
-    return rows
-
-
-def _text(key: str, fields: dict[str, Any], name: str) -> str:
-    value = fields.get(name)
-    if not isinstance(value, str) or not value:
-        raise RecordError(f"{key}: {name} is {value!r}; expected a non-empty string")
-    return value
-
-
-def _number(key: str, fields: dict[str, Any], name: str, default: float | None = None) -> float:
-    value = fields.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
-        raise RecordError(f"{key}: {name} is {value!r}; expected a number")
-    return value
