Keep following the store after an error in one of its records

Cause: an exception that nobody expected ended the task that follows a prefix. It was not logged, the task did not start again, and `watching` stayed true, so that the host took its view for current and relayed it.

The class: a long-lived task that ends in silence. Searched: all tasks of both kinds of hosts. Without a guard were, beside the watchers, the tasks for dispatchers, heartbeats, election, registration, settings, grants, health checks, the relay and the links between hosts, and some of the coordinator and entry processes; moves of keys and pushes of assignments ended without a log line, too. One listener of the view that raised kept the others from hearing of the change.

Now utils/supervision.py starts a long-lived task again after an error, with a log line and `task_failures`; a watcher counts nothing as current until it has read all keys again; an error in one record or listener is logged and leaves the others alone (`record_errors`, `listener_errors`).

--- a/greengagefall/coordinator/active.py
+++ b/greengagefall/coordinator/active.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from greengagefall.coordinator.contacts import HostConnections
-from greengagefall.coordinator.guard import run_logging_errors
 from greengagefall.coordinator.hosts import HostListFollower
 from greengagefall.coordinator.members import MembersController
 from greengagefall.coordinator.records import StoreRecords
@@ -15,6 +14,7 @@
 from greengagefall.coordinator.wakeup import Wakeup
 from greengagefall.coordinator.watch import RecordsWatch
 from greengagefall.routing.model import KIND_KEYED
+from greengagefall.utils.supervision import run_logging_errors, start_supervised
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -88,8 +88,8 @@
         await self._watch.start()
         await self._members.start()
         self._tasks = [
-            asyncio.create_task(self._push(), name="push"),
-            asyncio.create_task(self._arrange(), name="arrange"),
+            start_supervised(self._push, "push"),
+            start_supervised(self._arrange, "arrange"),
         ]
 
     async def close(self) -> None:
--- a/greengagefall/coordinator/contacts.py
+++ b/greengagefall/coordinator/contacts.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from greengagefall.coordination.documents import split_into_batches
-from greengagefall.coordinator.guard import run_logging_errors
 from greengagefall.protocol.exceptions import ProtocolError
 from greengagefall.protocol.link import PeerLink
 from greengagefall.protocol.messages import (
@@ -18,6 +17,7 @@
     HostReport,
     HostStatus,
 )
+from greengagefall.utils.supervision import run_logging_errors
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
--- a/greengagefall/coordinator/hosts.py
+++ b/greengagefall/coordinator/hosts.py
@@ -9,6 +9,8 @@
 
 from result import Err
 
+from greengagefall.utils.supervision import start_supervised
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -41,7 +43,7 @@
     async def start(self) -> None:
         """Starts to poll the list, if there is one."""
         if self._client is not None:
-            self._task = asyncio.create_task(self._run(), name="host list")
+            self._task = start_supervised(self._run, "host list")
 
     async def close(self) -> None:
         """Stops polling."""
--- a/greengagefall/coordinator/members.py
+++ b/greengagefall/coordinator/members.py
@@ -16,11 +16,11 @@
     next_members_record,
 )
 from greengagefall.coordination.model import Member, MembersRecord
-from greengagefall.coordinator.guard import run_logging_errors
 from greengagefall.coordinator.keys import BACKENDS_PREFIX
 from greengagefall.coordinator.write_retry import WriteBackoff
 from greengagefall.store.host_list import STATE_LEAVING
 from greengagefall.utils.metrics import count
+from greengagefall.utils.supervision import run_logging_errors
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping
--- a/greengagefall/coordinator/process.py
+++ b/greengagefall/coordinator/process.py
@@ -18,6 +18,7 @@
 from greengagefall.store.host_list import HostListClient
 from greengagefall.utils.clock import SystemClock
 from greengagefall.utils.metrics import count
+from greengagefall.utils.supervision import start_supervised
 
 if TYPE_CHECKING:
     from greengagefall.config.coordinator import CoordinatorSettings
@@ -96,7 +97,7 @@
         await self._link.start()
         if self._admin is not None:
             await self._admin.start()
-        self._task = asyncio.create_task(self._run(), name="coordinator")
+        self._task = start_supervised(self._run, "coordinator")
 
     async def close(self) -> None:
         """Stops the process and revokes its lease."""
--- a/greengagefall/coordinator/slices.py
+++ b/greengagefall/coordinator/slices.py
@@ -14,11 +14,11 @@
 from greengagefall.coordination.model import SLICE_FREE, SLICE_RELEASING, SliceRange
 from greengagefall.coordination.slice_map_changes import begin_release, initial_map, next_delta
 from greengagefall.coordinator import slice_decisions as decisions
-from greengagefall.coordinator.guard import run_logging_errors
 from greengagefall.coordinator.releases import ReleaseTracker
 from greengagefall.coordinator.write_retry import WriteBackoff
 from greengagefall.routing.model import KIND_KEYED, ZONE_IN, ZONE_LOST
 from greengagefall.utils.metrics import count
+from greengagefall.utils.supervision import run_logging_errors
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/greengagefall/coordinator/watch.py
+++ b/greengagefall/coordinator/watch.py
@@ -10,12 +10,12 @@
 
 from result import Err
 
-from greengagefall.coordinator.guard import run_logging_errors
 from greengagefall.coordinator.records import RECORD_PREFIXES
 from greengagefall.limits.backoff import full_jitter
 from greengagefall.store.exceptions import StoreError
 from greengagefall.store.model import EVENT_PUT
 from greengagefall.utils.metrics import count
+from greengagefall.utils.supervision import run_logging_errors
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/greengagefall/dispatch/server_dispatcher.py
+++ b/greengagefall/dispatch/server_dispatcher.py
@@ -41,6 +41,7 @@
 from greengagefall.routing.model import KIND_KEYED
 from greengagefall.utils.invariants import check
 from greengagefall.utils.metrics import count, observe_ms
+from greengagefall.utils.supervision import start_supervised
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -129,7 +130,7 @@
 
     def start(self) -> None:
         """Starts the periodic renewal of the grant."""
-        self._renewal_task = asyncio.create_task(self.grants.run())
+        self._renewal_task = start_supervised(self.grants.run, "grant renewal")
 
     async def close(self) -> None:
         """Stops the renewal and closes all idle connections."""
--- a/greengagefall/entry/bootstrap.py
+++ b/greengagefall/entry/bootstrap.py
@@ -13,6 +13,7 @@
 from greengagefall.protocol.link import PeerLink
 from greengagefall.protocol.messages import Documents, Fetch
 from greengagefall.store.host_list import HostListClient
+from greengagefall.utils.supervision import start_supervised
 from greengagefall.utils.waiting import wait_until
 
 if TYPE_CHECKING:
@@ -62,7 +63,7 @@
         """Starts fetching documents."""
         if self._host_list is not None:
             await self._host_list.start()
-        self._task = asyncio.create_task(self._fetch_until_done())
+        self._task = start_supervised(self._fetch_until_done, "fetch documents")
 
     async def close(self) -> None:
         """Stops fetching documents."""
--- a/greengagefall/entry/control.py
+++ b/greengagefall/entry/control.py
@@ -18,6 +18,7 @@
 )
 from greengagefall.utils.hashing import hash64
 from greengagefall.utils.metrics import count
+from greengagefall.utils.supervision import start_supervised
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -71,9 +72,9 @@
     def start(self) -> None:
         """Starts all loops."""
         self._loops = [
-            asyncio.create_task(self._endorse_loop()),
-            asyncio.create_task(self._heartbeat_loop()),
-            asyncio.create_task(self._hand_back_loop()),
+            start_supervised(self._endorse_loop, "endorse"),
+            start_supervised(self._heartbeat_loop, "heartbeats"),
+            start_supervised(self._hand_back_loop, "hand back"),
         ]
 
     async def close(self) -> None:
--- a/greengagefall/gateway/beats.py
+++ b/greengagefall/gateway/beats.py
@@ -15,6 +15,7 @@
 from greengagefall.ownership import rows
 from greengagefall.ownership.exceptions import AssignmentError
 from greengagefall.protocol.gateway_messages import BeatReply, HostBeat
+from greengagefall.utils.supervision import start_supervised
 
 if TYPE_CHECKING:
     from greengagefall.gateway.dispatchers import ChannelManager
@@ -72,7 +73,7 @@
         """Starts the task that sends heartbeats."""
         self._view.add_listener(self._on_change)
         self._channels.on_new_fence_needed = self.request_update
-        self._task = asyncio.create_task(self._run(), name="beats")
+        self._task = start_supervised(self._run, "beats")
 
     def close(self) -> None:
         """Stops the task that sends heartbeats."""
--- a/greengagefall/gateway/coordinator.py
+++ b/greengagefall/gateway/coordinator.py
@@ -26,6 +26,7 @@
 )
 from greengagefall.protocol.gateway_messages import BeatReply, HostBeat
 from greengagefall.utils.metrics import count
+from greengagefall.utils.supervision import start_supervised
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -88,7 +89,7 @@
     def start(self) -> None:
         """Starts the coordinator task."""
         self._view.add_listener(self._step_needed.set)
-        self._task = asyncio.create_task(self._run(), name="coordinator")
+        self._task = start_supervised(self._run, "coordinator")
 
     async def close(self) -> None:
         """Stops all tasks; the next coordinator continues the unfinished moves."""
--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -16,6 +16,7 @@
 from greengagefall.ownership.key_load import KeyCounter
 from greengagefall.ownership.model import ServerIncarnation
 from greengagefall.utils.metrics import count
+from greengagefall.utils.supervision import start_supervised
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -87,7 +88,7 @@
 
     def start(self) -> None:
         """Starts the periodic check of drain and evacuation timeouts and unneeded channels."""
-        self._task = asyncio.create_task(self._check(), name="dispatchers")
+        self._task = start_supervised(self._check, "dispatchers")
 
     def close(self) -> None:
         """Closes all channels."""
--- a/greengagefall/gateway/election.py
+++ b/greengagefall/gateway/election.py
@@ -12,6 +12,7 @@
 from greengagefall.ownership.model import UNKNOWN_RESTORES
 from greengagefall.platform.store import Put
 from greengagefall.utils.metrics import count
+from greengagefall.utils.supervision import start_supervised
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -63,7 +64,7 @@
 
     def start(self) -> None:
         """Starts the election task."""
-        self._task = asyncio.create_task(self._run(), name="election")
+        self._task = start_supervised(self._run, "election")
 
     async def close(self) -> None:
         """Stops the coordinator and ends the lease, if this host is elected."""
--- a/greengagefall/gateway/following.py
+++ b/greengagefall/gateway/following.py
@@ -10,6 +10,7 @@
 import logging
 import math
 from contextlib import nullcontext
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
 from result import Err
@@ -19,6 +20,7 @@
 from greengagefall.store.backoff import Backoff
 from greengagefall.store.exceptions import StoreCompactedError
 from greengagefall.utils.metrics import count
+from greengagefall.utils.supervision import start_supervised
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -167,7 +169,7 @@
     def start(self) -> None:
         """Starts the task that reads and watches the keys, unless it runs."""
         if self._task is None:
-            self._task = asyncio.create_task(self._run(), name=f"follow {self._prefix}")
+            self._task = start_supervised(self._run, f"follow {self._prefix}", self._on_failure)
 
     def pause(self) -> None:
         """Stops watching; the known keys stay."""
@@ -187,6 +189,11 @@
         for timer in self._pending_removals.values():
             timer.cancel()
 
+    def _on_failure(self) -> None:
+        """Counts nothing as current until all keys were read again."""
+        self._watching = False
+        self._resync_s = self._clock.now_s()
+
     async def _run(self) -> None:
         backoff = Backoff()
         revision: int | None = None
@@ -346,7 +353,7 @@
         self.last_change = max(self.last_change, key_value.mod_revision)
         unchanged = known is not None and not known.mod_revision and known.value == key_value.value
         if not unchanged:
-            self._on_put(key_value)
+            self._report(key_value.key, partial(self._on_put, key_value))
 
     def _delete(self, key: str, revision: int) -> None:
         known = self._key_values.get(key)
@@ -369,7 +376,15 @@
     def _remove(self, key: str) -> None:
         self._pending_removals.pop(key, None)
         if self._key_values.pop(key, None) is not None:
-            self._on_delete(key)
+            self._report(key, partial(self._on_delete, key))
+
+    def _report(self, key: str, call: Callable[[], None]) -> None:
+        """Reports a change of a key; an error must not keep those of other keys from arriving."""
+        try:
+            call()
+        except Exception:
+            log.exception("A change of a key could not be applied.", extra={"key": key})
+            count("record_errors", prefix=self._prefix)
 
     def _note_deletion(self, key: str, revision: int) -> None:
         self._deletions.setdefault(key, revision)
--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -22,6 +22,7 @@
 )
 from greengagefall.platform import grants as calls
 from greengagefall.utils.metrics import count
+from greengagefall.utils.supervision import start_supervised
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -117,8 +118,7 @@
 
     def start(self) -> None:
         """Starts to renew grants."""
-        name = f"grants {self._incarnation.server_id}"
-        self._task = asyncio.create_task(self._renew(), name=name)
+        self._task = start_supervised(self._renew, f"grants {self._incarnation.server_id}")
 
     def close(self) -> None:
         """Stops renewing; existing grants expire by themselves."""
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -35,6 +35,7 @@
 from greengagefall.platform import records as platform_records
 from greengagefall.platform.store import PlatformStore, Put
 from greengagefall.utils.clock import SystemClock
+from greengagefall.utils.supervision import start_supervised
 
 if TYPE_CHECKING:
     from greengagefall.gateway.model import PlatformSettings
@@ -101,7 +102,7 @@
         self._channels.start()
         self._heartbeats.start()
         self._election.start()
-        self._register_task = asyncio.create_task(self._register(), name="register")
+        self._register_task = start_supervised(self._register, "register")
         log.info(
             "Started.",
             extra={
--- a/greengagefall/gateway/publishing.py
+++ b/greengagefall/gateway/publishing.py
@@ -13,6 +13,7 @@
 from greengagefall.ownership import rows
 from greengagefall.ownership.model import EMPTY_ASSIGNMENT, Assignment, HostIncarnation, KeyRange
 from greengagefall.protocol.gateway_messages import NO_BASE_VERSION, AssignmentAck, AssignmentPush
+from greengagefall.utils.supervision import log_failure
 
 if TYPE_CHECKING:
     from greengagefall.gateway.host_reports import HostReports
@@ -88,8 +89,9 @@
     def _start(self, target: HostIncarnation, base_version: int) -> None:
         self._last_pushes[target] = _LastPush(self._newest.version, self._clock.now_s())
         message = self._message(base_version)._replace(rate_limits=self._reports.rate_limits())
-        task = asyncio.create_task(self._push(target, message))
+        task = asyncio.create_task(self._push(target, message), name=f"push {target.host}")
         self._tasks.add(task)
+        task.add_done_callback(log_failure)
         task.add_done_callback(self._tasks.discard)
 
     async def _push(self, target: HostIncarnation, message: AssignmentPush) -> None:
--- a/greengagefall/gateway/range_moves.py
+++ b/greengagefall/gateway/range_moves.py
@@ -24,6 +24,7 @@
     KeysReleased,
     ReleaseKeys,
 )
+from greengagefall.utils.supervision import log_failure
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -156,7 +157,9 @@
         for move_id, key_range in moving.items():
             if move_id not in self._tasks and move_id not in self._released:
                 move = self._move(move_id, key_range, self._assignment.version)
-                self._tasks[move_id] = asyncio.create_task(move)
+                task = asyncio.create_task(move, name=f"move {move_id.first}")
+                task.add_done_callback(log_failure)
+                self._tasks[move_id] = task
 
     async def _move(self, move_id: _MoveId, key_range: KeyRange, version: int) -> None:
         """Has a range released by its former owner and granted to the new one."""
--- a/greengagefall/gateway/relay_following.py
+++ b/greengagefall/gateway/relay_following.py
@@ -20,6 +20,7 @@
 from greengagefall.protocol.messages import Failure
 from greengagefall.utils.hashing import hash64
 from greengagefall.utils.metrics import count
+from greengagefall.utils.supervision import start_supervised
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -103,7 +104,7 @@
         self._started_s = self._clock.now_s()
         self._verified_s = self._started_s
         self._watchers[-1].start()
-        self._task = asyncio.create_task(self._run(), name="follow relay")
+        self._task = start_supervised(self._run, "follow relay")
 
     def close(self) -> None:
         """Stops following; the watchers are closed by their owner."""
--- a/greengagefall/gateway/relaying.py
+++ b/greengagefall/gateway/relaying.py
@@ -13,6 +13,7 @@
 from greengagefall.gateway.records import COORDINATOR_KEY
 from greengagefall.protocol.gateway_messages import StoreChanges
 from greengagefall.protocol.messages import Failure
+from greengagefall.utils.supervision import start_supervised
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -68,7 +69,7 @@
         if not self._watching():
             return NOT_RELAYING
         if self._probe_task is None or self._probe_task.done():
-            self._probe_task = asyncio.create_task(self._probe(), name="probe store")
+            self._probe_task = start_supervised(self._probe, "probe store")
         if self._verified_s == -math.inf:
             await self._verify()
         end_s = received_s + message.wait_ms / MS_PER_S
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -25,6 +25,7 @@
 from greengagefall.platform import requests as headers
 from greengagefall.protocol.gateway_messages import Dispatched, NotDispatched
 from greengagefall.utils.metrics import count, observe_ms
+from greengagefall.utils.supervision import start_supervised
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -138,9 +139,7 @@
         """Starts to renew grants and to probe the server while it is down."""
         if self._grants is not None:
             self._grants.start()
-        self._probe_task = asyncio.create_task(
-            self._probe(), name=f"probe {self.incarnation.server_id}"
-        )
+        self._probe_task = start_supervised(self._probe, f"probe {self.incarnation.server_id}")
 
     def close(self) -> None:
         """Stops renewing grants, refuses queued requests and closes idle connections."""
--- a/greengagefall/gateway/settings_watch.py
+++ b/greengagefall/gateway/settings_watch.py
@@ -8,6 +8,7 @@
 
 from greengagefall.platform.exceptions import PlatformSettingsError
 from greengagefall.platform.settings import read_platform_settings
+from greengagefall.utils.supervision import start_supervised
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -38,7 +39,7 @@
 
     def start(self) -> None:
         """Starts to check for changes."""
-        self._task = asyncio.create_task(self._run(), name="settings")
+        self._task = start_supervised(self._run, "settings")
 
     def close(self) -> None:
         """Stops checking for changes."""
--- a/greengagefall/gateway/view.py
+++ b/greengagefall/gateway/view.py
@@ -135,7 +135,12 @@
             self._batch_has_changes = True
             return
         for listener in list(self._listeners):
-            listener()
+            try:
+                listener()
+            except Exception:
+                # The other listeners have to know of the change, too.
+                log.exception("A change could not be applied.")
+                count("listener_errors")
 
     def update_routing_table(self, table: RoutingTable) -> None:
         """Replaces the routing configuration if the given one is newer."""
--- a/greengagefall/protocol/link.py
+++ b/greengagefall/protocol/link.py
@@ -33,6 +33,7 @@
 from greengagefall.protocol.messages import Cancel, Forward, Hello
 from greengagefall.utils.metrics import count
 from greengagefall.utils.sockets import reset_on_close
+from greengagefall.utils.supervision import start_supervised
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -102,7 +103,7 @@
 
     async def start(self) -> None:
         """Starts the task that keeps the connection; does not wait until it is connected."""
-        self._task = asyncio.create_task(self._run(), name=f"link {self.address}")
+        self._task = start_supervised(self._run, f"link {self.address}")
 
     async def close(self) -> None:
         """Closes the connection; outstanding calls fail with ``PeerLostError``."""
