Answer a request and free its slot when an error was not expected

What callers saw: nothing so far; found while searching for tasks that end in silence. A request whose routing raised got no answer, with its connection left open until the caller gave up; a send that raised kept its slot for good, so that a server lost its slots one by one.

Now such a request is answered as one with an unknown outcome (502), is logged with its id (`routing_errors`), and the slot is free again.

Both tests failed before: no answer within 4 s, one request in flight.

--- a/greengagefall/gateway/caller_http.py
+++ b/greengagefall/gateway/caller_http.py
@@ -16,6 +16,7 @@
 from greengagefall.gateway.router import Answer, Refusal
 from greengagefall.platform import requests as headers
 from greengagefall.utils.metrics import count, observe_ms
+from greengagefall.utils.supervision import log_failure
 from greengagefall.utils.waiting import wait_until
 
 if TYPE_CHECKING:
@@ -89,8 +90,9 @@
         await self._server.close_all_connections()
 
     def _on_request(self, request: HTTPServerRequest) -> None:
-        task = asyncio.create_task(self._serve(request))
+        task = asyncio.create_task(self._serve(request), name="serve")
         self._tasks.add(task)
+        task.add_done_callback(log_failure)
         task.add_done_callback(self._tasks.discard)
 
     async def _serve(self, request: HTTPServerRequest) -> None:
@@ -102,6 +104,13 @@
         request.connection.set_close_callback(work.cancel)
         try:
             outcome = await work
+        except Exception:
+            log.exception(
+                "Routing a request failed; it may have been executed.",
+                extra={"request_id": caller_request.request_id},
+            )
+            count("routing_errors")
+            outcome = Refusal(outcomes.OUTCOME_UNKNOWN, 0)
         except asyncio.CancelledError:
             if not work.cancelled():
                 raise
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -226,6 +226,9 @@
             else:
                 send.add_done_callback(lambda _: self._waiting.finish(None))
             raise
+        except Exception:
+            self._waiting.finish(None)
+            raise
         executed = isinstance(outcome, Dispatched)
         duration_s = self._clock.now_s() - started_s
         self._waiting.finish(duration_s if executed else None)
--- a/greengagefall/tests/gateway_task_failure_tests.py
+++ b/greengagefall/tests/gateway_task_failure_tests.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 from greengagefall.gateway.following import PrefixWatcher
+from greengagefall.gateway.router import Router
 from greengagefall.gateway.view import ClusterView
 from greengagefall.ownership.model import HostIncarnation
 from greengagefall.platform.store import PlatformStore
@@ -21,6 +22,7 @@
 
 PREFIX = "servers/"
 WAIT_S = 5.0
+HTTP_BAD_GATEWAY = 502
 NESTED = "[" * 100_000
 ODD_ENTRIES = {
     "nan": '{"maxConcurrency":NaN}',
@@ -151,6 +153,22 @@
         running = {task.get_name() for task in asyncio.all_tasks()}
         self.assertLessEqual({name for name in names if name.startswith("follow")}, running)
 
+    async def test_a_request_whose_routing_fails_is_answered(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        with mock.patch.object(Router, "_attempt_until_final", side_effect=ZeroDivisionError):
+            answer = await self.send("r-1")
+        self.assertEqual(answer.status, HTTP_BAD_GATEWAY)
+
+    async def test_a_send_that_fails_frees_its_slot(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        channels = self.host._channels._channels
+        channel = next(iter(channels.values()))
+        with mock.patch.object(channel, "_send", side_effect=ZeroDivisionError):
+            await self.send("r-1")
+        self.assertEqual(channel.queue.in_flight, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
