Refuse odd records of hosts, the coordinator and the assignment

Cause: these decoders let OverflowError and RecursionError out (a start time of 1e999, deep nesting), which ended the task that follows the hosts; and they let pass what breaks later: a weight of 0 or NaN (dividing and sorting hosts), addresses that can't be connected to, lone surrogates, fences and versions that are no numbers (every comparison in the coordinator and in all hosts that read the store), a record under another host's key, which its deletion would not have removed.

Searched: every field of gateway/members/ and gateway/assignment.

Each field is checked where it is decoded; a record that is refused leaves what is known unchanged, as before.

--- a/greengagefall/gateway/records.py
+++ b/greengagefall/gateway/records.py
@@ -10,6 +10,14 @@
 from greengagefall.ownership.model import HostIncarnation
 from greengagefall.platform import records as platform_records
 from greengagefall.platform.exceptions import RecordError
+from greengagefall.platform.fields import (
+    read_address,
+    read_number,
+    read_object,
+    read_text,
+    read_whole_number,
+    shown,
+)
 from greengagefall.utils.metrics import count
 
 if TYPE_CHECKING:
@@ -22,6 +30,8 @@
 COORDINATOR_KEY = "gateway/members/leader"
 HOST_PREFIX = "gateway/members/host/"
 ASSIGNMENT_KEY = "gateway/assignment"
+# Fewest processor cores that a host can have; loads are divided by them.
+MIN_WEIGHT = 0.001
 
 
 class ServerRecords:
@@ -108,9 +118,9 @@
             if key_value.key == COORDINATOR_KEY:
                 self._view.coordinator = decode_coordinator(key_value.value)
             elif key_value.key.startswith(HOST_PREFIX):
-                record = decode_host(key_value.value)
+                record = decode_host(key_value.key, key_value.value)
                 self._view.hosts[record.host] = record
-        except (ValueError, KeyError, TypeError) as error:
+        except RecordError as error:
             _reject(key_value.key, error)
             return
         log.info(
@@ -135,8 +145,9 @@
         if found is None:
             return True
         try:
-            return decode_host(found.value).start_ms < decode_host(known.value).start_ms
-        except (ValueError, KeyError, TypeError):
+            before = decode_host(known.key, known.value)
+            return decode_host(found.key, found.value).start_ms < before.start_ms
+        except RecordError:
             return False
 
 
@@ -145,16 +156,23 @@
     return json.dumps(record._asdict()).encode()
 
 
-def decode_host(value: bytes) -> HostRecord:
-    """Decodes a host's record; raises ValueError, KeyError or TypeError if it is malformed."""
-    fields = json.loads(value)
+def decode_host(key: str, value: bytes) -> HostRecord:
+    """Decodes a host's record.
+
+    Raises:
+        RecordError: The record is malformed, or that of another host.
+    """
+    fields = read_object(key, value)
+    host = read_text(key, fields, "host")
+    if key != HOST_PREFIX + host:
+        raise RecordError(f"{key}: host is {shown(host)}; expected the end of the key")
     return HostRecord(
-        str(fields["host"]),
-        int(fields["start_ms"]),
-        str(fields["address"]),
-        str(fields["zone"]),
-        float(fields["weight"]),
-        bool(fields.get("relays", False)),
+        host,
+        read_whole_number(key, fields, "start_ms"),
+        read_address(key, fields, "address"),
+        read_text(key, fields, "zone"),
+        read_number(key, fields, "weight", minimum=MIN_WEIGHT),
+        fields.get("relays") is True,
     )
 
 
@@ -164,9 +182,12 @@
 
 
 def decode_coordinator(value: bytes) -> HostIncarnation:
-    """Decodes the coordinator; raises ValueError, KeyError or TypeError if it is malformed."""
-    fields = json.loads(value)
-    return HostIncarnation(str(fields["host"]), int(fields["start_ms"]))
+    """Decodes the coordinator; raises ``RecordError`` if the record is malformed."""
+    fields = read_object(COORDINATOR_KEY, value)
+    return HostIncarnation(
+        read_text(COORDINATOR_KEY, fields, "host"),
+        read_whole_number(COORDINATOR_KEY, fields, "start_ms"),
+    )
 
 
 def _reject(key: str, error: Exception) -> None:
--- a/greengagefall/ownership/rows.py
+++ b/greengagefall/ownership/rows.py
@@ -13,6 +13,7 @@
 from greengagefall.ownership.exceptions import AssignmentError
 from greengagefall.ownership.model import (
     EMPTY_ASSIGNMENT,
+    LAST_KEY,
     UNKNOWN_RESTORES,
     Assignment,
     DispatcherRecord,
@@ -24,6 +25,8 @@
 DISPATCHER_ROW_PREFIX = "@"
 # Between the writer and the number of restores in a stored value.
 RESTORES_SEPARATOR = "#"
+# Numbers up to here fit into 64 bits.
+MAX_NUMBER = 2**63 - 1
 
 Rows = dict[str, list[Any]]
 
@@ -138,7 +141,7 @@
             ranges_of(service)[int(first)] = _range_from_row(int(first), row)
     except (ValueError, TypeError, IndexError, AttributeError) as error:
         raise AssignmentError(
-            f"Rows of assignment version {version} are malformed: {error!r}"
+            f"Rows of assignment version {version} are malformed: {type(error).__name__}"
         ) from error
     key_ranges = dict(old.key_ranges)
     for service, found in touched.items():
@@ -182,15 +185,34 @@
     try:
         version, last_fence, written, rows = cbor2.loads(value)
         _, _, restores = written.partition(RESTORES_SEPARATOR)
-        return StoredRows(from_rows(version, last_fence, rows), int(restores or UNKNOWN_RESTORES))
-    except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError) as error:
+        assignment = from_rows(_whole(version), _whole(last_fence), rows)
+        return StoredRows(assignment, int(restores or UNKNOWN_RESTORES))
+    except (cbor2.CBORError, ValueError, TypeError, AttributeError, RecursionError) as error:
         raise AssignmentError(
-            f"Stored value of {len(value)} bytes is not an assignment: {error!r}"
+            f"Stored value of {len(value)} bytes is not an assignment: {type(error).__name__}"
         ) from error
 
 
+def _whole(value: object, maximum: int = MAX_NUMBER) -> int:
+    """Returns a whole number within bounds; raises ValueError for anything else."""
+    if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value <= maximum:
+        raise ValueError("a number is malformed or too large")
+    return value
+
+
+def _text(value: object) -> str:
+    """Returns a text that can be encoded; raises ValueError for anything else."""
+    if not isinstance(value, str):
+        raise ValueError("a name is malformed")
+    value.encode()
+    return value
+
+
 def _dispatcher_from_row(row: list[Any]) -> DispatcherRecord:
-    incarnations = [HostIncarnation(row[index], row[index + 1]) for index in range(0, len(row), 2)]
+    incarnations = [
+        HostIncarnation(_text(row[index]), _whole(row[index + 1]))
+        for index in range(0, len(row), 2)
+    ]
     return DispatcherRecord(incarnations[0], tuple(incarnations[1:]))
 
 
@@ -209,10 +231,12 @@
 
 def _range_from_row(first: int, row: list[Any]) -> KeyRange:
     last, owner_id, owner_start_ms, fence, source_id, source_start_ms = row
+    if not 0 <= first <= _whole(last, LAST_KEY):
+        raise ValueError("the bounds of a key range are malformed")
     return KeyRange(
         first,
         last,
-        ServerIncarnation(owner_id, owner_start_ms),
-        fence,
-        ServerIncarnation(source_id, source_start_ms),
+        ServerIncarnation(_text(owner_id), _whole(owner_start_ms)),
+        _whole(fence),
+        ServerIncarnation(_text(source_id), _whole(source_start_ms)),
     )
--- a/greengagefall/tests/gateway_beats_tests.py
+++ b/greengagefall/tests/gateway_beats_tests.py
@@ -32,7 +32,12 @@
         self.stored_after = UNKNOWN_RESTORES
         self.beats: list[HostIncarnation] = []
         self.view = ClusterView(SimpleNamespace(), OWN, clock)
-        channels = SimpleNamespace(server_states=list, pop_key_counts=list, rate_limits=tuple)
+        channels = SimpleNamespace(
+            server_states=list,
+            pop_key_counts=list,
+            rate_limits=tuple,
+            suspect_fences=tuple,
+        )
         self.heartbeats = HeartbeatSender(self.view, self, channels, self, clock)
 
     async def call(self, host, message, timeout_s):
