Read the other keys of the store where one cannot be read

A key with a lone surrogate made every message impossible in which a relay passes the keys on, so that the hosts of its zone followed nothing by it; an answer nested too deeply, or with a revision of 1e999, ended the task that had asked.

Cause: answers were checked for some errors only, and keys not at all.

Now a key-value that cannot be read is left out with a warning, and an answer that cannot be read counts as none. If no key of a page can be read, the read fails, instead of passing for complete.

The three tests failed before: OverflowError, RecursionError, and the odd key among those read.

--- a/greengagefall/platform/store.py
+++ b/greengagefall/platform/store.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import json
 import logging
 from typing import TYPE_CHECKING, Any, NamedTuple
@@ -18,6 +17,7 @@
 from greengagefall.dispatch.connection_pool import ConnectionPool, HttpAnswer
 from greengagefall.dispatch.exceptions import DispatchError, NotSentError
 from greengagefall.ownership.model import UNKNOWN_RESTORES
+from greengagefall.platform.fields import shown
 from greengagefall.platform.requests import json_request
 from greengagefall.store.exceptions import (
     StoreCompactedError,
@@ -30,7 +30,7 @@
 from greengagefall.utils.metrics import count
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Iterator, Sequence
 
 log = logging.getLogger(__name__)
 
@@ -49,6 +49,9 @@
 HTTP_TOO_MANY_REQUESTS = 429
 HTTP_SERVICE_UNAVAILABLE = 503
 
+# What decoding an answer may raise.
+MALFORMED = (ValueError, KeyError, TypeError, AttributeError, OverflowError, RecursionError)
+
 
 class KeyValue(NamedTuple):
     """A key with its value.
@@ -152,8 +155,12 @@
             # The pages are not one snapshot. Watching from the revision of the first page reports
             # all changes that were made while later pages were read.
             revision = revision or page.revision
-            if not has_more or not page.key_values:
+            if not has_more:
                 return Ok(RangeResult(key_values, revision))
+            if not page.key_values:
+                return self._failed(
+                    "range", StoreUnavailableError("range: no key of a page can be read")
+                )
             query = {"prefix": prefix, "after": page.key_values[-1].key}
 
     async def watch(
@@ -282,28 +289,45 @@
 def _parsed(answer: HttpAnswer, parse: Any) -> Result[Any, StoreError]:
     try:
         return Ok(parse(json.loads(answer.body)))
-    except (ValueError, KeyError, TypeError, AttributeError, binascii.Error) as error:
+    except MALFORMED as error:
         log.warning(
             "Answer of the store is malformed; treating the store as unavailable for this call.",
-            extra={"error": repr(error)},
+            extra={"error": shown(str(error))},
         )
-        return Err(StoreUnavailableError(f"malformed answer: {error!r}"))
+        return Err(StoreUnavailableError(f"malformed answer: {type(error).__name__}"))
 
 
 def _key_value(fields: dict[str, Any]) -> KeyValue:
     value = base64.b64decode(fields.get("value", ""))
-    return KeyValue(str(fields["key"]), value, int(fields["revision"]))
+    key = str(fields["key"])
+    # Hosts pass keys on to each other in messages.
+    key.encode()
+    return KeyValue(key, value, int(fields["revision"]))
+
+
+def _readable_key_values(rows: Iterable[dict[str, Any]]) -> Iterator[tuple[KeyValue, bool]]:
+    """Yields the key-values that can be read, and whether each is a deletion.
+
+    One that cannot be read must not keep the others from being known.
+    """
+    for row in rows:
+        try:
+            yield _key_value(row), bool(row.get("tombstone"))
+        except MALFORMED as error:
+            count("bad_records")
+            log.warning(
+                "A key-value of the store cannot be read; it is ignored.",
+                extra={"error": shown(str(error))},
+            )
 
 
 def _range_page(fields: dict[str, Any]) -> tuple[RangeResult, bool]:
-    key_values = [_key_value(row) for row in fields["items"]]
+    key_values = [key_value for key_value, _ in _readable_key_values(fields["items"])]
     return RangeResult(key_values, int(fields["at"])), bool(fields.get("hasMore"))
 
 
 def _watch_result(fields: dict[str, Any]) -> WatchResult:
-    events = [
-        WatchEvent(_key_value(row), bool(row.get("tombstone"))) for row in fields.get("events", [])
-    ]
+    events = [WatchEvent(*event) for event in _readable_key_values(fields.get("events", []))]
     return WatchResult(events, int(fields["at"]))
 
 
--- a/greengagefall/tests/gateway_odd_records_tests.py
+++ b/greengagefall/tests/gateway_odd_records_tests.py
@@ -5,11 +5,15 @@
 import json
 import logging
 import unittest
+from unittest import mock
 
 import cbor2
 from hypothesis import given
 from hypothesis import strategies as st
+from result import Err
+from tornado.httputil import HTTPHeaders
 
+from greengagefall.dispatch.connection_pool import ConnectionPool, HttpAnswer
 from greengagefall.gateway.records import (
     COORDINATOR_KEY,
     HOST_PREFIX,
@@ -24,7 +28,8 @@
 from greengagefall.ownership.exceptions import AssignmentError
 from greengagefall.ownership.model import HostIncarnation
 from greengagefall.platform.exceptions import RecordError
-from greengagefall.platform.store import KeyValue
+from greengagefall.platform.store import KeyValue, PlatformStore
+from greengagefall.standins.platform_store import PlatformStoreStandIn
 from greengagefall.utils.clock import SystemClock
 
 RECORD = HostRecord("edge-a", 17, "10.0.0.1:7660", "a", 1.5, True)
@@ -124,5 +129,42 @@
                 rows.decode(value)
 
 
+class OddKeyTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.store = PlatformStoreStandIn()
+        await self.store.start()
+        self.addAsyncCleanup(self.store.close)
+        self.client = PlatformStore(self.store.address)
+        self.addCleanup(self.client.close)
+
+    async def test_a_key_that_cannot_be_encoded_keeps_no_other_from_being_read(self):
+        # Hosts pass the keys on in messages, which such a key makes impossible to encode.
+        await self.store.put("servers/a", b"1")
+        await self.store.put("servers/\ud800", b"1")
+        await self.store.put("servers/z", b"1")
+        read = (await self.client.range("servers/")).unwrap()
+        self.assertEqual([one.key for one in read.key_values], ["servers/a", "servers/z"])
+        changes = (await self.client.watch("servers/", 0, 1.0)).unwrap()
+        self.assertEqual([one.key_value.key for one in changes.events], ["servers/a", "servers/z"])
+        await self.store.delete("servers/\ud800")
+        changes = (await self.client.watch("servers/", changes.revision, 0.1)).unwrap()
+        self.assertEqual(changes.events, [])
+
+    async def test_an_answer_that_is_nested_too_deeply_is_an_error(self):
+        with mock.patch.object(
+            ConnectionPool,
+            "exchange",
+            mock.AsyncMock(return_value=HttpAnswer(200, HTTPHeaders(), NESTED)),
+        ):
+            self.assertIsInstance(await self.client.range("servers/"), Err)
+
+    async def test_a_revision_that_is_no_number_is_an_error(self):
+        answer = HttpAnswer(200, HTTPHeaders(), b'{"items":[],"at":1e999}')
+        with mock.patch.object(ConnectionPool, "exchange", mock.AsyncMock(return_value=answer)):
+            self.assertIsInstance(await self.client.range("servers/"), Err)
+
+
 if __name__ == "__main__":
     unittest.main()
