Bound the memory of all unfinished answers of servers together

What callers saw: reported by other operators: a faulty server sent bytes without end, the machine that had called it kept them all, ran out of memory and ended, and with it the requests of all its other callers (LOST).

It can happen here: each answer was bounded by 64 MB, but not their number.

Now the unfinished answers of a process share an eighth of the host's memory; beyond it the largest is given up at once and its connection closed, so that ordinary answers beside it are finished (dispatch/answer_memory.py, `answers_given_up`). One answer may take a sixteenth. The memory of the host is read from the settings; numbers of the settings that are not finite are refused.

An answer that Tornado fails to read in a way nobody expected counts as lost now, with a log line, instead of raising out of the pool.

--- a/greengagefall/dispatch/connection_pool.py
+++ b/greengagefall/dispatch/connection_pool.py
@@ -20,6 +20,7 @@
 from tornado.netutil import Resolver
 from tornado.tcpclient import TCPClient
 
+from greengagefall.dispatch.answer_memory import AnswerMemory
 from greengagefall.dispatch.exceptions import (
     AnswerLostError,
     AnswerMismatchError,
@@ -40,6 +41,8 @@
 
 CONNECT_TIMEOUT_S = 0.5
 MAX_HEADER_BYTES = 65_536
+# Answers of the largest size that the memory of a pool of its own holds.
+DEFAULT_MEMORY_ANSWERS = 2
 MAX_IDLE_S = 20.0
 # The pool uses only this fraction of the idle time in the Keep-Alive header of a server, because
 # the server may close the connection slightly earlier than announced.
@@ -84,10 +87,18 @@
 
 
 class _AnswerReader(HTTPMessageDelegate):
-    """Collects the status, headers and body of one answer."""
+    """Collects the status, headers and body of one answer.
 
-    def __init__(self, limit_bytes: int) -> None:
+    Args:
+        limit_bytes: Maximum size of the body.
+        memory: Memory of all unfinished answers.
+        close: Closes the connection.
+    """
+
+    def __init__(self, limit_bytes: int, memory: AnswerMemory, close: Callable[[], None]) -> None:
         self._limit_bytes = limit_bytes
+        self._memory = memory
+        self._close = close
         self._chunks: list[bytes] = []
         self._size_bytes = 0
         self.status = 0
@@ -101,17 +112,31 @@
         self.headers = headers
 
     def data_received(self, chunk: bytes) -> None:
-        """Appends a chunk of the body until the limit is exceeded."""
+        """Appends a chunk of the body until a limit is exceeded."""
+        if self.too_large:
+            return
         self._size_bytes += len(chunk)
         if self._size_bytes > self._limit_bytes:
-            self.too_large = True
+            self.give_up()
             return
         self._chunks.append(chunk)
+        self._memory.add(self, len(chunk))
 
     def finish(self) -> None:
         """Marks the answer as complete unless it is too large."""
         self.complete = not self.too_large
 
+    def give_up(self) -> None:
+        """Drops what was read and closes the connection; the answer counts as too large."""
+        self.too_large = True
+        self._chunks.clear()
+        self._memory.remove(self)
+        self._close()
+
+    def release(self) -> None:
+        """Ends counting the answer among the unfinished ones."""
+        self._memory.remove(self)
+
     def body(self) -> bytes:
         """Returns the complete body."""
         return b"".join(self._chunks)
@@ -145,12 +170,18 @@
         address: ``IP:port`` of the server.
         answer_limit_bytes: Maximum size of the body of an answer.
         on_idle_close: Called when the server closes an idle connection.
+        memory: Memory of the unfinished answers of all pools; by default this pool has its own.
     """
 
     def __init__(
-        self, address: str, answer_limit_bytes: int, on_idle_close: Callable[[], None] | None = None
+        self,
+        address: str,
+        answer_limit_bytes: int,
+        on_idle_close: Callable[[], None] | None = None,
+        memory: AnswerMemory | None = None,
     ) -> None:
         self.address = address
+        self._memory = memory or AnswerMemory(DEFAULT_MEMORY_ANSWERS * answer_limit_bytes)
         self.on_idle_close = on_idle_close
         self._answer_limit_bytes = answer_limit_bytes
         host, _, port = address.rpartition(":")
@@ -245,7 +276,7 @@
         remaining_s: float,
         matches: Callable[[HttpAnswer], bool] | None,
     ) -> HttpAnswer:
-        reader = _AnswerReader(self._answer_limit_bytes)
+        reader = _AnswerReader(self._answer_limit_bytes, self._memory, stream.close)
         timeouts: list[bool] = []
 
         def expire() -> None:
@@ -262,8 +293,12 @@
         except asyncio.CancelledError:
             stream.close()
             raise
+        except Exception:
+            log.exception("An answer cannot be read.", extra={"address": self.address})
+            stream.close()
         finally:
             timer.cancel()
+            reader.release()
         if reader.complete and stream.error is None and not timeouts:
             first = self._record_answer(stream, request.request_id)
             answer = HttpAnswer(reader.status, reader.headers, reader.body(), first)
--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -7,6 +7,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from greengagefall.dispatch.answer_memory import AnswerMemory
 from greengagefall.dispatch.connection_pool import ConnectionPool
 from greengagefall.gateway import outcomes
 from greengagefall.gateway.model import NO_KEY
@@ -46,11 +47,17 @@
 RESTART_DETECTION_HEARTBEATS = 1.3
 # The store has dropped the entry of a server after this many heartbeat intervals of silence.
 ENTRY_EXPIRY_HEARTBEATS = 3.3
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# Memory for the unfinished answers of all servers, and for one of them, as shares of the host's. An
+# answer is copied on its way to the caller.
+UNFINISHED_ANSWERS_SHARE = 1 / 8
+ANSWER_SHARE = 1 / 16
 
 
-def _open_pool(address: str) -> ConnectionPool:
-    return ConnectionPool(address, MAX_ANSWER_BYTES)
+def _pool_opener(memory_bytes: int) -> Callable[[str], ConnectionPool]:
+    """Returns what creates the connection pool of a server from its address."""
+    memory = AnswerMemory(int(UNFINISHED_ANSWERS_SHARE * memory_bytes))
+    answer_limit_bytes = int(ANSWER_SHARE * memory_bytes)
+    return lambda address: ConnectionPool(address, answer_limit_bytes, memory=memory)
 
 
 class ChannelManager:
@@ -59,7 +66,8 @@
     Args:
         view: The cluster view of this host.
         clock: Clock that counts suspended time.
-        open_pool: Creates the connection pool of a server from its address.
+        open_pool: Creates the connection pool of a server from its address; by default the pools
+            share the memory for answers.
         stop: Which requests are taken while this host stops; by default it never stops.
 
     Attributes:
@@ -70,10 +78,10 @@
         self,
         view: ClusterView,
         clock: Clock,
-        open_pool: Callable[[str], ConnectionPool] = _open_pool,
+        open_pool: Callable[[str], ConnectionPool] | None = None,
         stop: StopAdmission | None = None,
     ) -> None:
-        self._open_pool = open_pool
+        self._open_pool = open_pool or _pool_opener(view.settings.memory_bytes)
         self._stop = stop or StopAdmission(clock)
         self._view = view
         self._clock = clock
--- a/greengagefall/gateway/model.py
+++ b/greengagefall/gateway/model.py
@@ -7,6 +7,7 @@
 from greengagefall.ownership.model import ServerIncarnation
 
 NO_KEY = -1
+DEFAULT_MEMORY_BYTES = 128 * 1024 * 1024
 
 
 class OperatorLimits(NamedTuple):
@@ -50,6 +51,7 @@
         store_retention_s: How long the store keeps changes for watchers.
         cpu_cores: Processor cores that this host may use.
         limits: Limits of the operators.
+        memory_bytes: Memory that this host may use.
     """
 
     host: str
@@ -63,6 +65,7 @@
     store_retention_s: float
     cpu_cores: float
     limits: OperatorLimits
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
 
 
 class ServerEntry(NamedTuple):
--- a/greengagefall/platform/settings.py
+++ b/greengagefall/platform/settings.py
@@ -5,12 +5,19 @@
 
 from __future__ import annotations
 
+import math
 import os
 from pathlib import Path
 
-from greengagefall.gateway.model import OperatorLimits, PlatformSettings
+from greengagefall.gateway.model import (
+    DEFAULT_MEMORY_BYTES,
+    OperatorLimits,
+    PlatformSettings,
+)
 from greengagefall.platform.exceptions import PlatformSettingsError
 
+BYTES_PER_MB = 1_000_000
+DEFAULT_MEMORY_MB = DEFAULT_MEMORY_BYTES / BYTES_PER_MB
 SETTINGS_FILE_ENV_VAR = "GREENGAGEFALL_NODE_FILE"
 DEFAULT_FILE = "/etc/greengagefall/local.conf"
 
@@ -53,6 +60,10 @@
         store_retention_s=fields.number("platform.platform.retentionS", 20.0),
         cpu_cores=fields.number("self.limits.cpuShare", 1.0) * cores,
         limits=_operator_limits(fields),
+        memory_bytes=int(
+            fields.number("self.limits.memoryMb", DEFAULT_MEMORY_BYTES / BYTES_PER_MB)
+            * BYTES_PER_MB
+        ),
     )
 
 
@@ -98,9 +109,12 @@
         if not value:
             return default
         try:
-            return float(value)
-        except ValueError as error:
-            raise PlatformSettingsError(f"{name} is {value!r}; expected a number") from error
+            number = float(value)
+        except ValueError:
+            number = math.nan
+        if not math.isfinite(number):
+            raise PlatformSettingsError(f"{name} is {value!r}; expected a number")
+        return number
 
     def address(self, name: str) -> str:
         """Returns an ``IP:port``."""
--- a/greengagefall/tests/platform_adapter_tests.py
+++ b/greengagefall/tests/platform_adapter_tests.py
@@ -23,6 +23,7 @@
 self.zone=a
 self.limits.cpuShare=0.5
 self.limits.cpuCores=2
+self.limits.memoryMb=235
 network.listen.frontend=10.1.0.35:8144
 network.listen.readiness=10.1.0.35:8140
 network.portRange=7660,7675
@@ -56,6 +57,7 @@
         self.assertEqual(settings.host, "edge-a-1")
         self.assertEqual(settings.peer_address, "10.1.0.35:7660")
         self.assertEqual(settings.cpu_cores, 1.0)
+        self.assertEqual(settings.memory_bytes, 235_000_000)
         self.assertEqual(settings.limits.drain_timeout_s, 2.5)
         self.assertEqual(settings.limits.evacuation_timeout_s, 5.0)
 
@@ -65,6 +67,8 @@
             ("network.listen.frontend", "10.1.0.35"),
             ("network.portRange", "many"),
             ("platform.heartbeatS", "soon"),
+            ("platform.heartbeatS", "nan"),
+            ("self.limits.memoryMb", "inf"),
         ):
             with self.subTest(field=field):
                 text = SETTINGS + f"{field}={value}\n"
