Explore hosts that lose all servers while others reach them

The exploration in virtual time breaks the paths of one host, of a zone or of all hosts but one to all servers, in four ways: calls over kept connections vanish, arrive without an answer, are reset, or go on while no new connection can be opened; in series and overlapping, beside restarts that the store does not see and all earlier faults. Dispatchers and the coordinator are among the hosts.

--- a/greengagefall/tests/ownership_exploration_tests.py
+++ b/greengagefall/tests/ownership_exploration_tests.py
@@ -16,6 +16,7 @@
 from greengagefall.gateway import assignment_store, grants, host_reports, publishing, range_moves
 from greengagefall.gateway.incarnation_check import IncarnationCheck
 from greengagefall.gateway.view import ClusterView
+from greengagefall.ownership.key_grants import KeyGrantTracker
 from greengagefall.tests.ownership_faults import inject_fault
 from greengagefall.tests.ownership_simulation import Simulation
 from greengagefall.tests.simulated_network import SimulatedPool
@@ -57,6 +58,11 @@
 HELD_UP_FAULT_KINDS = (*FAULT_KINDS, *["held_up"] * 4)
 LATE_MESSAGE_FAULT_KINDS = (*FAULT_KINDS, *["late_messages"] * 4)
 UNSEEN_RESTART_FAULT_KINDS = (*FAULT_KINDS, *["unseen_restart"] * 4)
+CUT_HOSTS_FAULT_KINDS = (
+    *FAULT_KINDS,
+    *["hosts_without_servers"] * 6,
+    *["unseen_restart"] * 2,
+)
 FAULTS_END_S = 25.0
 # Time after the last fault; it covers the longest wait for the grants of an unreachable dispatcher.
 RECOVERY_S = 20.0
@@ -136,6 +142,22 @@
     def test_a_server_that_restarted_unseen_by_the_store_is_granted_no_old_fence(self):
         self.assert_none_found(range(SEED_COUNT), UNSEEN_RESTART_FAULT_KINDS)
 
+    def test_no_key_is_held_twice_after_hosts_lost_all_servers(self):
+        self.assert_none_found(range(SEED_COUNT), CUT_HOSTS_FAULT_KINDS)
+
+    def test_oracle_detects_planted_neglect_of_grants_without_an_answer(self):
+        def record_nothing(self, first, last):
+            return
+
+        with (
+            mock.patch.object(KeyGrantTracker, "record_sent", record_nothing),
+            mock.patch.object(KeyGrantTracker, "record_given_up", record_nothing),
+        ):
+            caught = any(
+                explore(seed, CUT_HOSTS_FAULT_KINDS)[0] for seed in range(PLANTED_SEED_COUNT)
+            )
+        self.assertTrue(caught)
+
     def test_oracle_detects_planted_delivery_of_calls_that_were_given_up(self):
         with mock.patch.object(SimulatedPool, "resets_given_up_calls", False):
             caught = any(
--- a/greengagefall/tests/ownership_faults.py
+++ b/greengagefall/tests/ownership_faults.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, NamedTuple
 
+from greengagefall.tests.simulated_network import PATH_RESET, PATH_STATES
 from greengagefall.utils.registry import Registry
 
 if TYPE_CHECKING:
@@ -75,6 +76,30 @@
     await _cut(simulation, [target.host.name], [target.server.name], target.duration_s)
 
 
+@FAULTS.register("hosts_without_servers")
+async def cut_hosts_from_servers(simulation: Simulation, target: FaultTarget) -> None:
+    """Breaks the paths of some hosts to all servers; the store and other hosts reach them.
+
+    The coordinator and dispatchers may be among the hosts, and more than one fault may overlap.
+    """
+    rng = simulation.rng
+    hosts = list(simulation.hosts.values())
+    same_zone = [host for host in hosts if host.zone == target.host.zone]
+    affected = rng.choice(([target.host], same_zone, rng.sample(hosts, len(hosts) - 1)))
+    state = rng.choice(PATH_STATES)
+    paths = [(host.name, server) for host in affected for server in simulation.servers]
+    simulation.broken_paths.update(dict.fromkeys(paths, state))
+    if state == PATH_RESET:
+        names = {host.name for host in affected}
+        for server in simulation.servers.values():
+            for pool in server.pools:
+                if pool.host_name in names:
+                    pool.reset()
+    await asyncio.sleep(target.duration_s)
+    for path in paths:
+        simulation.broken_paths.pop(path, None)
+
+
 @FAULTS.register("zone")
 async def cut_zone(simulation: Simulation, target: FaultTarget) -> None:
     members = [*simulation.hosts.values(), *simulation.servers.values()]
--- a/greengagefall/tests/ownership_simulation.py
+++ b/greengagefall/tests/ownership_simulation.py
@@ -45,6 +45,8 @@
         self.late_message_share = 0.0
         self.violations: list[str] = []
         self.cuts: set[frozenset[str]] = set()
+        # How the path from a host to a server is broken, by their names.
+        self.broken_paths: dict[tuple[str, str], str] = {}
         self.deliveries: set[asyncio.Task] = set()
         self.server_entries: dict[str, tuple[ServerEntry, float]] = {}
         self.grant_log: list[tuple[int, int, str, int, int]] = []
--- a/greengagefall/tests/simulated_network.py
+++ b/greengagefall/tests/simulated_network.py
@@ -28,9 +28,21 @@
 LATE_MESSAGE_RANGE_S = (0.5, 9.0)
 
 
+# What calls of a host to a server meet while the path between them is broken.
+PATH_SILENT = "silent"
+PATH_ANSWERS_LOST = "answers_lost"
+PATH_RESET = "reset"
+PATH_NO_NEW_CONNECTIONS = "no_new_connections"
+PATH_STATES = (PATH_SILENT, PATH_ANSWERS_LOST, PATH_RESET, PATH_NO_NEW_CONNECTIONS)
+CONNECT_TIMEOUT_S = 0.5
+
+
 class SimulatedPool:
     """Simulates the connections of one host to one server.
 
+    A connection that is kept belongs to the incarnation of the server that accepted it. While the
+    path is broken, a call over it may still arrive, and no new connection can be opened.
+
     Attributes:
         resets_given_up_calls: Whether giving a call up discards what the network holds of it.
     """
@@ -44,6 +56,7 @@
         self._host = host
         self._server = simulation.servers[address.partition(":")[0]]
         self._server.pools.append(self)
+        self._kept_with_ms: int | None = None
 
     def close(self) -> None:
         """Does nothing."""
@@ -56,9 +69,16 @@
             if server.up or rng.random() < 0.5:
                 await asyncio.sleep(min(timeout_s, 0.5))
             raise NotSentError(f"no connection to {server.name}")
+        path = simulation.broken_paths.get((self._host.name, server.name), "")
+        if path and self._kept_with_ms != server.start_ms:
+            await asyncio.sleep(CONNECT_TIMEOUT_S if path == PATH_SILENT else 0.0)
+            raise NotSentError(f"no new connection to {server.name}")
         if not may_send():
             raise SendRefusedError(f"the call to {server.name} is no longer current")
+        self._kept_with_ms = server.start_ms
         arrived_s = simulation.loop.now_s
+        if path in (PATH_SILENT, PATH_ANSWERS_LOST):
+            return await self._exchange_unanswered(request, timeout_s, path)
         if not server.calls_pass.is_set():
             return await self._exchange_held_up(request, timeout_s)
         request_id = dict(request.headers).get(REQUEST_ID_HEADER)
@@ -76,6 +96,20 @@
             raise AnswerTimeoutError(f"no answer from {server.name} within {timeout_s} s")
         return answer
 
+    def reset(self) -> None:
+        """Ends the connections, as a reset from the network does."""
+        self._kept_with_ms = None
+        if self.on_idle_close is not None:
+            self.on_idle_close()
+
+    async def _exchange_unanswered(self, request, timeout_s: float, path: str) -> HttpAnswer:
+        """Sends a call over a kept connection of a broken path; it is given up with a reset."""
+        if path == PATH_ANSWERS_LOST:
+            self._apply(request, self._simulation.loop.now_s, self._server.start_ms)
+        await asyncio.sleep(timeout_s)
+        self._kept_with_ms = None
+        raise AnswerTimeoutError(f"no answer from {self._server.name} within {timeout_s} s")
+
     async def _exchange_held_up(self, request, timeout_s: float) -> HttpAnswer:
         answered = asyncio.get_running_loop().create_future()
         delivery = asyncio.create_task(self._deliver_late(request, self._server.start_ms, answered))
