Keep the record of grants in force when a server's entry was missing

What callers would see: two servers hold the same keys (OWNER).

Cause: a host closed its channel to a server whose entry was missing for 4 s, and with it the record of its grants, although it had renewed them until then. Once the entry was back, a new channel knew of no grant and told the coordinator that nothing was in force, so that the keys went to another server.

Evidence: the new test: the host tells that its grants end at 10.0 s, while the server holds the keys until 11.5 s. It needs a host that lost the store, or sees a server's entry lapse behind a cut, and a coordinator that does not.

A channel is closed only once no grant of it can be in force.

--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -326,7 +326,7 @@
         for incarnation, channel in list(self._channels.items()):
             entry = self._view.servers.get(incarnation.server_id)
             present = entry is not None and entry.start_ms == incarnation.start_ms
-            if (present and self._dispatches(incarnation)) or not channel.idle:
+            if (present and self._dispatches(incarnation)) or not channel.may_close:
                 self._unneeded_since_s.pop(incarnation, None)
                 continue
             since_s = self._unneeded_since_s.setdefault(incarnation, now_s)
--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -20,6 +20,7 @@
     RENEW_INTERVAL_S,
     KeyGrantTracker,
 )
+from greengagefall.ownership.model import LAST_KEY
 from greengagefall.platform import grants as calls
 from greengagefall.utils.metrics import count
 from greengagefall.utils.supervision import start_supervised
@@ -161,6 +162,11 @@
         """Highest fencing token that this host may have granted to the server."""
         return self._check.sent_fence
 
+    @property
+    def in_force(self) -> bool:
+        """Whether the server may hold keys by a grant of this host."""
+        return self._tracker.grants_expired_by_s(0, LAST_KEY) > self._clock.now_s()
+
     def fence_to_replace(self) -> int:
         """Returns the highest fencing token that has to be replaced soon, 0 for none.
 
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -135,6 +135,11 @@
         """Whether no request is queued or in flight."""
         return not self._waiting and self.queue.in_flight == 0
 
+    @property
+    def may_close(self) -> bool:
+        """Whether closing loses no request, and no record of grants that are in force."""
+        return self.idle and (self._grants is None or not self._grants.in_force)
+
     def start(self) -> None:
         """Starts to renew grants and to probe the server while it is down."""
         if self._grants is not None:
