Cut hosts off from all servers in the soak, and restart servers unseen

The soak of real processes takes all servers from some hosts, while the store and the other hosts reach them, in three forms: calls hang, or connections are reset, or those that are open live on while new ones are refused. A server restarts under its id while the store still has its former entry.

--- a/greengagefall/bench/gateway_faults.py
+++ b/greengagefall/bench/gateway_faults.py
@@ -7,6 +7,7 @@
 
 from greengagefall.bench.gateway_fleet import ENTRY_EXPIRY_S
 from greengagefall.bench.processes import STOP_TIMEOUT_S
+from greengagefall.bench.tcp_proxy import concerns_none
 from greengagefall.standins.platform_server import CUT_IN_HEAD, REFUSED_TWICE
 from greengagefall.utils.registry import Registry
 from greengagefall.utils.waiting import wait_until
@@ -32,6 +33,13 @@
 # Holds shorter than the time in which keys move to another server, and longer ones.
 HOLD_RANGES_S = ((0.5, 3.0), (3.0, 5.0))
 HELD_DIRECTIONS = ((True, True), (True, True), (True, False), (False, True))
+# How hosts lose servers: calls hang, connections are reset, or new ones are refused.
+LOSS_HANGS = "hangs"
+LOSS_RESETS = "resets"
+LOSS_REFUSES = "refuses"
+LOSS_FORMS = (LOSS_HANGS, LOSS_RESETS, LOSS_REFUSES)
+# The store drops the entry of a server after three heartbeat intervals of 0.5 s.
+UNSEEN_RANGE_S = (0.2, 1.4)
 LATE_ORDERS_RANGE_S = (2.0, 6.0)
 LATE_ORDERS_SHARE = 1 / 2
 SPOILED_SHARE = 1 / 5
@@ -205,14 +213,42 @@
 @FAULTS.register("server_held_from_some_hosts")
 async def server_held_from_some_hosts(fleet: GatewayFleet, rng: random.Random) -> None:
     """Holds back what some hosts and some servers send each other; the other hosts reach them."""
-    hosts = rng.sample(fleet.hosts(), rng.randint(1, len(fleet.hosts()) - 1))
     links = [fleet.server_links[name] for name in _names_not_held(fleet, rng)]
+    is_cut_off = _some_hosts(fleet, rng)
+    await _hold(links, rng, rng.uniform(*rng.choice(HOLD_RANGES_S)), is_cut_off)
 
-    def is_cut_off(port: int) -> bool:
-        running = [host for host in hosts if fleet.processes.is_running(host)]
-        return any(port in fleet.processes.ports(host) for host in running)
 
-    await _hold(links, rng, rng.uniform(*rng.choice(HOLD_RANGES_S)), is_cut_off)
+@FAULTS.register("hosts_without_servers")
+async def hosts_without_servers(fleet: GatewayFleet, rng: random.Random) -> None:
+    """Cuts some hosts off from all servers; the store and the other hosts reach them.
+
+    What they send hangs, or their connections are reset, or those that are open live on; new ones
+    are refused in the last two cases.
+    """
+    links = [link for link in fleet.server_links.values() if not link.is_holding()]
+    is_cut_off = _some_hosts(fleet, rng)
+    duration_s = rng.uniform(*rng.choice(HOLD_RANGES_S))
+    form = rng.choice(LOSS_FORMS)
+    fleet.log_event(f"hosts without servers: {form} for {duration_s:.2f} s")
+    if form == LOSS_HANGS:
+        await _hold(links, rng, duration_s, is_cut_off)
+        return
+    for link in links:
+        link.refuses_from = is_cut_off
+        if form == LOSS_RESETS:
+            link.reset(is_cut_off)
+    await asyncio.sleep(duration_s)
+    for link in links:
+        link.refuses_from = concerns_none
+
+
+@FAULTS.register("server_restarts_unseen")
+async def server_restarts_unseen(fleet: GatewayFleet, rng: random.Random) -> None:
+    """Restarts a server under its id while it is cut off from the store but not from the hosts."""
+    name = rng.choice(list(fleet.servers))
+    if not fleet.server_links[name].refuses:
+        fleet.log_event(f"{name} restarts unseen by the store")
+        await fleet.restart_server_unseen(name, rng.uniform(*UNSEEN_RANGE_S))
 
 
 @FAULTS.register("host_killed_behind_hold")
@@ -281,6 +317,17 @@
         fleet.servers[name].spoil_answer = lambda: ""
 
 
+def _some_hosts(fleet: GatewayFleet, rng: random.Random) -> Callable[[int], bool]:
+    """Draws some hosts, not all; returns what tells whether a caller's port is one of theirs."""
+    hosts = rng.sample(fleet.hosts(), rng.randint(1, len(fleet.hosts()) - 1))
+
+    def is_of_host(port: int) -> bool:
+        running = [host for host in hosts if fleet.processes.is_running(host)]
+        return any(port in fleet.processes.ports(host) for host in running)
+
+    return is_of_host
+
+
 def _names_not_held(fleet: GatewayFleet, rng: random.Random) -> list[str]:
     """Draws some servers whose connections are not held back already."""
     names = rng.sample(list(fleet.servers), rng.randint(1, MAX_HELD_SERVERS))
--- a/greengagefall/bench/gateway_fleet.py
+++ b/greengagefall/bench/gateway_fleet.py
@@ -167,6 +167,13 @@
         self.servers[name].crashed = False
         await self.write_server_entry(name)
 
+    async def restart_server_unseen(self, name: str, unseen_s: float) -> None:
+        """Restarts a server under its id; the store has its old entry for ``unseen_s`` more."""
+        self.server_links[name].reset()
+        self.servers[name].restart()
+        await asyncio.sleep(unseen_s)
+        await self.renew_server_entry(name)
+
     async def expire_server_entry(self, name: str) -> None:
         """Deletes the entry of a server that no longer reaches the platform."""
         await asyncio.sleep(ENTRY_EXPIRY_S)
--- a/greengagefall/bench/tcp_proxy.py
+++ b/greengagefall/bench/tcp_proxy.py
@@ -19,6 +19,11 @@
     return True
 
 
+def concerns_none(caller_port: int) -> bool:
+    """Returns that no connection is concerned, whatever the port of its caller."""
+    return False
+
+
 class _Pipe:
     """One direction of a connection: what was read on one side and not yet delivered to the other.
 
@@ -108,6 +113,8 @@
         drops_to_target: Whether data sent to the target is dropped.
         drops_from_target: Whether data sent by the target is dropped.
         refuses: Whether new connections are closed immediately.
+        refuses_from: Returns whether new connections from this port of a caller are reset, while
+            connections that are open live on.
         holds_to_target: Whether data sent to the target is held back.
         holds_from_target: Whether data sent by the target is held back.
         discarded: How often held data was lost because its sender reset the connection.
@@ -119,6 +126,7 @@
         self.holds_to_target = False
         self.holds_from_target = False
         self._concerns = _concerns_all
+        self.refuses_from: Callable[[int], bool] = concerns_none
         self.discarded = 0
         self.clear_faults()
         self._server: asyncio.Server | None = None
@@ -190,12 +198,17 @@
         self.holds_to_target = False
         self.holds_from_target = False
 
-    def reset(self) -> None:
-        """Resets all connections, as the end of the target's process does.
+    def reset(self, concerns: Callable[[int], bool] = _concerns_all) -> None:
+        """Resets connections, as the end of the target's process does.
 
         While data from the target is held, callers see that only after the release.
+
+        Args:
+            concerns: Returns whether connections from this port of a caller are reset.
         """
         for connection in list(self._connections):
+            if not concerns(connection.caller_port):
+                continue
             if not self._is_cut(connection):
                 connection.reset()
             elif connection.target_writer is not None:
@@ -242,6 +255,9 @@
             return None
         if self.refuses:
             return None
+        if self.refuses_from(connection.caller_port):
+            _reset(connection.caller_writer)
+            return None
         host, _, port = self.target.rpartition(":")
         try:
             reader, connection.target_writer = await asyncio.open_connection(host, int(port))
--- a/greengagefall/tests/tcp_proxy_tests.py
+++ b/greengagefall/tests/tcp_proxy_tests.py
@@ -161,6 +161,31 @@
             self.assertEqual(await reader.read(1), b"")
         self.assertEqual((self.received, self.ends), ([], ["reset"]))
 
+    async def test_open_connections_live_on_while_new_ones_are_refused(self):
+        _, writer = await self.connect_to_target()
+        port = writer.get_extra_info("sockname")[1]
+        self.proxy.refuses_from = lambda caller_port: True
+        reader, _ = await self.connect()
+        with contextlib.suppress(ConnectionError):
+            self.assertEqual(await reader.read(1), b"")
+        writer.write(b"still open")
+        await self.until(lambda: self.received)
+        self.assertEqual(len(self.peers), 1)
+        self.proxy.refuses_from = lambda caller_port: caller_port == port
+        await self.connect()
+        await self.until(lambda: len(self.peers) == 2)
+
+    async def test_resets_only_the_connections_concerned(self):
+        _, writer = await self.connect_to_target()
+        _, other = await self.connect()
+        await self.until(lambda: len(self.peers) == 2)
+        port = writer.get_extra_info("sockname")[1]
+        self.proxy.reset(lambda caller_port: caller_port == port)
+        await self.until(lambda: self.ends)
+        other.write(b"still open")
+        await self.until(lambda: self.received)
+        self.assertEqual(self.ends, ["reset"])
+
 
 if __name__ == "__main__":
     unittest.main()
