Notice soon that the answers of waiting watches are lost

Cause: a watch waits up to 14 s for its answer; one whose answer is lost was noticed only 2 s after that. Until then the host counted as up to date, although its other calls got no answer either.

Now each host that watches makes a cheap call once in half the drain timeout (1 s; a tenth of the price of a call). If the store gives no answer within a second, all watches begin anew, and what changed meanwhile is read. A refusal is an answer. Ruled out: shorter watches, which would cost several times as many calls at the full price.

Not covered: an outage that falls between two calls, shorter than a second.

--- a/greengagefall/gateway/following.py
+++ b/greengagefall/gateway/following.py
@@ -18,7 +18,10 @@
 from greengagefall.gateway.held_back import HeldBackKeys
 from greengagefall.ownership.model import UNKNOWN_RESTORES
 from greengagefall.store.backoff import Backoff
-from greengagefall.store.exceptions import StoreCompactedError
+from greengagefall.store.exceptions import (
+    StoreCompactedError,
+    StoreUnavailableError,
+)
 from greengagefall.utils.metrics import count
 from greengagefall.utils.supervision import start_supervised
 
@@ -133,6 +136,8 @@
         self._complete_since = 0
         self._pending_removals: dict[str, asyncio.TimerHandle] = {}
         self._task: asyncio.Task | None = None
+        self._watch_call: asyncio.Future | None = None
+        self._watch_given_up = False
         self._reachable_since_s = -math.inf
         self._resync_s = math.inf
         self._unreachable = False
@@ -229,7 +234,18 @@
     async def _read_changes(self, revision: int) -> int | None:
         remaining_s = self._next_full_read_s() - self._clock.now_s()
         timeout_s = min(self._watch_timeout_s, max(0.0, remaining_s))
-        read = await self._store.watch(self._prefix, revision, timeout_s)
+        self._watch_call = asyncio.ensure_future(
+            self._store.watch(self._prefix, revision, timeout_s)
+        )
+        try:
+            read = await self._watch_call
+        except asyncio.CancelledError:
+            if not self._watch_given_up or asyncio.current_task().cancelling():
+                raise
+            read = Err(StoreUnavailableError(f"{self._prefix}: the watch was given up"))
+        finally:
+            self._watch_call.cancel()
+            self._watch_given_up = False
         if isinstance(read, Err):
             self._watching = False
             self._resync_s = self._clock.now_s() + RESYNC_DELAY_S
@@ -259,6 +275,12 @@
             await asyncio.sleep(self.batch_delay_s())
         return read.ok_value.revision
 
+    def give_up_watch(self) -> None:
+        """Begins anew, since the answer of the present watch may be lost."""
+        if self._watch_call is not None and not self._watch_call.done():
+            self._watch_given_up = True
+            self._watch_call.cancel()
+
     def changes_since(self, revision: int) -> PrefixChanges:
         """Returns the changes after a revision; all keys if the deletions are not known."""
         complete = revision < self._complete_since or not revision
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -29,6 +29,7 @@
 from greengagefall.gateway.relaying import StoreRelay
 from greengagefall.gateway.router import Router
 from greengagefall.gateway.status_http import StatusServer
+from greengagefall.gateway.store_probe import StoreProbe
 from greengagefall.gateway.view import ClusterView, HostRecord
 from greengagefall.limits.stop_admission import StopAdmission
 from greengagefall.ownership.model import UNKNOWN_RESTORES, HostIncarnation
@@ -85,6 +86,11 @@
         )
         self._watchers = self._make_watchers()
         self._relay = StoreRelay(self._watchers, PlatformStore(settings.store_address), clock)
+        self._store_probe = StoreProbe(
+            self._watchers,
+            PlatformStore(settings.store_address),
+            settings.limits.drain_timeout_s,
+        )
         self._handlers.relay = self._relay
         self._follower = RelayFollower(self._watchers, self._relay, self.view, self._peers, clock)
         self.view.is_entry_in_store = self._is_entry_in_store
@@ -99,6 +105,7 @@
         self._status.start()
         self._callers.start()
         self._follower.start()
+        self._store_probe.start()
         self._channels.start()
         self._heartbeats.start()
         self._election.start()
@@ -135,6 +142,7 @@
         self._heartbeats.close()
         self._channels.close()
         self._follower.close()
+        self._store_probe.close()
         self._relay.close()
         for watcher in self._watchers:
             watcher.close()
--- a/greengagefall/platform/store.py
+++ b/greengagefall/platform/store.py
@@ -20,6 +20,7 @@
 from greengagefall.platform.fields import shown
 from greengagefall.platform.requests import json_request
 from greengagefall.store.exceptions import (
+    StoreBusyError,
     StoreCompactedError,
     StoreError,
     StoreLeaseLostError,
@@ -127,10 +128,17 @@
         return _parsed(answer, lambda fields: _key_value(fields))
 
     async def is_reachable(self, key: str) -> bool:
-        """Returns whether the store answers, by a cheap read of a key that may be out of date."""
+        """Returns whether the store serves a cheap read of a key that may be out of date."""
+        return not isinstance(await self._probe(key), Err)
+
+    async def answers(self, key: str) -> bool:
+        """Returns whether the store answers such a read, be it with a refusal."""
+        probed = await self._probe(key)
+        return not isinstance(probed, Err) or isinstance(probed.err_value, StoreBusyError)
+
+    async def _probe(self, key: str) -> Result[HttpAnswer, StoreError]:
         query = {"key": key, "allowStale": 1}
-        called = await self._call("probe", "GET", "/greengagefall/kv-key", query)
-        return not isinstance(called, Err)
+        return await self._call("probe", "GET", "/greengagefall/kv-key", query)
 
     async def range(self, prefix: str) -> Result[RangeResult, StoreError]:
         """Returns all keys with a prefix, page by page; all pages are from the same restore."""
@@ -256,7 +264,7 @@
             return self._failed(name, unanswered(f"{name}: {error}"))
         self._record_restores(name, answer.headers.get(ERA_HEADER))
         if answer.status in (HTTP_TOO_MANY_REQUESTS, HTTP_SERVICE_UNAVAILABLE):
-            return self._failed(name, StoreUnavailableError(f"{name}: HTTP status {answer.status}"))
+            return self._failed(name, StoreBusyError(f"{name}: HTTP status {answer.status}"))
         if answer.status not in (HTTP_OK, HTTP_NOT_FOUND, HTTP_GONE, HTTP_PRECONDITION_FAILED):
             return self._failed(
                 name, StoreRefusedError(f"{name}: unexpected HTTP status {answer.status}")
--- a/greengagefall/store/exceptions.py
+++ b/greengagefall/store/exceptions.py
@@ -11,6 +11,10 @@
     """Nothing was sent, or a read got no answer; the call had no effect."""
 
 
+class StoreBusyError(StoreUnavailableError):
+    """The store answered that it does not serve the call now."""
+
+
 class StoreOutcomeUnknownError(StoreError):
     """A write was sent and got no answer; it may have taken effect or take effect later."""
 
