Apply removals at once after a watch was merely cut

Cause: any failed watch counted as an outage of the store, after which removals are held back for 2.2 s, since entries that lapse while the store is away come back within that time.

Now a watch whose connection ended is followed by a read of all keys at once; only if that fails, too, or the watch got no answer or could not be sent, it is an outage. No entry lapses in the milliseconds between.

The test failed before: the removed server was still known after 0.5 s.

--- a/greengagefall/gateway/following.py
+++ b/greengagefall/gateway/following.py
@@ -20,6 +20,7 @@
 from greengagefall.store.backoff import Backoff
 from greengagefall.store.exceptions import (
     StoreCompactedError,
+    StoreConnectionLostError,
     StoreUnavailableError,
 )
 from greengagefall.utils.metrics import count
@@ -255,7 +256,9 @@
                     extra={"prefix": self._prefix},
                 )
                 return None
-            self._note_unreachable(read.err_value)
+            if not isinstance(read.err_value, StoreConnectionLostError):
+                # A watch that was cut is no outage unless the read that follows fails, too.
+                self._note_unreachable(read.err_value)
             return None
         self._note_reachable()
         if self._store.restores != self.restores:
--- a/greengagefall/platform/store.py
+++ b/greengagefall/platform/store.py
@@ -15,13 +15,14 @@
 from result import Err, Ok, Result
 
 from greengagefall.dispatch.connection_pool import ConnectionPool, HttpAnswer
-from greengagefall.dispatch.exceptions import DispatchError, NotSentError
+from greengagefall.dispatch.exceptions import AnswerTimeoutError, DispatchError, NotSentError
 from greengagefall.ownership.model import UNKNOWN_RESTORES
 from greengagefall.platform.fields import shown
 from greengagefall.platform.requests import json_request
 from greengagefall.store.exceptions import (
     StoreBusyError,
     StoreCompactedError,
+    StoreConnectionLostError,
     StoreError,
     StoreLeaseLostError,
     StoreOutcomeUnknownError,
@@ -260,7 +261,10 @@
         except NotSentError as error:
             return self._failed(name, StoreUnavailableError(f"{name}: {error}"))
         except DispatchError as error:
-            unanswered = StoreOutcomeUnknownError if method != "GET" else StoreUnavailableError
+            if method != "GET":
+                return self._failed(name, StoreOutcomeUnknownError(f"{name}: {error}"))
+            ended = not isinstance(error, AnswerTimeoutError)
+            unanswered = StoreConnectionLostError if ended else StoreUnavailableError
             return self._failed(name, unanswered(f"{name}: {error}"))
         self._record_restores(name, answer.headers.get(ERA_HEADER))
         if answer.status in (HTTP_TOO_MANY_REQUESTS, HTTP_SERVICE_UNAVAILABLE):
--- a/greengagefall/store/exceptions.py
+++ b/greengagefall/store/exceptions.py
@@ -11,6 +11,10 @@
     """Nothing was sent, or a read got no answer; the call had no effect."""
 
 
+class StoreConnectionLostError(StoreUnavailableError):
+    """The connection of a read ended before its answer."""
+
+
 class StoreBusyError(StoreUnavailableError):
     """The store answered that it does not serve the call now."""
 
--- a/greengagefall/tests/gateway_lost_watch_tests.py
+++ b/greengagefall/tests/gateway_lost_watch_tests.py
@@ -8,11 +8,11 @@
 
 from result import Err, Ok
 
-from greengagefall.gateway.following import PrefixWatcher
+from greengagefall.gateway.following import OUTAGE_RECOVERY_GRACE_S, PrefixWatcher
 from greengagefall.gateway.store_probe import PROBE_SHARE, StoreProbe
 from greengagefall.ownership.model import UNKNOWN_RESTORES
 from greengagefall.platform.store import KeyValue, RangeResult, WatchEvent, WatchResult
-from greengagefall.store.exceptions import StoreUnavailableError
+from greengagefall.store.exceptions import StoreConnectionLostError, StoreUnavailableError
 from greengagefall.tests.virtual_time import LoopClock, VirtualLoop
 
 PREFIX = "servers/"
@@ -84,7 +84,7 @@
                 await asyncio.sleep(end_s - loop.time() + CALL_TIMEOUT_S)
                 return Err(StoreUnavailableError("no answer"))
             if cuts != self._cuts:
-                return Err(StoreUnavailableError("cut"))
+                return Err(StoreConnectionLostError("cut"))
             if events:
                 return Ok(WatchResult(events, self._revision))
             try:
@@ -151,6 +151,32 @@
 
         self.play(run)
 
+    def test_a_cut_watch_holds_no_removal_back(self):
+        # Any failed watch counted as an outage, and removals after it were held back for 2.2 s.
+        async def run(store, watcher):
+            store.cut_watches()
+            await asyncio.sleep(0.05)
+            store.delete("servers/a")
+            await asyncio.sleep(KNOWN_WITHIN_S)
+            self.assertEqual(self.seen, {})
+
+        self.play(run)
+
+    def test_a_removal_in_an_outage_that_began_with_a_cut_is_held_back(self):
+        async def run(store, watcher):
+            store.refuses = True
+            store.cut_watches()
+            await asyncio.sleep(0.05)
+            store.delete("servers/a")
+            await asyncio.sleep(KNOWN_WITHIN_S)
+            store.refuses = False
+            await asyncio.sleep(OUTAGE_RECOVERY_GRACE_S - KNOWN_WITHIN_S)
+            self.assertEqual(self.seen, {"servers/a": b"ready"})
+            await asyncio.sleep(OUTAGE_RECOVERY_GRACE_S)
+            self.assertEqual(self.seen, {})
+
+        self.play(run)
+
     def test_a_watcher_can_be_closed_while_its_watch_is_given_up(self):
         async def run(store, watcher):
             task = watcher._task
