--- a/greengagefall/dispatch/connection_pool.py
+++ b/greengagefall/dispatch/connection_pool.py
@@ -47,6 +47,8 @@
 # The pool uses only this fraction of the idle time in the Keep-Alive header of a server, because
 # the server may close the connection slightly earlier than announced.
 IDLE_FRACTION = 0.7
+# A longer number is larger than any limit here.
+MAX_TIMEOUT_DIGITS = 9
 # The operating system closes a connection whose data stays unacknowledged for this long.
 TCP_USER_TIMEOUT_MS = 2000
 KEEPALIVE_IDLE_S = 1
@@ -386,7 +388,8 @@
     """Returns how long a connection may stay idle, given the server's Keep-Alive header."""
     for part in keep_alive.split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
+        digits = value.isascii() and value.isdecimal() and len(value) <= MAX_TIMEOUT_DIGITS
+        if name.lower() == "timeout" and digits:
             return min(MAX_IDLE_S, int(value) * IDLE_FRACTION)
     return MAX_IDLE_S
 
--- a/greengagefall/tests/dispatch_connection_pool_tests.py
+++ b/greengagefall/tests/dispatch_connection_pool_tests.py
@@ -224,6 +224,16 @@
         with self.assertRaises(NotSentError):
             await self.send(pool)
 
+    async def test_a_malformed_keep_alive_header_is_ignored(self):
+        # A superscript digit or a number too large raised out of the pool.
+        for value in ("timeout=²", "timeout=-1", "timeout=", "timeout=" + "9" * 400):
+            with self.subTest(value=value[:12]):
+                head = f"HTTP/1.1 200 OK\r\nKeep-Alive: {value}\r\nContent-Length: 5\r\n\r\n"
+                answer = ScriptedAnswer(head.encode("latin1") + b"hello")
+                pool = await self.start_server(answer)
+                read = await pool.exchange(REQUEST, TIMEOUT_S, lambda: True)
+                self.assertEqual(read.body, b"hello")
+
 
 class HeldUpRequestTests(unittest.IsolatedAsyncioTestCase):
     """The server's operating system accepts connections, but the server reads nothing at first."""
