Plan by load without usable servers

Seen in the review: the coordinator's step failed with ZeroDivisionError at each plan by load while a keyed service had key ranges and no usable server; the next step went on. The load of no servers counts as 0 now. The test failed before with that error.

--- a/greengagefall/ownership/balance.py
+++ b/greengagefall/ownership/balance.py
@@ -89,9 +89,9 @@
         return max(found, key=lambda row: row[1], default=(0, 0.0))
 
     def mean_utilisation(self) -> float:
-        """Returns the load of all servers as a fraction of their total capacity."""
+        """Returns the load of all servers as a fraction of their total capacity, 0 without any."""
         capacity = sum(server.capacity_per_s for server in self.servers.values())
-        return sum(self._load.values()) / capacity
+        return sum(self._load.values()) / capacity if capacity else 0.0
 
     def initial_load(self, source: ServerIncarnation, target: ServerIncarnation) -> float:
         """Returns the load that a server without keys should get from another server."""
--- a/greengagefall/tests/ownership_planning_tests.py
+++ b/greengagefall/tests/ownership_planning_tests.py
@@ -82,6 +82,12 @@
             if key_range.owner.server_id == name
         )
 
+    def test_a_service_without_usable_servers_keeps_its_ranges(self):
+        # The plan by load divided by the capacity of no server.
+        assignment, _ = self.apply_plans([server("a")], rates_of({}))
+        plan_input = input_of(assignment.key_ranges[SERVICE], [], rates_of({5: 3.0}))
+        self.assertEqual(plan_moves(plan_input), [])
+
     def test_first_owners_share_all_keys_by_their_slots(self):
         assignment, _ = self.apply_plans([server("a"), server("b", slots=12)], rates_of({}))
         sizes = {
