--- a/greengagefall/commands/gateway_command.py
+++ b/greengagefall/commands/gateway_command.py
@@ -1,4 +1,4 @@
-"""The program ``greengagefall-gateway``: an entry host with the platform's settings and store."""
+"""Command of ``greengagefall-gateway``: an entry host with the platform's settings and store."""
 
 from __future__ import annotations
 
@@ -55,7 +55,4 @@
     return 0
 
 
-main = settings_command(GatewaySettings, run, HELP)
-
-if __name__ == "__main__":
-    main()
+command = settings_command(GatewaySettings, run, HELP)
