Move reachability and the waiting call out of the watcher of a prefix

Whether the store is reached, and the call that can be given up, are modules of their own now. No change of behaviour; the tests of following, relaying and restores pass.

--- a/greengagefall/gateway/following.py
+++ b/greengagefall/gateway/following.py
@@ -16,12 +16,13 @@
 from result import Err
 
 from greengagefall.gateway.held_back import HeldBackKeys
+from greengagefall.gateway.reachability import StoreReachability
+from greengagefall.gateway.watch_call import WatchCall
 from greengagefall.ownership.model import UNKNOWN_RESTORES
 from greengagefall.store.backoff import Backoff
 from greengagefall.store.exceptions import (
     StoreCompactedError,
     StoreConnectionLostError,
-    StoreUnavailableError,
 )
 from greengagefall.utils.metrics import count
 from greengagefall.utils.supervision import start_supervised
@@ -137,11 +138,9 @@
         self._complete_since = 0
         self._pending_removals: dict[str, asyncio.TimerHandle] = {}
         self._task: asyncio.Task | None = None
-        self._watch_call: asyncio.Future | None = None
-        self._watch_given_up = False
-        self._reachable_since_s = -math.inf
+        self._watch_call = WatchCall()
+        self._reachability = StoreReachability(prefix, clock)
         self._resync_s = math.inf
-        self._unreachable = False
         self._watching = False
         self.on_change: Callable[[], None] = lambda: None
         self.revision = 0
@@ -157,7 +156,7 @@
     @property
     def reachable_since_s(self) -> float:
         """When the store was reached again after the last outage."""
-        return self._reachable_since_s
+        return self._reachability.since_s
 
     def is_current(self, key: str) -> bool:
         """Returns whether the store has a key now and no change of it can have been missed.
@@ -165,7 +164,7 @@
         This is false until ``OUTAGE_RECOVERY_GRACE_S`` after an outage, since the writers of the
         keys may not have written their current state yet.
         """
-        if self._unreachable or self._resync_s != math.inf:
+        if not self._reachability.reached or self._resync_s != math.inf:
             return False
         if self._clock.now_s() < self._grace_ends_s():
             return False
@@ -209,17 +208,17 @@
                 revision = await self._read_all()
             else:
                 revision = await self._read_changes(revision)
-            if self._unreachable:
-                backoff.record_failure()
-            else:
+            if self._reachability.reached:
                 backoff.reset()
+            else:
+                backoff.record_failure()
 
     async def _read_all(self) -> int | None:
         read = await self._store.range(self._prefix)
         if isinstance(read, Err):
-            self._note_unreachable(read.err_value)
+            self._reachability.note_failure(read.err_value)
             return None
-        self._note_reachable()
+        self._reachability.note_answer()
         if self._clock.now_s() >= self._resync_s:
             self._resync_s = math.inf
         self._note_restores(self._store.restores)
@@ -235,18 +234,7 @@
     async def _read_changes(self, revision: int) -> int | None:
         remaining_s = self._next_full_read_s() - self._clock.now_s()
         timeout_s = min(self._watch_timeout_s, max(0.0, remaining_s))
-        self._watch_call = asyncio.ensure_future(
-            self._store.watch(self._prefix, revision, timeout_s)
-        )
-        try:
-            read = await self._watch_call
-        except asyncio.CancelledError:
-            if not self._watch_given_up or asyncio.current_task().cancelling():
-                raise
-            read = Err(StoreUnavailableError(f"{self._prefix}: the watch was given up"))
-        finally:
-            self._watch_call.cancel()
-            self._watch_given_up = False
+        read = await self._watch_call.run(self._store.watch(self._prefix, revision, timeout_s))
         if isinstance(read, Err):
             self._watching = False
             self._resync_s = self._clock.now_s() + RESYNC_DELAY_S
@@ -258,9 +246,9 @@
                 return None
             if not isinstance(read.err_value, StoreConnectionLostError):
                 # A watch that was cut is no outage unless the read that follows fails, too.
-                self._note_unreachable(read.err_value)
+                self._reachability.note_failure(read.err_value)
             return None
-        self._note_reachable()
+        self._reachability.note_answer()
         if self._store.restores != self.restores:
             # The store's history does not continue at the revision that was asked for.
             self._watching = False
@@ -280,9 +268,7 @@
 
     def give_up_watch(self) -> None:
         """Begins anew, since the answer of the present watch may be lost."""
-        if self._watch_call is not None and not self._watch_call.done():
-            self._watch_given_up = True
-            self._watch_call.cancel()
+        self._watch_call.give_up()
 
     def changes_since(self, revision: int) -> PrefixChanges:
         """Returns the changes after a revision; all keys if the deletions are not known."""
@@ -313,12 +299,12 @@
             reachable_since_s: When that host reached the store again after its last outage.
             restores: Restores of the store, as that host knows them.
         """
-        self._note_reachable()
+        self._reachability.note_answer()
         if restores > self.restores:
             self._note_restores(restores)
         # A relay passes keys on only once none is held back.
         self._held_back.end_grace()
-        self._reachable_since_s = max(self._reachable_since_s, reachable_since_s)
+        self._reachability.since_s = max(self._reachability.since_s, reachable_since_s)
         if changes.revision >= self.revision:
             self._apply(changes)
 
@@ -396,7 +382,7 @@
 
     def _grace_ends_s(self) -> float:
         """Returns when the writers of the keys have written their current state again."""
-        return max(self._reachable_since_s, self._held_back.restored_s) + OUTAGE_RECOVERY_GRACE_S
+        return max(self._reachability.since_s, self._held_back.restored_s) + OUTAGE_RECOVERY_GRACE_S
 
     def _remove(self, key: str) -> None:
         self._pending_removals.pop(key, None)
@@ -435,18 +421,3 @@
         self._complete_since = 0
         self.revision = 0
         self.last_change = 0
-
-    def _note_unreachable(self, error: Exception) -> None:
-        if not self._unreachable:
-            log.warning(
-                "Store is unreachable; retrying.",
-                extra={"prefix": self._prefix, "error": str(error)},
-            )
-            count("store_lost")
-        self._unreachable = True
-
-    def _note_reachable(self) -> None:
-        if self._unreachable:
-            log.info("Store is reachable again.", extra={"prefix": self._prefix})
-            self._reachable_since_s = self._clock.now_s()
-        self._unreachable = False
