Share the memory for answers in the project's own entry hosts, too

The bound on unfinished answers held for the gateway only; in an entry host each pool had one of its own, of two answers of the largest size, which could have given up ordinary large answers. All servers of an entry host share 64 MB now; a pool alone has no common bound. The tests of answers and of the entry hosts' dispatchers pass.

--- a/greengagefall/dispatch/answer_memory.py
+++ b/greengagefall/dispatch/answer_memory.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import Protocol
 
 from greengagefall.utils.metrics import count
@@ -30,7 +31,7 @@
         limit_bytes: Bytes that all unfinished answers may hold together.
     """
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(self, limit_bytes: float = math.inf) -> None:
         self._limit_bytes = limit_bytes
         self._held_bytes = 0
         self._sizes_bytes: dict[UnfinishedAnswer, int] = {}
--- a/greengagefall/dispatch/connection_pool.py
+++ b/greengagefall/dispatch/connection_pool.py
@@ -41,8 +41,6 @@
 
 CONNECT_TIMEOUT_S = 0.5
 MAX_HEADER_BYTES = 65_536
-# Answers of the largest size that the memory of a pool of its own holds.
-DEFAULT_MEMORY_ANSWERS = 2
 MAX_IDLE_S = 20.0
 # The pool uses only this fraction of the idle time in the Keep-Alive header of a server, because
 # the server may close the connection slightly earlier than announced.
@@ -172,7 +170,8 @@
         address: ``IP:port`` of the server.
         answer_limit_bytes: Maximum size of the body of an answer.
         on_idle_close: Called when the server closes an idle connection.
-        memory: Memory of the unfinished answers of all pools; by default this pool has its own.
+        memory: Memory of the unfinished answers of several pools; by default only the size of each
+            answer is limited.
     """
 
     def __init__(
@@ -183,7 +182,7 @@
         memory: AnswerMemory | None = None,
     ) -> None:
         self.address = address
-        self._memory = memory or AnswerMemory(DEFAULT_MEMORY_ANSWERS * answer_limit_bytes)
+        self._memory = memory or AnswerMemory()
         self.on_idle_close = on_idle_close
         self._answer_limit_bytes = answer_limit_bytes
         host, _, port = address.rpartition(":")
--- a/greengagefall/dispatch/server_dispatcher.py
+++ b/greengagefall/dispatch/server_dispatcher.py
@@ -49,6 +49,7 @@
     from greengagefall.coordination.dispatch_right import DispatchRight
     from greengagefall.coordination.grants import GrantTracker
     from greengagefall.coordination.slice_map import SliceMap
+    from greengagefall.dispatch.answer_memory import AnswerMemory
     from greengagefall.dispatch.connection_pool import HttpAnswer
     from greengagefall.dispatch.server_control import ControlReply
     from greengagefall.limits.concurrency import ConcurrencyLimit
@@ -79,6 +80,7 @@
         slice_map: Returns the newest slice map of the back end.
         clock: Monotonic clock.
         on_state_change: Called when the health state of the server changes.
+        answer_memory: Memory of the unfinished answers of all servers; None for no common limit.
     """
 
     def __init__(
@@ -91,6 +93,7 @@
         slice_map: Callable[[], SliceMap | None],
         clock: Clock,
         on_state_change: Callable[[], None] | None = None,
+        answer_memory: AnswerMemory | None = None,
     ) -> None:
         self.server_key = f"{back_end.name}/{server.name}"
         self.back_end = back_end
@@ -101,7 +104,9 @@
         self._slice_map = slice_map
         self._clock = clock
         self.health = ServerHealth(self.server_key, clock, on_change=on_state_change)
-        self._pool = ConnectionPool(server.address, limits.answer_bytes, self._mark_unverified)
+        self._pool = ConnectionPool(
+            server.address, limits.answer_bytes, self._mark_unverified, answer_memory
+        )
         self._control = ServerControl(server.address)
         self.grants = GrantKeeper(
             back_end.name,
--- a/greengagefall/entry/dispatch_table.py
+++ b/greengagefall/entry/dispatch_table.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from greengagefall.coordination.grants import GrantTracker
+from greengagefall.dispatch.answer_memory import AnswerMemory
 from greengagefall.dispatch.server_dispatcher import ServerDispatcher
 from greengagefall.protocol import refusals
 from greengagefall.protocol.make_refusal import make_refusal
@@ -25,6 +26,8 @@
 log = logging.getLogger(__name__)
 
 HAND_BACK_TIMEOUT_S = 2.0
+# Memory for the unfinished answers of all servers together.
+UNFINISHED_ANSWERS_BYTES = 64 * 1024 * 1024
 
 
 class DispatcherTable:
@@ -48,6 +51,7 @@
         self._state = state
         self._candidate = candidate
         self._clock = clock
+        self._answer_memory = AnswerMemory(UNFINISHED_ANSWERS_BYTES)
         self._dispatchers: dict[str, ServerDispatcher] = {}
         self._accepting = True
         self._closing: set[asyncio.Task] = set()
@@ -164,6 +168,7 @@
             lambda: self._state.slice_map(back_end.name),
             self._clock,
             self._on_state_change,
+            self._answer_memory,
         )
         self._dispatchers[key] = dispatcher
         dispatcher.set_draining(_is_draining(server, config))
