--- a/greengagefall/dispatch/server_dispatcher.py
+++ b/greengagefall/dispatch/server_dispatcher.py
@@ -34,6 +34,7 @@
     not_run_reason,
     server_request,
 )
+from greengagefall.dispatch.slices_in_flight import SlicesInFlight
 from greengagefall.dispatch.slot_admission import SlotAdmission
 from greengagefall.protocol import refusals
 from greengagefall.protocol.make_refusal import make_refusal
@@ -124,7 +125,7 @@
         self.admission = SlotAdmission(back_end, server, clock)
         self.meter = LoadMeter(server.slots, clock)
         self._outcome_cache = OutcomeCache(clock)
-        self._slices_in_flight: dict[int, int] = {}
+        self._slices_in_flight = SlicesInFlight()
         self._incarnation = ""
         self._incarnation_verified = False
         self._unknown_at_s = float("-inf")
@@ -238,7 +239,7 @@
             slice_bounds: Pairs of first and last slice, all ``releasing`` in ``map_version``.
             map_version: Version of the slice map with this state.
         """
-        if self._any_in_flight(slice_bounds):
+        if self._slices_in_flight.any_within(slice_bounds):
             return False, NOT_RELEASED_IN_FLIGHT
         slice_map = self._slice_map()
         state = ReleasePreconditions(
@@ -260,13 +261,6 @@
             return True, RELEASED_CONFIRMED
         return False, NOT_RELEASED_EARLIER_DISPATCHER
 
-    def _any_in_flight(self, slice_bounds: list[list[int]]) -> bool:
-        return any(
-            first <= slice_id <= last
-            for slice_id in self._slices_in_flight
-            for first, last in slice_bounds
-        )
-
     def _mark_unverified(self) -> None:
         # After a lost connection, a new incarnation may answer at the same address.
         self._incarnation_verified = False
@@ -348,7 +342,7 @@
             return self._refuse(forward, refusals.QUEUE_FULL)
         self.limit.on_start()
         self.meter.on_start()
-        self._count_slice_request(forward.slice_id)
+        self._slices_in_flight.add(forward.slice_id)
         started_s = self._clock.now_s()
         outcome: Outcome | None = None
         try:
@@ -356,7 +350,7 @@
             return outcome
         finally:
             latency_ms = (self._clock.now_s() - started_s) * MS_PER_S
-            self._uncount_slice_request(forward.slice_id)
+            self._slices_in_flight.remove(forward.slice_id)
             self._record_finish(outcome, latency_ms)
             self.admission.admit_queued()
 
@@ -444,16 +438,6 @@
             forward.request_id, reason, call_id=forward.call_id, map_version=version
         )
 
-    def _count_slice_request(self, slice_id: int) -> None:
-        self._slices_in_flight[slice_id] = self._slices_in_flight.get(slice_id, 0) + 1
-
-    def _uncount_slice_request(self, slice_id: int) -> None:
-        remaining = self._slices_in_flight[slice_id] - 1
-        if remaining:
-            self._slices_in_flight[slice_id] = remaining
-            return
-        del self._slices_in_flight[slice_id]
-
 
 def _request_key(forward: Forward) -> str:
     """Returns the key by which a resent request is recognized: its id, method and path."""
