Log each grant that is sent, and key ranges that go on by expiry alone

The logs could not tell whether a grant that a server takes late was written by a killed process, sent again, or applied late: a renewal that was answered, or whose sender was killed before it gave up, had no line. Nor did a line say that keys went on without their former owner's word.

--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -334,6 +334,10 @@
             if allowed:
                 self._check.record_sent(key_range.fence)
                 self._tracker.record_sent(key_range.first, key_range.last)
+                log.debug(
+                    "Grant of keys is sent.",
+                    extra={"server": self._incarnation.server_id, "keys": grant_id},
+                )
             return allowed
 
         try:
--- a/greengagefall/gateway/range_moves.py
+++ b/greengagefall/gateway/range_moves.py
@@ -24,6 +24,7 @@
     KeysReleased,
     ReleaseKeys,
 )
+from greengagefall.utils.metrics import count
 from greengagefall.utils.supervision import log_failure
 
 if TYPE_CHECKING:
@@ -210,9 +211,23 @@
                 ended_s = self._clock.now_s() + reply.ends_in_ms / MS_PER_S
             remaining_s = ended_s - self._clock.now_s()
             if remaining_s <= 0:
+                self._log_unconfirmed(move_id, key_range)
                 return ""
             await asyncio.sleep(min(RETRY_INTERVAL_S, remaining_s))
 
+    def _log_unconfirmed(self, move_id: _MoveId, key_range: KeyRange) -> None:
+        """Logs and counts that a range goes on by the expiry of its grants alone."""
+        count("unconfirmed_releases")
+        waited_s = self._clock.now_s() - self._written_s.get(move_id, self._clock.now_s())
+        log.warning(
+            "Former owner did not confirm a release; its grants have expired.",
+            extra={
+                **move_id._asdict(),
+                "source": key_range.source.server_id,
+                "waited_ms": int(waited_s * MS_PER_S),
+            },
+        )
+
     def _granters(self, key_range: KeyRange) -> tuple[HostIncarnation, ...]:
         """Returns the host incarnations that may renew grants of a range's former owner."""
         dispatching = self._assignment.dispatchers.get(key_range.source.server_id)
