Let held-up calls outlive a killed host in the exploration of ownership

The simulation could not show it. It cancelled the delivery of a held-up call with the task of its killed sender, as if a kill reset the connection.

A call that is held up when its host is killed now arrives at the first repetition of TCP after the end of the hold (0.2, 0.6, 1.4, 3.0, 6.2, 12.6, 25.4 s after the send), unless the server restarted. A call that is given up is reset, as before. While calls are held up no new connection opens, which the simulation allowed until now, and a killed host sends nothing more.

The fault killed_behind_hold kills the dispatchers of up to three held-up servers, and others, the coordinator among them, 0.05 to 0.5 s after the hold began, starts them again and ends the hold after 2 to 9 s. A server may meanwhile lose its answers only, apply orders late, restart (seen or not) or lose its entry, and a host may be killed shortly before the heal.

OracleTests checks both. Grants of live hosts are excused from nothing, as before.

No other fault kind draws other random numbers. The kind held_up means something else now, since no connection opens while it lasts; the planted delivery of calls that were given up is still found.

--- a/greengagefall/tests/ownership_exploration_tests.py
+++ b/greengagefall/tests/ownership_exploration_tests.py
@@ -20,11 +20,14 @@
 from greengagefall.tests.ownership_faults import inject_fault
 from greengagefall.tests.ownership_simulation import Simulation
 from greengagefall.tests.simulated_network import SimulatedPool
+from greengagefall.tests.simulated_servers import THAW_SLACK_S
 from greengagefall.tests.virtual_time import VirtualLoop
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from greengagefall.tests.simulated_servers import SimulatedServer
+
 SEED_COUNT = 15
 # Seeds that found a fault once, with that fault.
 REGRESSIONS = {
@@ -56,6 +59,7 @@
     *["restored"] * 4,
 )
 HELD_UP_FAULT_KINDS = (*FAULT_KINDS, *["held_up"] * 4)
+KILLED_BEHIND_HOLD_FAULT_KINDS = (*FAULT_KINDS, *["killed_behind_hold"] * 30)
 LATE_MESSAGE_FAULT_KINDS = (*FAULT_KINDS, *["late_messages"] * 4)
 UNSEEN_RESTART_FAULT_KINDS = (*FAULT_KINDS, *["unseen_restart"] * 4)
 CUT_HOSTS_FAULT_KINDS = (
@@ -63,10 +67,15 @@
     *["hosts_without_servers"] * 6,
     *["unseen_restart"] * 2,
 )
+FAULTS_PER_S = 0.5
+# Hosts renew their grants again before most of the next holds.
+HOLDS_PER_S = 0.15
 FAULTS_END_S = 25.0
 # Time after the last fault; it covers the longest wait for the grants of an unreachable dispatcher.
 RECOVERY_S = 20.0
 PLANTED_SEED_COUNT = 40
+# Seeds in which a former owner took keys back under its old fence, before issue 37 was fixed.
+KILLED_BEHIND_HOLD_SEEDS = (16, 31, 40, 51)
 # Seeds in which a new server gets a former one's keys at its address, although grants of the former
 # one's fencing tokens wait for a proof that it did not restart.
 REUSED_ADDRESS_SEEDS = (58, 119)
@@ -74,14 +83,14 @@
 SENT_VERSION_SEEDS = (39, 84, 86, 111, 112)
 
 
-async def _run_faults(simulation: Simulation, kinds: tuple[str, ...]) -> bool:
+async def _run_faults(simulation: Simulation, kinds: tuple[str, ...], faults_per_s: float) -> bool:
     """Injects faults, then waits for the recovery; returns whether all keys are held after it."""
     delivery = asyncio.create_task(simulation.deliver_records())
     await asyncio.sleep(5.0)
     faults = set()
     while simulation.loop.now_s < FAULTS_END_S:
         faults.add(asyncio.create_task(inject_fault(simulation, kinds)))
-        await asyncio.sleep(simulation.rng.expovariate(0.5))
+        await asyncio.sleep(simulation.rng.expovariate(faults_per_s))
     await asyncio.gather(*faults)
     await asyncio.sleep(RECOVERY_S)
     held = simulation.all_held()
@@ -91,14 +100,16 @@
     return held
 
 
-def explore(seed: int, kinds: tuple[str, ...] = FAULT_KINDS) -> tuple[list[str], bool]:
+def explore(
+    seed: int, kinds: tuple[str, ...] = FAULT_KINDS, faults_per_s: float = FAULTS_PER_S
+) -> tuple[list[str], bool]:
     """Runs one seed; returns the violations and whether all keys were held at the end."""
     loop = VirtualLoop()
     asyncio.set_event_loop(loop)
 
     async def run() -> tuple[list[str], bool]:
         simulation = Simulation(loop, seed)
-        held = await _run_faults(simulation, kinds)
+        held = await _run_faults(simulation, kinds, faults_per_s)
         return simulation.violations, held
 
     try:
@@ -112,15 +123,58 @@
         asyncio.set_event_loop(None)
 
 
+class OracleTests(unittest.TestCase):
+    """Checks which grants of killed hosts the oracle excuses, as the operators' rules do."""
+
+    def setUp(self):
+        loop = VirtualLoop()
+        self.addCleanup(loop.close)
+        self.simulation = Simulation(loop, seed=1, hosts=0, servers=2)
+        self.former, self.owner = self.simulation.servers.values()
+
+    def grant(
+        self, server: SimulatedServer, fence: int, since_heal_s: float | None = None
+    ) -> list[str]:
+        """Grants keys, with the time since the heal if it was held up; returns the violations."""
+        fields = {"from": 0, "target": 9, "fence": fence, "holdS": 2.5}
+        healed_s = None if since_heal_s is None else -since_heal_s
+        self.assertEqual(server.grant(fields, 0.0, healed_s), 200)
+        return self.simulation.violations
+
+    def test_an_old_fence_is_excused_only_shortly_after_the_heal(self):
+        # The excuse would hide a former owner that takes its keys back later.
+        self.grant(self.owner, 2)
+        self.assertEqual(self.grant(self.former, 1, THAW_SLACK_S - 0.01), [])
+        self.assertEqual(len(self.grant(self.former, 1, THAW_SLACK_S + 0.01)), 1)
+
+    def test_an_old_fence_that_was_not_held_up_is_not_excused(self):
+        # An excuse for each grant after a heal would hide the sends of a wrong dispatcher.
+        self.grant(self.owner, 2)
+        self.assertEqual(len(self.grant(self.former, 1)), 2)
+
+    def test_two_holders_are_excused_only_by_a_grant_that_was_held_up(self):
+        # The rules don't count the time of such a grant.
+        self.grant(self.former, 1, THAW_SLACK_S + 0.01)
+        self.assertEqual(self.grant(self.owner, 2), [])
+
+    def test_a_grant_that_was_held_up_does_not_excuse_the_one_before_it(self):
+        # The server would hold the keys without it too.
+        self.grant(self.former, 1)
+        self.grant(self.former, 1, THAW_SLACK_S - 0.01)
+        self.assertEqual(len(self.grant(self.owner, 2)), 1)
+
+
 class ExplorationTests(unittest.TestCase):
     def setUp(self):
         logging.disable(logging.CRITICAL)
         self.addCleanup(logging.disable, logging.NOTSET)
 
-    def assert_none_found(self, seeds: Iterable[int], kinds: tuple[str, ...]) -> None:
+    def assert_none_found(
+        self, seeds: Iterable[int], kinds: tuple[str, ...], faults_per_s: float = FAULTS_PER_S
+    ) -> None:
         for seed in seeds:
             with self.subTest(seed=seed):
-                violations, held = explore(seed, kinds)
+                violations, held = explore(seed, kinds, faults_per_s)
                 self.assertEqual(violations, [])
                 self.assertTrue(held, "not all keys are held after the recovery time")
 
@@ -136,6 +190,14 @@
     def test_no_key_is_held_twice_after_the_network_held_calls_up(self):
         self.assert_none_found(range(SEED_COUNT), HELD_UP_FAULT_KINDS)
 
+    def test_calls_that_outlived_a_killed_host_bring_no_old_owner_back(self):
+        # A killed host's renewal reached its server after the keys had gone on by expiry.
+        self.assert_none_found(
+            (*range(SEED_COUNT), *KILLED_BEHIND_HOLD_SEEDS),
+            KILLED_BEHIND_HOLD_FAULT_KINDS,
+            HOLDS_PER_S,
+        )
+
     def test_no_key_is_held_twice_after_messages_between_hosts_arrived_late(self):
         self.assert_none_found(range(SEED_COUNT), LATE_MESSAGE_FAULT_KINDS)
 
--- a/greengagefall/tests/ownership_faults.py
+++ b/greengagefall/tests/ownership_faults.py
@@ -5,7 +5,11 @@
 import asyncio
 from typing import TYPE_CHECKING, NamedTuple
 
-from greengagefall.tests.simulated_network import PATH_RESET, PATH_STATES
+from greengagefall.tests.simulated_network import (
+    PATH_ANSWERS_LOST,
+    PATH_RESET,
+    PATH_STATES,
+)
 from greengagefall.utils.registry import Registry
 
 if TYPE_CHECKING:
@@ -24,6 +28,13 @@
     duration_s: float
 
 
+HOLD_RANGE_S = (2.0, 9.0)
+# A call is given up after 0.5 s; one that a killed host wrote behind the hold is younger.
+KILL_AFTER_HOLD_RANGE_S = (0.05, 0.5)
+KILL_BEFORE_HEAL_RANGE_S = (0.05, 0.6)
+# Share of the servers behind a hold, and of the holds, that meet each further trouble.
+BEHIND_HOLD_TROUBLE_SHARE = 0.12
+
 FAULTS: Registry[Callable[[Simulation, FaultTarget], Awaitable[None]]] = Registry("fault")
 
 
@@ -98,6 +109,7 @@
     await asyncio.sleep(target.duration_s)
     for path in paths:
         simulation.broken_paths.pop(path, None)
+        simulation.cuts_ended_s[frozenset(path)] = simulation.loop.now_s
 
 
 @FAULTS.register("zone")
@@ -115,6 +127,7 @@
     simulation.cuts |= cuts
     await asyncio.sleep(duration_s)
     simulation.cuts -= cuts
+    simulation.cuts_ended_s.update(dict.fromkeys(cuts, simulation.loop.now_s))
     simulation.store_reachable_since_s = simulation.loop.now_s
 
 
@@ -163,10 +176,10 @@
     await _restart(target.server, new_id=True)
 
 
-async def _restart(server: SimulatedServer, *, new_id: bool) -> None:
+async def _restart(server: SimulatedServer, *, new_id: bool, seen: bool = True) -> None:
     if not server.up:
         return
-    server.stop()
+    server.stop(seen=seen)
     await asyncio.sleep(0.3)
     server.restart(new_id=new_id)
     server.up = True
@@ -196,7 +209,106 @@
         server.calls_pass.clear()
     await asyncio.sleep(target.duration_s)
     for server in held_up:
-        server.calls_pass.set()
+        server.end_hold()
+
+
+@FAULTS.register("killed_behind_hold")
+async def kill_behind_hold(simulation: Simulation, target: FaultTarget) -> None:
+    """Kills hosts shortly after the network began to hold up calls to some servers.
+
+    What the hosts wrote to these servers just before outlives them. They start again behind the
+    hold, which lasts long enough for keys to go on by expiry. Other troubles may overlap.
+    """
+    rng = simulation.rng
+    servers = rng.sample(list(simulation.servers.values()), rng.randint(1, 3))
+    others = rng.sample(list(simulation.hosts), rng.randint(0, len(simulation.hosts)))
+    names = sorted({*_dispatchers_of(simulation, servers), *others})
+    hold_s = rng.uniform(*HOLD_RANGE_S)
+    overlapping = [
+        asyncio.create_task(trouble(simulation, server, hold_s))
+        for server in servers
+        for trouble in BEHIND_HOLD_TROUBLES
+        if rng.random() < BEHIND_HOLD_TROUBLE_SHARE
+    ]
+    kills = [
+        asyncio.create_task(_kill_after(simulation, name, rng.uniform(*KILL_AFTER_HOLD_RANGE_S)))
+        for name in names
+    ]
+    if rng.random() < BEHIND_HOLD_TROUBLE_SHARE:
+        # Whoever dispatches by then loses what it knows of the hold.
+        second_s = hold_s - rng.uniform(*KILL_BEFORE_HEAL_RANGE_S)
+        name = rng.choice(list(simulation.hosts))
+        kills.append(asyncio.create_task(_kill_after(simulation, name, second_s)))
+    for server in servers:
+        server.calls_pass.clear()
+    await asyncio.sleep(hold_s)
+    for server in servers:
+        server.end_hold()
+    await asyncio.gather(*kills, *overlapping)
+
+
+def _dispatchers_of(simulation: Simulation, servers: list[SimulatedServer]) -> set[str]:
+    """Returns the names of the hosts that dispatch servers by the newest assignment."""
+    newest = max(
+        (host.view.assignment for host in simulation.hosts.values()),
+        key=lambda assignment: assignment.version,
+    )
+    dispatching = [newest.dispatchers.get(server.server_id) for server in servers]
+    return {one.dispatcher.host for one in dispatching if one is not None}
+
+
+async def _kill_after(simulation: Simulation, name: str, delay_s: float) -> None:
+    await asyncio.sleep(delay_s)
+    host = simulation.hosts[name]
+    if not host.up:
+        return
+    await host.kill()
+    await asyncio.sleep(simulation.rng.uniform(0.3, 1.5))
+    simulation.start_host(host.name, host.zone)
+
+
+async def _hold_answers_only(
+    simulation: Simulation, server: SimulatedServer, hold_s: float
+) -> None:
+    """Lets calls over kept connections pass, but no answers."""
+    paths = [(name, server.name) for name in simulation.hosts]
+    simulation.broken_paths.update(dict.fromkeys(paths, PATH_ANSWERS_LOST))
+    await asyncio.sleep(hold_s)
+    for path in paths:
+        simulation.broken_paths.pop(path, None)
+
+
+async def _apply_orders_late(
+    simulation: Simulation, server: SimulatedServer, hold_s: float
+) -> None:
+    simulation.delayed_share = simulation.lost_share = 0.3
+    await asyncio.sleep(hold_s)
+    simulation.delayed_share = simulation.lost_share = 0.0
+
+
+async def _restart_behind_hold(
+    simulation: Simulation, server: SimulatedServer, hold_s: float
+) -> None:
+    rng = simulation.rng
+    await asyncio.sleep(rng.uniform(0.0, hold_s))
+    await _restart(server, new_id=False, seen=rng.random() < 0.5)
+
+
+async def _lose_entry_behind_hold(
+    simulation: Simulation, server: SimulatedServer, hold_s: float
+) -> None:
+    await asyncio.sleep(simulation.rng.uniform(0.0, hold_s / 2))
+    server.registered = False
+    await asyncio.sleep(simulation.rng.uniform(0.2, hold_s / 2))
+    server.registered = True
+
+
+BEHIND_HOLD_TROUBLES = (
+    _hold_answers_only,
+    _apply_orders_late,
+    _restart_behind_hold,
+    _lose_entry_behind_hold,
+)
 
 
 @FAULTS.register("unlisted")
--- a/greengagefall/tests/ownership_simulation.py
+++ b/greengagefall/tests/ownership_simulation.py
@@ -14,11 +14,15 @@
 from greengagefall.gateway.records import COORDINATOR_KEY, decode_coordinator
 from greengagefall.ownership.model import LAST_KEY
 from greengagefall.tests.simulated_hosts import WATCH_DELAY_S, SimulatedHost
+from greengagefall.tests.simulated_network import PATH_SILENT
 from greengagefall.tests.simulated_servers import SimulatedServer
 from greengagefall.tests.simulated_store import StoreData
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     from greengagefall.gateway.model import ServerEntry
+    from greengagefall.tests.simulated_servers import HeldRange
     from greengagefall.tests.virtual_time import VirtualLoop
 
 # Time after which the store drops the entry of a server that no longer writes it.
@@ -47,6 +51,8 @@
         self.cuts: set[frozenset[str]] = set()
         # How the path from a host to a server is broken, by their names.
         self.broken_paths: dict[tuple[str, str], str] = {}
+        # When a cut between two, by their names, last ended.
+        self.cuts_ended_s: dict[frozenset[str], float] = {}
         self.deliveries: set[asyncio.Task] = set()
         self.server_entries: dict[str, tuple[ServerEntry, float]] = {}
         self.grant_log: list[tuple[int, int, str, int, int]] = []
@@ -70,17 +76,39 @@
     def is_cut(self, one: str, other: str) -> bool:
         return frozenset((one, other)) in self.cuts
 
-    def check_grant(self, server: SimulatedServer, first: int, last: int, fence: int) -> None:
+    def calls_pass(self, host: str, server: str) -> bool:
+        """Returns whether the network lets what a host sent before pass to a server."""
+        return (
+            self.servers[server].calls_pass.is_set()
+            and not self.is_cut(host, server)
+            and self.broken_paths.get((host, server)) != PATH_SILENT
+        )
+
+    def link_healed_s(self, host: str, server: str) -> float:
+        """Returns when the path from a host to a server last healed."""
+        cut_ended_s = self.cuts_ended_s.get(frozenset((host, server)), 0.0)
+        return max(cut_ended_s, self.servers[server].healed_s)
+
+    def start_delivery(self, delivery: Coroutine[None, None, None]) -> asyncio.Task:
+        """Starts to deliver what the network holds; it goes on if its sender ends."""
+        task = asyncio.create_task(delivery)
+        self.deliveries.add(task)
+        task.add_done_callback(self.deliveries.discard)
+        return task
+
+    def check_grant(self, server: SimulatedServer, granted: HeldRange) -> None:
         """Checks a grant against what other servers hold and what was granted before.
 
         Records a violation if another server holds any of the keys, or if another incarnation was
-        granted any of them with an equal or higher fencing token.
+        granted any of them with an equal or higher fencing token. The rules excuse a grant that
+        outlived its sender from the first, not from the second.
         """
+        first, last, fence = granted.first, granted.last, granted.fence
         for other in self.servers.values():
-            if other is server:
+            if other is server or granted.held_up:
                 continue
             for held in other.held_now():
-                if held.first <= last and first <= held.last:
+                if held.first <= last and first <= held.last and not held.held_up:
                     self.violations.append(
                         f"{self.loop.now_s:.3f}: {server.name} got {first}-{last} ({fence}) "
                         f"while {other.name} holds {held.first}-{held.last} ({held.fence}) "
@@ -96,6 +124,7 @@
                 self.violations.append(
                     f"{self.loop.now_s:.3f}: {server.name} got {first}-{last} under {fence}, "
                     f"but {name} had keys of it under {known_fence}"
+                    f"{', held up since its sender was killed' if granted.held_up else ''}"
                 )
         self.grant_log.append((first, last, server.name, server.start_ms, fence))
 
@@ -149,11 +178,16 @@
             del self.server_entries[server.server_id]
 
     def held_keys(self) -> int:
-        return sum(
-            held.last - held.first + 1
-            for server in self.servers.values()
-            for held in server.held_now()
-        )
+        return sum(_count_keys(server.held_now()) for server in self.servers.values())
 
     def all_held(self) -> bool:
         return self.held_keys() == LAST_KEY + 1
+
+
+def _count_keys(held: list[HeldRange]) -> int:
+    """Returns how many keys the ranges have together; they may overlap."""
+    count, next_key = 0, 0
+    for one in sorted(held):
+        count += max(0, one.last + 1 - max(one.first, next_key))
+        next_key = max(next_key, one.last + 1)
+    return count
--- a/greengagefall/tests/simulated_network.py
+++ b/greengagefall/tests/simulated_network.py
@@ -26,6 +26,8 @@
 # Longest time from the end of a cut to the retransmission of what it held up.
 MAX_RETRANSMISSION_S = 3.0
 LATE_MESSAGE_RANGE_S = (0.5, 9.0)
+# Times after a send at which TCP repeats what is not acknowledged.
+TCP_REPETITIONS_S = (0.2, 0.6, 1.4, 3.0, 6.2, 12.6, 25.4)
 
 
 # What calls of a host to a server meet while the path between them is broken.
@@ -41,7 +43,8 @@
     """Simulates the connections of one host to one server.
 
     A connection that is kept belongs to the incarnation of the server that accepted it. While the
-    path is broken, a call over it may still arrive, and no new connection can be opened.
+    path is broken or holds calls up, a call over it may still arrive, and no new connection can be
+    opened. What is held up when its host is killed arrives at a repetition of TCP.
 
     Attributes:
         resets_given_up_calls: Whether giving a call up discards what the network holds of it.
@@ -65,6 +68,8 @@
         simulation, server = self._simulation, self._server
         rng = simulation.rng
         await asyncio.sleep(rng.uniform(0.0005, 0.005))
+        if not self._host.up:
+            raise NotSentError(f"{self._host.name} was killed")
         if not server.up or simulation.is_cut(self._host.name, server.name):
             if server.up or rng.random() < 0.5:
                 await asyncio.sleep(min(timeout_s, 0.5))
@@ -73,6 +78,9 @@
         if path and self._kept_with_ms != server.start_ms:
             await asyncio.sleep(CONNECT_TIMEOUT_S if path == PATH_SILENT else 0.0)
             raise NotSentError(f"no new connection to {server.name}")
+        if not server.calls_pass.is_set() and self._kept_with_ms != server.start_ms:
+            await asyncio.sleep(min(timeout_s, CONNECT_TIMEOUT_S))
+            raise NotSentError(f"no new connection to {server.name}")
         if not may_send():
             raise SendRefusedError(f"the call to {server.name} is no longer current")
         self._kept_with_ms = server.start_ms
@@ -111,17 +119,21 @@
         raise AnswerTimeoutError(f"no answer from {self._server.name} within {timeout_s} s")
 
     async def _exchange_held_up(self, request, timeout_s: float) -> HttpAnswer:
+        sent_s, start_ms = self._simulation.loop.now_s, self._server.start_ms
         answered = asyncio.get_running_loop().create_future()
-        delivery = asyncio.create_task(self._deliver_late(request, self._server.start_ms, answered))
-        self._simulation.deliveries.add(delivery)
-        delivery.add_done_callback(self._simulation.deliveries.discard)
+        delivery = self._simulation.start_delivery(self._deliver_late(request, start_ms, answered))
         try:
             async with asyncio.timeout(timeout_s):
                 return await answered
         except TimeoutError as error:
+            self._kept_with_ms = None
             raise AnswerTimeoutError(f"no answer within {timeout_s} s") from error
         finally:
-            if self.resets_given_up_calls:
+            if not self._host.up and not delivery.done():
+                # Nobody is left to reset the connection: the operating system goes on sending.
+                delivery.cancel()
+                self._simulation.start_delivery(self._deliver_of_killed(request, start_ms, sent_s))
+            elif self.resets_given_up_calls:
                 delivery.cancel()
 
     async def _deliver_late(self, request, start_ms: int, answered: asyncio.Future) -> None:
@@ -131,6 +143,17 @@
         if answer is not None and not answered.done():
             answered.set_result(answer)
 
+    async def _deliver_of_killed(self, request, start_ms: int, sent_s: float) -> None:
+        """Delivers a call of a killed host at the first repetition that the network lets pass."""
+        simulation, server = self._simulation, self._server
+        for repetition_s in TCP_REPETITIONS_S:
+            due_s = sent_s + repetition_s
+            await asyncio.sleep(max(0.0, due_s - simulation.loop.now_s))
+            healed_s = simulation.link_healed_s(self._host.name, server.name)
+            if simulation.calls_pass(self._host.name, server.name) and due_s >= healed_s:
+                self._apply(request, simulation.loop.now_s, start_ms, healed_s)
+                return
+
     async def _execute(self, request_id: str) -> HttpAnswer:
         server = self._server
         server.requests.append((self._host.name, self._simulation.loop.now_s))
@@ -140,7 +163,10 @@
             fields[RATE_LIMIT_HEADER] = server.rate_limit
         return HttpAnswer(200, HTTPHeaders(fields), b"")
 
-    def _apply(self, request, arrived_s: float, start_ms: int) -> HttpAnswer | None:
+    def _apply(
+        self, request, arrived_s: float, start_ms: int, healed_s: float | None = None
+    ) -> HttpAnswer | None:
+        """Has the server carry out a call; ``healed_s`` is for calls that outlived their host."""
         server = self._server
         if not server.up or server.start_ms != start_ms:
             return None
@@ -148,7 +174,7 @@
             return HttpAnswer(200, HTTPHeaders({"Instance-Id": server.server_id}), b"")
         fields = json.loads(request.body)
         if request.path.endswith(GRANT_PATH_SUFFIX):
-            return HttpAnswer(server.grant(fields, arrived_s), HTTPHeaders(), b"")
+            return HttpAnswer(server.grant(fields, arrived_s, healed_s), HTTPHeaders(), b"")
         server.fences.append((fields["from"], fields["target"], fields["fence"]))
         server.release(fields["from"], fields["target"])
         return HttpAnswer(200, HTTPHeaders({"Handover": f"{fields['fence']}"}), b"")
@@ -186,9 +212,7 @@
 
     def _deliver_late(self, target: SimulatedHost, message) -> None:
         """Has a message arrive after its sender gave it up; its reply is lost."""
-        delivery = asyncio.create_task(self._deliver(target, message))
-        self._simulation.deliveries.add(delivery)
-        delivery.add_done_callback(self._simulation.deliveries.discard)
+        self._simulation.start_delivery(self._deliver(target, message))
 
     async def _deliver(self, target: SimulatedHost, message) -> None:
         await asyncio.sleep(self._simulation.rng.uniform(*LATE_MESSAGE_RANGE_S))
