Test that a renewal that outlived its killed sender is refused

Variants: the sender's host stays down, the coordinator is killed between the move and the heal, the server's entry lapses and comes back, the next dispatcher is killed 1.5 s before the heal.

--- /dev/null
+++ b/greengagefall/tests/gateway_held_up_grant_tests.py
@@ -0,0 +1,209 @@
+"""Tests of a renewal that the network holds up, and whose sender is killed meanwhile.
+
+TCP delivers it at a repetition after the end of the hold, when its keys belong to another server.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import unittest
+from typing import TYPE_CHECKING
+
+from greengagefall.gateway.dispatchers import CHANNEL_CLOSE_DELAY_S
+from greengagefall.tests.ownership_simulation import Simulation
+from greengagefall.tests.simulated_network import TCP_REPETITIONS_S
+from greengagefall.tests.simulated_servers import THAW_SLACK_S
+from greengagefall.tests.virtual_time import VirtualLoop
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from greengagefall.tests.simulated_hosts import SimulatedHost
+
+SETTLED_S = 5.0
+STEP_S = 0.01
+RESTART_S = 0.5
+# The keys of a host that starts again have gone on before the first of these repetitions; those of
+# one that stays down only before the second.
+REPETITION_S, LAST_REPETITION_S = TCP_REPETITIONS_S[-2:]
+# The rules excuse what arrives before the end of the thaw slack.
+HEAL_BEFORE_REPETITION_S = THAW_SLACK_S + 0.05
+SECOND_KILL_BEFORE_HEAL_S = 1.5
+ENTRY_MISSING_S = CHANNEL_CLOSE_DELAY_S + 0.4
+ANSWERED_S = 0.1
+
+
+class HeldUpRenewal:
+    """A renewal that is held up when its dispatcher is killed, and what happens to its keys.
+
+    Args:
+        loop: The event loop.
+        repetition_s: The repetition of TCP at which the renewal arrives.
+
+    Attributes:
+        simulation: The simulation.
+        server: The server, to which calls are held up.
+        dispatcher: The host that sent the renewal and was killed.
+    """
+
+    def __init__(self, loop: VirtualLoop, repetition_s: float) -> None:
+        self.simulation = Simulation(loop, seed=1)
+        self._loop = loop
+        self._repetition_s = repetition_s
+        self._delivery = asyncio.create_task(self.simulation.deliver_records())
+
+    async def send_and_kill(self) -> None:
+        """Holds up calls to a server, and kills its dispatcher once a renewal is on its way."""
+        await asyncio.sleep(SETTLED_S)
+        assignment = self.coordinating().view.assignment
+        names = {
+            server_id: dispatching.dispatcher.host
+            for server_id, dispatching in assignment.dispatchers.items()
+            if dispatching.dispatcher.host != self.coordinating().name
+        }
+        server_id, name = next(iter(names.items()))
+        self.server = self.simulation.servers[server_id]
+        self.dispatcher = self.simulation.hosts[name]
+        self.server.calls_pass.clear()
+        await self._wait_until(lambda: bool(self.simulation.deliveries))
+        self._sent_s = self._loop.now_s
+        await self.dispatcher.kill()
+
+    def restart(self, host: SimulatedHost) -> None:
+        self.simulation.start_host(host.name, host.zone)
+
+    def coordinating(self) -> SimulatedHost:
+        """Returns the host that coordinates."""
+        return next(
+            host
+            for host in self.simulation.hosts.values()
+            if host.up and host.handlers.coordinator is not None
+        )
+
+    def dispatching(self) -> SimulatedHost:
+        """Returns the host that dispatches the server by now."""
+        dispatchers = self.coordinating().view.assignment.dispatchers
+        return self.simulation.hosts[dispatchers[self.server.server_id].dispatcher.host]
+
+    async def wait_until_moved(self) -> None:
+        """Waits until other servers hold all keys, by the expiry of the server's grants."""
+        await self._wait_until(lambda: self.simulation.all_held() and not self.server.held_now())
+
+    async def _wait_until(self, condition: Callable[[], bool]) -> None:
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(STEP_S)
+
+    async def wait_until_before_heal(self, before_s: float) -> None:
+        """Waits until shortly before the hold ends."""
+        heal_s = self._sent_s + self._repetition_s - HEAL_BEFORE_REPETITION_S
+        remaining_s = heal_s - before_s - self._loop.now_s
+        assert remaining_s >= 0, "the steps before take longer than the hold"
+        await asyncio.sleep(remaining_s)
+
+    async def heal(self) -> None:
+        """Ends the hold shortly before a repetition, and waits until that has arrived."""
+        await self.wait_until_before_heal(0.0)
+        self.server.end_hold()
+        await asyncio.sleep(HEAL_BEFORE_REPETITION_S + ANSWERED_S)
+
+    async def close(self) -> None:
+        for host in self.simulation.hosts.values():
+            await host.kill()
+        self._delivery.cancel()
+
+
+class HeldUpGrantTests(unittest.TestCase):
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def assert_refused(
+        self,
+        until_heal: Callable[[HeldUpRenewal], Awaitable[None]],
+        repetition_s: float = REPETITION_S,
+    ) -> None:
+        """Checks that the server refuses the renewal.
+
+        Args:
+            until_heal: What happens between the kill of the dispatcher and the end of the hold.
+            repetition_s: The repetition of TCP at which the renewal arrives.
+        """
+        loop = VirtualLoop()
+        asyncio.set_event_loop(loop)
+        self.addCleanup(asyncio.set_event_loop, None)
+        self.addCleanup(loop.close)
+
+        async def play() -> HeldUpRenewal:
+            renewal = HeldUpRenewal(loop, repetition_s)
+            await renewal.send_and_kill()
+            await until_heal(renewal)
+            await renewal.heal()
+            await renewal.close()
+            return renewal
+
+        renewal = loop.run_until_complete(play())
+        answers = [grant.status for grant in renewal.server.outliving_grants]
+        self.assertEqual(answers, [409])
+        self.assertEqual(renewal.simulation.violations, [])
+
+    def test_renewal_of_a_killed_dispatcher_is_refused_after_its_keys_went_on(self):
+        # The server had not been told of the newer fence, and took keys that another one held.
+        async def until_heal(renewal: HeldUpRenewal) -> None:
+            await asyncio.sleep(RESTART_S)
+            renewal.restart(renewal.dispatcher)
+            await renewal.wait_until_moved()
+
+        self.assert_refused(until_heal)
+
+    def test_renewal_is_refused_while_the_host_of_its_sender_stays_down(self):
+        # Only the dispatcher that lost the keys would have told the server of the newer fence.
+        async def until_heal(renewal: HeldUpRenewal) -> None:
+            await renewal.wait_until_moved()
+            self.assertIsNot(renewal.dispatching(), renewal.dispatcher)
+
+        self.assert_refused(until_heal, LAST_REPETITION_S)
+
+    def test_renewal_is_refused_after_a_new_coordinator_took_over(self):
+        # What the server has to be told was forgotten with the coordinator that moved its keys.
+        async def until_heal(renewal: HeldUpRenewal) -> None:
+            await asyncio.sleep(RESTART_S)
+            renewal.restart(renewal.dispatcher)
+            await renewal.wait_until_moved()
+            await renewal.coordinating().kill()
+            await renewal.wait_until_before_heal(0.0)
+            self.assertTrue(renewal.coordinating())
+
+        self.assert_refused(until_heal)
+
+    def test_renewal_is_refused_after_the_entry_of_its_server_lapsed(self):
+        # The channel was closed with what the server had to be told, and opened again without.
+        async def until_heal(renewal: HeldUpRenewal) -> None:
+            await asyncio.sleep(RESTART_S)
+            renewal.restart(renewal.dispatcher)
+            await renewal.wait_until_moved()
+            renewal.server.registered = False
+            await asyncio.sleep(ENTRY_MISSING_S)
+            renewal.server.registered = True
+
+        self.assert_refused(until_heal)
+
+    def test_renewal_is_refused_after_the_next_dispatcher_was_killed_too(self):
+        # The host that knew what the server had to be told was killed before the end of the hold.
+        async def until_heal(renewal: HeldUpRenewal) -> None:
+            await asyncio.sleep(RESTART_S)
+            renewal.restart(renewal.dispatcher)
+            await renewal.wait_until_moved()
+            await renewal.wait_until_before_heal(SECOND_KILL_BEFORE_HEAL_S)
+            dispatching = renewal.dispatching()
+            await dispatching.kill()
+            await asyncio.sleep(RESTART_S)
+            renewal.restart(dispatching)
+
+        self.assert_refused(until_heal)
+
+
+if __name__ == "__main__":
+    unittest.main()
