Tell a server of newer fences for keys that went on without its word

A server that was cut off from all hosts took keys back 0.6 to 0.8 s after the cut, under its old fence, when they had gone on to another server.

Cause: the end of a grant's time was taken for a fence. A renewal that a host wrote just before it was killed behind the cut outlives its process; TCP delivers it at a repetition, here 6.2 s after the send. By then the keys had gone on, since the grants had expired, but no release under the newer fence had reached the former owner, so nothing made it refuse the old one. Releases were tried once in 0.7 s, each on a connection that had to time out, and not at all after the move.

Ruled out: a grant that was sent again, and one that the server applied late.

The dispatcher now keeps for which keys its server may take an outdated grant: at first all, then those whose release was not answered and those lost without one; an answered grant, release or notice takes them off. It tells the server by a release under the highest fence of its assignment, with a new call every 0.1 s while the server is not reached, for 30 s at most. The assignment alone decides what is told, so a new dispatcher or coordinator needs to know nothing else.

Weighed: waiting until TCP repeats nothing more (keys dark for over 13 s); the coordinator repeating releases after the move (forgotten with the coordinator and with the dispatcher, as two of the tests show).

--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -241,6 +241,7 @@
             self._stop,
             ENTRY_EXPIRY_HEARTBEATS * self._view.settings.heartbeat_s,
             self._sent_fences.get(server_id, 0),
+            partial(self._may_tell, incarnation, entry.address),
         )
         if channel.grants is not None:
             channel.grants.on_new_fence_needed = self._request_new_fence
@@ -287,6 +288,13 @@
         dispatching = self._view.assignment.dispatchers.get(incarnation.server_id)
         return dispatching is not None and dispatching.dispatcher == self._view.host_incarnation
 
+    def _may_tell(self, incarnation: ServerIncarnation, address: str) -> bool:
+        """Returns whether this host tells a server of fencing tokens, and it may still run."""
+        dispatching = self._view.assignment.dispatchers.get(incarnation.server_id)
+        if dispatching is not None and dispatching.dispatcher != self._view.host_incarnation:
+            return False
+        return not self._view.is_replaced(incarnation, address)
+
     def _set_key_ranges(self, incarnation: ServerIncarnation, channel: ServerChannel) -> None:
         if channel.grants is None:
             return
@@ -294,6 +302,7 @@
         if self._dispatches(incarnation) and not self._view.has_newer_incarnation(incarnation):
             ranges = self._view.assignment.key_ranges_owned_by(channel.entry.service, incarnation)
         channel.set_key_ranges(ranges)
+        channel.grants.notices.set_assignment(self._view.assignment, channel.entry.service)
 
     async def _check(self) -> None:
         while True:
--- /dev/null
+++ b/greengagefall/gateway/fence_notices.py
@@ -0,0 +1,220 @@
+"""Tells one backend server the newest fencing token for keys that it does not own.
+
+The end of a grant's time does not keep an older grant from arriving later. A server that was not
+reached while its keys went on is told as soon as it is reached again: after the end of a network
+cut it may otherwise take a grant that the network held up, also of a host that was killed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from typing import TYPE_CHECKING
+
+from greengagefall.dispatch.exceptions import DispatchError, SendRefusedError
+from greengagefall.ownership.key_spans import KeySpan, without_all
+from greengagefall.ownership.unconfirmed_fences import UnconfirmedFences
+from greengagefall.platform import grants as calls
+from greengagefall.utils.metrics import count
+from greengagefall.utils.supervision import start_supervised
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from greengagefall.dispatch.connection_pool import ConnectionPool
+    from greengagefall.gateway.server_health import ServerHealth
+    from greengagefall.ownership.model import Assignment
+    from greengagefall.utils.clock import Clock
+
+log = logging.getLogger(__name__)
+
+MS_PER_S = 1000.0
+# Operators excuse an outdated grant that arrives within 0.3 s after the end of a cut.
+RETRY_INTERVAL_S = 0.1
+NOTICE_TIMEOUT_S = 0.5
+# A release of moved keys is answered within this time unless the server still works on them.
+RELEASE_EXPECTED_S = 1.0
+
+
+class FenceNotices:
+    """Sends the notices to one incarnation of a server until it has answered each.
+
+    A notice is a release of keys that the server does not own. One call after the other is begun
+    while the server is not reached, since a connection that is being opened during a cut does not
+    notice its end in time.
+
+    Args:
+        server_id: The server.
+        pool: Connections to the server.
+        health: Records answers.
+        clock: Clock that counts suspended time.
+        may_tell: Whether this host is the one to tell the server, and its process may still run.
+    """
+
+    def __init__(
+        self,
+        server_id: str,
+        pool: ConnectionPool,
+        health: ServerHealth,
+        clock: Clock,
+        may_tell: Callable[[], bool],
+    ) -> None:
+        self._server_id = server_id
+        self._pool = pool
+        self._health = health
+        self._clock = clock
+        self._may_tell = may_tell
+        self._unconfirmed = UnconfirmedFences(clock)
+        self._owned: list[KeySpan] = []
+        self._version = 0
+        self._fence = 0
+        self._reached = True
+        self._tries = 0
+        self._attempts: set[asyncio.Task] = set()
+        self._in_flight: list[KeySpan] = []
+        self._changed = asyncio.Event()
+        self._task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Starts to send notices."""
+        self._task = start_supervised(self._run, f"notices {self._server_id}")
+
+    def close(self) -> None:
+        """Stops sending notices."""
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+        for attempt in self._attempts:
+            attempt.cancel()
+
+    @property
+    def pending(self) -> bool:
+        """Whether the server has to be told of a fencing token."""
+        return bool(self._spans_to_tell())
+
+    def set_assignment(self, assignment: Assignment, service: str) -> None:
+        """Applies the assignment if it is another one; the keys that the server lost are noted."""
+        if assignment.version == self._version:
+            return
+        before = self._owned
+        # A later incarnation's keys must not be released either.
+        self._owned = [
+            KeySpan(key_range.first, key_range.last)
+            for key_range in assignment.key_ranges.get(service, ())
+            if key_range.owner.server_id == self._server_id
+        ]
+        self._version, self._fence = assignment.version, assignment.last_fence
+        if not self._fence:
+            # Nothing was granted to any server yet.
+            self._unconfirmed.clear()
+        for span in without_all(before, self._owned):
+            self._unconfirmed.add(span, RELEASE_EXPECTED_S)
+        self._changed.set()
+
+    def on_confirmed(self, span: KeySpan, sent_s: float) -> None:
+        """Records an answered grant or release that was sent at ``sent_s``."""
+        self._unconfirmed.confirm(span, sent_s)
+
+    def on_unconfirmed(self, span: KeySpan) -> None:
+        """Records a release without an answer; the keys go on without the server's word."""
+        self._unconfirmed.add(span)
+        self._changed.set()
+
+    def is_in_flight(self, span: KeySpan) -> bool:
+        """Returns whether a notice that is on its way would end a grant of these keys."""
+        return any(span.overlaps(sent) for sent in self._in_flight)
+
+    def _spans_to_tell(self) -> list[KeySpan]:
+        if not self._version or not self._may_tell():
+            return []
+        return self._unconfirmed.spans_to_tell(self._owned)
+
+    async def _run(self) -> None:
+        while True:
+            self._changed.clear()
+            spans = self._spans_to_tell()
+            # An unreachable server is tried with one call at a time.
+            for span in spans if self._reached else spans[:1]:
+                self._begin(span)
+            await self._wait(RETRY_INTERVAL_S if spans else self._idle_s())
+
+    def _idle_s(self) -> float | None:
+        due_s = self._unconfirmed.next_due_s()
+        return None if due_s is None else max(0.0, due_s - self._clock.now_s())
+
+    async def _wait(self, timeout_s: float | None) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
+
+    def _begin(self, span: KeySpan) -> None:
+        """Begins a notice unless one for these keys is on its way."""
+        if self.is_in_flight(span):
+            return
+        attempt = asyncio.create_task(self._tell(span), name=f"notice {self._server_id}")
+        self._attempts.add(attempt)
+        attempt.add_done_callback(self._attempts.discard)
+
+    async def _tell(self, span: KeySpan) -> None:
+        begun_s = self._clock.now_s()
+        fence = self._fence
+        request = calls.release_request(self._server_id, *span, fence)
+        sent: list[KeySpan] = []
+
+        def may_send() -> bool:
+            allowed = span in self._spans_to_tell() and not self.is_in_flight(span)
+            if allowed:
+                sent.append(span)
+                self._in_flight.append(span)
+            return allowed
+
+        self._tries += 1
+        try:
+            answer = await self._pool.exchange(
+                request, NOTICE_TIMEOUT_S, may_send, calls.may_answer_release
+            )
+        except SendRefusedError:
+            return
+        except DispatchError as error:
+            self._on_failure(error)
+            return
+        finally:
+            for one in sent:
+                self._in_flight.remove(one)
+        self._on_answer(span, fence, answer.status, begun_s)
+
+    def _on_failure(self, error: DispatchError) -> None:
+        count("fence_notice_failures", error=type(error).__name__)
+        if self._reached:
+            log.info(
+                "Backend server is not reached; it is told of the newest fencing token once it is.",
+                extra={"server": self._server_id, "error": type(error).__name__},
+            )
+        self._reached = False
+
+    def _on_answer(self, span: KeySpan, fence: int, status: int, begun_s: float) -> None:
+        count("fence_notices", status=str(status))
+        if status == calls.HTTP_MISDIRECTED:
+            # Another server has the address, so no connection to this one is left.
+            self._unconfirmed.clear()
+            return
+        self._health.record_answer()
+        if status != calls.HTTP_OK:
+            self._reached = False
+            return
+        self._reached = True
+        self._unconfirmed.confirm(span, begun_s)
+        self._changed.set()
+        log.info(
+            "Backend server was told of the newest fencing token.",
+            extra={
+                "server": self._server_id,
+                "first": span.first,
+                "last": span.last,
+                "fence": fence,
+                "tries": self._tries,
+                "took_ms": int((self._clock.now_s() - begun_s) * MS_PER_S),
+            },
+        )
+        self._tries = 0
--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -13,6 +13,7 @@
     NotSentError,
     SendRefusedError,
 )
+from greengagefall.gateway.fence_notices import FenceNotices
 from greengagefall.gateway.incarnation_check import IncarnationCheck
 from greengagefall.ownership.key_grants import (
     GRANT_DURATION_S,
@@ -20,6 +21,7 @@
     RENEW_INTERVAL_S,
     KeyGrantTracker,
 )
+from greengagefall.ownership.key_spans import KeySpan
 from greengagefall.ownership.model import LAST_KEY
 from greengagefall.platform import grants as calls
 from greengagefall.utils.metrics import count
@@ -76,8 +78,10 @@
         store_lag_s: Returns how long ago this host certainly knew all entries.
         entry_expiry_s: Time in which the store drops the entry of a server that ended.
         suspect_fence: Highest fencing token that this host may have granted to the server before.
+        may_tell: Whether this host tells the server of newer fencing tokens.
 
     Attributes:
+        notices: Tells the server of newer fencing tokens of other servers' keys.
         on_new_fence_needed: Called while keys can only be granted under a new fencing token.
     """
 
@@ -93,7 +97,9 @@
         store_lag_s: Callable[[], float] = lambda: 0.0,
         entry_expiry_s: float = 0.0,
         suspect_fence: int = 0,
+        may_tell: Callable[[], bool] = lambda: True,
     ) -> None:
+        self.notices = FenceNotices(incarnation.server_id, pool, health, clock, may_tell)
         self.on_new_fence_needed: Callable[[], None] = lambda: None
         self._check = IncarnationCheck(
             clock,
@@ -118,11 +124,13 @@
         self._task: asyncio.Task | None = None
 
     def start(self) -> None:
-        """Starts to renew grants."""
+        """Starts to renew grants and to send notices of newer fencing tokens."""
+        self.notices.start()
         self._task = start_supervised(self._renew, f"grants {self._incarnation.server_id}")
 
     def close(self) -> None:
         """Stops renewing; existing grants expire by themselves."""
+        self.notices.close()
         if self._task is not None:
             self._task.cancel()
             self._task = None
@@ -244,6 +252,7 @@
             grants_end_s = self._tracker.grants_expired_by_s(first, last)
             remaining_s = max(end_s, grants_end_s) - self._clock.now_s()
             if remaining_s <= 0:
+                self.notices.on_unconfirmed(KeySpan(first, last))
                 return ReleaseOutcome(False, "", 0.0)
             request = calls.release_request(self._incarnation.server_id, first, last, fence)
             sent_s = self._clock.now_s()
@@ -255,6 +264,7 @@
                 self._health.record_failure(refused=True)
                 self._log_unanswered("release", (first, last, fence), sent_s, error)
                 ends_in_s = max(0.0, grants_end_s - self._clock.now_s())
+                self.notices.on_unconfirmed(KeySpan(first, last))
                 return ReleaseOutcome(False, "", ends_in_s)
             except DispatchError as error:
                 if not isinstance(error, AnswerMismatchError):
@@ -265,6 +275,7 @@
             self._health.record_answer()
             if answer.status == calls.HTTP_OK:
                 token = answer.headers.get(calls.HANDOVER_HEADER, "")
+                self.notices.on_confirmed(KeySpan(first, last), sent_s)
                 return ReleaseOutcome(True, token, 0.0)
             await asyncio.sleep(RETRY_INTERVAL_S)
 
@@ -298,6 +309,8 @@
         if not self._is_assignment_current() or key_range not in self._key_ranges:
             return False
         grant_id = (key_range.first, key_range.last, key_range.fence)
+        if self.notices.is_in_flight(KeySpan(key_range.first, key_range.last)):
+            return False
         if grant_id in self._superseded_grants or not self._check.may_grant(key_range.fence):
             return False
         return not key_range.moving or grant_id in self._ordered_grants
@@ -355,6 +368,7 @@
             self._on_refused(grant_id, answer.status)
             return False
         self._tracker.record_granted(key_range.first, key_range.last, key_range.fence, sent_s)
+        self.notices.on_confirmed(KeySpan(key_range.first, key_range.last), sent_s)
         self._handover_tokens.pop(grant_id, None)
         self._granted.set()
         return True
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -71,6 +71,7 @@
         stop: Which requests are sent while this host stops; by default it never stops.
         entry_expiry_s: Time in which the store drops the entry of a server that ended.
         suspect_fence: Highest fencing token that this host may have granted to the server before.
+        may_tell: Whether this host tells the server of newer fencing tokens.
 
     Attributes:
         entry: Newest entry of the incarnation.
@@ -95,6 +96,7 @@
         stop: StopAdmission | None = None,
         entry_expiry_s: float = 0.0,
         suspect_fence: int = 0,
+        may_tell: Callable[[], bool] = lambda: True,
     ) -> None:
         self.entry = entry
         self.incarnation = entry.incarnation
@@ -119,6 +121,7 @@
                 store_lag_s,
                 entry_expiry_s,
                 suspect_fence,
+                may_tell,
             )
             pool.on_idle_close = self._grants.on_connection_lost
         self._waiting = SlotWaiting(self.queue)
@@ -137,8 +140,10 @@
 
     @property
     def may_close(self) -> bool:
-        """Whether closing loses no request, and no record of grants that are in force."""
-        return self.idle and (self._grants is None or not self._grants.in_force)
+        """Whether closing loses no request and nothing that is known of the server's grants."""
+        if self._grants is None:
+            return self.idle
+        return self.idle and not self._grants.in_force and not self._grants.notices.pending
 
     def start(self) -> None:
         """Starts to renew grants and to probe the server while it is down."""
--- a/greengagefall/gateway/view.py
+++ b/greengagefall/gateway/view.py
@@ -191,6 +191,11 @@
         """Returns whether a later incarnation of a server was seen, even if since removed."""
         return self._latest_start_ms.get(incarnation.server_id, 0) > incarnation.start_ms
 
+    def is_replaced(self, incarnation: ServerIncarnation, address: str) -> bool:
+        """Returns whether a later incarnation of a server, or at its address, was seen."""
+        latest = self._latest_by_address.get(address, incarnation)
+        return self.has_newer_incarnation(incarnation) or latest.start_ms > incarnation.start_ms
+
     def _note_address(self, entry: ServerEntry) -> None:
         """Records which of the servers that used an address started last."""
         incarnation = entry.incarnation
--- a/greengagefall/ownership/key_grants.py
+++ b/greengagefall/ownership/key_grants.py
@@ -1,8 +1,9 @@
 """Tracks how long a backend server may hold keys under the grants that this host sent.
 
 A grant is in force from its arrival at the server for the grant duration, measured by the server's
-clock. An answered call arrived no later than its answer. An unanswered call is assumed to arrive at
-most ``MAX_DELIVERY_DELAY_S`` after it was sent, or until its connection was reset if that is later.
+clock. An answered call arrived no later than its answer. An unanswered call of a running host
+arrives at most ``MAX_DELIVERY_DELAY_S`` after it was sent, or until its connection was reset if
+that is later. What a killed host sent may arrive after that; ``gateway.fence_notices`` handles it.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/greengagefall/tests/gateway_fence_notices_tests.py
@@ -0,0 +1,231 @@
+"""Tests of telling a backend server the newest fencing token, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import unittest
+from types import SimpleNamespace
+
+from greengagefall.dispatch.exceptions import AnswerTimeoutError, NotSentError, SendRefusedError
+from greengagefall.gateway.fence_notices import NOTICE_TIMEOUT_S, RELEASE_EXPECTED_S
+from greengagefall.gateway.grants import GrantManager
+from greengagefall.gateway.server_health import ServerHealth
+from greengagefall.ownership.model import (
+    LAST_KEY,
+    Assignment,
+    KeyRange,
+    ServerIncarnation,
+)
+from greengagefall.ownership.unconfirmed_fences import MAX_HELD_UP_S
+from greengagefall.tests.virtual_time import LoopClock, VirtualLoop
+
+SERVICE = "proofdesk"
+SERVER = ServerIncarnation("s1", 1)
+RESTARTED = ServerIncarnation("s1", 2)
+OTHER = ServerIncarnation("s2", 1)
+OWNED = KeyRange(100, 199, SERVER, 7)
+LOST = OWNED._replace(owner=OTHER, fence=9)
+EXCUSED_S = 0.3
+ROUND_TRIP_S = 0.005
+
+
+def assignment(version: int, *key_ranges: KeyRange, last_fence: int = 9) -> Assignment:
+    return Assignment(version, last_fence, {SERVICE: key_ranges}, {})
+
+
+class ScriptedPool:
+    """Connections to a server that can be cut off, answer late or be another server.
+
+    Attributes:
+        cut: Whether no connection can be opened.
+        work_s: How long the server works on keys before it answers their release.
+        status: HTTP status of the answers.
+        calls: Path and body of each call that reached the server, and when it was answered.
+    """
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self.cut = False
+        self.work_s = 0.0
+        self.status = 200
+        self.calls: list[tuple[str, dict, float]] = []
+        self.tries = 0
+        self._loop = loop
+
+    async def exchange(self, request, timeout_s, may_send, matches=None):
+        self.tries += 1
+        cut_at_first = self.cut
+        await asyncio.sleep(ROUND_TRIP_S)
+        if cut_at_first or self.cut:
+            # What is sent to open a connection during a cut is lost.
+            await asyncio.sleep(timeout_s - ROUND_TRIP_S)
+            raise NotSentError("no connection in time")
+        if not may_send():
+            raise SendRefusedError("not current any more")
+        if self.work_s > timeout_s:
+            await asyncio.sleep(timeout_s)
+            raise AnswerTimeoutError("the server still works")
+        await asyncio.sleep(self.work_s)
+        path = request.path.rpartition("/")[2]
+        self.calls.append((path, json.loads(request.body), self._loop.now_s))
+        return SimpleNamespace(status=self.status, headers={"Handover": "token"})
+
+    def told(self) -> list[tuple[int, int, int]]:
+        return [
+            (body["from"], body["target"], body["fence"])
+            for path, body, _ in self.calls
+            if path == "release"
+        ]
+
+
+class FenceNoticesTests(unittest.TestCase):
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.loop = VirtualLoop()
+        asyncio.set_event_loop(self.loop)
+        self.addCleanup(asyncio.set_event_loop, None)
+        self.addCleanup(self.loop.close)
+        self.pool = ScriptedPool(self.loop)
+        self.replaced = False
+        clock = LoopClock(self.loop)
+        self.manager = GrantManager(
+            SERVER,
+            self.pool,
+            ServerHealth(clock),
+            clock,
+            lambda: True,
+            lambda: True,
+            may_tell=lambda: not self.replaced,
+        )
+
+    def apply(self, *key_ranges: KeyRange, version: int, last_fence: int = 9) -> None:
+        self.manager.set_key_ranges([one for one in key_ranges if one.owner == SERVER])
+        newest = assignment(version, *key_ranges, last_fence=last_fence)
+        self.manager.notices.set_assignment(newest, SERVICE)
+
+    def run_for(self, duration_s: float) -> None:
+        self.loop.run_until_complete(asyncio.sleep(duration_s))
+
+    def start(self, *key_ranges: KeyRange, last_fence: int = 9) -> None:
+        async def start() -> None:
+            self.apply(*key_ranges, version=1, last_fence=last_fence)
+            self.manager.start()
+
+        self.loop.run_until_complete(start())
+        self.addCleanup(self.run_for, 0.0)
+        self.addCleanup(self.manager.close)
+
+    def test_a_new_dispatcher_tells_the_server_of_all_keys_that_it_does_not_own(self):
+        # A killed dispatcher's grants of such keys may still be on their way.
+        self.start(OWNED)
+        self.run_for(0.1)
+        self.assertEqual(sorted(self.pool.told()), [(0, 99, 9), (200, LAST_KEY, 9)])
+
+    def test_a_server_is_told_once(self):
+        self.start(OWNED)
+        self.run_for(10.0)
+        self.assertEqual(len(self.pool.told()), 2)
+
+    def test_a_server_is_told_nothing_before_the_first_grant_of_all(self):
+        self.start(last_fence=0)
+        self.run_for(1.0)
+        self.apply(OWNED, version=2)
+        self.run_for(2.0)
+        self.assertEqual(self.pool.told(), [])
+
+    def test_after_a_cut_the_server_is_told_before_a_late_grant_counts(self):
+        # A held-up grant was taken 0.8 s after the cut, before any call reached the server.
+        self.start(OWNED)
+        for cut_s in (4.0, 4.03, 4.06, 4.09, 6.5):
+            with self.subTest(cut_s=cut_s):
+                self.run_for(1.0)
+                self.pool.cut = True
+                self.loop.run_until_complete(self.manager.release(100, 199, 9))
+                self.pool.calls.clear()
+                self.apply(LOST, version=int(cut_s * 100))
+                self.run_for(cut_s)
+                self.pool.cut = False
+                healed_s = self.loop.now_s
+                self.run_for(1.0)
+                self.assertIn((100, 199, 9), self.pool.told())
+                self.assertLess(self.pool.calls[0][2] - healed_s, EXCUSED_S / 2)
+                self.apply(OWNED._replace(fence=9), version=int(cut_s * 100) + 1)
+
+    def test_keys_that_were_lost_without_a_release_are_told(self):
+        # The coordinator's order to release them may never have arrived.
+        self.start(OWNED)
+        self.run_for(1.0)
+        self.pool.calls.clear()
+        self.apply(LOST, version=2)
+        self.run_for(RELEASE_EXPECTED_S - 0.1)
+        self.assertEqual(self.pool.told(), [])
+        self.run_for(0.2)
+        self.assertEqual(self.pool.told(), [(100, 199, 9)])
+
+    def test_an_answered_release_is_not_repeated(self):
+        self.start(OWNED)
+        self.run_for(1.0)
+        self.pool.calls.clear()
+        self.apply(LOST, version=2)
+        self.loop.run_until_complete(self.manager.release(100, 199, 9))
+        self.run_for(5.0)
+        self.assertEqual(self.pool.told(), [(100, 199, 9)])
+
+    def test_keys_of_a_later_incarnation_are_not_released(self):
+        self.start(OWNED._replace(owner=RESTARTED))
+        self.run_for(1.0)
+        self.assertEqual(sorted(self.pool.told()), [(0, 99, 9), (200, LAST_KEY, 9)])
+
+    def test_a_replaced_server_is_told_nothing(self):
+        self.replaced = True
+        self.start(OWNED)
+        self.run_for(5.0)
+        self.assertEqual(self.pool.told(), [])
+        self.assertFalse(self.manager.notices.pending)
+
+    def test_a_server_that_is_never_reached_is_given_up(self):
+        self.pool.cut = True
+        self.start(LOST)
+        self.run_for(MAX_HELD_UP_S + 1.0)
+        self.assertFalse(self.manager.notices.pending)
+        tries = self.pool.tries
+        self.run_for(5.0)
+        self.assertEqual(self.pool.tries, tries)
+
+    def test_another_server_at_the_address_ends_the_notices(self):
+        self.pool.status = 421
+        self.start(LOST)
+        self.run_for(0.1)
+        self.assertFalse(self.manager.notices.pending)
+        self.run_for(5.0)
+        self.assertEqual(len(self.pool.told()), 1)
+
+    def test_a_server_that_still_works_on_keys_is_not_asked_twice_at_once(self):
+        self.pool.work_s = NOTICE_TIMEOUT_S * 2
+        self.start(LOST)
+        self.run_for(NOTICE_TIMEOUT_S * 4)
+        # One call that waits for its answer, at most one more that found it waiting, per timeout.
+        self.assertLess(self.pool.tries, 10)
+
+    def test_keys_are_not_granted_while_a_notice_for_them_is_on_its_way(self):
+        # A server ends a grant at a release, also at one under a lower fencing token.
+        self.pool.work_s = NOTICE_TIMEOUT_S - ROUND_TRIP_S
+        self.start(LOST)
+        self.run_for(0.1)
+        self.apply(OWNED._replace(fence=10), version=2, last_fence=10)
+        self.run_for(3.0)
+        granted_s = [at_s for path, _, at_s in self.pool.calls if path == "grant"]
+        released_s = [
+            at_s
+            for path, body, at_s in self.pool.calls
+            if path == "release" and body["from"] <= OWNED.first <= body["target"]
+        ]
+        self.assertEqual(len(released_s), 1)
+        self.assertGreater(granted_s[0] - self.pool.work_s, released_s[0])
+        self.assertTrue(self.manager.holds(OWNED.first))
+
+
+if __name__ == "__main__":
+    unittest.main()
