Wait for hosts that were not heard before owners of an older copy are used

Cause: after a restore of the store, a coordinator that hears of no newer assignment waited 3.1 s, until grants in force have expired, and took the owners of the copy. Hosts behind a cut have forgotten nothing; they renew their servers' grants for 8 s after their last confirmation.

The wait covers these 8 s, too, unless each known host has reported since the restore. That works because no assignment is confirmed after the restore, so a host that is not heard counts from an earlier time.

When all hosts restarted, the wait is as short as before.

--- a/greengagefall/gateway/assignment_recovery.py
+++ b/greengagefall/gateway/assignment_recovery.py
@@ -10,6 +10,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from greengagefall.gateway.view import ASSIGNMENT_VALIDITY_S
 from greengagefall.ownership import rows
 from greengagefall.ownership.exceptions import AssignmentError
 from greengagefall.ownership.key_grants import MAX_DELIVERY_DELAY_S, max_grant_lifetime_s
@@ -86,7 +87,8 @@
             hosts: Names of all entry hosts.
         """
         waited_s = self._clock.now_s() - self._began_s
-        if waited_s < REPORT_WAIT_S and not self._reports.all_reported(hosts, self._began_s):
+        all_reported = self._reports.all_reported(hosts, self._began_s)
+        if waited_s < REPORT_WAIT_S and not all_reported:
             return None
         version, host = self._reports.newest_version(self._began_s)
         if version > known.version:
@@ -96,7 +98,7 @@
             known = found
         # Hosts get no assignment from the store before it is recovered.
         forgotten = version == 0
-        if forgotten and waited_s < MAX_DELIVERY_DELAY_S + max_grant_lifetime_s():
+        if forgotten and waited_s < _grants_end_s(all_reported):
             # No host remembers who got keys after the copy was made: wait until no grant is left.
             return None
         log.warning(
@@ -105,6 +107,7 @@
                 "version": known.version,
                 "stored": self._stored.version,
                 "from": host if version >= known.version else "",
+                "all_reported": all_reported,
                 "waited_s": round(waited_s, 3),
             },
         )
@@ -133,6 +136,17 @@
             return None
 
 
+def _grants_end_s(all_reported: bool) -> float:
+    """Returns how long after the restore grants by a forgotten assignment may be in force.
+
+    Args:
+        all_reported: Whether each host has reported since. One that has not may be cut off with the
+            servers that it dispatches, and goes on renewing their grants for a while.
+    """
+    renewed_s = 0.0 if all_reported else ASSIGNMENT_VALIDITY_S
+    return renewed_s + MAX_DELIVERY_DELAY_S + max_grant_lifetime_s()
+
+
 def _with_new_fences(assignment: Assignment, *, clear_sources: bool) -> Assignment:
     """Returns an assignment in which every key range has a fence above all that were lost.
 
--- a/greengagefall/tests/gateway_assignment_recovery_tests.py
+++ b/greengagefall/tests/gateway_assignment_recovery_tests.py
@@ -14,6 +14,7 @@
 from greengagefall.gateway.host_reports import HOST_TIMEOUT_S, HostReports
 from greengagefall.gateway.peers import UNREACHABLE
 from greengagefall.gateway.publishing import full_message
+from greengagefall.gateway.view import ASSIGNMENT_VALIDITY_S
 from greengagefall.ownership.key_grants import MAX_DELIVERY_DELAY_S, max_grant_lifetime_s
 from greengagefall.ownership.model import (
     LAST_KEY,
@@ -143,6 +144,25 @@
         recovered = await self.recover(assignment(27))
         self.assertFalse(any(one.moving for one in recovered.key_ranges["proofdesk"]))
 
+    async def test_host_that_is_not_heard_may_renew_forgotten_grants_for_longer(self):
+        # It may be cut off with its servers, while all others restarted and forgot.
+        self.recovery.begin(assignment(27), 1)
+        self.report("h0", 0)
+        grants_end_s = ASSIGNMENT_VALIDITY_S + MAX_DELIVERY_DELAY_S + max_grant_lifetime_s()
+        self.clock.advance(grants_end_s - 0.1)
+        self.report("h0", 0)
+        self.assertIsNone(await self.recover(assignment(27)))
+        self.clock.advance(0.2)
+        self.assertIsNotNone(await self.recover(assignment(27)))
+
+    async def test_host_that_is_heard_again_after_all_ends_the_wait_for_it(self):
+        self.recovery.begin(assignment(27), 1)
+        self.report("h0", 0)
+        self.clock.advance(REPORT_WAIT_S)
+        self.report("h1", 35)
+        recovered = await self.recover(assignment(27))
+        self.assertEqual(recovered.find_key_range("proofdesk", LAST_KEY).owner.server_id, "s2")
+
 
 class AssignmentStoreTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
