Have other hosts tell a server of newer fences if its dispatcher is cut off

After 0.3 s without reaching the server, its dispatcher asks the other hosts, one each 0.1 s, to send the release (the order that coordinators send). A host without a channel to the server now carries it out, unless by its assignment the server owns any of the keys: a release ends a newer grant, too.

--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -10,20 +10,22 @@
 from greengagefall.dispatch.answer_memory import AnswerMemory
 from greengagefall.dispatch.connection_pool import ConnectionPool
 from greengagefall.gateway import outcomes
+from greengagefall.gateway.fence_notices import send_release
+from greengagefall.gateway.grants import ReleaseOutcome
 from greengagefall.gateway.model import NO_KEY
 from greengagefall.gateway.server_channel import ServerChannel
 from greengagefall.limits.server_rate_limit import UNLIMITED
 from greengagefall.limits.stop_admission import StopAdmission
 from greengagefall.ownership.key_load import KeyCounter
+from greengagefall.ownership.key_spans import KeySpan
 from greengagefall.ownership.model import ServerIncarnation
 from greengagefall.utils.metrics import count
 from greengagefall.utils.supervision import start_supervised
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
     from typing import Any
 
-    from greengagefall.gateway.grants import ReleaseOutcome
     from greengagefall.gateway.view import ClusterView
     from greengagefall.protocol.gateway_messages import (
         Dispatch,
@@ -72,6 +74,8 @@
 
     Attributes:
         on_new_fence_needed: Called while a server's keys need new fencing tokens.
+        ask_others: Has another host tell a server of a fencing token; returns whether the server
+            confirmed it.
     """
 
     def __init__(
@@ -87,6 +91,7 @@
         self._clock = clock
         self._channels: dict[ServerIncarnation, ServerChannel] = {}
         self.on_new_fence_needed: Callable[[], None] = lambda: None
+        self.ask_others: Callable[[ServerIncarnation, KeySpan, int], Awaitable[bool]] | None = None
         self._sent_fences: dict[str, int] = {}
         self._unneeded_since_s: dict[ServerIncarnation, float] = {}
         self._key_counters: dict[str, KeyCounter] = {}
@@ -152,13 +157,16 @@
     async def release(self, order: ReleaseKeys) -> ReleaseOutcome | None:
         """Has a server release keys; None if this host cannot or the order is outdated.
 
-        It cannot without a channel or with an older assignment. An order that arrives late may
-        concern keys that the server has owned again since; they must not be taken from it.
+        It cannot with an older assignment. An order that arrives late may concern keys that the
+        server has owned again since; they must not be taken from it. A server that this host does
+        not dispatch is told on behalf of its dispatcher.
         """
         if order.version > self._view.assignment.version:
             return None
         channel = self._channels.get(ServerIncarnation(order.server_id, order.start_ms))
-        if channel is None or channel.grants is None:
+        if channel is None:
+            return await self._release_for_dispatcher(order)
+        if channel.grants is None:
             return None
         if channel.grants.owns_above(order.first, order.last, order.fence):
             log.info("Outdated order to release keys is ignored.", extra=_order_fields(order))
@@ -170,6 +178,27 @@
         )
         return outcome
 
+    async def _release_for_dispatcher(self, order: ReleaseKeys) -> ReleaseOutcome | None:
+        """Has a server release keys that it does not own, for a dispatcher that is cut off."""
+        incarnation = ServerIncarnation(order.server_id, order.start_ms)
+        entry = self._view.servers.get(order.server_id)
+        if entry is None or self._view.is_replaced(incarnation, entry.address):
+            return None
+        span = KeySpan(order.first, order.last)
+        owned = self._view.assignment.key_spans_of(entry.service, order.server_id)
+        if any(span.overlaps(one) for one in owned):
+            log.info("Outdated order to release keys is ignored.", extra=_order_fields(order))
+            return None
+        pool = self._open_pool(entry.address)
+        try:
+            token = await send_release(pool, order.server_id, span, order.fence)
+        finally:
+            pool.close()
+        if token is None:
+            return ReleaseOutcome(False, "", 0.0)
+        log.info("Keys released for a dispatcher that is cut off.", extra=_order_fields(order))
+        return ReleaseOutcome(True, token, 0.0)
+
     async def grant(self, order: GrantKeys) -> bool:
         """Grants keys that no other server holds; returns whether the server accepted them."""
         incarnation = ServerIncarnation(order.server_id, order.start_ms)
@@ -245,6 +274,8 @@
         )
         if channel.grants is not None:
             channel.grants.on_new_fence_needed = self._request_new_fence
+            if self.ask_others is not None:
+                channel.grants.notices.ask_others = partial(self.ask_others, incarnation)
         self._channels[incarnation] = channel
         named_per_s = self._view.rate_limits.get(incarnation)
         if named_per_s is not None:
--- a/greengagefall/gateway/fence_notices.py
+++ b/greengagefall/gateway/fence_notices.py
@@ -17,10 +17,10 @@
 from greengagefall.ownership.unconfirmed_fences import UnconfirmedFences
 from greengagefall.platform import grants as calls
 from greengagefall.utils.metrics import count
-from greengagefall.utils.supervision import start_supervised
+from greengagefall.utils.supervision import log_failure, start_supervised
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable, Coroutine, Iterable
 
     from greengagefall.dispatch.connection_pool import ConnectionPool
     from greengagefall.gateway.server_health import ServerHealth
@@ -33,6 +33,8 @@
 # Operators excuse an outdated grant that arrives within 0.3 s after the end of a cut.
 RETRY_INTERVAL_S = 0.1
 NOTICE_TIMEOUT_S = 0.5
+# Other hosts are asked for notices once this one has not reached the server for a while.
+ASK_DELAY_S = 0.3
 # A release of moved keys is answered within this time unless the server still works on them.
 RELEASE_EXPECTED_S = 1.0
 
@@ -42,7 +44,7 @@
 
     A notice is a release of keys that the server does not own. One call after the other is begun
     while the server is not reached, since a connection that is being opened during a cut does not
-    notice its end in time.
+    notice its end in time. Other hosts are asked, too, since this one alone may be cut off.
 
     Args:
         server_id: The server.
@@ -50,6 +52,9 @@
         health: Records answers.
         clock: Clock that counts suspended time.
         may_tell: Whether this host is the one to tell the server, and its process may still run.
+
+    Attributes:
+        ask_others: Has another host send a notice; returns whether the server confirmed it.
     """
 
     def __init__(
@@ -60,6 +65,7 @@
         clock: Clock,
         may_tell: Callable[[], bool],
     ) -> None:
+        self.ask_others: Callable[[KeySpan, int], Awaitable[bool]] = _ask_nobody
         self._server_id = server_id
         self._pool = pool
         self._health = health
@@ -70,9 +76,12 @@
         self._version = 0
         self._fence = 0
         self._reached = True
+        self._reached_by_others = False
+        self._ask_from_s = 0.0
         self._tries = 0
         self._attempts: set[asyncio.Task] = set()
         self._in_flight: list[KeySpan] = []
+        self._asked: list[KeySpan] = []
         self._changed = asyncio.Event()
         self._task: asyncio.Task | None = None
 
@@ -99,11 +108,7 @@
             return
         before = self._owned
         # A later incarnation's keys must not be released either.
-        self._owned = [
-            KeySpan(key_range.first, key_range.last)
-            for key_range in assignment.key_ranges.get(service, ())
-            if key_range.owner.server_id == self._server_id
-        ]
+        self._owned = assignment.key_spans_of(service, self._server_id)
         self._version, self._fence = assignment.version, assignment.last_fence
         if not self._fence:
             # Nothing was granted to any server yet.
@@ -121,9 +126,9 @@
         self._unconfirmed.add(span)
         self._changed.set()
 
-    def is_in_flight(self, span: KeySpan) -> bool:
+    def may_end_grant(self, span: KeySpan) -> bool:
         """Returns whether a notice that is on its way would end a grant of these keys."""
-        return any(span.overlaps(sent) for sent in self._in_flight)
+        return _overlaps_any(span, (*self._in_flight, *self._asked))
 
     def _spans_to_tell(self) -> list[KeySpan]:
         if not self._version or not self._may_tell():
@@ -137,6 +142,8 @@
             # An unreachable server is tried with one call at a time.
             for span in spans if self._reached else spans[:1]:
                 self._begin(span)
+            if not self._reached:
+                self._begin_asking(spans if self._reached_by_others else spans[:1])
             await self._wait(RETRY_INTERVAL_S if spans else self._idle_s())
 
     def _idle_s(self) -> float | None:
@@ -150,11 +157,33 @@
 
     def _begin(self, span: KeySpan) -> None:
         """Begins a notice unless one for these keys is on its way."""
-        if self.is_in_flight(span):
+        if not _overlaps_any(span, self._in_flight):
+            self._start_attempt(self._tell(span))
+
+    def _begin_asking(self, spans: list[KeySpan]) -> None:
+        """Asks another host for notices if this one has not reached the server for a while."""
+        if self._clock.now_s() < self._ask_from_s:
             return
-        attempt = asyncio.create_task(self._tell(span), name=f"notice {self._server_id}")
-        self._attempts.add(attempt)
-        attempt.add_done_callback(self._attempts.discard)
+        for span in spans:
+            self._start_attempt(self._ask(span))
+
+    def _start_attempt(self, attempt: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(attempt, name=f"notice {self._server_id}")
+        self._attempts.add(task)
+        task.add_done_callback(self._attempts.discard)
+        task.add_done_callback(log_failure)
+
+    async def _ask(self, span: KeySpan) -> None:
+        begun_s, fence = self._clock.now_s(), self._fence
+        self._asked.append(span)
+        try:
+            confirmed = await self.ask_others(span, fence)
+        finally:
+            self._asked.remove(span)
+        self._reached_by_others = confirmed
+        if confirmed:
+            count("fence_notices_by_others")
+            self._on_told(span, fence, begun_s, by_another_host=True)
 
     async def _tell(self, span: KeySpan) -> None:
         begun_s = self._clock.now_s()
@@ -163,7 +192,8 @@
         sent: list[KeySpan] = []
 
         def may_send() -> bool:
-            allowed = span in self._spans_to_tell() and not self.is_in_flight(span)
+            told = _overlaps_any(span, self._in_flight) or span not in self._spans_to_tell()
+            allowed = not told
             if allowed:
                 sent.append(span)
                 self._in_flight.append(span)
@@ -187,6 +217,7 @@
     def _on_failure(self, error: DispatchError) -> None:
         count("fence_notice_failures", error=type(error).__name__)
         if self._reached:
+            self._ask_from_s = self._clock.now_s() + ASK_DELAY_S
             log.info(
                 "Backend server is not reached; it is told of the newest fencing token once it is.",
                 extra={"server": self._server_id, "error": type(error).__name__},
@@ -204,6 +235,9 @@
             self._reached = False
             return
         self._reached = True
+        self._on_told(span, fence, begun_s, by_another_host=False)
+
+    def _on_told(self, span: KeySpan, fence: int, begun_s: float, *, by_another_host: bool) -> None:
         self._unconfirmed.confirm(span, begun_s)
         self._changed.set()
         log.info(
@@ -213,8 +247,35 @@
                 "first": span.first,
                 "last": span.last,
                 "fence": fence,
+                "by_another_host": by_another_host,
                 "tries": self._tries,
                 "took_ms": int((self._clock.now_s() - begun_s) * MS_PER_S),
             },
         )
         self._tries = 0
+
+
+async def send_release(
+    pool: ConnectionPool, server_id: str, span: KeySpan, fence: int
+) -> str | None:
+    """Sends one release; returns its handover token, or None if the server did not confirm it."""
+    request = calls.release_request(server_id, *span, fence)
+    try:
+        answer = await pool.exchange(
+            request, NOTICE_TIMEOUT_S, lambda: True, calls.may_answer_release
+        )
+    except DispatchError as error:
+        count("fence_notice_failures", error=type(error).__name__)
+        return None
+    if answer.status != calls.HTTP_OK:
+        return None
+    return answer.headers.get(calls.HANDOVER_HEADER, "")
+
+
+async def _ask_nobody(span: KeySpan, fence: int) -> bool:
+    """Asks no host, as long as nothing else is set."""
+    return False
+
+
+def _overlaps_any(span: KeySpan, others: Iterable[KeySpan]) -> bool:
+    return any(span.overlaps(other) for other in others)
--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -309,7 +309,7 @@
         if not self._is_assignment_current() or key_range not in self._key_ranges:
             return False
         grant_id = (key_range.first, key_range.last, key_range.fence)
-        if self.notices.is_in_flight(KeySpan(key_range.first, key_range.last)):
+        if self.notices.may_end_grant(KeySpan(key_range.first, key_range.last)):
             return False
         if grant_id in self._superseded_grants or not self._check.may_grant(key_range.fence):
             return False
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -16,6 +16,7 @@
 from greengagefall.gateway.election import Election
 from greengagefall.gateway.following import RESTORE_GRACE_HEARTBEATS, PrefixWatcher
 from greengagefall.gateway.handlers import PeerHandlers
+from greengagefall.gateway.peer_notices import PeerNotices
 from greengagefall.gateway.peers import Peers
 from greengagefall.gateway.records import (
     HOST_PREFIX,
@@ -71,6 +72,7 @@
         self._channels = ChannelManager(self.view, clock, stop=self._stop)
         self._handlers = PeerHandlers(self.view, self._channels)
         self._peers = Peers(self.view, self._handlers.handle)
+        self._channels.ask_others = PeerNotices(self.view, self._peers).ask
         self._heartbeats = HeartbeatSender(
             self.view, self._peers, self._channels, self._store, clock
         )
--- a/greengagefall/ownership/model.py
+++ b/greengagefall/ownership/model.py
@@ -5,6 +5,8 @@
 from bisect import bisect_right
 from typing import NamedTuple
 
+from greengagefall.ownership.key_spans import KeySpan
+
 NO_SERVER = ""
 LAST_KEY = 65_535
 # Where it is not known how often the store was restored from an older copy of its data.
@@ -108,5 +110,13 @@
             if key_range.owner == incarnation
         ]
 
+    def key_spans_of(self, service: str, server_id: str) -> list[KeySpan]:
+        """Returns the keys that any incarnation of a server owns."""
+        return [
+            KeySpan(key_range.first, key_range.last)
+            for key_range in self.key_ranges.get(service, ())
+            if key_range.owner.server_id == server_id
+        ]
+
 
 EMPTY_ASSIGNMENT = Assignment(0, 0, {}, {})
--- a/greengagefall/tests/gateway_fence_notices_tests.py
+++ b/greengagefall/tests/gateway_fence_notices_tests.py
@@ -7,9 +7,15 @@
 import logging
 import unittest
 from types import SimpleNamespace
+from typing import TYPE_CHECKING
 
 from greengagefall.dispatch.exceptions import AnswerTimeoutError, NotSentError, SendRefusedError
-from greengagefall.gateway.fence_notices import NOTICE_TIMEOUT_S, RELEASE_EXPECTED_S
+from greengagefall.gateway.fence_notices import (
+    ASK_DELAY_S,
+    NOTICE_TIMEOUT_S,
+    RELEASE_EXPECTED_S,
+    RETRY_INTERVAL_S,
+)
 from greengagefall.gateway.grants import GrantManager
 from greengagefall.gateway.server_health import ServerHealth
 from greengagefall.ownership.model import (
@@ -21,6 +27,9 @@
 from greengagefall.ownership.unconfirmed_fences import MAX_HELD_UP_S
 from greengagefall.tests.virtual_time import LoopClock, VirtualLoop
 
+if TYPE_CHECKING:
+    from greengagefall.ownership.key_spans import KeySpan
+
 SERVICE = "proofdesk"
 SERVER = ServerIncarnation("s1", 1)
 RESTARTED = ServerIncarnation("s1", 2)
@@ -185,6 +194,38 @@
         self.assertEqual(self.pool.told(), [])
         self.assertFalse(self.manager.notices.pending)
 
+    def test_other_hosts_are_asked_while_this_one_alone_is_cut_off(self):
+        # A dispatcher that is cut off alone left its server without the newer fence.
+        asked = []
+
+        async def ask_others(span: KeySpan, fence: int) -> bool:
+            asked.append((*span, fence, self.loop.now_s))
+            first = len(asked) == 1
+            await asyncio.sleep(ROUND_TRIP_S)
+            return not first
+
+        self.manager.notices.ask_others = ask_others
+        self.pool.cut = True
+        self.start(OWNED)
+        self.run_for(5.0)
+        self.assertFalse(self.manager.notices.pending)
+        self.assertEqual([one[:3] for one in asked], [(0, 99, 9), (0, 99, 9), (200, LAST_KEY, 9)])
+        first_failure_s = NOTICE_TIMEOUT_S
+        self.assertGreaterEqual(asked[0][3], first_failure_s + ASK_DELAY_S)
+        self.assertLess(asked[-1][3], first_failure_s + ASK_DELAY_S + 4 * RETRY_INTERVAL_S)
+
+    def test_other_hosts_are_not_asked_while_the_server_is_reached(self):
+        asked = []
+
+        async def ask_others(span: KeySpan, fence: int) -> bool:
+            asked.append(span)
+            return True
+
+        self.manager.notices.ask_others = ask_others
+        self.start(OWNED)
+        self.run_for(5.0)
+        self.assertEqual(asked, [])
+
     def test_a_server_that_is_never_reached_is_given_up(self):
         self.pool.cut = True
         self.start(LOST)
--- a/greengagefall/tests/gateway_held_up_grant_tests.py
+++ b/greengagefall/tests/gateway_held_up_grant_tests.py
@@ -166,6 +166,15 @@
 
         self.assert_refused(until_heal, LAST_REPETITION_S)
 
+    def test_renewal_is_refused_while_the_next_dispatcher_alone_is_cut_off(self):
+        # Others reached the server, but only its dispatcher would have told it of the newer fence.
+        async def until_heal(renewal: HeldUpRenewal) -> None:
+            await renewal.wait_until_moved()
+            cut = frozenset((renewal.dispatching().name, renewal.server.name))
+            renewal.simulation.cuts.add(cut)
+
+        self.assert_refused(until_heal, LAST_REPETITION_S)
+
     def test_renewal_is_refused_after_a_new_coordinator_took_over(self):
         # What the server has to be told was forgotten with the coordinator that moved its keys.
         async def until_heal(renewal: HeldUpRenewal) -> None:
--- a/greengagefall/tests/gateway_outdated_orders_tests.py
+++ b/greengagefall/tests/gateway_outdated_orders_tests.py
@@ -54,5 +54,58 @@
         self.assertTrue(held)
 
 
+class ReleaseForDispatcherTests(unittest.TestCase):
+    """A host that does not dispatch a server is asked to have it release keys."""
+
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.loop = VirtualLoop()
+        asyncio.set_event_loop(self.loop)
+        self.addCleanup(asyncio.set_event_loop, None)
+        self.addCleanup(self.loop.close)
+
+    def release(self, *, own_keys: bool = False, listed: bool = True, newer_ms: int = 0):
+        """Returns the outcome, and the fences that the server knows by then."""
+        return self.loop.run_until_complete(self._release(own_keys, listed, newer_ms))
+
+    async def _release(self, own_keys: bool, listed: bool, newer_ms: int):
+        simulation = Simulation(self.loop, seed=1)
+        delivery = asyncio.create_task(simulation.deliver_records())
+        await asyncio.sleep(SETTLED_S)
+        assignment = next(iter(simulation.hosts.values())).view.assignment
+        own, other = assignment.key_ranges[SERVICE][:2]
+        dispatcher = assignment.dispatchers[own.owner.server_id].dispatcher.host
+        asked = next(one for one in simulation.hosts.values() if one.name != dispatcher)
+        server = simulation.servers[own.owner.server_id]
+        if not listed:
+            asked.view.remove_server(own.owner.server_id)
+        if newer_ms:
+            asked.view.update_server(server.entry()._replace(start_ms=newer_ms))
+        first, last = (own.first, own.last) if own_keys else (other.first, other.last)
+        order = ReleaseKeys(0, assignment.version, *own.owner, first, last, assignment.last_fence)
+        outcome = await asked.channels.release(order)
+        known = server.fences[-1]
+        for one in simulation.hosts.values():
+            await one.kill()
+        delivery.cancel()
+        return outcome, known == (first, last, assignment.last_fence)
+
+    def test_keys_that_the_server_does_not_own_are_released(self):
+        outcome, told = self.release()
+        self.assertTrue(outcome.released)
+        self.assertTrue(told)
+
+    def test_keys_that_the_server_owns_are_not_released(self):
+        # A release ends a newer grant, too.
+        self.assertEqual(self.release(own_keys=True), (None, False))
+
+    def test_a_server_without_an_entry_is_not_asked(self):
+        self.assertEqual(self.release(listed=False), (None, False))
+
+    def test_a_server_that_restarted_is_not_asked(self):
+        self.assertEqual(self.release(newer_ms=10**6), (None, False))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/greengagefall/tests/simulated_hosts.py
+++ b/greengagefall/tests/simulated_hosts.py
@@ -15,6 +15,7 @@
     RoutingTable,
     Service,
 )
+from greengagefall.gateway.peer_notices import PeerNotices
 from greengagefall.gateway.view import ClusterView, HostRecord
 from greengagefall.ownership.model import HostIncarnation
 from greengagefall.protocol.messages import PROTOCOL_VERSION, Hello
@@ -57,6 +58,7 @@
             and simulation.loop.now_s - simulation.store_reachable_since_s > 2 * WATCH_DELAY_S
             and server_id in simulation.server_entries
         )
+        self.channels.ask_others = PeerNotices(self.view, peers).ask
         self.handlers = PeerHandlers(self.view, self.channels)
         self.hello = Hello(PROTOCOL_VERSION, "gateway", name, zone, str(start_ms), "", "")
         self.heartbeats = HeartbeatSender(self.view, peers, self.channels, store, clock)
--- a/greengagefall/tests/simulated_network.py
+++ b/greengagefall/tests/simulated_network.py
@@ -187,6 +187,10 @@
         self._simulation = simulation
         self._host = host
 
+    def connected(self, name) -> bool:
+        target = self._simulation.hosts.get(name)
+        return target is not None and target.up
+
     async def call(self, name, message, timeout_s):
         target = self._simulation.hosts.get(name)
         if name != self._host.name:
