Pass what a host knows of a server's process in one record

ServerChannel and GrantManager took seven parameters each only to pass them on to IncarnationCheck and FenceNotices. They are fields of ServerKnowledge now, with the defaults that tests used. KeyGrantTracker uses KeySpan for the parts of a grant that are left after a release. No change of behaviour.

--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -14,6 +14,7 @@
 from greengagefall.gateway.grants import ReleaseOutcome
 from greengagefall.gateway.model import NO_KEY
 from greengagefall.gateway.server_channel import ServerChannel
+from greengagefall.gateway.server_knowledge import ServerKnowledge
 from greengagefall.limits.server_rate_limit import UNLIMITED
 from greengagefall.limits.stop_admission import StopAdmission
 from greengagefall.ownership.key_load import KeyCounter
@@ -258,19 +259,17 @@
         incarnation = ServerIncarnation(server_id, entry.start_ms)
         if incarnation in self._channels:
             return
-        channel = ServerChannel(
-            entry,
-            service,
-            self._clock,
+        knowledge = ServerKnowledge(
             self._view.is_assignment_current,
             partial(self._view.is_entry_current, server_id),
-            self._open_pool(entry.address),
-            RESTART_DETECTION_HEARTBEATS * self._view.settings.heartbeat_s,
+            partial(self._may_tell, incarnation, entry.address),
             self._view.store_lag_s,
-            self._stop,
+            RESTART_DETECTION_HEARTBEATS * self._view.settings.heartbeat_s,
             ENTRY_EXPIRY_HEARTBEATS * self._view.settings.heartbeat_s,
             self._sent_fences.get(server_id, 0),
-            partial(self._may_tell, incarnation, entry.address),
+        )
+        channel = ServerChannel(
+            entry, service, self._clock, self._open_pool(entry.address), knowledge, self._stop
         )
         if channel.grants is not None:
             channel.grants.on_new_fence_needed = self._request_new_fence
--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -15,6 +15,7 @@
 )
 from greengagefall.gateway.fence_notices import FenceNotices
 from greengagefall.gateway.incarnation_check import IncarnationCheck
+from greengagefall.gateway.server_knowledge import ALL_IS_KNOWN
 from greengagefall.ownership.key_grants import (
     GRANT_DURATION_S,
     MAX_DELIVERY_DELAY_S,
@@ -32,6 +33,7 @@
 
     from greengagefall.dispatch.connection_pool import ConnectionPool
     from greengagefall.gateway.server_health import ServerHealth
+    from greengagefall.gateway.server_knowledge import ServerKnowledge
     from greengagefall.ownership.model import KeyRange, ServerIncarnation
     from greengagefall.utils.clock import Clock
 
@@ -72,13 +74,7 @@
         pool: Connections to the server.
         health: Records answers and failures.
         clock: Clock that counts suspended time.
-        is_assignment_current: Whether the assignment is recent enough for renewing grants.
-        is_entry_current: Whether this host would know by now if the server had restarted.
-        restart_detection_s: As for ``IncarnationCheck``, like the parameters after it.
-        store_lag_s: Returns how long ago this host certainly knew all entries.
-        entry_expiry_s: Time in which the store drops the entry of a server that ended.
-        suspect_fence: Highest fencing token that this host may have granted to the server before.
-        may_tell: Whether this host tells the server of newer fencing tokens.
+        knowledge: What this host knows of the server's process.
 
     Attributes:
         notices: Tells the server of newer fencing tokens of other servers' keys.
@@ -91,29 +87,16 @@
         pool: ConnectionPool,
         health: ServerHealth,
         clock: Clock,
-        is_assignment_current: Callable[[], bool],
-        is_entry_current: Callable[[], bool],
-        restart_detection_s: float = 0.0,
-        store_lag_s: Callable[[], float] = lambda: 0.0,
-        entry_expiry_s: float = 0.0,
-        suspect_fence: int = 0,
-        may_tell: Callable[[], bool] = lambda: True,
+        knowledge: ServerKnowledge = ALL_IS_KNOWN,
     ) -> None:
-        self.notices = FenceNotices(incarnation.server_id, pool, health, clock, may_tell)
+        self.notices = FenceNotices(incarnation.server_id, pool, health, clock, knowledge.may_tell)
         self.on_new_fence_needed: Callable[[], None] = lambda: None
-        self._check = IncarnationCheck(
-            clock,
-            is_entry_current,
-            restart_detection_s,
-            entry_expiry_s,
-            store_lag_s,
-            suspect_fence,
-        )
+        self._check = IncarnationCheck(clock, knowledge)
         self._incarnation = incarnation
         self._pool = pool
         self._health = health
         self._clock = clock
-        self._is_assignment_current = is_assignment_current
+        self._knowledge = knowledge
         self._tracker = KeyGrantTracker(clock)
         self._key_ranges: list[KeyRange] = []
         self._ordered_grants: set[tuple[int, int, int]] = set()
@@ -306,7 +289,7 @@
         return None
 
     def _may_grant(self, key_range: KeyRange) -> bool:
-        if not self._is_assignment_current() or key_range not in self._key_ranges:
+        if not self._knowledge.is_assignment_current() or key_range not in self._key_ranges:
             return False
         grant_id = (key_range.first, key_range.last, key_range.fence)
         if self.notices.may_end_grant(KeySpan(key_range.first, key_range.last)):
--- a/greengagefall/gateway/incarnation_check.py
+++ b/greengagefall/gateway/incarnation_check.py
@@ -10,8 +10,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
+    from greengagefall.gateway.server_knowledge import ServerKnowledge
     from greengagefall.utils.clock import Clock
 
 
@@ -20,36 +19,18 @@
 
     Args:
         clock: Clock that counts suspended time.
-        is_entry_current: Whether the store certainly has the entry of this incarnation, and no
-            later one that this host could know of.
-        restart_detection_s: Time after a lost connection by which a new incarnation that reaches
-            the store has written its entry.
-        entry_expiry_s: Time after a lost connection by which the store has dropped the entry of an
-            incarnation that ended then, also if no new one reaches the store.
-        store_lag_s: Returns how long ago this host certainly knew all entries.
-        suspect_fence: Initial value of the attribute.
+        knowledge: What this host knows of the server's process.
 
     Attributes:
         suspect_fence: Highest fencing token that a former incarnation may have been granted; 0 if
             the incarnation is certainly the same.
     """
 
-    def __init__(
-        self,
-        clock: Clock,
-        is_entry_current: Callable[[], bool],
-        restart_detection_s: float,
-        entry_expiry_s: float,
-        store_lag_s: Callable[[], float],
-        suspect_fence: int = 0,
-    ) -> None:
-        self.suspect_fence = suspect_fence
+    def __init__(self, clock: Clock, knowledge: ServerKnowledge) -> None:
+        self.suspect_fence = knowledge.suspect_fence
         self._clock = clock
-        self._is_entry_current = is_entry_current
-        self._restart_detection_s = restart_detection_s
-        self._entry_expiry_s = entry_expiry_s
-        self._store_lag_s = store_lag_s
-        self._sent_fence = suspect_fence
+        self._knowledge = knowledge
+        self._sent_fence = knowledge.suspect_fence
         # A dispatcher that takes over may still have the entry of an earlier incarnation.
         self._unverified = True
         self._unverified_since_s = clock.now_s()
@@ -82,7 +63,7 @@
 
     def on_connection_lost(self) -> None:
         """Records that the server may have restarted."""
-        self._suspect(self._restart_detection_s)
+        self._suspect(self._knowledge.restart_detection_s)
 
     def on_timeout(self) -> None:
         """Records a call without an answer; a server that restarted can be known already."""
@@ -117,9 +98,9 @@
         """Applies what the store's entry proves by now."""
         if not self._unverified and not self.suspect_fence:
             return
-        known_s = self._clock.now_s() - self._store_lag_s()
-        if known_s < self._unverified_until_s or not self._is_entry_current():
+        known_s = self._clock.now_s() - self._knowledge.store_lag_s()
+        if known_s < self._unverified_until_s or not self._knowledge.is_entry_current():
             return
         self._unverified = False
-        if known_s >= self._unverified_since_s + self._entry_expiry_s:
+        if known_s >= self._unverified_since_s + self._knowledge.entry_expiry_s:
             self.suspect_fence = 0
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -18,6 +18,7 @@
 from greengagefall.gateway.grants import GrantManager
 from greengagefall.gateway.model import NO_KEY
 from greengagefall.gateway.server_health import ServerHealth
+from greengagefall.gateway.server_knowledge import ALL_IS_KNOWN
 from greengagefall.gateway.slot_waiting import ADMITTED, SlotWaiting
 from greengagefall.limits.server_queue import ServerQueue
 from greengagefall.limits.server_rate_limit import ServerRateLimit, logged_rate_per_s
@@ -28,10 +29,9 @@
 from greengagefall.utils.supervision import start_supervised
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from greengagefall.dispatch.connection_pool import ConnectionPool
     from greengagefall.gateway.model import ServerEntry, Service
+    from greengagefall.gateway.server_knowledge import ServerKnowledge
     from greengagefall.ownership.model import KeyRange
     from greengagefall.protocol.gateway_messages import Dispatch
     from greengagefall.utils.clock import Clock
@@ -62,16 +62,9 @@
         entry: The server.
         service: Its service.
         clock: Clock that counts suspended time.
-        is_assignment_current: Whether the assignment is recent enough for renewing grants.
-        is_entry_current: Whether this host would know by now if the server had restarted.
         pool: Connections to the server.
-        restart_detection_s: Time after a lost connection by which a restarted server has written
-            its entry.
-        store_lag_s: Returns how long ago this host certainly knew all entries.
+        knowledge: What this host knows of the server's process.
         stop: Which requests are sent while this host stops; by default it never stops.
-        entry_expiry_s: Time in which the store drops the entry of a server that ended.
-        suspect_fence: Highest fencing token that this host may have granted to the server before.
-        may_tell: Whether this host tells the server of newer fencing tokens.
 
     Attributes:
         entry: Newest entry of the incarnation.
@@ -88,15 +81,9 @@
         entry: ServerEntry,
         service: Service,
         clock: Clock,
-        is_assignment_current: Callable[[], bool],
-        is_entry_current: Callable[[], bool],
         pool: ConnectionPool,
-        restart_detection_s: float = 0.0,
-        store_lag_s: Callable[[], float] = lambda: 0.0,
+        knowledge: ServerKnowledge = ALL_IS_KNOWN,
         stop: StopAdmission | None = None,
-        entry_expiry_s: float = 0.0,
-        suspect_fence: int = 0,
-        may_tell: Callable[[], bool] = lambda: True,
     ) -> None:
         self.entry = entry
         self.incarnation = entry.incarnation
@@ -110,19 +97,7 @@
         self._stop = stop or StopAdmission(clock)
         self._grants: GrantManager | None = None
         if service.keyed:
-            self._grants = GrantManager(
-                self.incarnation,
-                pool,
-                self.health,
-                clock,
-                is_assignment_current,
-                is_entry_current,
-                restart_detection_s,
-                store_lag_s,
-                entry_expiry_s,
-                suspect_fence,
-                may_tell,
-            )
+            self._grants = GrantManager(self.incarnation, pool, self.health, clock, knowledge)
             pool.on_idle_close = self._grants.on_connection_lost
         self._waiting = SlotWaiting(self.queue)
         self._probe_task: asyncio.Task | None = None
--- a/greengagefall/ownership/key_grants.py
+++ b/greengagefall/ownership/key_grants.py
@@ -10,6 +10,8 @@
 
 from typing import TYPE_CHECKING
 
+from greengagefall.ownership.key_spans import KeySpan
+
 if TYPE_CHECKING:
     from greengagefall.utils.clock import Clock
 
@@ -56,12 +58,12 @@
 
     def discard_confirmed(self, first: int, last: int) -> None:
         """Removes keys that the server released or lost from the confirmed grants."""
-        kept: dict[tuple[int, int, int], float] = {}
-        for (start, end, fence), until_s in self._confirmed.items():
-            for part in ((start, min(end, first - 1)), (max(start, last + 1), end)):
-                if part[0] <= part[1]:
-                    kept[*part, fence] = until_s
-        self._confirmed = kept
+        released = KeySpan(first, last)
+        self._confirmed = {
+            (*part, fence): until_s
+            for (start, end, fence), until_s in self._confirmed.items()
+            for part in KeySpan(start, end).without(released)
+        }
 
     def holds(self, key: int, fence: int) -> bool:
         """Returns whether the server certainly holds a key under a fencing token."""
@@ -81,7 +83,7 @@
         expiries_s = [
             expires_s
             for bounds, expires_s in self._expiries_s.items()
-            if _overlap(bounds, (first, last))
+            if KeySpan(*bounds).overlaps(KeySpan(first, last))
         ]
         return max(expiries_s, default=0.0)
 
@@ -105,7 +107,3 @@
 def max_grant_lifetime_s(grant_duration_s: float = GRANT_DURATION_S) -> float:
     """Returns how long after its arrival a grant may be in force by this host's clock."""
     return grant_duration_s * (1 + CLOCK_RATE_MARGIN) + CLOCK_MARGIN_S
-
-
-def _overlap(one: tuple[int, int], other: tuple[int, int]) -> bool:
-    return one[0] <= other[1] and other[0] <= one[1]
--- a/greengagefall/tests/gateway_fence_notices_tests.py
+++ b/greengagefall/tests/gateway_fence_notices_tests.py
@@ -18,6 +18,7 @@
 )
 from greengagefall.gateway.grants import GrantManager
 from greengagefall.gateway.server_health import ServerHealth
+from greengagefall.gateway.server_knowledge import ServerKnowledge
 from greengagefall.ownership.model import (
     LAST_KEY,
     Assignment,
@@ -104,9 +105,7 @@
             self.pool,
             ServerHealth(clock),
             clock,
-            lambda: True,
-            lambda: True,
-            may_tell=lambda: not self.replaced,
+            ServerKnowledge(may_tell=lambda: not self.replaced),
         )
 
     def apply(self, *key_ranges: KeyRange, version: int, last_fence: int = 9) -> None:
--- a/greengagefall/tests/gateway_grants_tests.py
+++ b/greengagefall/tests/gateway_grants_tests.py
@@ -9,6 +9,7 @@
 from greengagefall.dispatch.exceptions import AnswerTimeoutError, SendRefusedError
 from greengagefall.gateway.grants import GrantManager
 from greengagefall.gateway.server_health import ServerHealth
+from greengagefall.gateway.server_knowledge import ServerKnowledge
 from greengagefall.ownership.key_grants import max_grant_lifetime_s
 from greengagefall.ownership.model import KeyRange, ServerIncarnation
 from greengagefall.utils.clock import ManualClock, SystemClock
@@ -49,7 +50,11 @@
         self.pool = GrantingPool(clock)
         health = ServerHealth(clock)
         self.manager = GrantManager(
-            INCARNATION, self.pool, health, clock, lambda: True, lambda: True, RESTART_DETECTION_S
+            INCARNATION,
+            self.pool,
+            health,
+            clock,
+            ServerKnowledge(restart_detection_s=RESTART_DETECTION_S),
         )
         self.manager.set_key_ranges([KEY_RANGE])
         self.manager.start()
@@ -93,9 +98,7 @@
                 clock.advance(timeout_s + STALL_S)
                 raise AnswerTimeoutError("the event loop was busy")
 
-        manager = GrantManager(
-            INCARNATION, StalledPool(), ServerHealth(clock), clock, lambda: True, lambda: True
-        )
+        manager = GrantManager(INCARNATION, StalledPool(), ServerHealth(clock), clock)
         manager.set_key_ranges([KEY_RANGE])
         await manager.grant(*KEY_RANGE[:2], KEY_RANGE.fence, "")
         expires_s = manager._tracker.grants_expired_by_s(KEY_RANGE.first, KEY_RANGE.last)
--- a/greengagefall/tests/gateway_incarnation_check_tests.py
+++ b/greengagefall/tests/gateway_incarnation_check_tests.py
@@ -5,6 +5,7 @@
 import unittest
 
 from greengagefall.gateway.incarnation_check import IncarnationCheck
+from greengagefall.gateway.server_knowledge import ServerKnowledge
 from greengagefall.utils.clock import ManualClock
 
 DETECTION_S = 1.3
@@ -23,14 +24,14 @@
         self.check.record_sent(OLD_FENCE)
 
     def make_check(self, suspect_fence=0):
-        return IncarnationCheck(
-            self.clock,
-            lambda: self.entry_current,
-            DETECTION_S,
-            EXPIRY_S,
-            lambda: self.lag_s,
-            suspect_fence,
+        knowledge = ServerKnowledge(
+            is_entry_current=lambda: self.entry_current,
+            store_lag_s=lambda: self.lag_s,
+            restart_detection_s=DETECTION_S,
+            entry_expiry_s=EXPIRY_S,
+            suspect_fence=suspect_fence,
         )
+        return IncarnationCheck(self.clock, knowledge)
 
     def test_only_new_fences_are_granted_until_an_old_entry_would_have_expired(self):
         # The entry of a former incarnation was taken as proof that it still runs.
--- a/greengagefall/tests/gateway_rate_limit_tests.py
+++ b/greengagefall/tests/gateway_rate_limit_tests.py
@@ -119,7 +119,7 @@
 
     def channel(self, service: Service) -> ServerChannel:
         entry = ServerEntry("s0", service.name, "127.0.0.1:1", "a", 6, False, 0.0, 1)
-        return ServerChannel(entry, service, self.clock, lambda: True, lambda: True, self.server)
+        return ServerChannel(entry, service, self.clock, self.server)
 
     async def call(self, channel: ServerChannel, number: int, service: Service) -> None:
         started_s = self.clock.now_s()
--- a/greengagefall/tests/gateway_repeated_answers_tests.py
+++ b/greengagefall/tests/gateway_repeated_answers_tests.py
@@ -120,7 +120,7 @@
         self.clock = SystemClock()
         pool = ConnectionPool(self.server.address, BODY_LIMIT)
         self.addCleanup(pool.close)
-        return ServerChannel(entry, POOLED, self.clock, lambda: True, lambda: True, pool)
+        return ServerChannel(entry, POOLED, self.clock, pool)
 
     async def submit(self, channel: ServerChannel, request_id: str) -> Dispatched | NotDispatched:
         return await channel.submit(dispatch(request_id), self.clock.now_s())
--- a/greengagefall/tests/gateway_repeated_grant_answers_tests.py
+++ b/greengagefall/tests/gateway_repeated_grant_answers_tests.py
@@ -75,9 +75,7 @@
         self.pool = ConnectionPool(address, BODY_LIMIT)
         self.addCleanup(self.pool.close)
         clock = SystemClock()
-        self.manager = GrantManager(
-            INCARNATION, self.pool, ServerHealth(clock), clock, lambda: True, lambda: True
-        )
+        self.manager = GrantManager(INCARNATION, self.pool, ServerHealth(clock), clock)
         self.addCleanup(self.manager.close)
 
     async def request(self) -> None:
