--- a/greengagefall/bench/planted.py
+++ b/greengagefall/bench/planted.py
@@ -12,6 +12,7 @@
 from greengagefall.commands.entry import main as entry_main
 from greengagefall.coordination.dispatch_right import DispatchRight
 from greengagefall.dispatch.grant_keeper import GrantKeeper
+from greengagefall.dispatch.send_gate import SendGate
 from greengagefall.dispatch.server_dispatcher import REQUEST_ID_HEADER, ServerDispatcher
 from greengagefall.entry import forwarder
 from greengagefall.entry.dispatch_table import DispatcherTable
@@ -108,7 +109,7 @@
 @PLANTS.register("work_after_leaving")
 def work_after_leaving() -> None:
     """Continues to send requests to pooled servers that drain or whose zone is evacuated."""
-    ServerDispatcher.drain_grace_ended = lambda self: False
+    SendGate.drain_grace_ended = lambda self: False
     Pools._may_pick = lambda self, pool, name: True
 
 
--- a/greengagefall/dispatch/server_dispatcher.py
+++ b/greengagefall/dispatch/server_dispatcher.py
@@ -25,8 +25,9 @@
 )
 from greengagefall.dispatch.grant_keeper import GrantKeeper
 from greengagefall.dispatch.outcome_cache import OutcomeCache
+from greengagefall.dispatch.send_gate import SendGate
 from greengagefall.dispatch.server_control import ServerControl
-from greengagefall.dispatch.server_health import DOWN, ServerHealth
+from greengagefall.dispatch.server_health import ServerHealth
 from greengagefall.dispatch.server_http import (
     INCARNATION_HEADER,
     answer_message,
@@ -60,7 +61,6 @@
 log = logging.getLogger(__name__)
 
 MS_PER_S = 1000.0
-DRAIN_GRACE_S = 4.0
 MAX_RENEWAL_WAIT_S = 0.3
 RESOLVED_BY_RENEWAL = frozenset({refusals.NOT_CONFIRMED, refusals.NOT_GRANTED})
 NOT_RELEASED_IN_FLIGHT = "in_flight"
@@ -82,6 +82,9 @@
         clock: Monotonic clock.
         on_state_change: Called when the health state of the server changes.
         answer_memory: Memory of the unfinished answers of all servers; None for no common limit.
+
+    Attributes:
+        gate: Decides whether a request may be sent now.
     """
 
     def __init__(
@@ -122,16 +125,23 @@
             self._on_control_reply,
             clock,
         )
+        self.gate = SendGate(
+            server.name,
+            back_end.kind == KIND_KEYED,
+            right,
+            self.health,
+            self.grants,
+            slice_map,
+            clock,
+        )
         self.admission = SlotAdmission(back_end, server, clock)
         self.meter = LoadMeter(server.slots, clock)
         self._outcome_cache = OutcomeCache(clock)
         self._slices_in_flight = SlicesInFlight()
         self._incarnation = ""
-        self._incarnation_verified = False
         self._unknown_at_s = float("-inf")
         self._awaiting_renewal = 0
         self._renewal_task: asyncio.Task | None = None
-        self._draining_since_s: float | None = None
         self.accepting = True
 
     def start(self) -> None:
@@ -163,22 +173,6 @@
         self.server = server
         self._limits = limits
 
-    def set_draining(self, draining: bool) -> None:
-        """Sets whether the server is draining or its zone is evacuated.
-
-        The server gets requests for another ``DRAIN_GRACE_S``, while its slices move to other
-        owners.
-        """
-        if not draining:
-            self._draining_since_s = None
-        elif self._draining_since_s is None:
-            self._draining_since_s = self._clock.now_s()
-
-    def drain_grace_ended(self) -> bool:
-        """Returns whether the drain grace has expired, so that the server gets no new requests."""
-        since_s = self._draining_since_s
-        return since_s is not None and self._clock.now_s() - since_s >= DRAIN_GRACE_S
-
     def in_flight(self) -> int:
         """Returns the number of requests that are queued or sent."""
         return self.limit.in_flight + self.admission.queued_count + self._awaiting_renewal
@@ -263,13 +257,13 @@
 
     def _mark_unverified(self) -> None:
         # After a lost connection, a new incarnation may answer at the same address.
-        self._incarnation_verified = False
+        self.gate.incarnation_verified = False
         self.grants.request_renewal()
 
     def _on_control_reply(self, reply: ControlReply) -> None:
         changed = bool(self._incarnation) and reply.incarnation != self._incarnation
         self._incarnation = reply.incarnation
-        self._incarnation_verified = True
+        self.gate.incarnation_verified = True
         self.admission.set_reported_busy(reply.busy)
         if changed or reply.cold:
             self.admission.on_cold_start()
@@ -287,7 +281,7 @@
         wait_reason = await self.admission.wait_for_slot(
             forward.caller, forward.priority, deadline_s
         )
-        reason = wait_reason or self._refusal_reason(forward)
+        reason = wait_reason or self.gate.refusal_reason(forward.slice_id)
         if reason:
             self.admission.admit_queued()
             return self._refuse(forward, reason)
@@ -295,7 +289,7 @@
 
     async def _reason_after_renewal(self, forward: Forward) -> str:
         """Returns the refusal reason, after a renewal if the renewal may resolve it."""
-        reason = self._refusal_reason(forward)
+        reason = self.gate.refusal_reason(forward.slice_id)
         if reason not in RESOLVED_BY_RENEWAL or self._awaiting_renewal >= self.back_end.queue_limit:
             return reason
         self._awaiting_renewal += 1
@@ -305,37 +299,7 @@
             )
         finally:
             self._awaiting_renewal -= 1
-        return self._refusal_reason(forward)
-
-    def _refusal_reason(self, forward: Forward) -> str:
-        if not self.right.may_send():
-            return refusals.NOT_DISPATCHER
-        if self.drain_grace_ended():
-            return refusals.SERVER_DRAINING
-        if self.health.state == DOWN:
-            return refusals.SERVER_UNREACHABLE
-        if not self._incarnation_verified:
-            self.grants.request_renewal()
-            return refusals.NOT_CONFIRMED
-        if self.back_end.kind != KIND_KEYED:
-            return ""
-        return self._slice_refusal_reason(forward.slice_id)
-
-    def _slice_refusal_reason(self, slice_id: int) -> str:
-        slice_map = self._slice_map()
-        if slice_map is None:
-            return refusals.SLICE_FREE
-        slice_range = slice_map.lookup(slice_id)
-        if slice_range.owner != self.server.name:
-            return refusals.STALE_MAP
-        if slice_range.state != "owned":
-            return refusals.SLICE_MOVING
-        if not self.grants.takes_grants:
-            return ""
-        if self.grants.granted_fence(slice_id) == slice_range.fence:
-            return ""
-        self.grants.request_renewal()
-        return refusals.NOT_GRANTED
+        return self.gate.refusal_reason(forward.slice_id)
 
     async def _execute(self, forward: Forward, deadline_s: float) -> Outcome:
         if not self.limit.can_start():
@@ -384,7 +348,9 @@
                 lambda answer: answers_request(forward, answer),
             )
         except SendRefusedError:
-            return self._refuse(forward, self._refusal_reason(forward) or refusals.NOT_CONFIRMED)
+            return self._refuse(
+                forward, self.gate.refusal_reason(forward.slice_id) or refusals.NOT_CONFIRMED
+            )
         except NotSentError:
             self.health.on_failure()
             self._mark_unverified()
@@ -408,7 +374,7 @@
 
     def _may_send(self, forward: Forward) -> bool:
         # Checks right, grant and limit once more, immediately before the first byte is sent.
-        if self._refusal_reason(forward):
+        if self.gate.refusal_reason(forward.slice_id):
             return False
         check(
             self.limit.in_flight <= self.server.slots,
@@ -416,7 +382,7 @@
             server=self.server_key,
             in_flight=self.limit.in_flight,
         )
-        check(not self.drain_grace_ended(), "no_work_after_leaving", server=self.server_key)
+        check(not self.gate.drain_grace_ended(), "no_work_after_leaving", server=self.server_key)
         return check(self.right.may_send(), "no_send_without_right", server=self.server_key)
 
     def _outcome(self, forward: Forward, answer: HttpAnswer) -> Outcome:
--- a/greengagefall/entry/dispatch_table.py
+++ b/greengagefall/entry/dispatch_table.py
@@ -155,7 +155,7 @@
         current = self._dispatchers.get(key)
         if current is not None and current.can_update_in_place(back_end, server):
             current.update(back_end, server, config.limits)
-            current.set_draining(_is_draining(server, config))
+            current.gate.set_draining(_is_draining(server, config))
             return
         if current is not None:
             self._close_later(current)
@@ -171,7 +171,7 @@
             self._answer_memory,
         )
         self._dispatchers[key] = dispatcher
-        dispatcher.set_draining(_is_draining(server, config))
+        dispatcher.gate.set_draining(_is_draining(server, config))
         dispatcher.start()
 
     def _close_later(self, dispatcher: ServerDispatcher) -> None:
