Tell nothing of a dispatcher's grants after an unanswered release on its behalf

Callers could see two servers that held the same keys for up to 1.8 s (OWNER), since: a dispatcher's host was killed and started again while the coordinator had it release keys, and the coordinator could not write yet that the process is another one.

Cause: the next process has no channel to the server. Before, it replied that it could not carry the order out. Since it tries the release itself, it replied after an unanswered one that all its grants had expired (ends_in_s 0). RangeMoves takes that for the bound of the only dispatcher, whose killed process had renewed the keys just before. The same reply followed when the server answered after more than 0.5 s, since it still worked on the keys.

Evidence: the test, "6.112: s1 got 0-13106 (6) while s0 holds 0-13106 (1) until 7.905".

A release that was not confirmed is now no reply about grants, as before; the coordinator waits by its own bound.

Both tests failed before.

--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -196,7 +196,8 @@
         finally:
             pool.close()
         if token is None:
-            return ReleaseOutcome(False, "", 0.0)
+            # Grants of the dispatcher, or of an earlier process of this host, may be in force.
+            return None
         log.info("Keys released for a dispatcher that is cut off.", extra=_order_fields(order))
         return ReleaseOutcome(True, token, 0.0)
 
--- a/greengagefall/tests/gateway_outdated_orders_tests.py
+++ b/greengagefall/tests/gateway_outdated_orders_tests.py
@@ -12,6 +12,7 @@
 from greengagefall.tests.virtual_time import VirtualLoop
 
 SETTLED_S = 5.0
+STEP_S = 0.01
 
 
 class OutdatedReleaseTests(unittest.TestCase):
@@ -65,11 +66,18 @@
         self.addCleanup(asyncio.set_event_loop, None)
         self.addCleanup(self.loop.close)
 
-    def release(self, *, own_keys: bool = False, listed: bool = True, newer_ms: int = 0):
-        """Returns the outcome, and the fences that the server knows by then."""
-        return self.loop.run_until_complete(self._release(own_keys, listed, newer_ms))
-
-    async def _release(self, own_keys: bool, listed: bool, newer_ms: int):
+    def release(
+        self,
+        *,
+        own_keys: bool = False,
+        listed: bool = True,
+        newer_ms: int = 0,
+        reached: bool = True,
+    ):
+        """Returns the outcome, and whether the server knows the fence of the order by then."""
+        return self.loop.run_until_complete(self._release(own_keys, listed, newer_ms, reached))
+
+    async def _release(self, own_keys: bool, listed: bool, newer_ms: int, reached: bool):
         simulation = Simulation(self.loop, seed=1)
         delivery = asyncio.create_task(simulation.deliver_records())
         await asyncio.sleep(SETTLED_S)
@@ -80,6 +88,8 @@
         server = simulation.servers[own.owner.server_id]
         if not listed:
             asked.view.remove_server(own.owner.server_id)
+        if not reached:
+            simulation.cuts.add(frozenset((asked.name, server.name)))
         if newer_ms:
             asked.view.update_server(server.entry()._replace(start_ms=newer_ms))
         first, last = (own.first, own.last) if own_keys else (other.first, other.last)
@@ -106,6 +116,66 @@
     def test_a_server_that_restarted_is_not_asked(self):
         self.assertEqual(self.release(newer_ms=10**6), (None, False))
 
+    def test_a_release_without_an_answer_tells_nothing_of_the_grants_of_others(self):
+        # "All grants of this host have expired" was taken for those of its killed process.
+        self.assertEqual(self.release(reached=False), (None, False))
+
+
+class RestartedDispatcherTests(unittest.TestCase):
+    """A dispatcher starts again while the coordinator orders it to release keys."""
+
+    SEEDS = range(6)
+    RESTART_S = 0.05
+    RECOVERY_S = 3.0
+
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    async def restart_during_move(self, loop: VirtualLoop, seed: int) -> list[str]:
+        """Returns the violations; the server holds keys, and answers no host."""
+        simulation = Simulation(loop, seed)
+        delivery = asyncio.create_task(simulation.deliver_records())
+        await asyncio.sleep(SETTLED_S)
+        coordinating = next(one for one in simulation.hosts.values() if one.handlers.coordinator)
+        server_id, name = next(
+            (server_id, dispatching.dispatcher.host)
+            for server_id, dispatching in coordinating.view.assignment.dispatchers.items()
+            if dispatching.dispatcher.host != coordinating.name
+        )
+        server, killed = simulation.servers[server_id], simulation.hosts[name]
+        renewed_until_s = server.held_now()[0].end_s
+        while server.held_now()[0].end_s == renewed_until_s:
+            await asyncio.sleep(STEP_S)
+        server.calls_pass.clear()
+        await killed.kill()
+        server.draining = True
+        version = coordinating.view.assignment.version
+        while coordinating.view.assignment.version == version:
+            await asyncio.sleep(STEP_S)
+        # The coordinator can't write yet that the dispatcher's process is another one.
+        simulation.cuts.add(frozenset((coordinating.name, "store")))
+        await asyncio.sleep(self.RESTART_S)
+        simulation.start_host(killed.name, killed.zone)
+        await asyncio.sleep(self.RECOVERY_S)
+        for one in simulation.hosts.values():
+            await one.kill()
+        delivery.cancel()
+        return simulation.violations
+
+    def test_the_grants_of_the_killed_process_are_waited_for(self):
+        # Its next process has no channel, and answered that all of its grants had expired.
+        for seed in self.SEEDS:
+            with self.subTest(seed=seed):
+                loop = VirtualLoop()
+                asyncio.set_event_loop(loop)
+                try:
+                    found = loop.run_until_complete(self.restart_during_move(loop, seed))
+                finally:
+                    loop.close()
+                    asyncio.set_event_loop(None)
+                self.assertEqual(found, [])
+
 
 if __name__ == "__main__":
     unittest.main()
