Check that the tests of held-up renewals find seven planted rules

Each rule has the server told wrongly or late: not at all; only what a new dispatcher knows itself; once; for two seconds; every two seconds; under the fence of its own keys; of nothing more after any answer. The deterministic tests named in each fail under it; under tries every two seconds one of all has to, since a try may by chance come in time.

--- a/greengagefall/tests/gateway_held_up_grant_tests.py
+++ b/greengagefall/tests/gateway_held_up_grant_tests.py
@@ -9,8 +9,13 @@
 import logging
 import unittest
 from typing import TYPE_CHECKING
+from unittest import mock
 
+from greengagefall.gateway import fence_notices
 from greengagefall.gateway.dispatchers import CHANNEL_CLOSE_DELAY_S
+from greengagefall.gateway.fence_notices import FenceNotices
+from greengagefall.ownership import unconfirmed_fences
+from greengagefall.ownership.unconfirmed_fences import UnconfirmedFences
 from greengagefall.tests.ownership_simulation import Simulation
 from greengagefall.tests.simulated_network import TCP_REPETITIONS_S
 from greengagefall.tests.simulated_servers import THAW_SLACK_S
@@ -32,6 +37,8 @@
 SECOND_KILL_BEFORE_HEAL_S = 1.5
 ENTRY_MISSING_S = CHANNEL_CLOSE_DELAY_S + 0.4
 ANSWERED_S = 0.1
+KEYS_WENT_ON = "test_renewal_of_a_killed_dispatcher_is_refused_after_its_keys_went_on"
+HOST_STAYS_DOWN = "test_renewal_is_refused_while_the_host_of_its_sender_stays_down"
 
 
 class HeldUpRenewal:
@@ -214,5 +221,77 @@
         self.assert_refused(until_heal)
 
 
+class PlantedRuleTests(unittest.TestCase):
+    """Checks that the tests above find rules under which the server is told wrongly or late."""
+
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def is_caught(self, name: str) -> bool:
+        result = unittest.TestResult()
+        HeldUpGrantTests(name).run(result)
+        self.assertEqual(result.errors, [])
+        return bool(result.failures)
+
+    def assert_caught(self, *names: str) -> None:
+        for name in names:
+            with self.subTest(test=name):
+                self.assertTrue(self.is_caught(name))
+
+    def test_planted_silence_is_caught(self):
+        with mock.patch.object(FenceNotices, "start", lambda self: None):
+            self.assert_caught(*unittest.defaultTestLoader.getTestCaseNames(HeldUpGrantTests))
+
+    def test_planted_trust_of_a_new_dispatcher_in_its_empty_record_is_caught(self):
+        init = UnconfirmedFences.__init__
+
+        def start_empty(self, clock):
+            init(self, clock)
+            self.clear()
+
+        with mock.patch.object(UnconfirmedFences, "__init__", start_empty):
+            self.assert_caught("test_renewal_is_refused_after_the_next_dispatcher_was_killed_too")
+
+    def test_planted_end_of_the_tries_after_the_first_is_caught(self):
+        tell = FenceNotices._tell
+
+        async def tell_once(self, span):
+            await tell(self, span)
+            self.on_confirmed(span, self._clock.now_s())
+
+        with mock.patch.object(FenceNotices, "_tell", tell_once):
+            self.assert_caught(KEYS_WENT_ON, HOST_STAYS_DOWN)
+
+    def test_planted_end_of_the_tries_after_two_seconds_is_caught(self):
+        with mock.patch.object(unconfirmed_fences, "MAX_HELD_UP_S", 2.0):
+            self.assert_caught(KEYS_WENT_ON, HOST_STAYS_DOWN)
+
+    def test_planted_tries_that_come_after_the_slack_are_caught(self):
+        # By chance a try may fall between the heal and the renewal in some of the tests.
+        names = unittest.defaultTestLoader.getTestCaseNames(HeldUpGrantTests)
+        with mock.patch.object(fence_notices, "RETRY_INTERVAL_S", 2.0):
+            self.assertTrue(any(self.is_caught(name) for name in names))
+
+    def test_planted_notice_under_the_fence_of_the_server_itself_is_caught(self):
+        set_assignment = FenceNotices.set_assignment
+
+        def take_own_fence(self, assignment, service):
+            set_assignment(self, assignment, service)
+            ranges = assignment.key_ranges.get(service, ())
+            own = [one.fence for one in ranges if one.owner.server_id == self._server_id]
+            self._fence = max(own, default=1)
+
+        with mock.patch.object(FenceNotices, "set_assignment", take_own_fence):
+            self.assert_caught(KEYS_WENT_ON, HOST_STAYS_DOWN)
+
+    def test_planted_confirmation_of_all_keys_by_any_answer_is_caught(self):
+        def confirm_all(self, span, sent_s):
+            self.clear()
+
+        with mock.patch.object(UnconfirmedFences, "confirm", confirm_all):
+            self.assert_caught(KEYS_WENT_ON, HOST_STAYS_DOWN)
+
+
 if __name__ == "__main__":
     unittest.main()
