Send a server four notices at once at most

A dispatcher that takes a server over sent a notice for each gap between its key ranges at the same time, each on a connection of its own. Servers take a limited number of connections and reset those beyond, of requests too.

A server that answers a notice with an error counts as not reached from then on, so that other hosts are asked after the same delay. Tests in virtual time share one way to wait for a condition.

--- a/greengagefall/gateway/fence_notices.py
+++ b/greengagefall/gateway/fence_notices.py
@@ -35,6 +35,8 @@
 NOTICE_TIMEOUT_S = 0.5
 # Other hosts are asked for notices once this one has not reached the server for a while.
 ASK_DELAY_S = 0.3
+# A server takes a limited number of connections, and resets those beyond.
+MAX_NOTICES_AT_ONCE = 4
 # A release of moved keys is answered within this time unless the server still works on them.
 RELEASE_EXPECTED_S = 1.0
 
@@ -140,10 +142,10 @@
             self._changed.clear()
             spans = self._spans_to_tell()
             # An unreachable server is tried with one call at a time.
-            for span in spans if self._reached else spans[:1]:
+            for span in spans[: MAX_NOTICES_AT_ONCE if self._reached else 1]:
                 self._begin(span)
             if not self._reached:
-                self._begin_asking(spans if self._reached_by_others else spans[:1])
+                self._begin_asking(spans[: MAX_NOTICES_AT_ONCE if self._reached_by_others else 1])
             await self._wait(RETRY_INTERVAL_S if spans else self._idle_s())
 
     def _idle_s(self) -> float | None:
@@ -165,7 +167,8 @@
         if self._clock.now_s() < self._ask_from_s:
             return
         for span in spans:
-            self._start_attempt(self._ask(span))
+            if not self._reached_by_others or span not in self._asked:
+                self._start_attempt(self._ask(span))
 
     def _start_attempt(self, attempt: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(attempt, name=f"notice {self._server_id}")
@@ -192,12 +195,11 @@
         sent: list[KeySpan] = []
 
         def may_send() -> bool:
-            told = _overlaps_any(span, self._in_flight) or span not in self._spans_to_tell()
-            allowed = not told
-            if allowed:
-                sent.append(span)
-                self._in_flight.append(span)
-            return allowed
+            if _overlaps_any(span, self._in_flight) or span not in self._spans_to_tell():
+                return False
+            sent.append(span)
+            self._in_flight.append(span)
+            return True
 
         self._tries += 1
         try:
@@ -216,13 +218,17 @@
 
     def _on_failure(self, error: DispatchError) -> None:
         count("fence_notice_failures", error=type(error).__name__)
-        if self._reached:
-            self._ask_from_s = self._clock.now_s() + ASK_DELAY_S
-            log.info(
-                "Backend server is not reached; it is told of the newest fencing token once it is.",
-                extra={"server": self._server_id, "error": type(error).__name__},
-            )
-        self._reached = False
+        self._note_not_reached(type(error).__name__)
+
+    def _note_not_reached(self, reason: str) -> None:
+        if not self._reached:
+            return
+        self._reached = self._reached_by_others = False
+        self._ask_from_s = self._clock.now_s() + ASK_DELAY_S
+        log.info(
+            "Backend server is not reached; it is told of the newest fencing token once it is.",
+            extra={"server": self._server_id, "reason": reason},
+        )
 
     def _on_answer(self, span: KeySpan, fence: int, status: int, begun_s: float) -> None:
         count("fence_notices", status=str(status))
@@ -232,7 +238,7 @@
             return
         self._health.record_answer()
         if status != calls.HTTP_OK:
-            self._reached = False
+            self._note_not_reached(str(status))
             return
         self._reached = True
         self._on_told(span, fence, begun_s, by_another_host=False)
--- a/greengagefall/tests/gateway_fence_notices_tests.py
+++ b/greengagefall/tests/gateway_fence_notices_tests.py
@@ -12,6 +12,7 @@
 from greengagefall.dispatch.exceptions import AnswerTimeoutError, NotSentError, SendRefusedError
 from greengagefall.gateway.fence_notices import (
     ASK_DELAY_S,
+    MAX_NOTICES_AT_ONCE,
     NOTICE_TIMEOUT_S,
     RELEASE_EXPECTED_S,
     RETRY_INTERVAL_S,
@@ -61,9 +62,20 @@
         self.status = 200
         self.calls: list[tuple[str, dict, float]] = []
         self.tries = 0
+        self.most_at_once = 0
+        self._at_once = 0
         self._loop = loop
 
     async def exchange(self, request, timeout_s, may_send, matches=None):
+        is_release = request.path.endswith("release")
+        self._at_once += is_release
+        self.most_at_once = max(self.most_at_once, self._at_once)
+        try:
+            return await self._exchange(request, timeout_s, may_send)
+        finally:
+            self._at_once -= is_release
+
+    async def _exchange(self, request, timeout_s, may_send):
         self.tries += 1
         cut_at_first = self.cut
         await asyncio.sleep(ROUND_TRIP_S)
@@ -131,6 +143,14 @@
         self.run_for(0.1)
         self.assertEqual(sorted(self.pool.told()), [(0, 99, 9), (200, LAST_KEY, 9)])
 
+    def test_a_server_with_many_ranges_is_not_sent_all_notices_at_once(self):
+        # A server resets connections beyond its limit, also those of requests.
+        ranges = [KeyRange(100 * number, 100 * number + 9, SERVER, 7) for number in range(1, 31)]
+        self.start(*ranges)
+        self.run_for(1.0)
+        self.assertEqual(len(self.pool.told()), 31)
+        self.assertEqual(self.pool.most_at_once, MAX_NOTICES_AT_ONCE)
+
     def test_a_server_is_told_once(self):
         self.start(OWNED)
         self.run_for(10.0)
--- a/greengagefall/tests/gateway_held_up_grant_tests.py
+++ b/greengagefall/tests/gateway_held_up_grant_tests.py
@@ -19,7 +19,7 @@
 from greengagefall.tests.ownership_simulation import Simulation
 from greengagefall.tests.simulated_network import TCP_REPETITIONS_S
 from greengagefall.tests.simulated_servers import THAW_SLACK_S
-from greengagefall.tests.virtual_time import VirtualLoop
+from greengagefall.tests.virtual_time import VirtualLoop, wait_for
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -27,7 +27,6 @@
     from greengagefall.tests.simulated_hosts import SimulatedHost
 
 SETTLED_S = 5.0
-STEP_S = 0.01
 RESTART_S = 0.5
 # The keys of a host that starts again have gone on before the first of these repetitions; those of
 # one that stays down only before the second.
@@ -73,7 +72,7 @@
         self.server = self.simulation.servers[server_id]
         self.dispatcher = self.simulation.hosts[name]
         self.server.calls_pass.clear()
-        await self._wait_until(lambda: bool(self.simulation.deliveries))
+        await wait_for(lambda: bool(self.simulation.deliveries))
         self._sent_s = self._loop.now_s
         await self.dispatcher.kill()
 
@@ -95,13 +94,7 @@
 
     async def wait_until_moved(self) -> None:
         """Waits until other servers hold all keys, by the expiry of the server's grants."""
-        await self._wait_until(lambda: self.simulation.all_held() and not self.server.held_now())
-
-    async def _wait_until(self, condition: Callable[[], bool]) -> None:
-        while True:
-            if condition():
-                return
-            await asyncio.sleep(STEP_S)
+        await wait_for(lambda: self.simulation.all_held() and not self.server.held_now())
 
     async def wait_until_before_heal(self, before_s: float) -> None:
         """Waits until shortly before the hold ends."""
--- a/greengagefall/tests/gateway_outdated_orders_tests.py
+++ b/greengagefall/tests/gateway_outdated_orders_tests.py
@@ -9,10 +9,9 @@
 from greengagefall.protocol.gateway_messages import ReleaseKeys
 from greengagefall.tests.ownership_simulation import Simulation
 from greengagefall.tests.simulated_servers import SERVICE
-from greengagefall.tests.virtual_time import VirtualLoop
+from greengagefall.tests.virtual_time import VirtualLoop, wait_for
 
 SETTLED_S = 5.0
-STEP_S = 0.01
 
 
 class OutdatedReleaseTests(unittest.TestCase):
@@ -145,14 +144,12 @@
         )
         server, killed = simulation.servers[server_id], simulation.hosts[name]
         renewed_until_s = server.held_now()[0].end_s
-        while server.held_now()[0].end_s == renewed_until_s:
-            await asyncio.sleep(STEP_S)
+        await wait_for(lambda: server.held_now()[0].end_s != renewed_until_s)
         server.calls_pass.clear()
         await killed.kill()
         server.draining = True
         version = coordinating.view.assignment.version
-        while coordinating.view.assignment.version == version:
-            await asyncio.sleep(STEP_S)
+        await wait_for(lambda: coordinating.view.assignment.version != version)
         # The coordinator can't write yet that the dispatcher's process is another one.
         simulation.cuts.add(frozenset((coordinating.name, "store")))
         await asyncio.sleep(self.RESTART_S)
--- a/greengagefall/tests/virtual_time.py
+++ b/greengagefall/tests/virtual_time.py
@@ -3,6 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+STEP_S = 0.01
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
@@ -29,3 +35,11 @@
 
     def now_s(self) -> float:
         return self._loop.now_s
+
+
+async def wait_for(condition: Callable[[], bool]) -> None:
+    """Waits until a condition holds, in steps of virtual time."""
+    while True:
+        if condition():
+            return
+        await asyncio.sleep(STEP_S)
