Have only hosts with a current assignment release keys for a dispatcher

Callers could find keys without an owner for a moment (421, then a retry): a late order to tell a server of a newer fence reached a host that had not heard that the server owned the keys again. A release ends a newer grant, too.

A host that was told nothing for 8 s, and so may renew nothing, now refuses the order.

The test failed before.

--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -181,6 +181,9 @@
 
     async def _release_for_dispatcher(self, order: ReleaseKeys) -> ReleaseOutcome | None:
         """Has a server release keys that it does not own, for a dispatcher that is cut off."""
+        # The server may own the keys again by now; a release would end that grant.
+        if not self._view.is_assignment_current():
+            return None
         incarnation = ServerIncarnation(order.server_id, order.start_ms)
         entry = self._view.servers.get(order.server_id)
         if entry is None or self._view.is_replaced(incarnation, entry.address):
--- a/greengagefall/tests/gateway_outdated_orders_tests.py
+++ b/greengagefall/tests/gateway_outdated_orders_tests.py
@@ -72,11 +72,16 @@
         listed: bool = True,
         newer_ms: int = 0,
         reached: bool = True,
+        current: bool = True,
     ):
         """Returns the outcome, and whether the server knows the fence of the order by then."""
-        return self.loop.run_until_complete(self._release(own_keys, listed, newer_ms, reached))
+        return self.loop.run_until_complete(
+            self._release(own_keys, listed, newer_ms, reached, current)
+        )
 
-    async def _release(self, own_keys: bool, listed: bool, newer_ms: int, reached: bool):
+    async def _release(
+        self, own_keys: bool, listed: bool, newer_ms: int, reached: bool, current: bool
+    ):
         simulation = Simulation(self.loop, seed=1)
         delivery = asyncio.create_task(simulation.deliver_records())
         await asyncio.sleep(SETTLED_S)
@@ -89,6 +94,8 @@
             asked.view.remove_server(own.owner.server_id)
         if not reached:
             simulation.cuts.add(frozenset((asked.name, server.name)))
+        if not current:
+            asked.view.is_assignment_current = lambda: False
         if newer_ms:
             asked.view.update_server(server.entry()._replace(start_ms=newer_ms))
         first, last = (own.first, own.last) if own_keys else (other.first, other.last)
@@ -115,6 +122,10 @@
     def test_a_server_that_restarted_is_not_asked(self):
         self.assertEqual(self.release(newer_ms=10**6), (None, False))
 
+    def test_a_host_that_was_told_nothing_new_for_long_releases_nothing(self):
+        # A late order reached a host that had not heard that the server owned the keys again.
+        self.assertEqual(self.release(current=False), (None, False))
+
     def test_a_release_without_an_answer_tells_nothing_of_the_grants_of_others(self):
         # "All grants of this host have expired" was taken for those of its killed process.
         self.assertEqual(self.release(reached=False), (None, False))
