--- a/greengagefall/bench/gateway_faults.py
+++ b/greengagefall/bench/gateway_faults.py
@@ -32,6 +32,10 @@
 MAX_HELD_SERVERS = 3
 # Holds shorter than the time in which keys move to another server, and longer ones.
 HOLD_RANGES_S = ((0.5, 3.0), (3.0, 5.0))
+# Holds in which keys go on to other servers since the grants of the former owner expire.
+EXPIRY_HOLD_RANGE_S = (3.5, 8.0)
+KILL_RANGE_S = (0.1, 0.8)
+RESTART_RANGE_S = (0.0, 0.5)
 HELD_DIRECTIONS = ((True, True), (True, True), (True, False), (False, True))
 # How hosts lose servers: calls hang, connections are reset, or new ones are refused.
 LOSS_HANGS = "hangs"
@@ -55,23 +59,23 @@
         fleet.processes.restart(host)
 
 
+async def _kill_and_restart(fleet: GatewayFleet, hosts: list[str], pause_s: float) -> None:
+    running = [host for host in hosts if fleet.processes.is_running(host)]
+    for host in running:
+        fleet.kill_host(host)
+    await asyncio.gather(*(_restart_after(fleet, host, pause_s) for host in running))
+
+
 @FAULTS.register("kill_host")
 async def kill_host(fleet: GatewayFleet, rng: random.Random) -> None:
     """Kills a host's process and restarts it."""
-    host = rng.choice(fleet.hosts())
-    if fleet.processes.is_running(host):
-        fleet.processes.kill(host)
-        await _restart_after(fleet, host, rng.uniform(*SHORT_RANGE_S))
+    await _kill_and_restart(fleet, [rng.choice(fleet.hosts())], rng.uniform(*SHORT_RANGE_S))
 
 
 @FAULTS.register("kill_all_hosts")
 async def kill_all_hosts(fleet: GatewayFleet, rng: random.Random) -> None:
     """Kills the processes of all hosts at once and restarts them."""
-    hosts = [host for host in fleet.hosts() if fleet.processes.is_running(host)]
-    for host in hosts:
-        fleet.processes.kill(host)
-    pause_s = rng.uniform(*SHORT_RANGE_S)
-    await asyncio.gather(*(_restart_after(fleet, host, pause_s) for host in hosts))
+    await _kill_and_restart(fleet, fleet.hosts(), rng.uniform(*SHORT_RANGE_S))
 
 
 @FAULTS.register("stop_host")
@@ -259,12 +263,49 @@
     duration_s = rng.uniform(*rng.choice(HOLD_RANGES_S))
     holding = asyncio.create_task(_hold(links, rng, duration_s))
     await asyncio.sleep(duration_s * rng.random())
-    if fleet.processes.is_running(host):
-        fleet.processes.kill(host)
-        await _restart_after(fleet, host, rng.uniform(*SHORT_RANGE_S))
+    await _kill_and_restart(fleet, [host], rng.uniform(*SHORT_RANGE_S))
     await holding
 
 
+@FAULTS.register("hosts_killed_behind_hold")
+async def hosts_killed_behind_hold(fleet: GatewayFleet, rng: random.Random) -> None:
+    """Kills hosts just after what they send to some servers is held back; keys go on by expiry.
+
+    What the hosts wrote in between arrives after the hold. Some of the servers restart meanwhile.
+    """
+    names = _names_not_held(fleet, rng)
+    hosts = rng.sample(fleet.hosts(), rng.randint(1, len(fleet.hosts())))
+    duration_s = rng.uniform(*EXPIRY_HOLD_RANGE_S)
+    crashing = names if rng.random() < CRASH_SHARE else []
+    fleet.log_event(f"hold of {names} for {duration_s:.2f} s, {hosts} to be killed")
+    await asyncio.gather(
+        _hold([fleet.server_links[name] for name in names], rng, duration_s),
+        _kill_after_hold_began(fleet, hosts, rng),
+        *(_crash_and_restart(fleet, name, rng) for name in crashing[:1]),
+    )
+
+
+@FAULTS.register("hosts_killed_behind_holds_in_series")
+async def hosts_killed_behind_holds_in_series(fleet: GatewayFleet, rng: random.Random) -> None:
+    """Kills hosts behind two holds, the second of which begins soon after the first."""
+    for _ in range(2):
+        await hosts_killed_behind_hold(fleet, rng)
+        await asyncio.sleep(rng.uniform(*SHORT_RANGE_S))
+
+
+@FAULTS.register("hosts_without_servers_killed")
+async def hosts_without_servers_killed(fleet: GatewayFleet, rng: random.Random) -> None:
+    """Kills the hosts that lose all servers, just after that; the other hosts reach the servers."""
+    hosts = rng.sample(fleet.hosts(), rng.randint(1, len(fleet.hosts()) - 1))
+    links = [link for link in fleet.server_links.values() if not link.is_holding()]
+    duration_s = rng.uniform(*EXPIRY_HOLD_RANGE_S)
+    fleet.log_event(f"{hosts} without servers for {duration_s:.2f} s, to be killed")
+    await asyncio.gather(
+        _hold(links, rng, duration_s, _is_of(fleet, hosts)),
+        _kill_after_hold_began(fleet, hosts, rng),
+    )
+
+
 @FAULTS.register("store_held")
 async def store_held(fleet: GatewayFleet, rng: random.Random) -> None:
     """Holds back what some hosts and the store send each other, and delivers it late."""
@@ -319,15 +360,27 @@
 
 def _some_hosts(fleet: GatewayFleet, rng: random.Random) -> Callable[[int], bool]:
     """Draws some hosts, not all; returns what tells whether a caller's port is one of theirs."""
-    hosts = rng.sample(fleet.hosts(), rng.randint(1, len(fleet.hosts()) - 1))
+    return _is_of(fleet, rng.sample(fleet.hosts(), rng.randint(1, len(fleet.hosts()) - 1)))
+
+
+def _is_of(fleet: GatewayFleet, hosts: list[str]) -> Callable[[int], bool]:
+    """Returns what tells whether a caller's port is one of these hosts'."""
+    others = [host for host in fleet.hosts() if host not in hosts]
 
     def is_of_host(port: int) -> bool:
-        running = [host for host in hosts if fleet.processes.is_running(host)]
-        return any(port in fleet.processes.ports(host) for host in running)
+        # The port of a host that was killed belongs to no process any more.
+        running = [host for host in others if fleet.processes.is_running(host)]
+        return not any(port in fleet.processes.ports(host) for host in running)
 
     return is_of_host
 
 
+async def _kill_after_hold_began(fleet: GatewayFleet, hosts: list[str], rng: random.Random) -> None:
+    """Kills hosts before they give up what is held back, and restarts them at once."""
+    await asyncio.sleep(rng.uniform(*KILL_RANGE_S))
+    await _kill_and_restart(fleet, hosts, rng.uniform(*RESTART_RANGE_S))
+
+
 def _names_not_held(fleet: GatewayFleet, rng: random.Random) -> list[str]:
     """Draws some servers whose connections are not held back already."""
     names = rng.sample(list(fleet.servers), rng.randint(1, MAX_HELD_SERVERS))
--- a/greengagefall/bench/gateway_fleet.py
+++ b/greengagefall/bench/gateway_fleet.py
@@ -143,6 +143,16 @@
         )
         return held >= LAST_KEY + 1
 
+    def kill_host(self, host: str) -> None:
+        """Kills a host's process if it runs; held data that it has written is delivered late."""
+        if not self.processes.is_running(host):
+            return
+        ports = self.processes.ports(host)
+        for link in (*self.server_links.values(), self.store_links[host]):
+            link.outlive(ports.__contains__)
+        self.processes.kill(host)
+        self.log_event(f"{host} killed")
+
     async def write_server_entry(self, name: str, state: str = "ready") -> None:
         """Writes a server's entry to the store."""
         self._states[name] = state
--- a/greengagefall/bench/tcp_proxy.py
+++ b/greengagefall/bench/tcp_proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,8 @@
     from collections.abc import Callable
 
 CHUNK_BYTES = 65_536
+# Times after its sending at which TCP repeats data that is not acknowledged.
+REPETITIONS_S = (0.2, 0.6, 1.4, 3.0, 6.2, 12.6)
 
 
 def _concerns_all(caller_port: int) -> bool:
@@ -32,6 +35,8 @@
         chunks: Data not yet delivered, in order.
         closed: Whether the sender closed the connection; delivered after the data.
         was_reset: Whether the sender reset the connection.
+        outlives: Whether what the sender wrote is delivered although its process has ended.
+        written_s: Time of the loop at which the first of the chunks was read.
         late_until_s: Time of the loop before which nothing is delivered.
         changed: Set when any of these attributes changed.
     """
@@ -41,6 +46,8 @@
         self.chunks: deque[bytes] = deque()
         self.closed = False
         self.was_reset = False
+        self.outlives = False
+        self.written_s = 0.0
         self.late_until_s = 0.0
         self.changed = asyncio.Event()
 
@@ -52,6 +59,18 @@
         """Returns whether anything is left to deliver."""
         return bool(self.chunks) or self.has_ended()
 
+    def add(self, data: bytes, now_s: float) -> None:
+        """Adds data that its sender wrote now."""
+        if not self.chunks:
+            self.written_s = now_s
+        self.chunks.append(data)
+        self.changed.set()
+
+    def repeat_after(self, now_s: float) -> float:
+        """Returns when the operating system of a killed sender repeats what is not delivered."""
+        repetitions_s = (self.written_s + after_s for after_s in REPETITIONS_S)
+        return next((time_s for time_s in repetitions_s if time_s >= now_s), math.inf)
+
     async def wait_for_change(self, timeout_s: float | None) -> None:
         """Waits until an attribute changes, at most ``timeout_s``; None means without a limit."""
         self.changed.clear()
@@ -168,8 +187,9 @@
     ) -> None:
         """Holds data back as a network partition does, until ``release``.
 
-        The held data of a sender that resets its connection is discarded. New connections are
-        accepted, but never reach the target; they are reset at the release.
+        The held data of a sender that resets its connection is discarded, unless the sender was
+        killed (``outlive``). New connections are accepted, but never reach the target; they are
+        reset at the release.
 
         Args:
             to_target: Whether data to the target is held.
@@ -182,18 +202,36 @@
         self.holds_to_target = to_target
         self.holds_from_target = from_target
 
+    def outlive(self, concerns: Callable[[int], bool]) -> None:
+        """Tells the proxy that callers are killed now, before it sees the resets of their sockets.
+
+        On loopback the end of a process resets its connections, so that the proxy cannot tell it
+        from a caller that gives up. Between hosts the operating system of a killed process goes on
+        sending what the process wrote.
+
+        Args:
+            concerns: Returns whether connections from this port of a caller are those of a process
+                that is killed.
+        """
+        for connection in self._connections:
+            if concerns(connection.caller_port):
+                connection.to_target.outlives = True
+
     def release(self, late_s: Callable[[], float] = lambda: 0.0) -> None:
         """Ends a hold; what was held is delivered in order.
 
         Args:
             late_s: Returns how long after the release the data of one direction of a connection is
-                delivered, since its sender repeats what was lost only after a while.
+                delivered, since its sender repeats what was lost only after a while. What outlives
+                its sender is delivered at the next of ``REPETITIONS_S``, or never after the last.
         """
         now_s = asyncio.get_running_loop().time()
         for connection in self._connections:
             for pipe in connection.pipes():
                 if self._is_held(connection, pipe) and pipe.is_pending():
-                    pipe.late_until_s = now_s + late_s()
+                    is_repeated = pipe.outlives and pipe.chunks
+                    late_until_s = pipe.repeat_after(now_s) if is_repeated else now_s + late_s()
+                    pipe.late_until_s = late_until_s
                 pipe.changed.set()
         self.holds_to_target = False
         self.holds_from_target = False
@@ -279,17 +317,18 @@
         self, connection: _Connection, pipe: _Pipe, reader: asyncio.StreamReader
     ) -> None:
         """Reads even while data is held, so that a reset by the sender is noticed."""
+        loop = asyncio.get_running_loop()
         try:
             while data := await reader.read(CHUNK_BYTES):
                 if not (self.drops_to_target if pipe.to_target else self.drops_from_target):
-                    pipe.chunks.append(data)
-                    pipe.changed.set()
+                    pipe.add(data, loop.time())
         except OSError:
-            held = self._is_held(connection, pipe)
-            if held or pipe.late_until_s > asyncio.get_running_loop().time():
+            is_late = self._is_held(connection, pipe) or pipe.late_until_s > loop.time()
+            pipe.closed = is_late and pipe.outlives
+            pipe.was_reset = not pipe.closed
+            if is_late and pipe.was_reset:
                 self.discarded += bool(pipe.chunks)
                 pipe.chunks.clear()
-            pipe.was_reset = True
         else:
             pipe.closed = True
         pipe.changed.set()
--- a/greengagefall/tests/tcp_proxy_tests.py
+++ b/greengagefall/tests/tcp_proxy_tests.py
@@ -7,7 +7,7 @@
 import time
 import unittest
 
-from greengagefall.bench.tcp_proxy import TcpProxy
+from greengagefall.bench.tcp_proxy import REPETITIONS_S, TcpProxy
 from greengagefall.utils.sockets import reset_on_close
 
 LATE_S = 0.3
@@ -133,6 +133,50 @@
                 self.assertEqual((self.received, self.ends), ([], ["reset"]))
         self.assertEqual(self.proxy.discarded, 2)
 
+    # A proxy that takes a kill for a reset hides that a grant arrives long after its sender's end.
+    async def test_what_a_killed_caller_wrote_is_repeated_after_the_hold(self):
+        _, killed = await self.connect_to_target()
+        _, gave_up = await self.connect()
+        await self.until(lambda: len(self.peers) == 2)
+        killed_port = killed.get_extra_info("sockname")[1]
+        self.proxy.hold()
+        written_s = time.monotonic()
+        killed.write(b"a")
+        gave_up.write(b"b")
+        await asyncio.sleep(SHORT_S)
+        self.proxy.outlive(lambda port: port == killed_port)
+        self.reset(killed)
+        self.reset(gave_up)
+        await asyncio.sleep(REPETITIONS_S[0])
+        self.proxy.release()
+        await self.until(lambda: len(self.ends) == 2)
+        self.assertGreaterEqual(time.monotonic() - written_s, REPETITIONS_S[1])
+        self.assertEqual((self.received, self.ends), ([b"a"], ["reset", "closed"]))
+        self.assertEqual(self.proxy.discarded, 1)
+
+    async def test_what_a_killed_caller_wrote_does_not_reach_a_restarted_target(self):
+        _, writer = await self.connect_to_target()
+        self.proxy.hold()
+        writer.write(b"a")
+        await asyncio.sleep(SHORT_S)
+        self.proxy.outlive(lambda port: True)
+        self.reset(writer)
+        self.proxy.reset()
+        self.proxy.release()
+        await asyncio.sleep(REPETITIONS_S[1])
+        self.assertEqual((self.received, self.ends), ([], ["reset"]))
+
+    async def test_a_new_connection_of_a_killed_caller_never_reaches_the_target(self):
+        self.proxy.hold(from_target=False)
+        _, writer = await self.connect()
+        writer.write(b"a")
+        await asyncio.sleep(SHORT_S)
+        self.proxy.outlive(lambda port: True)
+        self.reset(writer)
+        self.proxy.release()
+        await asyncio.sleep(REPETITIONS_S[1])
+        self.assertEqual((self.peers, self.received), ([], []))
+
     async def test_a_new_connection_never_reaches_the_target(self):
         self.proxy.hold()
         reader, writer = await self.connect()
