--- a/greengagefall/bench/gateway_faults.py
+++ b/greengagefall/bench/gateway_faults.py
@@ -37,6 +37,7 @@
 KILL_RANGE_S = (0.1, 0.8)
 RESTART_RANGE_S = (0.0, 0.5)
 HELD_DIRECTIONS = ((True, True), (True, True), (True, False), (False, True))
+HELD_TO_TARGET = ((True, True), (True, False))
 # How hosts lose servers: calls hang, connections are reset, or new ones are refused.
 LOSS_HANGS = "hangs"
 LOSS_RESETS = "resets"
@@ -61,8 +62,7 @@
 
 async def _kill_and_restart(fleet: GatewayFleet, hosts: list[str], pause_s: float) -> None:
     running = [host for host in hosts if fleet.processes.is_running(host)]
-    for host in running:
-        fleet.kill_host(host)
+    fleet.kill_hosts(running)
     await asyncio.gather(*(_restart_after(fleet, host, pause_s) for host in running))
 
 
@@ -274,12 +274,13 @@
     What the hosts wrote in between arrives after the hold. Some of the servers restart meanwhile.
     """
     names = _names_not_held(fleet, rng)
+    links = [fleet.server_links[name] for name in names]
     hosts = rng.sample(fleet.hosts(), rng.randint(1, len(fleet.hosts())))
     duration_s = rng.uniform(*EXPIRY_HOLD_RANGE_S)
     crashing = names if rng.random() < CRASH_SHARE else []
     fleet.log_event(f"hold of {names} for {duration_s:.2f} s, {hosts} to be killed")
     await asyncio.gather(
-        _hold([fleet.server_links[name] for name in names], rng, duration_s),
+        _hold(links, rng, duration_s, directions=HELD_TO_TARGET),
         _kill_after_hold_began(fleet, hosts, rng),
         *(_crash_and_restart(fleet, name, rng) for name in crashing[:1]),
     )
@@ -301,7 +302,7 @@
     duration_s = rng.uniform(*EXPIRY_HOLD_RANGE_S)
     fleet.log_event(f"{hosts} without servers for {duration_s:.2f} s, to be killed")
     await asyncio.gather(
-        _hold(links, rng, duration_s, _is_of(fleet, hosts)),
+        _hold(links, rng, duration_s, _is_of(fleet, hosts), HELD_TO_TARGET),
         _kill_after_hold_began(fleet, hosts, rng),
     )
 
@@ -370,7 +371,7 @@
     def is_of_host(port: int) -> bool:
         # The port of a host that was killed belongs to no process any more.
         running = [host for host in others if fleet.processes.is_running(host)]
-        return not any(port in fleet.processes.ports(host) for host in running)
+        return port not in fleet.processes.ports(running)
 
     return is_of_host
 
@@ -392,9 +393,10 @@
     rng: random.Random,
     duration_s: float,
     concerns: Callable[[int], bool] = lambda caller_port: True,
+    directions: tuple[tuple[bool, bool], ...] = HELD_DIRECTIONS,
 ) -> None:
     """Holds data back for a while, in both directions or in one of them."""
-    to_target, from_target = rng.choice(HELD_DIRECTIONS)
+    to_target, from_target = rng.choice(directions)
     for link in links:
         link.hold(to_target=to_target, from_target=from_target, concerns=concerns)
     await asyncio.sleep(duration_s)
--- a/greengagefall/bench/gateway_fleet.py
+++ b/greengagefall/bench/gateway_fleet.py
@@ -143,15 +143,14 @@
         )
         return held >= LAST_KEY + 1
 
-    def kill_host(self, host: str) -> None:
-        """Kills a host's process if it runs; held data that it has written is delivered late."""
-        if not self.processes.is_running(host):
-            return
-        ports = self.processes.ports(host)
-        for link in (*self.server_links.values(), self.store_links[host]):
+    def kill_hosts(self, hosts: list[str]) -> None:
+        """Kills running hosts; held data that they have written is delivered late."""
+        ports = self.processes.ports(hosts)
+        for link in (*self.server_links.values(), *self.store_links.values()):
             link.outlive(ports.__contains__)
-        self.processes.kill(host)
-        self.log_event(f"{host} killed")
+        for host in hosts:
+            self.processes.kill(host)
+        self.log_event(f"{hosts} killed")
 
     async def write_server_entry(self, name: str, state: str = "ready") -> None:
         """Writes a server's entry to the store."""
--- a/greengagefall/bench/processes.py
+++ b/greengagefall/bench/processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import os
 import random
 import signal
@@ -11,7 +12,10 @@
 import sys
 import tempfile
 from pathlib import Path
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 LOOPBACK = "127.0.0.1"
 STOP_TIMEOUT_S = 10.0
@@ -171,10 +175,12 @@
         """Returns the process id."""
         return self._running[name].pid
 
-    def ports(self, name: str) -> set[int]:
-        """Returns the local ports of the open TCP sockets of a running process."""
+    def ports(self, names: Iterable[str]) -> set[int]:
+        """Returns the local ports of the open TCP sockets of running processes."""
         inodes = set()
-        for entry in Path(f"/proc/{self.pid(name)}/fd").iterdir():
+        for entry in itertools.chain(
+            *(Path(f"/proc/{self.pid(name)}/fd").iterdir() for name in names)
+        ):
             # The process may close files meanwhile.
             with contextlib.suppress(FileNotFoundError):
                 inodes.add(entry.readlink().name.removeprefix("socket:").strip("[]"))
