--- a/greengagefall/bench/gateway_soak.py
+++ b/greengagefall/bench/gateway_soak.py
@@ -219,6 +219,7 @@
                 group.create_task(callers.run(end_s))
             injecting = group.create_task(inject_faults(fleet, seed, end_s))
         violations = await check_recovery(fleet, callers)
+        fleet.check_overlaps()
         violations += fleet.violations
     finally:
         await fleet.close()
--- a/greengagefall/standins/platform_server.py
+++ b/greengagefall/standins/platform_server.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import time
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import tornado.iostream
 import tornado.web
@@ -22,6 +22,28 @@
 REFUSAL_DELAY_S = 0.02
 
 
+class AcceptedGrant(NamedTuple):
+    """A grant that a server accepted.
+
+    Attributes:
+        first: First key.
+        last: Last key.
+        fence: Fencing token.
+        end_s: When the server holds the keys no more, as a time of ``time.monotonic``.
+        arrived_s: When the call arrived.
+        is_delayed: Whether the server applied it late.
+        caller_port: Port of the call's sender as the server sees it.
+    """
+
+    first: int
+    last: int
+    fence: int
+    end_s: float
+    arrived_s: float
+    is_delayed: bool = False
+    caller_port: int = 0
+
+
 class PlatformServerStandIn:
     """A backend server that executes requests for keys that it holds.
 
@@ -47,7 +69,9 @@
             after ``REFUSAL_DELAY_S``; an empty string for none of these.
         rate_limit_per_s: Requests per second that answers name as the server's limit, 0 for none.
         limited_s: Times of the requests that were executed while the limit was named.
-        on_grant: Called with this server and the first and last key of each accepted grant.
+        on_grant: Called with this server and each accepted grant.
+        on_release: Called with this server and the first and last key of each release.
+        on_request: Called with this server and the key of each keyed request that it begins.
     """
 
     def __init__(
@@ -73,7 +97,9 @@
         self.spoil_answer: Callable[[], str] = lambda: ""
         self.rate_limit_per_s = 0.0
         self.limited_s: list[float] = []
-        self.on_grant: Callable[[PlatformServerStandIn, int, int], None] = _ignore_grant
+        self.on_grant: Callable[[PlatformServerStandIn, AcceptedGrant], None] = _ignore
+        self.on_release: Callable[[PlatformServerStandIn, int, int], None] = _ignore
+        self.on_request: Callable[[PlatformServerStandIn, int], None] = _ignore
         handler_args = {"server": self}
         self._listener = HttpListener(
             "127.0.0.1:0",
@@ -142,7 +168,7 @@
         self.grants = kept
 
 
-def _ignore_grant(server: PlatformServerStandIn, first: int, last: int) -> None:
+def _ignore(*arguments: object) -> None:
     """Does nothing."""
 
 
@@ -177,6 +203,7 @@
 class _GrantHandler(_OrderHandler):
     async def post(self) -> None:
         arrived_s = time.monotonic()
+        caller_port = self.request.connection.context.address[1]
         body = self.json_body()
         first, last, fence = body["from"], body["target"], body["fence"]
         if self.server.reset_grants > 0:
@@ -204,7 +231,9 @@
         self.server.grants[first, last] = (fence, end_s)
         if "handover" in body:
             self.server.handover_tokens.append(body["handover"])
-        self.server.on_grant(self.server, first, last)
+        is_delayed = not self._auto_finish
+        grant = AcceptedGrant(first, last, fence, end_s, arrived_s, is_delayed, caller_port)
+        self.server.on_grant(self.server, grant)
         self.answer()
 
 
@@ -215,6 +244,7 @@
             return
         self.server.fences.append((body["from"], body["target"], body["fence"]))
         self.server.release_keys(body["from"], body["target"])
+        self.server.on_release(self.server, body["from"], body["target"])
         self.set_header("Handover", f"{self.server.server_id}-{body['fence']}")
         self.answer()
 
@@ -242,6 +272,8 @@
             await self._refuse_twice(request_id)
             return
         self.server.executed.append(request_id)
+        if self.server.keyed:
+            self.server.on_request(self.server, int(headers["Shard-Key"]))
         if self.server.rate_limit_per_s:
             self.server.limited_s.append(time.monotonic())
         await asyncio.sleep(self.server.work_s)
