--- a/greengagefall/bench/gateway_faults.py
+++ b/greengagefall/bench/gateway_faults.py
@@ -7,7 +7,7 @@
 
 from greengagefall.bench.gateway_fleet import ENTRY_EXPIRY_S
 from greengagefall.bench.processes import STOP_TIMEOUT_S
-from greengagefall.bench.tcp_proxy import concerns_none
+from greengagefall.bench.tcp_proxy import REPETITIONS_S, concerns_none
 from greengagefall.standins.platform_server import CUT_IN_HEAD, REFUSED_TWICE
 from greengagefall.utils.registry import Registry
 from greengagefall.utils.waiting import wait_until
@@ -377,9 +377,14 @@
 
 
 async def _kill_after_hold_began(fleet: GatewayFleet, hosts: list[str], rng: random.Random) -> None:
-    """Kills hosts before they give up what is held back, and restarts them at once."""
+    """Kills hosts before they give up what is held back, and restarts them at once.
+
+    Waits until all that they left behind is delivered.
+    """
     await asyncio.sleep(rng.uniform(*KILL_RANGE_S))
     await _kill_and_restart(fleet, hosts, rng.uniform(*RESTART_RANGE_S))
+    links = fleet.server_links.values()
+    await wait_until(lambda: not any(link.has_left_behind() for link in links), REPETITIONS_S[-1])
 
 
 def _names_not_held(fleet: GatewayFleet, rng: random.Random) -> list[str]:
--- a/greengagefall/bench/gateway_fleet.py
+++ b/greengagefall/bench/gateway_fleet.py
@@ -165,11 +165,11 @@
     def kill_hosts(self, hosts: list[str]) -> None:
         """Kills running hosts; held data that they have written is delivered late."""
         ports = self.processes.ports(hosts)
-        for link in (*self.server_links.values(), *self.store_links.values()):
-            link.outlive(ports.__contains__)
+        links = (*self.server_links.values(), *self.store_links.values())
+        left_behind = sum(link.outlive(ports.__contains__) for link in links)
         for host in hosts:
             self.processes.kill(host)
-        self.log_event(f"{hosts} killed")
+        self.log_event(f"{hosts} killed with {left_behind} connections that hold data back")
 
     async def write_server_entry(self, name: str, state: str = "ready") -> None:
         """Writes a server's entry to the store."""
--- a/greengagefall/bench/tcp_proxy.py
+++ b/greengagefall/bench/tcp_proxy.py
@@ -204,7 +204,7 @@
         self.holds_to_target = to_target
         self.holds_from_target = from_target
 
-    def outlive(self, concerns: Callable[[int], bool]) -> None:
+    def outlive(self, concerns: Callable[[int], bool]) -> int:
         """Tells the proxy that callers are killed now, before it sees the resets of their sockets.
 
         On loopback the end of a process resets its connections, so that the proxy cannot tell it
@@ -214,10 +214,21 @@
         Args:
             concerns: Returns whether connections from this port of a caller are those of a process
                 that is killed.
+
+        Returns:
+            Number of connections with data that is delivered late.
         """
-        for connection in self._connections:
-            if concerns(connection.caller_port):
-                connection.to_target.outlives = True
+        killed = [one for one in self._connections if concerns(one.caller_port)]
+        for connection in killed:
+            connection.to_target.outlives = True
+        return sum(bool(one.target_writer and one.to_target.chunks) for one in killed)
+
+    def has_left_behind(self) -> bool:
+        """Returns whether anything that outlives its sender is not delivered yet."""
+        return any(
+            one.target_writer and one.to_target.outlives and one.to_target.chunks
+            for one in self._connections
+        )
 
     def release(self, late_s: Callable[[], float] = lambda: 0.0) -> None:
         """Ends a hold; what was held is delivered in order.
