--- a/greengagefall/bench/gateway_faults.py
+++ b/greengagefall/bench/gateway_faults.py
@@ -33,8 +33,10 @@
 # Holds shorter than the time in which keys move to another server, and longer ones.
 HOLD_RANGES_S = ((0.5, 3.0), (3.0, 5.0))
 # Holds in which keys go on to other servers since the grants of the former owner expire.
-EXPIRY_HOLD_RANGE_S = (3.5, 8.0)
-KILL_RANGE_S = (0.3, 0.7)
+# Those of the second range end just before the fifth repetition of what was written in them.
+EXPIRY_HOLD_RANGES_S = ((3.5, 8.0), (5.4, 6.1))
+# A renewal that is held back is given up after 0.5 s.
+KILL_RANGE_S = (0.1, 0.45)
 RESTART_RANGE_S = (0.0, 0.5)
 HELD_DIRECTIONS = ((True, True), (True, True), (True, False), (False, True))
 HELD_TO_TARGET = ((True, True), (True, False))
@@ -271,18 +273,21 @@
 async def hosts_killed_behind_hold(fleet: GatewayFleet, rng: random.Random) -> None:
     """Kills hosts just after what they send to some servers is held back; keys go on by expiry.
 
-    What the hosts wrote in between arrives after the hold. Some of the servers restart meanwhile.
+    What the hosts wrote in between, mostly a renewal, arrives after the hold. In some cases one of
+    the servers restarts meanwhile.
     """
-    names = _names_not_held(fleet, rng)
-    links = [fleet.server_links[name] for name in names]
+    names = rng.sample(list(fleet.servers), rng.randint(1, MAX_HELD_SERVERS))
     hosts = rng.sample(fleet.hosts(), rng.randint(1, len(fleet.hosts())))
-    duration_s = rng.uniform(*EXPIRY_HOLD_RANGE_S)
-    crashing = names if rng.random() < CRASH_SHARE else []
+    duration_s = rng.uniform(*rng.choice(EXPIRY_HOLD_RANGES_S))
+    restarted = 1 if rng.random() < CRASH_SHARE else 0
+    await fleet.wait_before_renewal(rng.choice(names))
+    names = [name for name in names if not fleet.server_links[name].is_holding()]
+    links = [fleet.server_links[name] for name in names]
     fleet.log_event(f"hold of {names} for {duration_s:.2f} s, {hosts} to be killed")
     await asyncio.gather(
         _hold(links, rng, duration_s, directions=HELD_TO_TARGET),
         _kill_after_hold_began(fleet, hosts, rng),
-        *(_crash_and_restart(fleet, name, rng) for name in crashing[:1]),
+        *(_crash_and_restart(fleet, name, rng) for name in names[:restarted]),
     )
 
 
@@ -298,8 +303,9 @@
 async def hosts_without_servers_killed(fleet: GatewayFleet, rng: random.Random) -> None:
     """Kills the hosts that lose all servers, just after that; the other hosts reach the servers."""
     hosts = rng.sample(fleet.hosts(), rng.randint(1, len(fleet.hosts()) - 1))
+    duration_s = rng.uniform(*rng.choice(EXPIRY_HOLD_RANGES_S))
+    await fleet.wait_before_renewal(rng.choice(list(fleet.servers)))
     links = [link for link in fleet.server_links.values() if not link.is_holding()]
-    duration_s = rng.uniform(*EXPIRY_HOLD_RANGE_S)
     fleet.log_event(f"{hosts} without servers for {duration_s:.2f} s, to be killed")
     await asyncio.gather(
         _hold(links, rng, duration_s, _is_of(fleet, hosts), HELD_TO_TARGET),
--- a/greengagefall/bench/gateway_fleet.py
+++ b/greengagefall/bench/gateway_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import datetime
 import time
 from typing import TYPE_CHECKING, NamedTuple
@@ -15,6 +16,7 @@
 )
 from greengagefall.bench.processes import PortBlock, ProcessGroup, ProcessSpec
 from greengagefall.bench.tcp_proxy import TcpProxy
+from greengagefall.ownership.key_grants import RENEW_INTERVAL_S
 from greengagefall.ownership.model import LAST_KEY
 from greengagefall.platform.records import ROUTING_KEY, SERVERS_PREFIX
 from greengagefall.platform.settings import SETTINGS_FILE_ENV_VAR
@@ -34,6 +36,7 @@
 # Time from a server's crash until the stand-in store deletes its entry.
 ENTRY_EXPIRY_S = 1.5
 EVENTS_LOG = "events.log"
+RENEWAL_LEAD_S = 0.05
 # The operators allow a server that names a rate limit this much more in any window.
 LIMIT_FACTOR = 1.5
 LIMIT_EXTRA_REQUESTS = 5
@@ -106,6 +109,7 @@
             zone = ZONES[number % len(ZONES)]
             self.servers[name] = PlatformServerStandIn(name, "proofdesk", zone, keyed=True)
         self.servers["b0"] = PlatformServerStandIn("b0", "benchline", ZONES[0], keyed=False)
+        self._granted = {name: asyncio.Event() for name in self.servers}
 
     async def start(self) -> None:
         """Starts all stand-ins and hosts and waits until servers hold all keys.
@@ -171,6 +175,14 @@
             self.processes.kill(host)
         self.log_event(f"{hosts} killed with {left_behind} connections that hold data back")
 
+    async def wait_before_renewal(self, name: str) -> None:
+        """Waits until a server's grant is about to be renewed, or until none comes."""
+        self._granted[name].clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(2 * RENEW_INTERVAL_S):
+                await self._granted[name].wait()
+                await asyncio.sleep(RENEW_INTERVAL_S - RENEWAL_LEAD_S)
+
     async def write_server_entry(self, name: str, state: str = "ready") -> None:
         """Writes a server's entry to the store."""
         self._states[name] = state
@@ -295,6 +307,7 @@
             + (", held up" if is_held_up else "")
             + (f", {after_heal_s:.2f} s after the heal" if is_held_up or is_in_slack else "")
         )
+        self._granted[server.server_id].set()
         if grant.end_s <= now_s:
             return
         hold = Hold(server.server_id, grant.first, grant.last, now_s, grant.end_s)
