--- a/greengagefall/bench/gateway_fleet.py
+++ b/greengagefall/bench/gateway_fleet.py
@@ -195,7 +195,6 @@
         self._crashed.add(name)
         link = self.server_links[name]
         link.refuses = True
-        link.reset()
         self.servers[name].crashed = True
         self._restart(name)
         await self.expire_server_entry(name)
@@ -209,7 +208,6 @@
 
     async def restart_server_unseen(self, name: str, unseen_s: float) -> None:
         """Restarts a server under its id; the store has its old entry for ``unseen_s`` more."""
-        self.server_links[name].reset()
         self._restart(name)
         await asyncio.sleep(unseen_s)
         await self.renew_server_entry(name)
@@ -291,7 +289,9 @@
             self._report_overlap(overlap, "while both began requests for such keys")
 
     def _restart(self, name: str) -> None:
-        self.servers[name].restart()
+        link = self.server_links[name]
+        self.servers[name].restart(link.target_ports())
+        link.reset()
         for log in (self._holds_beyond_slack, self._holds_in_time):
             log.restart(name, time.monotonic())
 
--- a/greengagefall/bench/tcp_proxy.py
+++ b/greengagefall/bench/tcp_proxy.py
@@ -223,6 +223,11 @@
             connection.to_target.outlives = True
         return sum(bool(one.target_writer and one.to_target.chunks) for one in killed)
 
+    def target_ports(self) -> list[int]:
+        """Returns the ports from which the proxy is connected to the target."""
+        writers = (one.target_writer for one in self._connections)
+        return [writer.get_extra_info("sockname")[1] for writer in writers if writer is not None]
+
     def has_left_behind(self) -> bool:
         """Returns whether anything that outlives its sender is not delivered yet."""
         return any(
--- a/greengagefall/standins/platform_server.py
+++ b/greengagefall/standins/platform_server.py
@@ -13,13 +13,15 @@
 from greengagefall.standins.http import HttpListener, JsonHandler
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
 LOAD_HEADER_VALUE = "1,0,6,100"
 SWALLOWED_GRANT_S = 1.0
 CUT_IN_HEAD = "cut_in_head"
 REFUSED_TWICE = "refused_twice"
 REFUSAL_DELAY_S = 0.02
+# Time in which this process certainly reads what a connection had received before a restart.
+FORMER_DATA_S = 5.0
 
 
 class AcceptedGrant(NamedTuple):
@@ -85,6 +87,7 @@
         self.start_ms = int(time.time() * 1000)
         self.answer_bytes = 0
         self.crashed = False
+        self._former_ports: dict[int, float] = {}
         self.executed: list[str] = []
         self.grants: dict[tuple[int, int], tuple[int, float]] = {}
         self.fences: list[tuple[int, int, int]] = []
@@ -139,11 +142,21 @@
             **changes,
         }
 
-    def restart(self) -> None:
-        """Becomes a new incarnation with the same id and address, without grants and fences."""
+    def restart(self, former_ports: Iterable[int] = ()) -> None:
+        """Becomes a new incarnation with the same id and address, without grants and fences.
+
+        Args:
+            former_ports: Ports of callers with connections to the former incarnation, which end;
+                what they had received and this process has not read yet is lost.
+        """
         self.start_ms += 1000
         self.grants.clear()
         self.fences.clear()
+        self._former_ports = dict.fromkeys(former_ports, time.monotonic() + FORMER_DATA_S)
+
+    def has_ended_for(self, caller_port: int) -> bool:
+        """Returns whether a caller's connection reached an incarnation that ended."""
+        return self.crashed or self._former_ports.get(caller_port, 0.0) > time.monotonic()
 
     def holds(self, key: int) -> bool:
         """Returns whether the server currently holds a key."""
@@ -177,7 +190,7 @@
         self.server = server
 
     def prepare(self) -> None:
-        if self.server.crashed:
+        if self.server.has_ended_for(self.request.connection.context.address[1]):
             self.request.connection.stream.close()
             raise tornado.web.Finish
 
--- a/greengagefall/tests/gateway_soak_tests.py
+++ b/greengagefall/tests/gateway_soak_tests.py
@@ -228,6 +228,19 @@
         self.server.crashed = False
         self.assertEqual(self.server.grants, {})
 
+    # A new incarnation that takes such a grant gives an old fence to a server that knows none.
+    async def test_a_restarted_server_loses_what_its_connections_had_received(self):
+        host, _, port = self.server.address.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        body = grant_request(KeyRange(0, 9, ServerIncarnation("p0", 1), 1), 10.0, "").body
+        head = f"POST /greengagefall/grant HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}\r\n"
+        writer.write(f"{head}\r\n".encode() + body)
+        self.server.restart([writer.get_extra_info("sockname")[1]])
+        await asyncio.sleep(ORDER_TIMEOUT_S)
+        self.assertEqual(self.server.grants, {})
+        self.assertEqual(await self.grant(2, 0.0), ANSWERED)
+
     async def request(self) -> bytes:
         """Sends a request and returns what the server sends, until it closes or sent two bodies."""
         self.server.grants[0, 9] = (1, float("inf"))
