--- a/greengagefall/bench/gateway_faults.py
+++ b/greengagefall/bench/gateway_faults.py
@@ -373,11 +373,16 @@
 def _is_of(fleet: GatewayFleet, hosts: list[str]) -> Callable[[int], bool]:
     """Returns what tells whether a caller's port is one of these hosts'."""
     others = [host for host in fleet.hosts() if host not in hosts]
+    spared_ports: list[set[int]] = []
 
     def is_of_host(port: int) -> bool:
+        # A read takes long, so that one is used for all connections that are looked at together.
+        if not spared_ports:
+            running = [host for host in others if fleet.processes.is_running(host)]
+            spared_ports.append(fleet.processes.ports(running))
+            asyncio.get_running_loop().call_soon(spared_ports.clear)
         # The port of a host that was killed belongs to no process any more.
-        running = [host for host in others if fleet.processes.is_running(host)]
-        return port not in fleet.processes.ports(running)
+        return port not in spared_ports[0]
 
     return is_of_host
 
