--- a/greengagefall/bench/planted_gateway.py
+++ b/greengagefall/bench/planted_gateway.py
@@ -12,6 +12,7 @@
 from greengagefall.commands.gateway import main as gateway_main
 from greengagefall.dispatch import connection_pool
 from greengagefall.gateway import outcomes
+from greengagefall.gateway.fence_notices import FenceNotices
 from greengagefall.gateway.grants import GrantManager
 from greengagefall.gateway.range_moves import RangeMoves
 from greengagefall.gateway.router import Router
@@ -67,6 +68,12 @@
     connection_pool.reset_on_close = lambda sock: None
 
 
+@PLANTS.register("no_fence_notices")
+def no_fence_notices() -> None:
+    """Does not tell servers of newer fencing tokens for keys that went on without their word."""
+    FenceNotices._spans_to_tell = lambda self: []
+
+
 if __name__ == "__main__":
     plant = sys.argv.pop(1)
     PLANTS[plant]()
