Tell a server first of the keys that went on without its word

The keys that were lost last come first now, as they certainly have another owner. The test failed before.

One planted rule (any answer confirms all keys) does no harm to the two tests that found it any more, as the dangerous keys are told first. It is planted together with the former order, under which both tests pass without it and must fail with it.

--- a/greengagefall/ownership/unconfirmed_fences.py
+++ b/greengagefall/ownership/unconfirmed_fences.py
@@ -68,14 +68,17 @@
         self._unconfirmed.clear()
 
     def spans_to_tell(self, owned: Iterable[KeySpan]) -> list[KeySpan]:
-        """Returns the keys of which the server has to be told now.
+        """Returns the keys of which the server has to be told now, the last lost ones first.
 
         Args:
             owned: The server's own keys; it learns their fencing tokens by grants.
         """
         now_s = self._clock.now_s()
         self._drop_outdated(now_s)
-        return without_all([one.span for one in self._unconfirmed if one.due_s <= now_s], owned)
+        due = [one for one in self._unconfirmed if one.due_s <= now_s]
+        # Keys that went on without the server's word certainly have another owner.
+        due.sort(key=lambda one: (-one.since_s, one.span))
+        return without_all([one.span for one in due], owned)
 
     def next_due_s(self) -> float | None:
         """Returns when further keys have to be told, None for never."""
--- a/greengagefall/tests/gateway_held_up_grant_tests.py
+++ b/greengagefall/tests/gateway_held_up_grant_tests.py
@@ -282,8 +282,15 @@
         def confirm_all(self, span, sent_s):
             self.clear()
 
-        with mock.patch.object(UnconfirmedFences, "confirm", confirm_all):
-            self.assert_caught(KEYS_WENT_ON, HOST_STAYS_DOWN)
+        def tell_lost_keys_last(self, owned):
+            return spans_to_tell(self, owned)[::-1]
+
+        # The keys that went on are told first, so that the rule alone does no harm here.
+        spans_to_tell = UnconfirmedFences.spans_to_tell
+        with mock.patch.object(UnconfirmedFences, "spans_to_tell", tell_lost_keys_last):
+            self.assertFalse(self.is_caught(KEYS_WENT_ON) or self.is_caught(HOST_STAYS_DOWN))
+            with mock.patch.object(UnconfirmedFences, "confirm", confirm_all):
+                self.assert_caught(KEYS_WENT_ON, HOST_STAYS_DOWN)
 
 
 if __name__ == "__main__":
--- a/greengagefall/tests/ownership_unconfirmed_fences_tests.py
+++ b/greengagefall/tests/ownership_unconfirmed_fences_tests.py
@@ -50,6 +50,13 @@
         self.assertEqual(self.fences.spans_to_tell([]), [KeySpan(5, 9)])
         self.assertIsNone(self.fences.next_due_s())
 
+    def test_keys_that_were_lost_last_are_told_first(self):
+        # The notice for the keys that had gone on came after another one, and too late.
+        self.clock.advance(1.0)
+        self.fences.add(KeySpan(100, 199))
+        spans = self.fences.spans_to_tell([])
+        self.assertEqual(spans, [KeySpan(100, 199), KeySpan(0, 99), KeySpan(200, LAST_KEY)])
+
     def test_nothing_is_told_once_no_grant_can_be_on_its_way(self):
         self.clock.advance(MAX_HELD_UP_S)
         self.assertEqual(self.fences.spans_to_tell([]), [])
