--- a/greengagefall/tests/gateway_fence_notices_tests.py
+++ b/greengagefall/tests/gateway_fence_notices_tests.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import logging
 import unittest
 from types import SimpleNamespace
 from typing import TYPE_CHECKING
@@ -27,7 +26,7 @@
     ServerIncarnation,
 )
 from greengagefall.ownership.unconfirmed_fences import MAX_HELD_UP_S
-from greengagefall.tests.virtual_time import LoopClock, VirtualLoop
+from greengagefall.tests.virtual_time import LoopClock, VirtualLoop, VirtualTimeTestCase
 
 if TYPE_CHECKING:
     from greengagefall.ownership.key_spans import KeySpan
@@ -103,14 +102,9 @@
         ]
 
 
-class FenceNoticesTests(unittest.TestCase):
+class FenceNoticesTests(VirtualTimeTestCase):
     def setUp(self):
-        logging.disable(logging.CRITICAL)
-        self.addCleanup(logging.disable, logging.NOTSET)
-        self.loop = VirtualLoop()
-        asyncio.set_event_loop(self.loop)
-        self.addCleanup(asyncio.set_event_loop, None)
-        self.addCleanup(self.loop.close)
+        super().setUp()
         self.pool = ScriptedPool(self.loop)
         self.replaced = False
         clock = LoopClock(self.loop)
--- a/greengagefall/tests/gateway_outdated_orders_tests.py
+++ b/greengagefall/tests/gateway_outdated_orders_tests.py
@@ -10,7 +10,7 @@
 from greengagefall.protocol.gateway_messages import ReleaseKeys
 from greengagefall.tests.ownership_simulation import Simulation
 from greengagefall.tests.simulated_servers import SERVICE
-from greengagefall.tests.virtual_time import VirtualLoop, wait_for
+from greengagefall.tests.virtual_time import VirtualLoop, VirtualTimeTestCase, wait_for
 
 if TYPE_CHECKING:
     from greengagefall.gateway.model import ServerEntry
@@ -58,17 +58,9 @@
         self.assertTrue(held)
 
 
-class ReleaseForDispatcherTests(unittest.TestCase):
+class ReleaseForDispatcherTests(VirtualTimeTestCase):
     """A host that does not dispatch a server is asked to have it release keys."""
 
-    def setUp(self):
-        logging.disable(logging.CRITICAL)
-        self.addCleanup(logging.disable, logging.NOTSET)
-        self.loop = VirtualLoop()
-        asyncio.set_event_loop(self.loop)
-        self.addCleanup(asyncio.set_event_loop, None)
-        self.addCleanup(self.loop.close)
-
     def release(
         self,
         *,
@@ -135,17 +127,9 @@
         self.assertEqual(self.release(reached=False), (None, False))
 
 
-class TellingHostTests(unittest.TestCase):
+class TellingHostTests(VirtualTimeTestCase):
     """A host tells a server of newer fencing tokens only while that is its task."""
 
-    def setUp(self):
-        logging.disable(logging.CRITICAL)
-        self.addCleanup(logging.disable, logging.NOTSET)
-        self.loop = VirtualLoop()
-        asyncio.set_event_loop(self.loop)
-        self.addCleanup(asyncio.set_event_loop, None)
-        self.addCleanup(self.loop.close)
-
     async def settle(self) -> None:
         self.simulation = Simulation(self.loop, seed=1)
         delivery = asyncio.create_task(self.simulation.deliver_records())
--- a/greengagefall/tests/virtual_time.py
+++ b/greengagefall/tests/virtual_time.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import logging
+import unittest
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -43,3 +45,19 @@
         if condition():
             return
         await asyncio.sleep(STEP_S)
+
+
+class VirtualTimeTestCase(unittest.TestCase):
+    """A test case with an event loop of its own in virtual time, and without logs.
+
+    Attributes:
+        loop: The event loop.
+    """
+
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.loop = VirtualLoop()
+        asyncio.set_event_loop(self.loop)
+        self.addCleanup(asyncio.set_event_loop, None)
+        self.addCleanup(self.loop.close)
