--- a/greengagefall/tests/gateway_outdated_orders_tests.py
+++ b/greengagefall/tests/gateway_outdated_orders_tests.py
@@ -5,12 +5,18 @@
 import asyncio
 import logging
 import unittest
+from functools import partial
 from typing import TYPE_CHECKING
 
 from greengagefall.protocol.gateway_messages import ReleaseKeys
 from greengagefall.tests.ownership_simulation import Simulation
 from greengagefall.tests.simulated_servers import SERVICE
-from greengagefall.tests.virtual_time import VirtualLoop, VirtualTimeTestCase, wait_for
+from greengagefall.tests.virtual_time import (
+    VirtualLoop,
+    VirtualTimeTestCase,
+    run_in_virtual_time,
+    wait_for,
+)
 
 if TYPE_CHECKING:
     from greengagefall.gateway.model import ServerEntry
@@ -181,7 +187,7 @@
         logging.disable(logging.CRITICAL)
         self.addCleanup(logging.disable, logging.NOTSET)
 
-    async def restart_during_move(self, loop: VirtualLoop, seed: int) -> list[str]:
+    async def restart_during_move(self, seed: int, loop: VirtualLoop) -> list[str]:
         """Returns the violations; the server holds keys, and answers no host."""
         simulation = Simulation(loop, seed)
         delivery = asyncio.create_task(simulation.deliver_records())
@@ -214,14 +220,7 @@
         # Its next process has no channel, and answered that all of its grants had expired.
         for seed in self.SEEDS:
             with self.subTest(seed=seed):
-                loop = VirtualLoop()
-                asyncio.set_event_loop(loop)
-                try:
-                    found = loop.run_until_complete(self.restart_during_move(loop, seed))
-                finally:
-                    loop.close()
-                    asyncio.set_event_loop(None)
-                self.assertEqual(found, [])
+                self.assertEqual(run_in_virtual_time(partial(self.restart_during_move, seed)), [])
 
 
 if __name__ == "__main__":
--- a/greengagefall/tests/gateway_restore_beside_cut_tests.py
+++ b/greengagefall/tests/gateway_restore_beside_cut_tests.py
@@ -11,7 +11,7 @@
 import unittest
 
 from greengagefall.tests.ownership_simulation import Simulation
-from greengagefall.tests.virtual_time import VirtualLoop
+from greengagefall.tests.virtual_time import VirtualLoop, run_in_virtual_time
 
 SETTLED_S = 5.0
 # Time in which the keys of a draining server go to others.
@@ -64,13 +64,7 @@
         return simulation.violations
 
     def play(self, seed: int) -> list[str]:
-        loop = VirtualLoop()
-        asyncio.set_event_loop(loop)
-        try:
-            return loop.run_until_complete(self.restore_beside_cut(loop, seed))
-        finally:
-            loop.close()
-            asyncio.set_event_loop(None)
+        return run_in_virtual_time(lambda loop: self.restore_beside_cut(loop, seed))
 
     def test_grants_of_hosts_behind_a_cut_are_waited_for_when_no_other_host_remembers(self):
         # The wait covered only grants in force, not those that a cut-off host goes on renewing.
--- a/greengagefall/tests/gateway_unseen_restart_tests.py
+++ b/greengagefall/tests/gateway_unseen_restart_tests.py
@@ -11,7 +11,7 @@
 
 from greengagefall.tests.ownership_simulation import Simulation
 from greengagefall.tests.simulated_servers import SERVICE
-from greengagefall.tests.virtual_time import VirtualLoop
+from greengagefall.tests.virtual_time import VirtualLoop, run_in_virtual_time
 
 SETTLED_S = 5.0
 DOWN_S = 0.05
@@ -49,13 +49,7 @@
         return simulation.violations
 
     def play(self, seed: int) -> list[str]:
-        loop = VirtualLoop()
-        asyncio.set_event_loop(loop)
-        try:
-            return loop.run_until_complete(self.restart_unseen(loop, seed))
-        finally:
-            loop.close()
-            asyncio.set_event_loop(None)
+        return run_in_virtual_time(lambda loop: self.restart_unseen(loop, seed))
 
     def test_keys_of_a_restarted_server_go_to_others_only_after_its_release(self):
         # A newer entry was taken as proof that the server holds nothing, whatever it was granted.
--- a/greengagefall/tests/virtual_time.py
+++ b/greengagefall/tests/virtual_time.py
@@ -5,10 +5,12 @@
 import asyncio
 import logging
 import unittest
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
+
+T = TypeVar("T")
 
 STEP_S = 0.01
 
@@ -47,6 +49,17 @@
         await asyncio.sleep(STEP_S)
 
 
+def run_in_virtual_time(play: Callable[[VirtualLoop], Awaitable[T]]) -> T:
+    """Runs what ``play`` returns for a new event loop in virtual time; returns its result."""
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    try:
+        return loop.run_until_complete(play(loop))
+    finally:
+        loop.close()
+        asyncio.set_event_loop(None)
+
+
 class VirtualTimeTestCase(unittest.TestCase):
     """A test case with an event loop of its own in virtual time, and without logs.
 
