Give moving keys new fences, too, when their dispatcher changes

What callers saw: two processes of a backend server accepted the same fencing token for the same keys (OWNER, form of fences), after a server had restarted unseen by the store. In the users' words a server that "takes a key with a fencing token that isn't above all with which other servers had it".

Cause: the coordinator gives the keys of a server new fences when its dispatcher changes, since the new one can't know what was granted before. Key ranges that still moved were left out, as if nobody had granted them yet. But a range is granted to its new owner before the end of its move is written. If all hosts are lost in between, the next coordinator reads a move that looks unfinished, and the next dispatcher grants it under the same fence again, also to a later process of the server.

Why it works: whatever a former dispatcher granted, moving or not, was under a fence below the one that the assignment with the new dispatcher tells. The move goes on under the new fence; its wait for the former owner does not begin anew, unless versions lie between that this coordinator has not seen. The former task of the move ends, which it did not before.

--- a/greengagefall/gateway/coordinator.py
+++ b/greengagefall/gateway/coordinator.py
@@ -253,7 +253,17 @@
             owner = key_range.owner
             return owner.server_id in taken_over or self._reports.is_suspect(owner, key_range.fence)
 
-        return key_moves.replace_fences(assignment, is_outdated)
+        replaced = key_moves.replace_fences(assignment, is_outdated)
+        if replaced.last_fence != assignment.last_fence:
+            log.info(
+                "Key ranges get new fencing tokens.",
+                extra={
+                    "servers_taken_over": len(taken_over),
+                    "first_fence": assignment.last_fence + 1,
+                    "last_fence": replaced.last_fence,
+                },
+            )
+        return replaced
 
     def _still_granting(
         self, server_id: str, dispatching: DispatcherRecord
--- a/greengagefall/gateway/range_moves.py
+++ b/greengagefall/gateway/range_moves.py
@@ -17,6 +17,7 @@
     Assignment,
     HostIncarnation,
     KeyRange,
+    ServerIncarnation,
 )
 from greengagefall.protocol.gateway_messages import (
     GrantKeys,
@@ -50,13 +51,31 @@
 
 
 class _MoveId(NamedTuple):
-    """Identifies a key range that moves between servers."""
+    """Identifies a key range that moves between servers under one fence."""
 
     service: str
     first: int
     last: int
+    source: ServerIncarnation
+    owner: ServerIncarnation
     fence: int
 
+    def without_fence(self) -> _MoveId:
+        """Returns what stays the same when the range gets another fence during the move."""
+        return self._replace(fence=0)
+
+    def log_fields(self) -> dict[str, object]:
+        """Returns the fields for log lines."""
+        servers = {"source": self.source.server_id, "owner": self.owner.server_id}
+        return {**self._asdict(), **servers}
+
+
+class _Begin(NamedTuple):
+    """The first assignment version that has a move, and when it was read or written."""
+
+    version: int
+    at_s: float
+
 
 class RangeMoves:
     """The moves of one coordinator's assignment.
@@ -85,7 +104,7 @@
         self._on_released = on_released
         self._assignment: Assignment = EMPTY_ASSIGNMENT
         self._tasks: dict[_MoveId, asyncio.Task] = {}
-        self._written_s: dict[_MoveId, float] = {}
+        self._begun: dict[_MoveId, _Begin] = {}
         self._released: dict[_MoveId, str] = {}
         self._replaced: dict[tuple[str, HostIncarnation], _Replaced] = {}
 
@@ -99,20 +118,27 @@
     def set_read(self, assignment: Assignment) -> None:
         """Sets an assignment that was read from the store; its moves count as written now."""
         self._assignment = assignment
-        for service, key_range in _moving(assignment):
-            self._written_s[_move_id(service, key_range)] = self._clock.now_s()
+        now = _Begin(assignment.version, self._clock.now_s())
+        self._begun = dict.fromkeys(_move_ids(assignment), now)
         self._update_replaced()
 
     def set_written(self, assignment: Assignment) -> None:
-        """Sets an assignment that this coordinator wrote; forgets moves that are finished."""
+        """Sets an assignment that this coordinator wrote; forgets moves that are finished.
+
+        A move that only got another fence has not begun anew, unless versions lie between.
+        """
+        now = _Begin(assignment.version, self._clock.now_s())
+        before: dict[_MoveId, _Begin] = {}
+        if assignment.version == self._assignment.version + 1:
+            before = {move_id.without_fence(): begin for move_id, begin in self._begun.items()}
         self._assignment = assignment
-        now_s = self._clock.now_s()
-        known = {_move_id(service, key_range) for service, key_range in _moving(self._assignment)}
-        self._written_s = {move_id: self._written_s.get(move_id, now_s) for move_id in known}
+        self._begun = {
+            move_id: before.get(move_id.without_fence(), now) for move_id in _move_ids(assignment)
+        }
         self._released = {
-            move_id: token for move_id, token in self._released.items() if move_id in known
+            move_id: token for move_id, token in self._released.items() if move_id in self._begun
         }
-        self.released_since_s = now_s if self._released else math.inf
+        self.released_since_s = now.at_s if self._released else math.inf
         self._update_replaced()
 
     def _update_replaced(self) -> None:
@@ -154,10 +180,11 @@
         }
         for move_id, task in list(self._tasks.items()):
             if move_id not in moving or task.done():
+                task.cancel()
                 del self._tasks[move_id]
         for move_id, key_range in moving.items():
             if move_id not in self._tasks and move_id not in self._released:
-                move = self._move(move_id, key_range, self._assignment.version)
+                move = self._move(move_id, key_range, self._begun[move_id].version)
                 task = asyncio.create_task(move, name=f"move {move_id.first}")
                 task.add_done_callback(log_failure)
                 self._tasks[move_id] = task
@@ -169,7 +196,7 @@
         if not await self._grant(key_range, version, handover_token):
             log.warning(
                 "New owner did not confirm the grant of a moved key range; its dispatcher retries.",
-                extra=move_id._asdict(),
+                extra=move_id.log_fields(),
             )
         self._released[move_id] = handover_token
         self.released_since_s = min(self.released_since_s, self._clock.now_s())
@@ -211,23 +238,26 @@
                 ended_s = self._clock.now_s() + reply.ends_in_ms / MS_PER_S
             remaining_s = ended_s - self._clock.now_s()
             if remaining_s <= 0:
-                self._log_unconfirmed(move_id, key_range)
+                self._log_unconfirmed(move_id)
                 return ""
             await asyncio.sleep(min(RETRY_INTERVAL_S, remaining_s))
 
-    def _log_unconfirmed(self, move_id: _MoveId, key_range: KeyRange) -> None:
+    def _log_unconfirmed(self, move_id: _MoveId) -> None:
         """Logs and counts that a range goes on by the expiry of its grants alone."""
         count("unconfirmed_releases")
-        waited_s = self._clock.now_s() - self._written_s.get(move_id, self._clock.now_s())
+        waited_s = self._clock.now_s() - self._begun_s(move_id)
         log.warning(
             "Former owner did not confirm a release; its grants have expired.",
             extra={
-                **move_id._asdict(),
-                "source": key_range.source.server_id,
+                **move_id.log_fields(),
                 "waited_ms": int(waited_s * MS_PER_S),
             },
         )
 
+    def _begun_s(self, move_id: _MoveId) -> float:
+        begin = self._begun.get(move_id)
+        return self._clock.now_s() if begin is None else begin.at_s
+
     def _granters(self, key_range: KeyRange) -> tuple[HostIncarnation, ...]:
         """Returns the host incarnations that may renew grants of a range's former owner."""
         dispatching = self._assignment.dispatchers.get(key_range.source.server_id)
@@ -235,7 +265,7 @@
 
     def _source_grants_end_s(self, move_id: _MoveId, key_range: KeyRange, version: int) -> float:
         """Returns the time by which all grants of a range to its former owner have expired."""
-        written_s = self._written_s.get(move_id, self._clock.now_s())
+        written_s = self._begun_s(move_id)
         ended_s = written_s
         for index, granter in enumerate(self._granters(key_range)):
             end_s = self._reports.grants_expired_by_s(granter, version, written_s)
@@ -265,5 +295,16 @@
     ]
 
 
+def _move_ids(assignment: Assignment) -> list[_MoveId]:
+    return [_move_id(service, key_range) for service, key_range in _moving(assignment)]
+
+
 def _move_id(service: str, key_range: KeyRange) -> _MoveId:
-    return _MoveId(service, key_range.first, key_range.last, key_range.fence)
+    return _MoveId(
+        service,
+        key_range.first,
+        key_range.last,
+        key_range.source,
+        key_range.owner,
+        key_range.fence,
+    )
--- a/greengagefall/ownership/key_moves.py
+++ b/greengagefall/ownership/key_moves.py
@@ -65,20 +65,21 @@
 
 
 def replace_fences(assignment: Assignment, is_outdated: Callable[[KeyRange], bool]) -> Assignment:
-    """Gives key ranges a new highest fence each; their owners stay.
+    """Gives key ranges a new highest fence each; their owners and sources stay.
 
     A server accepts a grant with a higher fencing token for keys that it already holds.
 
     Args:
         assignment: The assignment.
-        is_outdated: Returns whether a key range that is not moving needs a new fence.
+        is_outdated: Returns whether a key range needs a new fence. One that moves may have been
+            granted to its new owner already.
     """
     fence = assignment.last_fence
     by_service = {}
     for service, key_ranges in assignment.key_ranges.items():
         replaced = []
         for key_range in key_ranges:
-            if not key_range.moving and is_outdated(key_range):
+            if is_outdated(key_range):
                 fence += 1
                 key_range = key_range._replace(fence=fence)
             replaced.append(key_range)
--- a/greengagefall/tests/ownership_exploration_tests.py
+++ b/greengagefall/tests/ownership_exploration_tests.py
@@ -28,6 +28,7 @@
 from greengagefall.ownership.unconfirmed_fences import UnconfirmedFences
 from greengagefall.tests.ownership_faults import inject_fault
 from greengagefall.tests.ownership_simulation import Simulation
+from greengagefall.tests.planted_ownership import keep_fences_of_moves
 from greengagefall.tests.simulated_network import SimulatedPool
 from greengagefall.tests.simulated_servers import THAW_SLACK_S
 from greengagefall.tests.virtual_time import VirtualLoop
@@ -254,8 +255,8 @@
         self.assertTrue(caught)
 
     def test_oracle_detects_planted_ignored_reuse_of_an_address(self):
-        # Notices of newer fences alone make a new server refuse the grants of a former one, too.
-        with mock.patch.object(FenceNotices, "start", lambda self: None):
+        # Notices of newer fences, or new fences of ranges that move, alone keep these seeds sound.
+        with mock.patch.object(FenceNotices, "start", lambda self: None), keep_fences_of_moves():
             with mock.patch.object(ClusterView, "_note_address", lambda self, entry: None):
                 for seed in REUSED_ADDRESS_SEEDS:
                     with self.subTest(seed=seed):
