Keep the copy of followed keys in a module of its own

following.py both decided when to read and watch the store and kept the copy of its keys. The tests of following, relaying, lost watches, restores, task failures and odd records pass.

--- a/greengagefall/gateway/following.py
+++ b/greengagefall/gateway/following.py
@@ -10,11 +10,11 @@
 import logging
 import math
 from contextlib import nullcontext
-from functools import partial
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from result import Err
 
+from greengagefall.gateway.followed_keys import FollowedKeys, PrefixChanges
 from greengagefall.gateway.held_back import HeldBackKeys
 from greengagefall.gateway.reachability import StoreReachability
 from greengagefall.gateway.watch_call import WatchCall
@@ -24,7 +24,6 @@
     StoreCompactedError,
     StoreConnectionLostError,
 )
-from greengagefall.utils.metrics import count
 from greengagefall.utils.supervision import start_supervised
 
 if TYPE_CHECKING:
@@ -54,26 +53,6 @@
 # by default and as a number of heartbeats: the store drops entries after three without one.
 DEFAULT_RESTORE_GRACE_S = 3.5
 RESTORE_GRACE_HEARTBEATS = 4.0
-# Keys in one log line.
-MAX_LOGGED_KEYS = 10
-# Deletions that are remembered, so that they can be passed on to other hosts.
-MAX_DELETIONS = 2000
-
-
-class PrefixChanges(NamedTuple):
-    """Changes of the keys with a prefix.
-
-    Attributes:
-        revision: Revision of the store up to which the keys are known.
-        complete: Whether ``puts`` holds all keys, also unchanged ones.
-        puts: New and changed keys.
-        deletions: Deleted keys with the revision of their deletion.
-    """
-
-    revision: int
-    complete: bool
-    puts: list[KeyValue]
-    deletions: list[tuple[str, int]]
 
 
 def _never_reverts(known: KeyValue | None, found: KeyValue | None) -> bool:
@@ -102,7 +81,6 @@
     Attributes:
         on_change: Called after each change of the keys or of the known revision.
         revision: Revision of the store up to which the keys are known; 0 before the first read.
-        last_change: Revision of the last known change of a key.
         restores: Restores of the store up to which the revisions count, ``UNKNOWN_RESTORES`` if it
             does not tell.
         loaded: Set once all keys were read.
@@ -125,18 +103,13 @@
     ) -> None:
         self._store = store
         self._prefix = prefix
-        self._on_put = on_put
-        self._on_delete = on_delete
         self._clock = clock
         self._keep_through_outage = keep_through_outage
         self._held_back = HeldBackKeys(clock, reverts, restore_grace_s)
+        self._keys = FollowedKeys(prefix, on_put, on_delete, self._held_back, self._keep_s)
         self._host_count = host_count
         self._batch = batch
         self._watch_timeout_s = WATCH_RETENTION_SHARE * retention_s
-        self._key_values: dict[str, KeyValue] = {}
-        self._deletions: dict[str, int] = {}
-        self._complete_since = 0
-        self._pending_removals: dict[str, asyncio.TimerHandle] = {}
         self._task: asyncio.Task | None = None
         self._watch_call = WatchCall()
         self._reachability = StoreReachability(prefix, clock)
@@ -144,7 +117,6 @@
         self._watching = False
         self.on_change: Callable[[], None] = lambda: None
         self.revision = 0
-        self.last_change = 0
         self.restores = UNKNOWN_RESTORES
         self.loaded = asyncio.Event()
 
@@ -153,6 +125,11 @@
         """Whether this host itself watches the keys and can have missed no change."""
         return self._watching and self._resync_s == math.inf and not self._held_back.keys
 
+    @property
+    def last_change(self) -> int:
+        """Revision of the last known change of a key."""
+        return self._keys.last_change
+
     @property
     def reachable_since_s(self) -> float:
         """When the store was reached again after the last outage."""
@@ -168,8 +145,7 @@
             return False
         if self._clock.now_s() < self._grace_ends_s():
             return False
-        unsettled = key in self._pending_removals or key in self._held_back.keys
-        return key in self._key_values and not unsettled
+        return self._keys.is_settled(key)
 
     def start(self) -> None:
         """Starts the task that reads and watches the keys, unless it runs."""
@@ -191,8 +167,7 @@
     def close(self) -> None:
         """Stops the task and the timers of pending removals."""
         self.pause()
-        for timer in self._pending_removals.values():
-            timer.cancel()
+        self._keys.close()
 
     def _on_failure(self) -> None:
         """Counts nothing as current until all keys were read again."""
@@ -258,9 +233,9 @@
         with self._batch():
             for change in events:
                 if change.deleted:
-                    self._delete(change.key_value.key, change.key_value.mod_revision)
+                    self._keys.delete(change.key_value.key, change.key_value.mod_revision)
                 else:
-                    self._put(change.key_value)
+                    self._keys.put(change.key_value)
         self._advance(read.ok_value.revision)
         if events:
             await asyncio.sleep(self.batch_delay_s())
@@ -272,19 +247,7 @@
 
     def changes_since(self, revision: int) -> PrefixChanges:
         """Returns the changes after a revision; all keys if the deletions are not known."""
-        complete = revision < self._complete_since or not revision
-        puts = [
-            key_value
-            for key_value in self._key_values.values()
-            if (complete or key_value.mod_revision > revision)
-            and key_value.key not in self._pending_removals
-        ]
-        deletions = [
-            (key, deleted)
-            for key, deleted in self._deletions.items()
-            if not complete and deleted > revision
-        ]
-        return PrefixChanges(self.revision, complete, puts, deletions)
+        return self._keys.changes_since(revision, self.revision)
 
     def apply_relayed(
         self,
@@ -310,38 +273,12 @@
 
     def _apply(self, changes: PrefixChanges) -> None:
         with self._batch():
-            if changes.complete:
-                self._apply_all(changes)
-            else:
-                for key_value in changes.puts:
-                    self._put(key_value)
-                for key, revision in changes.deletions:
-                    self._delete(key, revision)
+            self._keys.apply(changes)
         self._advance(changes.revision)
         self.loaded.set()
 
-    def _apply_all(self, changes: PrefixChanges) -> None:
-        """Applies a read of all keys, except what looks like an earlier state after a restore."""
-        found = {key_value.key: key_value for key_value in changes.puts}
-        missing = self._key_values.keys() - found.keys()
-        self._held_back.choose(self._key_values, found)
-        if self._held_back.keys:
-            log.info(
-                "Keys that look older than known after a restore are left as they are for now.",
-                extra={
-                    "prefix": self._prefix,
-                    "keys": sorted(self._held_back.keys)[:MAX_LOGGED_KEYS],
-                },
-            )
-        for key, key_value in found.items():
-            if key not in self._held_back.keys:
-                self._put(key_value)
-        for key in missing - self._held_back.keys:
-            self._delete(key, changes.revision)
-
     def _advance(self, revision: int) -> None:
-        if not self._complete_since:
-            self._complete_since = revision
+        self._keys.note_known(revision)
         self.revision = max(self.revision, revision)
         self.on_change()
 
@@ -351,59 +288,16 @@
             MAX_BATCH_DELAY_S, BATCH_DELAY_S * max(1.0, self._host_count() / HOSTS_PER_BATCH_DELAY)
         )
 
-    def _put(self, key_value: KeyValue) -> None:
-        timer = self._pending_removals.pop(key_value.key, None)
-        if timer is not None:
-            timer.cancel()
-        known = self._key_values.get(key_value.key)
-        if known is not None and key_value.mod_revision <= known.mod_revision:
-            return
-        self._deletions.pop(key_value.key, None)
-        self._held_back.note_put(key_value.key)
-        self._key_values[key_value.key] = key_value
-        self.last_change = max(self.last_change, key_value.mod_revision)
-        unchanged = known is not None and not known.mod_revision and known.value == key_value.value
-        if not unchanged:
-            self._report(key_value.key, partial(self._on_put, key_value))
-
-    def _delete(self, key: str, revision: int) -> None:
-        known = self._key_values.get(key)
-        if known is None or revision < known.mod_revision:
-            return
-        self._note_deletion(key, revision)
-        self._held_back.note_deletion(key)
-        grace_s = self._grace_ends_s() - self._clock.now_s()
-        if self._keep_through_outage and grace_s > 0:
-            if key not in self._pending_removals:
-                loop = asyncio.get_running_loop()
-                self._pending_removals[key] = loop.call_later(grace_s, self._remove, key)
-            return
-        self._remove(key)
+    def _keep_s(self) -> float:
+        """Returns for how long a deleted key is kept, as its writer may not have written again."""
+        if not self._keep_through_outage:
+            return 0.0
+        return self._grace_ends_s() - self._clock.now_s()
 
     def _grace_ends_s(self) -> float:
         """Returns when the writers of the keys have written their current state again."""
         return max(self._reachability.since_s, self._held_back.restored_s) + OUTAGE_RECOVERY_GRACE_S
 
-    def _remove(self, key: str) -> None:
-        self._pending_removals.pop(key, None)
-        if self._key_values.pop(key, None) is not None:
-            self._report(key, partial(self._on_delete, key))
-
-    def _report(self, key: str, call: Callable[[], None]) -> None:
-        """Reports a change of a key; an error must not keep those of other keys from arriving."""
-        try:
-            call()
-        except Exception:
-            log.exception("A change of a key could not be applied.", extra={"key": key})
-            count("record_errors", prefix=self._prefix)
-
-    def _note_deletion(self, key: str, revision: int) -> None:
-        self._deletions.setdefault(key, revision)
-        self.last_change = max(self.last_change, revision)
-        while len(self._deletions) > MAX_DELETIONS:
-            oldest = next(iter(self._deletions))
-            self._complete_since = max(self._complete_since, self._deletions.pop(oldest))
-
     def _note_restores(self, restores: int) -> None:
         """Forgets all revisions if the store was restored since they were read."""
         before, self.restores = self.restores, restores
@@ -413,11 +307,5 @@
             "Reading all keys again, since the store was restored.",
             extra={"prefix": self._prefix, "restores": restores, "revision": self.revision},
         )
-        self._held_back.begin_grace(self._deletions)
-        self._key_values = {
-            key: known._replace(mod_revision=0) for key, known in self._key_values.items()
-        }
-        self._deletions.clear()
-        self._complete_since = 0
+        self._keys.forget_revisions()
         self.revision = 0
-        self.last_change = 0
--- a/greengagefall/gateway/relay_following.py
+++ b/greengagefall/gateway/relay_following.py
@@ -13,7 +13,7 @@
 import logging
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from greengagefall.gateway.following import PrefixChanges
+from greengagefall.gateway.followed_keys import PrefixChanges
 from greengagefall.gateway.relaying import NOT_RELAYING
 from greengagefall.platform.store import KeyValue
 from greengagefall.protocol.gateway_messages import StoreChanges, StorePoll
--- a/greengagefall/gateway/relaying.py
+++ b/greengagefall/gateway/relaying.py
@@ -18,7 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from greengagefall.gateway.following import PrefixChanges, PrefixWatcher
+    from greengagefall.gateway.followed_keys import PrefixChanges
+    from greengagefall.gateway.following import PrefixWatcher
     from greengagefall.platform.store import PlatformStore
     from greengagefall.protocol.gateway_messages import StorePoll
     from greengagefall.utils.clock import Clock
