--- a/greengagefall/gateway/followed_keys.py
+++ b/greengagefall/gateway/followed_keys.py
@@ -114,7 +114,7 @@
             self.delete(key, revision)
 
     def note_known(self, revision: int) -> None:
-        """Records up to which revision the keys are known; deletions are known from the first on."""
+        """Records up to which revision the keys are known."""
         if not self._complete_since:
             self._complete_since = revision
 
