Tell servers of newer fences while their dispatcher is gone

Callers may have met two backend servers for the same keys (OWNER, its form of fences): a server took keys under an outdated fence that a killed host had sent before a cut, after the keys had gone on by expiry.

Cause: only the dispatcher of a server tells it, or has other hosts tell it. When its process is killed shortly before the heal, nobody does until the next one is chosen: 1.4 s later while it stays down, several seconds if all hosts are killed and have no coordinator yet.

--- a/greengagefall/entry/peer_table.py
+++ b/greengagefall/entry/peer_table.py
@@ -61,6 +61,10 @@
         link = self._links.get(host)
         return link is not None and link.connected and not link.suspect
 
+    def is_lost(self, host: str) -> bool:
+        """Returns whether the host has a link that is closed or does not answer probes."""
+        return host in self._links and not self.is_connected(host)
+
     def connected_hosts(self) -> list[str]:
         """Returns the hosts with an open link."""
         return [host for host in self._links if self.is_connected(host)]
--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -74,6 +74,7 @@
         stop: Which requests are taken while this host stops; by default it never stops.
 
     Attributes:
+        open_pool: Creates the connection pool of a server from its address.
         on_new_fence_needed: Called while a server's keys need new fencing tokens.
         ask_others: Has another host tell a server of a fencing token; returns whether the server
             confirmed it.
@@ -86,7 +87,7 @@
         open_pool: Callable[[str], ConnectionPool] | None = None,
         stop: StopAdmission | None = None,
     ) -> None:
-        self._open_pool = open_pool or _pool_opener(view.settings.memory_bytes)
+        self.open_pool = open_pool or _pool_opener(view.settings.memory_bytes)
         self._stop = stop or StopAdmission(clock)
         self._view = view
         self._clock = clock
@@ -193,7 +194,7 @@
         if any(span.overlaps(one) for one in owned):
             log.info("Outdated order to release keys is ignored.", extra=_order_fields(order))
             return None
-        pool = self._open_pool(entry.address)
+        pool = self.open_pool(entry.address)
         try:
             token = await send_release(pool, order.server_id, span, order.fence)
         finally:
@@ -273,7 +274,7 @@
             self._sent_fences.get(server_id, 0),
         )
         channel = ServerChannel(
-            entry, service, self._clock, self._open_pool(entry.address), knowledge, self._stop
+            entry, service, self._clock, self.open_pool(entry.address), knowledge, self._stop
         )
         if channel.grants is not None:
             channel.grants.on_new_fence_needed = self._request_new_fence
--- a/greengagefall/gateway/fence_notices.py
+++ b/greengagefall/gateway/fence_notices.py
@@ -54,6 +54,7 @@
         health: Records answers.
         clock: Clock that counts suspended time.
         may_tell: Whether this host is the one to tell the server, and its process may still run.
+        most_at_once: Number of notices that may be on their way at once.
 
     Attributes:
         ask_others: Has another host send a notice; returns whether the server confirmed it.
@@ -66,6 +67,7 @@
         health: ServerHealth,
         clock: Clock,
         may_tell: Callable[[], bool],
+        most_at_once: int = MAX_NOTICES_AT_ONCE,
     ) -> None:
         self.ask_others: Callable[[KeySpan, int], Awaitable[bool]] = _ask_nobody
         self._server_id = server_id
@@ -73,6 +75,7 @@
         self._health = health
         self._clock = clock
         self._may_tell = may_tell
+        self._most_at_once = most_at_once
         self._unconfirmed = UnconfirmedFences(clock)
         self._owned: list[KeySpan] = []
         self._version = 0
@@ -143,10 +146,10 @@
             self._changed.clear()
             spans = self._spans_to_tell()
             # An unreachable server is tried with one call at a time.
-            for span in spans[: MAX_NOTICES_AT_ONCE if self._reached else 1]:
+            for span in spans[: self._most_at_once if self._reached else 1]:
                 self._begin(span)
             if not self._reached:
-                self._begin_asking(spans[: MAX_NOTICES_AT_ONCE if self._reached_by_others else 1])
+                self._begin_asking(spans[: self._most_at_once if self._reached_by_others else 1])
             await self._wait(RETRY_INTERVAL_S if spans else self._idle_s())
 
     def _idle_s(self) -> float | None:
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -29,6 +29,7 @@
 from greengagefall.gateway.relay_following import RelayFollower
 from greengagefall.gateway.relaying import StoreRelay
 from greengagefall.gateway.router import Router
+from greengagefall.gateway.stand_in_notices import StandInNotices
 from greengagefall.gateway.status_http import StatusServer
 from greengagefall.gateway.store_probe import StoreProbe
 from greengagefall.gateway.view import ClusterView, HostRecord
@@ -72,7 +73,11 @@
         self._channels = ChannelManager(self.view, clock, stop=self._stop)
         self._handlers = PeerHandlers(self.view, self._channels)
         self._peers = Peers(self.view, self._handlers.handle)
-        self._channels.ask_others = PeerNotices(self.view, self._peers).ask
+        ask_others = PeerNotices(self.view, self._peers).ask
+        self._channels.ask_others = ask_others
+        self._stand_in = StandInNotices(
+            self.view, clock, self._channels.open_pool, self._peers.is_lost, ask_others
+        )
         self._heartbeats = HeartbeatSender(
             self.view, self._peers, self._channels, self._store, clock
         )
@@ -109,6 +114,7 @@
         self._follower.start()
         self._store_probe.start()
         self._channels.start()
+        self._stand_in.start()
         self._heartbeats.start()
         self._election.start()
         self._register_task = start_supervised(self._register, "register")
@@ -143,6 +149,7 @@
         await self._status.close()
         self._heartbeats.close()
         self._channels.close()
+        self._stand_in.close()
         self._follower.close()
         self._store_probe.close()
         self._relay.close()
--- a/greengagefall/gateway/peers.py
+++ b/greengagefall/gateway/peers.py
@@ -83,6 +83,10 @@
         """Returns whether a call to a host can be sent without waiting for a connection."""
         return host == self._view.host_incarnation.host or self._links.is_connected(host)
 
+    def is_lost(self, host: str) -> bool:
+        """Returns whether the link to a host is broken; False without one."""
+        return host != self._view.host_incarnation.host and self._links.is_lost(host)
+
     def _update_links(self) -> None:
         if self._view.hosts == self._known_hosts:
             return
--- a/greengagefall/gateway/view.py
+++ b/greengagefall/gateway/view.py
@@ -244,6 +244,10 @@
         """Returns whether grants may be renewed under the current assignment."""
         return self._clock.now_s() < self._valid_until_s
 
+    def assignment_age_s(self) -> float:
+        """Returns how long ago the current assignment was last known to be the newest."""
+        return self._clock.now_s() - self._valid_until_s + ASSIGNMENT_VALIDITY_S
+
     def find_service(self, name: str) -> Service | None:
         """Returns a service of the routing configuration, or None if it is unknown."""
         return self.routing_table.services.get(name)
--- a/greengagefall/tests/gateway_held_up_grant_tests.py
+++ b/greengagefall/tests/gateway_held_up_grant_tests.py
@@ -14,6 +14,7 @@
 from greengagefall.gateway import fence_notices
 from greengagefall.gateway.dispatchers import CHANNEL_CLOSE_DELAY_S
 from greengagefall.gateway.fence_notices import FenceNotices
+from greengagefall.gateway.stand_in_notices import StandInNotices
 from greengagefall.ownership import unconfirmed_fences
 from greengagefall.ownership.unconfirmed_fences import UnconfirmedFences
 from greengagefall.tests.ownership_simulation import Simulation
@@ -34,10 +35,13 @@
 # The rules excuse what arrives before the end of the thaw slack.
 HEAL_BEFORE_REPETITION_S = THAW_SLACK_S + 0.05
 SECOND_KILL_BEFORE_HEAL_S = 1.5
+LATE_KILL_BEFORE_HEAL_S = 0.2
 ENTRY_MISSING_S = CHANNEL_CLOSE_DELAY_S + 0.4
 ANSWERED_S = 0.1
 KEYS_WENT_ON = "test_renewal_of_a_killed_dispatcher_is_refused_after_its_keys_went_on"
 HOST_STAYS_DOWN = "test_renewal_is_refused_while_the_host_of_its_sender_stays_down"
+NEXT_STAYS_DOWN = "test_renewal_is_refused_while_the_next_dispatcher_stays_down"
+NO_COORDINATOR = "test_renewal_is_refused_before_killed_hosts_have_a_coordinator_again"
 
 
 class HeldUpRenewal:
@@ -213,6 +217,33 @@
 
         self.assert_refused(until_heal)
 
+    def test_renewal_is_refused_while_the_next_dispatcher_stays_down(self):
+        # Nobody told the server until a next dispatcher was chosen, 1.4 s after the kill.
+        async def until_heal(renewal: HeldUpRenewal) -> None:
+            await asyncio.sleep(RESTART_S)
+            renewal.restart(renewal.dispatcher)
+            await renewal.wait_until_moved()
+            await renewal.wait_until_before_heal(LATE_KILL_BEFORE_HEAL_S)
+            await renewal.dispatching().kill()
+
+        self.assert_refused(until_heal)
+
+    def test_renewal_is_refused_before_killed_hosts_have_a_coordinator_again(self):
+        # All dispatchers of the assignment were gone, and nobody could choose other ones yet.
+        async def until_heal(renewal: HeldUpRenewal) -> None:
+            await asyncio.sleep(RESTART_S)
+            renewal.restart(renewal.dispatcher)
+            await renewal.wait_until_moved()
+            await renewal.wait_until_before_heal(SECOND_KILL_BEFORE_HEAL_S)
+            hosts = list(renewal.simulation.hosts.values())
+            for host in hosts:
+                await host.kill()
+            await asyncio.sleep(RESTART_S)
+            for host in hosts:
+                renewal.restart(host)
+
+        self.assert_refused(until_heal)
+
 
 class PlantedRuleTests(unittest.TestCase):
     """Checks that the tests above find rules under which the server is told wrongly or late."""
@@ -236,6 +267,10 @@
         with mock.patch.object(FenceNotices, "start", lambda self: None):
             self.assert_caught(*unittest.defaultTestLoader.getTestCaseNames(HeldUpGrantTests))
 
+    def test_planted_silence_while_the_dispatcher_is_gone_is_caught(self):
+        with mock.patch.object(StandInNotices, "start", lambda self: None):
+            self.assert_caught(NEXT_STAYS_DOWN, NO_COORDINATOR)
+
     def test_planted_trust_of_a_new_dispatcher_in_its_empty_record_is_caught(self):
         init = UnconfirmedFences.__init__
 
--- a/greengagefall/tests/ownership_exploration_tests.py
+++ b/greengagefall/tests/ownership_exploration_tests.py
@@ -20,9 +20,11 @@
     host_reports,
     publishing,
     range_moves,
+    stand_in_notices,
 )
 from greengagefall.gateway.fence_notices import FenceNotices
 from greengagefall.gateway.incarnation_check import IncarnationCheck
+from greengagefall.gateway.stand_in_notices import StandInNotices
 from greengagefall.gateway.view import ClusterView
 from greengagefall.ownership.key_grants import KeyGrantTracker
 from greengagefall.ownership.unconfirmed_fences import UnconfirmedFences
@@ -93,6 +95,10 @@
 KILLED_BEHIND_HOLD_SEEDS = (29, 38, 44, 54, 77, 103)
 # Seeds in which the dispatcher that has to tell a server of a newer fence is killed, too.
 SECOND_KILL_SEEDS = (54, 61, 69, 100)
+# Seeds in which the dispatcher of a server is gone when an outdated grant arrives there.
+GONE_DISPATCHER_SEEDS = (5050, 5204, 5232, 5413, 6008, 6241, 6390)
+# By then the next dispatcher is chosen.
+LATE_STAND_IN_S = 1.4
 # Longer than what the rules excuse, as a dispatcher that waits for a connection would try again.
 LATE_RETRY_INTERVAL_S = 2.5
 # Seeds in which a new server gets a former one's keys at its address, although grants of the former
@@ -217,6 +223,10 @@
             HOLDS_PER_S,
         )
 
+    def test_an_outdated_grant_is_refused_while_its_servers_dispatcher_is_gone(self):
+        # Between the end of a dispatcher and the choice of the next nobody told its servers.
+        self.assert_none_found(GONE_DISPATCHER_SEEDS, KILLED_BEHIND_HOLD_FAULT_KINDS, HOLDS_PER_S)
+
     def test_no_key_is_held_twice_after_messages_between_hosts_arrived_late(self):
         self.assert_none_found(range(SEED_COUNT), LATE_MESSAGE_FAULT_KINDS)
 
@@ -293,6 +303,20 @@
             )
         self.assertTrue(caught)
 
+    def test_oracle_detects_planted_silence_while_a_dispatcher_is_gone(self):
+        with mock.patch.object(StandInNotices, "start", lambda self: None):
+            for seed in GONE_DISPATCHER_SEEDS:
+                with self.subTest(seed=seed):
+                    self.assertTrue(explore(seed, KILLED_BEHIND_HOLD_FAULT_KINDS, HOLDS_PER_S)[0])
+
+    def test_oracle_detects_planted_stand_ins_that_come_too_late(self):
+        with mock.patch.object(stand_in_notices, "LOST_LINK_DELAY_S", LATE_STAND_IN_S):
+            caught = any(
+                explore(seed, KILLED_BEHIND_HOLD_FAULT_KINDS, HOLDS_PER_S)[0]
+                for seed in GONE_DISPATCHER_SEEDS
+            )
+        self.assertTrue(caught)
+
     def test_oracle_detects_planted_trust_in_the_entry_of_a_restarted_server(self):
         def ignore_suspicion(self, fence):
             self._update()
--- a/greengagefall/tests/simulated_hosts.py
+++ b/greengagefall/tests/simulated_hosts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING
 
 from greengagefall.gateway.beats import HeartbeatSender
@@ -16,6 +17,7 @@
     Service,
 )
 from greengagefall.gateway.peer_notices import PeerNotices
+from greengagefall.gateway.stand_in_notices import StandInNotices
 from greengagefall.gateway.view import ClusterView, HostRecord
 from greengagefall.ownership.model import HostIncarnation
 from greengagefall.protocol.messages import PROTOCOL_VERSION, Hello
@@ -59,6 +61,15 @@
             and server_id in simulation.server_entries
         )
         self.channels.ask_others = PeerNotices(self.view, peers).ask
+        # With random numbers of their own, so that seeds keep their faults.
+        rng = random.Random(f"{name} {start_ms}")
+        self.stand_in = StandInNotices(
+            self.view,
+            clock,
+            lambda address: SimulatedPool(simulation, self, address, rng),
+            peers.is_lost,
+            PeerNotices(self.view, SimulatedPeers(simulation, self, rng)).ask,
+        )
         self.handlers = PeerHandlers(self.view, self.channels)
         self.hello = Hello(PROTOCOL_VERSION, "gateway", name, zone, str(start_ms), "", "")
         self.heartbeats = HeartbeatSender(self.view, peers, self.channels, store, clock)
@@ -84,6 +95,7 @@
     def start(self) -> None:
         self.view.update_routing_table(TABLE)
         self.channels.start()
+        self.stand_in.start()
         self.heartbeats.start()
         self.election.start()
 
@@ -92,6 +104,7 @@
         self.election.abandon()
         self.heartbeats.close()
         self.channels.close()
+        self.stand_in.close()
         if self.handlers.coordinator is not None:
             await self.handlers.coordinator.close()
             self.handlers.coordinator = None
--- a/greengagefall/tests/simulated_network.py
+++ b/greengagefall/tests/simulated_network.py
@@ -18,6 +18,8 @@
 )
 
 if TYPE_CHECKING:
+    import random
+
     from greengagefall.tests.ownership_simulation import Simulation
     from greengagefall.tests.simulated_hosts import SimulatedHost
 
@@ -46,16 +48,29 @@
     path is broken or holds calls up, a call over it may still arrive, and no new connection can be
     opened. What is held up when its host is killed arrives at a repetition of TCP.
 
+    Args:
+        simulation: The simulation.
+        host: The host.
+        address: The server's address.
+        rng: Random numbers; by default those that choose the faults, too.
+
     Attributes:
         resets_given_up_calls: Whether giving a call up discards what the network holds of it.
     """
 
     resets_given_up_calls = True
 
-    def __init__(self, simulation: Simulation, host: SimulatedHost, address: str) -> None:
+    def __init__(
+        self,
+        simulation: Simulation,
+        host: SimulatedHost,
+        address: str,
+        rng: random.Random | None = None,
+    ) -> None:
         self.on_idle_close = None
         self.host_name = host.name
         self._simulation = simulation
+        self._rng = rng or simulation.rng
         self._host = host
         self._server = simulation.servers[address.partition(":")[0]]
         self._server.pools.append(self)
@@ -66,7 +81,7 @@
 
     async def exchange(self, request, timeout_s, may_send, matches=None) -> HttpAnswer:
         simulation, server = self._simulation, self._server
-        rng = simulation.rng
+        rng = self._rng
         await asyncio.sleep(rng.uniform(0.0005, 0.005))
         if not self._host.up:
             raise NotSentError(f"{self._host.name} was killed")
@@ -138,7 +153,7 @@
 
     async def _deliver_late(self, request, start_ms: int, answered: asyncio.Future) -> None:
         await self._server.calls_pass.wait()
-        await asyncio.sleep(self._simulation.rng.uniform(0.0, MAX_RETRANSMISSION_S))
+        await asyncio.sleep(self._rng.uniform(0.0, MAX_RETRANSMISSION_S))
         answer = self._apply(request, self._simulation.loop.now_s, start_ms)
         if answer is not None and not answered.done():
             answered.set_result(answer)
@@ -181,26 +196,39 @@
 
 
 class SimulatedPeers:
-    """Simulates the calls of one host to other hosts."""
+    """Simulates the calls of one host to other hosts.
 
-    def __init__(self, simulation: Simulation, host: SimulatedHost) -> None:
+    Args:
+        simulation: The simulation.
+        host: The host that calls.
+        rng: Random numbers; by default those that choose the faults, too.
+    """
+
+    def __init__(
+        self, simulation: Simulation, host: SimulatedHost, rng: random.Random | None = None
+    ) -> None:
         self._simulation = simulation
         self._host = host
+        self._rng = rng or simulation.rng
 
     def connected(self, name) -> bool:
         target = self._simulation.hosts.get(name)
         return target is not None and target.up
 
+    def is_lost(self, name) -> bool:
+        cut = name != self._host.name and self._simulation.is_cut(self._host.name, name)
+        return cut or not self.connected(name)
+
     async def call(self, name, message, timeout_s):
         target = self._simulation.hosts.get(name)
         if name != self._host.name:
-            await asyncio.sleep(self._simulation.rng.uniform(0.0005, 0.003))
+            await asyncio.sleep(self._rng.uniform(0.0005, 0.003))
             if target is None or not target.up or self._simulation.is_cut(self._host.name, name):
-                await asyncio.sleep(self._simulation.rng.choice((0.0, timeout_s)))
+                await asyncio.sleep(self._rng.choice((0.0, timeout_s)))
                 return UNREACHABLE
             late_share = self._simulation.late_message_share
             # Without such a fault nothing is drawn, so that seeds keep their meaning.
-            if late_share and self._simulation.rng.random() < late_share:
+            if late_share and self._rng.random() < late_share:
                 self._deliver_late(target, message)
                 await asyncio.sleep(timeout_s)
                 return REPLY_LOST
@@ -210,7 +238,7 @@
                 reply = await reply if hasattr(reply, "__await__") else reply
         except TimeoutError:
             return REPLY_LOST
-        if self._simulation.rng.random() < self._simulation.lost_share:
+        if self._rng.random() < self._simulation.lost_share:
             return REPLY_LOST
         return reply
 
@@ -219,7 +247,7 @@
         self._simulation.start_delivery(self._deliver(target, message))
 
     async def _deliver(self, target: SimulatedHost, message) -> None:
-        await asyncio.sleep(self._simulation.rng.uniform(*LATE_MESSAGE_RANGE_S))
+        await asyncio.sleep(self._rng.uniform(*LATE_MESSAGE_RANGE_S))
         if not target.up:
             return
         reply = target.handlers.handle(target.hello, message)
