Tell servers fences of their own keys that they were not granted

Callers may have met two backend servers for the same keys (OWNER, its form of fences): a server that was reached again, and whose dispatcher told it of newer fences at once, took an outdated grant of keys on their way to it.

Cause: all keys that a server owns by the assignment were left out of what it is told, since a release ends a grant. A range counts as owned from the write of its move, seconds before it can be granted; the same holds while the dispatcher waits for a proof that the server did not restart.

Ruled out: a dispatcher that is gone or cut off (it is alive, and has told the server of the other keys).

A dispatcher now tells its server of owned keys, too, until it has sent a grant of them: under their own fence, as the server would refuse their grant under a higher one. It does not with an assignment that is not current, nor after a refused grant, since another dispatcher may have granted them then. Other hosts are not asked for such keys, and stand-ins leave them out: they do not know what was granted.

--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -190,8 +190,8 @@
         if entry is None or self._view.is_replaced(incarnation, entry.address):
             return None
         span = KeySpan(order.first, order.last)
-        owned = self._view.assignment.key_spans_of(entry.service, order.server_id)
-        if any(span.overlaps(one) for one in owned):
+        owned = self._view.assignment.key_ranges_of(entry.service, order.server_id)
+        if any(span.overlaps(one.span) for one in owned):
             log.info("Outdated order to release keys is ignored.", extra=_order_fields(order))
             return None
         pool = self.open_pool(entry.address)
--- a/greengagefall/gateway/fence_notices.py
+++ b/greengagefall/gateway/fence_notices.py
@@ -1,4 +1,4 @@
-"""Tells one backend server the newest fencing token for keys that it does not own.
+"""Tells one backend server the newest fencing token for keys that it was not granted.
 
 The end of a grant's time does not keep an older grant from arriving later. A server that was not
 reached while its keys went on is told as soon as it is reached again: after the end of a network
@@ -10,10 +10,11 @@
 import asyncio
 import contextlib
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from greengagefall.dispatch.exceptions import DispatchError, SendRefusedError
 from greengagefall.ownership.key_spans import KeySpan, without_all
+from greengagefall.ownership.model import LAST_KEY
 from greengagefall.ownership.unconfirmed_fences import UnconfirmedFences
 from greengagefall.platform import grants as calls
 from greengagefall.utils.metrics import count
@@ -24,7 +25,7 @@
 
     from greengagefall.dispatch.connection_pool import ConnectionPool
     from greengagefall.gateway.server_health import ServerHealth
-    from greengagefall.ownership.model import Assignment
+    from greengagefall.ownership.model import Assignment, KeyRange
     from greengagefall.utils.clock import Clock
 
 log = logging.getLogger(__name__)
@@ -33,6 +34,7 @@
 # Operators excuse an outdated grant that arrives within 0.3 s after the end of a cut.
 RETRY_INTERVAL_S = 0.1
 NOTICE_TIMEOUT_S = 0.5
+ALL_KEYS = KeySpan(0, LAST_KEY)
 # Other hosts are asked for notices once this one has not reached the server for a while.
 ASK_DELAY_S = 0.3
 # A server takes a limited number of connections, and resets those beyond.
@@ -41,12 +43,28 @@
 RELEASE_EXPECTED_S = 1.0
 
 
+class Notice(NamedTuple):
+    """A release by which a server learns a fencing token.
+
+    Attributes:
+        span: The keys.
+        fence: The newest fencing token, or that of the server's own range, which a higher one
+            would have it refuse.
+        owned: Whether the server owns the keys.
+    """
+
+    span: KeySpan
+    fence: int
+    owned: bool
+
+
 class FenceNotices:
     """Sends the notices to one incarnation of a server until it has answered each.
 
-    A notice is a release of keys that the server does not own. One call after the other is begun
-    while the server is not reached, since a connection that is being opened during a cut does not
-    notice its end in time. Other hosts are asked, too, since this one alone may be cut off.
+    A notice is a release of keys that the server does not own, or may not be granted yet. One call
+    after the other is begun while the server is not reached, since a connection that is being
+    opened during a cut does not notice its end in time. Other hosts are asked, too, since this one
+    alone may be cut off.
 
     Args:
         server_id: The server.
@@ -58,6 +76,8 @@
 
     Attributes:
         ask_others: Has another host send a notice; returns whether the server confirmed it.
+        awaits_grant: Returns whether a range of the server may not be granted yet; other ranges
+            are not told, since their grants tell the fencing token.
     """
 
     def __init__(
@@ -70,6 +90,7 @@
         most_at_once: int = MAX_NOTICES_AT_ONCE,
     ) -> None:
         self.ask_others: Callable[[KeySpan, int], Awaitable[bool]] = _ask_nobody
+        self.awaits_grant: Callable[[KeyRange], bool] = lambda key_range: False
         self._server_id = server_id
         self._pool = pool
         self._health = health
@@ -77,7 +98,7 @@
         self._may_tell = may_tell
         self._most_at_once = most_at_once
         self._unconfirmed = UnconfirmedFences(clock)
-        self._owned: list[KeySpan] = []
+        self._owned: list[KeyRange] = []
         self._version = 0
         self._fence = 0
         self._reached = True
@@ -106,7 +127,7 @@
     @property
     def pending(self) -> bool:
         """Whether the server has to be told of a fencing token."""
-        return bool(self._spans_to_tell())
+        return bool(self._notices_to_send())
 
     def set_assignment(self, assignment: Assignment, service: str) -> None:
         """Applies the assignment if it is another one; the keys that the server lost are noted."""
@@ -114,12 +135,12 @@
             return
         before = self._owned
         # A later incarnation's keys must not be released either.
-        self._owned = assignment.key_spans_of(service, self._server_id)
+        self._owned = assignment.key_ranges_of(service, self._server_id)
         self._version, self._fence = assignment.version, assignment.last_fence
         if not self._fence:
             # Nothing was granted to any server yet.
             self._unconfirmed.clear()
-        for span in without_all(before, self._owned):
+        for span in without_all(_spans(before), _spans(self._owned)):
             self._unconfirmed.add(span, RELEASE_EXPECTED_S)
         self._changed.set()
 
@@ -136,23 +157,37 @@
         """Returns whether a notice that is on its way would end a grant of these keys."""
         return _overlaps_any(span, (*self._in_flight, *self._asked))
 
-    def _spans_to_tell(self) -> list[KeySpan]:
+    def _notices_to_send(self) -> list[Notice]:
         if not self._version or not self._may_tell():
             return []
-        return self._unconfirmed.spans_to_tell(self._owned)
+        others = [
+            Notice(span, self._fence, False)
+            for span in self._unconfirmed.spans_to_tell(_spans(self._owned))
+        ]
+        own = [
+            Notice(span, key_range.fence, True)
+            for key_range in self._owned
+            if self.awaits_grant(key_range)
+            for span in self._unconfirmed.spans_to_tell(ALL_KEYS.without(key_range.span))
+        ]
+        return own + others
 
     async def _run(self) -> None:
         while True:
             self._changed.clear()
-            spans = self._spans_to_tell()
+            notices = self._notices_to_send()
             # An unreachable server is tried with one call at a time.
-            for span in spans[: self._most_at_once if self._reached else 1]:
-                self._begin(span)
+            for notice in notices[: self._most_at_once if self._reached else 1]:
+                self._begin(notice)
             if not self._reached:
-                self._begin_asking(spans[: self._most_at_once if self._reached_by_others else 1])
-            await self._wait(RETRY_INTERVAL_S if spans else self._idle_s())
-
-    def _idle_s(self) -> float | None:
+                # Others would take the server for the owner of its own keys.
+                asked = [notice for notice in notices if not notice.owned]
+                self._begin_asking(asked[: self._most_at_once if self._reached_by_others else 1])
+            await self._wait(self._pause_s())
+
+    def _pause_s(self) -> float | None:
+        if self._unconfirmed.spans_to_tell(()):
+            return RETRY_INTERVAL_S
         due_s = self._unconfirmed.next_due_s()
         return None if due_s is None else max(0.0, due_s - self._clock.now_s())
 
@@ -161,21 +196,21 @@
             async with asyncio.timeout(timeout_s):
                 await self._changed.wait()
 
-    def _begin(self, span: KeySpan) -> None:
+    def _begin(self, notice: Notice) -> None:
         """Begins a notice unless one for these keys is on its way.
 
         While the server is reached, one that still waits for its connection counts, too.
         """
-        if not _overlaps_any(span, self._begun if self._reached else self._in_flight):
-            self._start_attempt(self._tell(span))
+        if not _overlaps_any(notice.span, self._begun if self._reached else self._in_flight):
+            self._start_attempt(self._tell(notice))
 
-    def _begin_asking(self, spans: list[KeySpan]) -> None:
+    def _begin_asking(self, notices: list[Notice]) -> None:
         """Asks another host for notices if this one has not reached the server for a while."""
         if self._clock.now_s() < self._ask_from_s:
             return
-        for span in spans:
-            if not self._reached_by_others or span not in self._asked:
-                self._start_attempt(self._ask(span))
+        for notice in notices:
+            if not self._reached_by_others or notice.span not in self._asked:
+                self._start_attempt(self._ask(notice))
 
     def _start_attempt(self, attempt: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(attempt, name=f"notice {self._server_id}")
@@ -183,26 +218,25 @@
         task.add_done_callback(self._attempts.discard)
         task.add_done_callback(log_failure)
 
-    async def _ask(self, span: KeySpan) -> None:
-        begun_s, fence = self._clock.now_s(), self._fence
+    async def _ask(self, notice: Notice) -> None:
+        begun_s, span = self._clock.now_s(), notice.span
         self._asked.append(span)
         try:
-            confirmed = await self.ask_others(span, fence)
+            confirmed = await self.ask_others(span, notice.fence)
         finally:
             self._asked.remove(span)
         self._reached_by_others = confirmed
         if confirmed:
             count("fence_notices_by_others")
-            self._on_told(span, fence, begun_s, by_another_host=True)
+            self._on_told(notice, begun_s, by_another_host=True)
 
-    async def _tell(self, span: KeySpan) -> None:
-        begun_s = self._clock.now_s()
-        fence = self._fence
-        request = calls.release_request(self._server_id, *span, fence)
+    async def _tell(self, notice: Notice) -> None:
+        begun_s, span = self._clock.now_s(), notice.span
+        request = calls.release_request(self._server_id, *span, notice.fence)
         sent: list[KeySpan] = []
 
         def may_send() -> bool:
-            if _overlaps_any(span, self._in_flight) or span not in self._spans_to_tell():
+            if _overlaps_any(span, self._in_flight) or notice not in self._notices_to_send():
                 return False
             sent.append(span)
             self._in_flight.append(span)
@@ -223,7 +257,7 @@
             self._begun.remove(span)
             for one in sent:
                 self._in_flight.remove(one)
-        self._on_answer(span, fence, answer.status, begun_s)
+        self._on_answer(notice, answer.status, begun_s)
 
     def _on_failure(self, error: DispatchError) -> None:
         count("fence_notice_failures", error=type(error).__name__)
@@ -239,7 +273,7 @@
             extra={"server": self._server_id, "reason": reason},
         )
 
-    def _on_answer(self, span: KeySpan, fence: int, status: int, begun_s: float) -> None:
+    def _on_answer(self, notice: Notice, status: int, begun_s: float) -> None:
         count("fence_notices", status=str(status))
         if status == calls.HTTP_MISDIRECTED:
             # Another server has the address, so no connection to this one is left.
@@ -250,18 +284,19 @@
             self._note_not_reached(str(status))
             return
         self._reached = True
-        self._on_told(span, fence, begun_s, by_another_host=False)
+        self._on_told(notice, begun_s, by_another_host=False)
 
-    def _on_told(self, span: KeySpan, fence: int, begun_s: float, *, by_another_host: bool) -> None:
-        self._unconfirmed.confirm(span, begun_s)
+    def _on_told(self, notice: Notice, begun_s: float, *, by_another_host: bool) -> None:
+        self._unconfirmed.confirm(notice.span, begun_s)
         self._changed.set()
         log.info(
             "Backend server was told of the newest fencing token.",
             extra={
                 "server": self._server_id,
-                "first": span.first,
-                "last": span.last,
-                "fence": fence,
+                "first": notice.span.first,
+                "last": notice.span.last,
+                "fence": notice.fence,
+                "owned": notice.owned,
                 "by_another_host": by_another_host,
                 "tries": self._tries,
                 "took_ms": int((self._clock.now_s() - begun_s) * MS_PER_S),
@@ -292,5 +327,9 @@
     return False
 
 
+def _spans(key_ranges: Iterable[KeyRange]) -> list[KeySpan]:
+    return [key_range.span for key_range in key_ranges]
+
+
 def _overlaps_any(span: KeySpan, others: Iterable[KeySpan]) -> bool:
     return any(span.overlaps(other) for other in others)
--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -90,6 +90,7 @@
         knowledge: ServerKnowledge = ALL_IS_KNOWN,
     ) -> None:
         self.notices = FenceNotices(incarnation.server_id, pool, health, clock, knowledge.may_tell)
+        self.notices.awaits_grant = self._awaits_grant
         self.on_new_fence_needed: Callable[[], None] = lambda: None
         self._check = IncarnationCheck(clock, knowledge)
         self._incarnation = incarnation
@@ -101,6 +102,7 @@
         self._key_ranges: list[KeyRange] = []
         self._ordered_grants: set[tuple[int, int, int]] = set()
         self._superseded_grants: set[tuple[int, int, int]] = set()
+        self._sent_grants: set[tuple[int, int, int]] = set()
         self._handover_tokens: dict[tuple[int, int, int], str] = {}
         self._renewal_needed = asyncio.Event()
         self._granted = asyncio.Event()
@@ -126,6 +128,7 @@
         known = {(key_range.first, key_range.last, key_range.fence) for key_range in key_ranges}
         self._ordered_grants &= known
         self._superseded_grants &= known
+        self._sent_grants &= known
         self._renewal_needed.set()
 
     def holds(self, key: int) -> bool:
@@ -298,6 +301,20 @@
             return False
         return not key_range.moving or grant_id in self._ordered_grants
 
+    def _awaits_grant(self, key_range: KeyRange) -> bool:
+        """Returns whether this host granted nothing of a range yet and may not do so now.
+
+        That is so while the range is moving, and while the server may have restarted. With an
+        older assignment the keys may be granted by another host meanwhile.
+        """
+        grant_id = (key_range.first, key_range.last, key_range.fence)
+        if key_range not in self._key_ranges or not self._knowledge.is_assignment_current():
+            return False
+        if grant_id in self._sent_grants or grant_id in self._superseded_grants:
+            return False
+        ordered = not key_range.moving or grant_id in self._ordered_grants
+        return not ordered or not self._check.may_grant(key_range.fence)
+
     async def _renew(self) -> None:
         while True:
             self._renewal_needed.clear()
@@ -328,6 +345,7 @@
         def may_send() -> bool:
             allowed = self._may_grant(key_range)
             if allowed:
+                self._sent_grants.add(grant_id)
                 self._check.record_sent(key_range.fence)
                 self._tracker.record_sent(key_range.first, key_range.last)
                 log.debug(
--- a/greengagefall/ownership/model.py
+++ b/greengagefall/ownership/model.py
@@ -49,6 +49,11 @@
         """Whether the former owner may still hold keys of the range."""
         return self.source != NO_INCARNATION
 
+    @property
+    def span(self) -> KeySpan:
+        """The keys."""
+        return KeySpan(self.first, self.last)
+
     @property
     def size(self) -> int:
         """Number of keys."""
@@ -110,10 +115,10 @@
             if key_range.owner == incarnation
         ]
 
-    def key_spans_of(self, service: str, server_id: str) -> list[KeySpan]:
-        """Returns the keys that any incarnation of a server owns."""
+    def key_ranges_of(self, service: str, server_id: str) -> list[KeyRange]:
+        """Returns the key ranges that any incarnation of a server owns."""
         return [
-            KeySpan(key_range.first, key_range.last)
+            key_range
             for key_range in self.key_ranges.get(service, ())
             if key_range.owner.server_id == server_id
         ]
