Give keys whose fence their server refuses a new one

Cause: a server refuses a grant with 409 once it has seen a higher fence, and the dispatcher rightly never repeats such a grant. It took for granted that a newer assignment was on its way. Since servers are told of newer fences by notices, a host with an outdated view (here one that was cut off from the store and knew a former server at the address) can tell a fence that no assignment of these keys has; nothing ever gave the keys another one.

Ruled out: a cut or a fault that lasts; the last fault ends at 29.7 s, all hosts reach the server.

The dispatcher now reports refused fences as it does suspect ones, and the coordinator gives the keys new fences with its next write.

--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -164,7 +164,8 @@
     def fence_to_replace(self) -> int:
         """Returns the highest fencing token that has to be replaced soon, 0 for none.
 
-        That is so if the server may have restarted and keys lapse before that is known.
+        That is so if the server may have restarted and keys lapse before that is known, or if it
+        refused a fencing token that its keys still have.
         """
         lapse_s = self._clock.now_s() + NEW_FENCE_MARGIN_S
         needed = any(
@@ -173,7 +174,8 @@
             < lapse_s
             for key_range in self._key_ranges
         )
-        return self._check.suspect_fence if needed else 0
+        refused = max((fence for _, _, fence in self._superseded_grants), default=0)
+        return max(self._check.suspect_fence if needed else 0, refused)
 
     def owns(self, key: int) -> bool:
         """Returns whether the server owns the key according to the assignment."""
@@ -390,9 +392,8 @@
     def _on_refused(self, grant_id: tuple[int, int, int], status: int) -> None:
         """Records why the server refused a grant; 409 ends its repetition."""
         if status == calls.HTTP_CONFLICT:
-            # Another host sent a higher fencing token under a newer assignment. This grant is not
-            # repeated: a new incarnation of the server would not know that token and would
-            # accept this lower one.
+            # Another host sent a higher fencing token. This grant is not repeated: a new
+            # incarnation of the server would not know that token and would accept this lower one.
             self._superseded_grants.add(grant_id)
         if status == calls.HTTP_MISDIRECTED:
             self._check.on_connection_lost()
--- a/greengagefall/tests/gateway_grants_tests.py
+++ b/greengagefall/tests/gateway_grants_tests.py
@@ -88,6 +88,20 @@
         self.assertEqual(len(self.pool.sent_s), 1)
 
 
+class RefusedGrantTests(unittest.IsolatedAsyncioTestCase):
+    async def test_keys_whose_fence_the_server_refuses_need_a_new_one(self):
+        # They had no owner for good after an outdated notice under a higher fence.
+        clock = ManualClock()
+        pool = GrantingPool(clock)
+        pool.status = 409
+        manager = GrantManager(INCARNATION, pool, ServerHealth(clock), clock)
+        manager.set_key_ranges([KEY_RANGE])
+        self.assertFalse(await manager.grant(*KEY_RANGE[:2], KEY_RANGE.fence, ""))
+        self.assertEqual(manager.fence_to_replace(), KEY_RANGE.fence)
+        manager.set_key_ranges([KEY_RANGE._replace(fence=KEY_RANGE.fence + 1)])
+        self.assertEqual(manager.fence_to_replace(), 0)
+
+
 class LateTimeoutTests(unittest.IsolatedAsyncioTestCase):
     async def test_a_timeout_that_fires_late_prolongs_the_wait_for_the_grant(self):
         clock = ManualClock()
