--- a/greengagefall/bench/gateway_soak.py
+++ b/greengagefall/bench/gateway_soak.py
@@ -36,6 +36,9 @@
 RECOVERY_S = 15.0
 RECOVERY_REQUESTS = 40
 MAX_SHOWN = 20
+STANDSTILL_CHECK_S = 0.1
+# Shorter ones change nothing that the faults do.
+MIN_STANDSTILL_S = 0.3
 OK = 200
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 PATHS = {"safe": "/drafts/x", "once": "/approvals/x", "pool": "/orders/x"}
@@ -66,12 +69,15 @@
         statuses: Number of requests by status, 0 without an answer.
         checks: Number of checks.
         violations: Violations that were found.
+        longest_standstill_s: Longest time for which the soak's own process did not run; it plays
+            the store and the servers, so that a long one falsifies what faults do.
     """
 
     faults: Counter[str]
     statuses: Counter[int]
     checks: int
     violations: list[Violation]
+    longest_standstill_s: float
 
 
 class FaultPlan(NamedTuple):
@@ -166,6 +172,28 @@
     return injected
 
 
+class StandstillWatch:
+    """Notices when the soak's own process stands still, and logs it among the events.
+
+    Attributes:
+        longest_s: Longest time for which it stood still.
+    """
+
+    def __init__(self, fleet: GatewayFleet) -> None:
+        self.longest_s = 0.0
+        self._fleet = fleet
+
+    async def run(self) -> None:
+        """Watches until it is cancelled."""
+        while True:
+            due_s = time.monotonic() + STANDSTILL_CHECK_S
+            await asyncio.sleep(STANDSTILL_CHECK_S)
+            late_s = time.monotonic() - due_s
+            self.longest_s = max(self.longest_s, late_s)
+            if late_s > MIN_STANDSTILL_S:
+                self._fleet.log_event(f"the soak's process stood still for {late_s:.2f} s")
+
+
 def check_records(fleet: GatewayFleet, records: list[CallRecord]) -> list[Violation]:
     """Compares the callers' records with the requests that the servers executed."""
     executions = Counter(
@@ -231,6 +259,8 @@
     """
     fleet = GatewayFleet(hosts, servers, planted_fault)
     callers = Callers(fleet, random.Random(seed))
+    watch = StandstillWatch(fleet)
+    watching = asyncio.create_task(watch.run())
     try:
         await fleet.start()
         end_s = time.monotonic() + seconds
@@ -242,6 +272,7 @@
         fleet.check_overlaps()
         violations += fleet.violations
     finally:
+        watching.cancel()
         await fleet.close()
     violations += check_records(fleet, callers.records)
     for violation in violations[:MAX_SHOWN]:
@@ -250,7 +281,7 @@
     checks = 4 * len(callers.records)
     if violations:
         show(f"logs in {fleet.processes.log_dir}")
-    return SoakResult(injecting.result(), statuses, checks, violations)
+    return SoakResult(injecting.result(), statuses, checks, violations, watch.longest_s)
 
 
 @click.command()
@@ -288,6 +319,7 @@
     )
     click.echo(f"seed {seed}: {sum(result.faults.values())} faults ({faults})")
     click.echo(f"answers by status, 0 for none: {statuses}")
+    click.echo(f"the soak's process stood still for {result.longest_standstill_s:.2f} s at most")
     click.echo(f"{result.checks} checks, {len(result.violations)} violations")
     sys.exit(1 if result.violations else 0)
 
--- a/greengagefall/tests/gateway_soak_tests.py
+++ b/greengagefall/tests/gateway_soak_tests.py
@@ -8,8 +8,13 @@
 import unittest
 from unittest import mock
 
-from greengagefall.bench.gateway_fleet import GatewayFleet
-from greengagefall.bench.gateway_soak import CallRecord, check_records, run_soak
+from greengagefall.bench.gateway_fleet import EVENTS_LOG, GatewayFleet
+from greengagefall.bench.gateway_soak import (
+    CallRecord,
+    StandstillWatch,
+    check_records,
+    run_soak,
+)
 from greengagefall.bench.tcp_proxy import TcpProxy
 from greengagefall.ownership.model import KeyRange, ServerIncarnation
 from greengagefall.platform.grants import grant_request
@@ -192,6 +197,20 @@
         self.assertIn("while both began requests", " ".join(self.found()))
 
 
+class StandstillTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_standstill_of_the_soaks_own_process_is_noticed(self):
+        fleet = GatewayFleet(1, 1)
+        watch = StandstillWatch(fleet)
+        watching = asyncio.create_task(watch.run())
+        await asyncio.sleep(0)
+        time.sleep(0.6)  # noqa: ASYNC251 - that is the standstill
+        await asyncio.sleep(0.05)
+        watching.cancel()
+        self.assertGreater(watch.longest_s, 0.4)
+        events = (fleet.processes.log_dir / EVENTS_LOG).read_text()
+        self.assertIn("stood still for", events)
+
+
 class ServerTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.server = PlatformServerStandIn("p0", "proofdesk", "north-a", keyed=True)
