Have the soak restart servers unseen beside the kill of all hosts in a move

The soak drew unseen restarts and kills of all hosts apart, and no fault waited for a move, so it met the fault of docs/incidents/fence-kept-by-a-move.md only by chance.

--- a/greengagefall/bench/gateway_fault_steps.py
+++ b/greengagefall/bench/gateway_fault_steps.py
@@ -16,6 +16,7 @@
 FAULTS: Registry[Callable[[GatewayFleet, random.Random], Awaitable[None]]] = Registry("fault")
 SHORT_RANGE_S = (0.2, 2.0)
 LONG_RANGE_S = (0.5, 5.0)
+RESTART_RANGE_S = (0.0, 0.5)
 MAX_HELD_SERVERS = 3
 
 
--- a/greengagefall/bench/gateway_faults.py
+++ b/greengagefall/bench/gateway_faults.py
@@ -5,7 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import greengagefall.bench.gateway_hold_faults  # noqa: F401 - registers its faults
+import greengagefall.bench.gateway_hold_faults
+import greengagefall.bench.gateway_unseen_faults  # noqa: F401 - both register faults
 from greengagefall.bench.gateway_fault_steps import (
     FAULTS,
     LONG_RANGE_S,
--- a/greengagefall/bench/gateway_fleet.py
+++ b/greengagefall/bench/gateway_fleet.py
@@ -173,6 +173,10 @@
             self.processes.kill(host)
         self.log_event(f"{hosts} killed with {left_behind} connections that hold data back")
 
+    def holds_keys(self, name: str) -> bool:
+        """Returns whether a server holds any keys now."""
+        return any(end_s > time.monotonic() for _, end_s in self.servers[name].grants.values())
+
     async def wait_before_renewal(self, name: str) -> None:
         """Waits until a server's grant is about to be renewed, or until none comes."""
         self._granted[name].clear()
@@ -204,9 +208,20 @@
         self.servers[name].crashed = False
         await self.write_server_entry(name)
 
-    async def restart_server_unseen(self, name: str, unseen_s: float) -> None:
-        """Restarts a server under its id; the store has its old entry for ``unseen_s`` more."""
+    async def restart_server_unseen(self, name: str, unseen_s: float, down_s: float = 0.0) -> None:
+        """Restarts a server under its id; the store has its old entry for ``unseen_s`` more.
+
+        Args:
+            name: Id of the server.
+            unseen_s: Time from the new start until the server writes its entry.
+            down_s: Time from the crash until the new start; hosts' connections end at the crash.
+        """
         self._restart(name)
+        if down_s:
+            link, server = self.server_links[name], self.servers[name]
+            link.refuses = server.crashed = True
+            await asyncio.sleep(down_s)
+            link.refuses = server.crashed = False
         await asyncio.sleep(unseen_s)
         await self.renew_server_entry(name)
 
--- a/greengagefall/bench/gateway_hold_faults.py
+++ b/greengagefall/bench/gateway_hold_faults.py
@@ -9,6 +9,7 @@
     FAULTS,
     LONG_RANGE_S,
     MAX_HELD_SERVERS,
+    RESTART_RANGE_S,
     SHORT_RANGE_S,
     crash_and_restart,
     kill_and_restart,
@@ -35,7 +36,6 @@
 EXPIRY_HOLD_RANGES_S = ((3.5, 8.0), (5.4, 6.1), (11.4, 12.2))
 # A renewal that is held back is given up after 0.5 s.
 KILL_RANGE_S = (0.1, 0.45)
-RESTART_RANGE_S = (0.0, 0.5)
 HELD_DIRECTIONS = ((True, True), (True, True), (True, False), (False, True))
 HELD_TO_TARGET = ((True, True), (True, False))
 # How hosts lose servers: calls hang, connections are reset, or new ones are refused.
--- a/greengagefall/tests/gateway_soak_tests.py
+++ b/greengagefall/tests/gateway_soak_tests.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 import time
 import unittest
 from unittest import mock
@@ -18,12 +19,14 @@
 from greengagefall.bench.tcp_proxy import TcpProxy
 from greengagefall.ownership.model import KeyRange, ServerIncarnation
 from greengagefall.platform.grants import grant_request
+from greengagefall.platform.records import SERVERS_PREFIX
 from greengagefall.standins.platform_server import (
     CUT_IN_HEAD,
     REFUSED_TWICE,
     AcceptedGrant,
     PlatformServerStandIn,
 )
+from greengagefall.utils.waiting import wait_until
 
 SECONDS = 10.0
 ORDER_DELAY_S = 1.5
@@ -197,6 +200,33 @@
         self.assertIn("while both began requests", " ".join(self.found()))
 
 
+class UnseenRestartTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.fleet = GatewayFleet(1, 1)
+        self.server = self.fleet.servers["p0"]
+        self.link = self.fleet.server_links["p0"] = TcpProxy("127.0.0.1:1")
+        await self.fleet.store.start()
+        self.addAsyncCleanup(self.fleet.store.close)
+        await self.fleet.write_server_entry("p0")
+
+    def listed_start_ms(self) -> int:
+        return json.loads(self.fleet.store.value(SERVERS_PREFIX + "p0"))["born"]
+
+    async def test_the_store_lists_the_former_process_until_the_cut_ends(self):
+        former_ms = self.server.start_ms
+        task = asyncio.create_task(self.fleet.restart_server_unseen("p0", 1.0, down_s=0.5))
+        for is_down in (True, False):
+            with self.subTest(is_down=is_down):
+                self.assertTrue(
+                    await wait_until(lambda down=is_down: self.server.crashed == down, 5.0)
+                )
+                self.assertEqual(self.link.refuses, is_down)
+                self.assertGreater(self.server.start_ms, former_ms)
+                self.assertEqual(self.listed_start_ms(), former_ms)
+        await task
+        self.assertEqual(self.listed_start_ms(), self.server.start_ms)
+
+
 class StandstillTests(unittest.IsolatedAsyncioTestCase):
     async def test_a_standstill_of_the_soaks_own_process_is_noticed(self):
         fleet = GatewayFleet(1, 1)
