Have the soak stop hosts whose callers keep connections until the end

The new fault opens twenty idle or half-used connections to a host, stops it and keeps them until its process is gone.

--- a/greengagefall/bench/gateway_faults.py
+++ b/greengagefall/bench/gateway_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
 import greengagefall.bench.gateway_hold_faults
@@ -16,9 +17,7 @@
     kill_and_restart,
     restart_after,
 )
-from greengagefall.bench.processes import STOP_TIMEOUT_S
 from greengagefall.standins.platform_server import CUT_IN_HEAD, REFUSED_TWICE
-from greengagefall.utils.waiting import wait_until
 
 if TYPE_CHECKING:
     import random
@@ -27,6 +26,9 @@
     from greengagefall.bench.tcp_proxy import TcpProxy
 
 RELOAD_RANGE_S = (0.1, 0.4)
+KEPT_CONNECTIONS = 20
+# What callers sent on connections that they keep: nothing, or the beginning of a request.
+KEPT_BEGINNINGS = (b"", b"GET /drafts/x HTTP/1.1\r\nHost:")
 LINK_DELAY_S = 0.15
 # The store drops the entry of a server after three heartbeat intervals of 0.5 s.
 UNSEEN_RANGE_S = (0.2, 1.4)
@@ -57,11 +59,33 @@
     host = rng.choice(fleet.hosts())
     if not fleet.processes.is_running(host):
         return
-    fleet.processes.terminate(host)
-    await wait_until(lambda: not fleet.processes.is_running(host), STOP_TIMEOUT_S)
+    await fleet.stop_host(host)
     await restart_after(fleet, host, rng.uniform(*SHORT_RANGE_S))
 
 
+@FAULTS.register("stop_host_beside_kept_connections")
+async def stop_host_beside_kept_connections(fleet: GatewayFleet, rng: random.Random) -> None:
+    """Stops a host while callers keep idle and half-used connections until its process is gone."""
+    host = rng.choice(fleet.hosts())
+    if not fleet.processes.is_running(host):
+        return
+    before_s, pause_s = rng.uniform(*SHORT_RANGE_S), rng.uniform(*SHORT_RANGE_S)
+    ip, _, port = fleet.callers[host].rpartition(":")
+    writers = []
+    # A host that has only just started refuses connections.
+    with contextlib.suppress(OSError):
+        for beginning in rng.choices(KEPT_BEGINNINGS, k=KEPT_CONNECTIONS):
+            _, writer = await asyncio.open_connection(ip, int(port))
+            writer.write(beginning)
+            writers.append(writer)
+    await asyncio.sleep(before_s)
+    if fleet.processes.is_running(host):
+        await fleet.stop_host(host)
+    for writer in writers:
+        writer.close()
+    await restart_after(fleet, host, pause_s)
+
+
 @FAULTS.register("pause_host")
 async def pause_host(fleet: GatewayFleet, rng: random.Random) -> None:
     """Suspends a host's process for a while."""
--- a/greengagefall/bench/gateway_fleet.py
+++ b/greengagefall/bench/gateway_fleet.py
@@ -14,7 +14,7 @@
     HoldLog,
     with_requests_of_both,
 )
-from greengagefall.bench.processes import PortBlock, ProcessGroup, ProcessSpec
+from greengagefall.bench.processes import STOP_TIMEOUT_S, PortBlock, ProcessGroup, ProcessSpec
 from greengagefall.bench.tcp_proxy import TcpProxy
 from greengagefall.ownership.key_grants import RENEW_INTERVAL_S
 from greengagefall.ownership.model import LAST_KEY
@@ -173,6 +173,14 @@
             self.processes.kill(host)
         self.log_event(f"{hosts} killed with {left_behind} connections that hold data back")
 
+    async def stop_host(self, host: str) -> None:
+        """Stops a running host gracefully; one that doesn't end although it runs is a violation."""
+        began_s = time.monotonic()
+        self.processes.terminate(host)
+        ended = await wait_until(lambda: not self.processes.is_running(host), STOP_TIMEOUT_S)
+        if not ended and self.processes.ran_since(host, began_s):
+            self._report(f"{host} had not ended {STOP_TIMEOUT_S} s after its stop signal")
+
     def holds_keys(self, name: str) -> bool:
         """Returns whether a server holds any keys now."""
         return any(end_s > time.monotonic() for _, end_s in self.servers[name].grants.values())
--- a/greengagefall/bench/processes.py
+++ b/greengagefall/bench/processes.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import itertools
+import math
 import os
 import random
 import signal
@@ -11,6 +12,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -122,6 +124,8 @@
         self.log_dir = Path(tempfile.mkdtemp(prefix="greengagefall-"))
         self._specs: dict[str, ProcessSpec] = {}
         self._running: dict[str, subprocess.Popen] = {}
+        self._paused: set[str] = set()
+        self._resumed_s: dict[str, float] = {}
 
     def start(self, spec: ProcessSpec) -> None:
         """Starts a process; an earlier process of the same name must have ended."""
@@ -146,10 +150,13 @@
 
     def pause(self, name: str) -> None:
         """Suspends a process."""
+        self._paused.add(name)
         self._running[name].send_signal(signal.SIGSTOP)
 
     def resume(self, name: str) -> None:
         """Resumes a suspended process."""
+        self._paused.discard(name)
+        self._resumed_s[name] = time.monotonic()
         self._running[name].send_signal(signal.SIGCONT)
 
     def stop(self, name: str) -> int:
@@ -166,6 +173,10 @@
         """Has a process read its settings again."""
         self._running[name].send_signal(signal.SIGHUP)
 
+    def ran_since(self, name: str, since_s: float) -> bool:
+        """Returns whether a process was not suspended since a time of ``time.monotonic()``."""
+        return name not in self._paused and self._resumed_s.get(name, -math.inf) < since_s
+
     def is_running(self, name: str) -> bool:
         """Returns whether the process has not ended."""
         process = self._running.get(name)
--- a/greengagefall/tests/gateway_soak_tests.py
+++ b/greengagefall/tests/gateway_soak_tests.py
@@ -227,6 +227,29 @@
         self.assertEqual(self.listed_start_ms(), self.server.start_ms)
 
 
+class StopCheckTests(unittest.IsolatedAsyncioTestCase):
+    async def found(self, *, paused: bool = False, resumed: bool = False) -> list[str]:
+        """Returns the violations when a process does not end within the time for its stop."""
+        fleet = GatewayFleet(1, 1)
+        fleet.processes._running["edge-0"] = mock.Mock(**{"poll.return_value": None})
+        if paused:
+            fleet.processes.pause("edge-0")
+        with mock.patch("greengagefall.bench.gateway_fleet.STOP_TIMEOUT_S", 0.2):
+            stopping = asyncio.create_task(fleet.stop_host("edge-0"))
+            await asyncio.sleep(0.05)
+            if resumed:
+                fleet.processes.resume("edge-0")
+            await stopping
+        return [violation.text for violation in fleet.violations]
+
+    async def test_only_a_process_that_ran_and_did_not_end_is_a_violation(self):
+        found = await self.found()
+        self.assertEqual(len(found), 1)
+        self.assertIn("edge-0 had not ended", found[0])
+        self.assertEqual(await self.found(paused=True), [])
+        self.assertEqual(await self.found(paused=True, resumed=True), [])
+
+
 class StandstillTests(unittest.IsolatedAsyncioTestCase):
     async def test_a_standstill_of_the_soaks_own_process_is_noticed(self):
         fleet = GatewayFleet(1, 1)
