Have the soak silence the store after a server restarted unseen

The cause doesn't need a suspended process: a host that watches the store by itself takes an open watch for a proof that it knows all entries (RelayFollower._note_own_proof). While no answer of the store arrives, that holds until the probe gives up; the entry of the former process then counts as current 1.65 s after the restart, and the old fence is granted. The new fault restarts a server unseen and holds back what hosts and store send each other 0 to 1.2 s later.

--- a/greengagefall/bench/gateway_hold_faults.py
+++ b/greengagefall/bench/gateway_hold_faults.py
@@ -61,7 +61,7 @@
         behind = [_lose_entry(fleet, name, duration_s) for name in names]
     links = [fleet.server_links[name] for name in names]
     fleet.log_event(f"hold of {names} for {duration_s:.2f} s")
-    await asyncio.gather(_hold(links, rng, duration_s), *behind)
+    await asyncio.gather(hold(links, rng, duration_s), *behind)
 
 
 @FAULTS.register("servers_held_in_series")
@@ -77,7 +77,7 @@
     """Holds back what some hosts and some servers send each other; the other hosts reach them."""
     links = [fleet.server_links[name] for name in _names_not_held(fleet, rng)]
     is_cut_off = _some_hosts(fleet, rng)
-    await _hold(links, rng, rng.uniform(*rng.choice(HOLD_RANGES_S)), is_cut_off)
+    await hold(links, rng, rng.uniform(*rng.choice(HOLD_RANGES_S)), is_cut_off)
 
 
 @FAULTS.register("hosts_without_servers")
@@ -93,7 +93,7 @@
     form = rng.choice(LOSS_FORMS)
     fleet.log_event(f"hosts without servers: {form} for {duration_s:.2f} s")
     if form == LOSS_HANGS:
-        await _hold(links, rng, duration_s, is_cut_off)
+        await hold(links, rng, duration_s, is_cut_off)
         return
     for link in links:
         link.refuses_from = is_cut_off
@@ -110,7 +110,7 @@
     host = rng.choice(fleet.hosts())
     links = [fleet.server_links[name] for name in _names_not_held(fleet, rng)]
     duration_s = rng.uniform(*rng.choice(HOLD_RANGES_S))
-    holding = asyncio.create_task(_hold(links, rng, duration_s))
+    holding = asyncio.create_task(hold(links, rng, duration_s))
     await asyncio.sleep(duration_s * rng.random())
     await kill_and_restart(fleet, [host], rng.uniform(*SHORT_RANGE_S))
     await holding
@@ -132,7 +132,7 @@
     links = [fleet.server_links[name] for name in names]
     fleet.log_event(f"hold of {names} for {duration_s:.2f} s, {hosts} to be killed")
     await asyncio.gather(
-        _hold(links, rng, duration_s, directions=HELD_TO_TARGET),
+        hold(links, rng, duration_s, directions=HELD_TO_TARGET),
         _kill_after_hold_began(fleet, hosts, rng),
         *(crash_and_restart(fleet, name, rng) for name in names[:restarted]),
     )
@@ -155,7 +155,7 @@
     links = [link for link in fleet.server_links.values() if not link.is_holding()]
     fleet.log_event(f"{hosts} without servers for {duration_s:.2f} s, to be killed")
     await asyncio.gather(
-        _hold(links, rng, duration_s, _is_of(fleet, hosts), HELD_TO_TARGET),
+        hold(links, rng, duration_s, _is_of(fleet, hosts), HELD_TO_TARGET),
         _kill_after_hold_began(fleet, hosts, rng),
     )
 
@@ -165,7 +165,7 @@
     """Holds back what some hosts and the store send each other, and delivers it late."""
     hosts = rng.sample(fleet.hosts(), rng.randint(1, len(fleet.hosts())))
     links = [fleet.store_links[host] for host in hosts if not fleet.store_links[host].is_holding()]
-    await _hold(links, rng, rng.uniform(*LONG_RANGE_S))
+    await hold(links, rng, rng.uniform(*LONG_RANGE_S))
 
 
 def _some_hosts(fleet: GatewayFleet, rng: random.Random) -> Callable[[int], bool]:
@@ -207,7 +207,7 @@
     return [name for name in names if not fleet.server_links[name].is_holding()]
 
 
-async def _hold(
+async def hold(
     links: list[TcpProxy],
     rng: random.Random,
     duration_s: float,
--- a/greengagefall/bench/gateway_unseen_faults.py
+++ b/greengagefall/bench/gateway_unseen_faults.py
@@ -7,6 +7,7 @@
 
 from greengagefall.bench.gateway_fault_steps import FAULTS, RESTART_RANGE_S, kill_and_restart
 from greengagefall.bench.gateway_fleet import ENTRY_EXPIRY_S
+from greengagefall.bench.gateway_hold_faults import hold
 from greengagefall.utils.waiting import wait_until
 
 if TYPE_CHECKING:
@@ -27,6 +28,9 @@
 DRAIN_PAUSE_RANGE_S = (0.0, 0.4)
 # The store drops the entry of a server that is cut off from it for longer.
 CUT_RANGE_S = (0.5, ENTRY_EXPIRY_S - 0.1)
+# Hosts take an old fence for safe 1.65 s after a restart if they know all entries by then.
+SILENT_AFTER_RESTART_RANGE_S = (0.0, 1.2)
+SILENT_RANGE_S = (1.5, 4.0)
 
 
 @FAULTS.register("hosts_killed_during_moves")
@@ -75,3 +79,22 @@
     unseen_s = cut_s - start_s
     fleet.log_event(f"{name} crashes, cut off from the store, unseen for {unseen_s:.2f} s")
     await fleet.restart_server_unseen(name, unseen_s, start_s - crash_s)
+
+
+@FAULTS.register("server_restarts_before_store_is_silent")
+async def server_restarts_before_store_is_silent(fleet: GatewayFleet, rng: random.Random) -> None:
+    """Restarts a server unseen by the store; soon after that no answer of the store arrives."""
+    names = [name for name, server in fleet.servers.items() if server.keyed]
+    name = rng.choice(names)
+    links = [link for link in fleet.store_links.values() if not link.is_holding()]
+    unseen_s, silent_s = rng.uniform(*CUT_RANGE_S), rng.uniform(*SILENT_RANGE_S)
+    silent_after_s = rng.uniform(*SILENT_AFTER_RESTART_RANGE_S)
+
+    async def silence() -> None:
+        await asyncio.sleep(silent_after_s)
+        await hold(links, rng, silent_s)
+
+    if fleet.server_links[name].refuses:
+        return
+    fleet.log_event(f"{name} restarts, the store is silent {silent_after_s:.2f} s later")
+    await asyncio.gather(fleet.restart_server_unseen(name, unseen_s), silence())
