--- a/greengagefall/bench/gateway_fleet.py
+++ b/greengagefall/bench/gateway_fleet.py
@@ -14,7 +14,7 @@
     HoldLog,
     with_requests_of_both,
 )
-from greengagefall.bench.processes import PortBlock, ProcessGroup, ProcessSpec
+from greengagefall.bench.processes import STOP_TIMEOUT_S, PortBlock, ProcessGroup, ProcessSpec
 from greengagefall.bench.tcp_proxy import TcpProxy
 from greengagefall.ownership.key_grants import RENEW_INTERVAL_S
 from greengagefall.ownership.model import LAST_KEY
@@ -173,6 +173,18 @@
             self.processes.kill(host)
         self.log_event(f"{hosts} killed with {left_behind} connections that hold data back")
 
+    async def stop_host(self, host: str) -> None:
+        """Stops a running host gracefully; one that doesn't end although it runs is a violation."""
+        began_s = time.monotonic()
+        self.processes.terminate(host)
+        ended = await wait_until(lambda: not self.processes.is_running(host), STOP_TIMEOUT_S)
+        if not ended and self.processes.ran_since(host, began_s):
+            self._report(f"{host} had not ended {STOP_TIMEOUT_S} s after its stop signal")
+
+    def holds_keys(self, name: str) -> bool:
+        """Returns whether a server holds any keys now."""
+        return any(end_s > time.monotonic() for _, end_s in self.servers[name].grants.values())
+
     async def wait_before_renewal(self, name: str) -> None:
         """Waits until a server's grant is about to be renewed, or until none comes."""
         self._granted[name].clear()
@@ -204,9 +216,20 @@
         self.servers[name].crashed = False
         await self.write_server_entry(name)
 
-    async def restart_server_unseen(self, name: str, unseen_s: float) -> None:
-        """Restarts a server under its id; the store has its old entry for ``unseen_s`` more."""
+    async def restart_server_unseen(self, name: str, unseen_s: float, down_s: float = 0.0) -> None:
+        """Restarts a server under its id; the store has its old entry for ``unseen_s`` more.
+
+        Args:
+            name: Id of the server.
+            unseen_s: Time from the new start until the server writes its entry.
+            down_s: Time from the crash until the new start; hosts' connections end at the crash.
+        """
         self._restart(name)
+        if down_s:
+            link, server = self.server_links[name], self.servers[name]
+            link.refuses = server.crashed = True
+            await asyncio.sleep(down_s)
+            link.refuses = server.crashed = False
         await asyncio.sleep(unseen_s)
         await self.renew_server_entry(name)
 
--- a/greengagefall/tests/gateway_soak_tests.py
+++ b/greengagefall/tests/gateway_soak_tests.py
@@ -4,21 +4,29 @@
 
 import asyncio
 import contextlib
+import json
 import time
 import unittest
 from unittest import mock
 
-from greengagefall.bench.gateway_fleet import GatewayFleet
-from greengagefall.bench.gateway_soak import CallRecord, check_records, run_soak
+from greengagefall.bench.gateway_fleet import EVENTS_LOG, GatewayFleet
+from greengagefall.bench.gateway_soak import (
+    CallRecord,
+    StandstillWatch,
+    check_records,
+    run_soak,
+)
 from greengagefall.bench.tcp_proxy import TcpProxy
 from greengagefall.ownership.model import KeyRange, ServerIncarnation
 from greengagefall.platform.grants import grant_request
+from greengagefall.platform.records import SERVERS_PREFIX
 from greengagefall.standins.platform_server import (
     CUT_IN_HEAD,
     REFUSED_TWICE,
     AcceptedGrant,
     PlatformServerStandIn,
 )
+from greengagefall.utils.waiting import wait_until
 
 SECONDS = 10.0
 ORDER_DELAY_S = 1.5
@@ -192,6 +200,70 @@
         self.assertIn("while both began requests", " ".join(self.found()))
 
 
+class UnseenRestartTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.fleet = GatewayFleet(1, 1)
+        self.server = self.fleet.servers["p0"]
+        self.link = self.fleet.server_links["p0"] = TcpProxy("127.0.0.1:1")
+        await self.fleet.store.start()
+        self.addAsyncCleanup(self.fleet.store.close)
+        await self.fleet.write_server_entry("p0")
+
+    def listed_start_ms(self) -> int:
+        return json.loads(self.fleet.store.value(SERVERS_PREFIX + "p0"))["born"]
+
+    async def test_the_store_lists_the_former_process_until_the_cut_ends(self):
+        former_ms = self.server.start_ms
+        task = asyncio.create_task(self.fleet.restart_server_unseen("p0", 1.0, down_s=0.5))
+        for is_down in (True, False):
+            with self.subTest(is_down=is_down):
+                self.assertTrue(
+                    await wait_until(lambda down=is_down: self.server.crashed == down, 5.0)
+                )
+                self.assertEqual(self.link.refuses, is_down)
+                self.assertGreater(self.server.start_ms, former_ms)
+                self.assertEqual(self.listed_start_ms(), former_ms)
+        await task
+        self.assertEqual(self.listed_start_ms(), self.server.start_ms)
+
+
+class StopCheckTests(unittest.IsolatedAsyncioTestCase):
+    async def found(self, *, paused: bool = False, resumed: bool = False) -> list[str]:
+        """Returns the violations when a process does not end within the time for its stop."""
+        fleet = GatewayFleet(1, 1)
+        fleet.processes._running["edge-0"] = mock.Mock(**{"poll.return_value": None})
+        if paused:
+            fleet.processes.pause("edge-0")
+        with mock.patch("greengagefall.bench.gateway_fleet.STOP_TIMEOUT_S", 0.2):
+            stopping = asyncio.create_task(fleet.stop_host("edge-0"))
+            await asyncio.sleep(0.05)
+            if resumed:
+                fleet.processes.resume("edge-0")
+            await stopping
+        return [violation.text for violation in fleet.violations]
+
+    async def test_only_a_process_that_ran_and_did_not_end_is_a_violation(self):
+        found = await self.found()
+        self.assertEqual(len(found), 1)
+        self.assertIn("edge-0 had not ended", found[0])
+        self.assertEqual(await self.found(paused=True), [])
+        self.assertEqual(await self.found(paused=True, resumed=True), [])
+
+
+class StandstillTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_standstill_of_the_soaks_own_process_is_noticed(self):
+        fleet = GatewayFleet(1, 1)
+        watch = StandstillWatch(fleet)
+        watching = asyncio.create_task(watch.run())
+        await asyncio.sleep(0)
+        time.sleep(0.6)  # noqa: ASYNC251 - that is the standstill
+        await asyncio.sleep(0.05)
+        watching.cancel()
+        self.assertGreater(watch.longest_s, 0.4)
+        events = (fleet.processes.log_dir / EVENTS_LOG).read_text()
+        self.assertIn("stood still for", events)
+
+
 class ServerTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.server = PlatformServerStandIn("p0", "proofdesk", "north-a", keyed=True)
