Have the store itself confirm a server's entry before old fences go out

Cause: after a sign of a restart a dispatcher holds fences back until the store would have dropped the entry of a process that ended. It took the entry in its own view for the store's, and an open watch for a proof that this view is current. A watch whose answers are lost looks like one without changes until the probe of the store gives it up, up to a second later; the entry of the former process counted as current meanwhile.

Why it works: the store answers a read from its present state, so an entry that it lists after the former one would have expired belongs to the process that runs. The read takes one call and only when keys are suspect and no request has proved the process. A probe of its own, more often, was weighed: the watch may lose its answers while another connection does not.

Tests changed: two of gateway_incarnation_check_tests expected an old fence to be granted by time alone; they now expect that it is not, and that it is after the store listed the entry. Two new ones failed before.

--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -63,6 +63,11 @@
     return lambda address: ConnectionPool(address, answer_limit_bytes, memory=memory)
 
 
+async def _is_listed(incarnation: ServerIncarnation) -> bool:
+    """Tells that the store lists an incarnation, as long as nothing else is set."""
+    return True
+
+
 class ChannelManager:
     """Opens and closes channels to backend servers as the assignment requires.
 
@@ -75,6 +80,7 @@
 
     Attributes:
         open_pool: Creates the connection pool of a server from its address.
+        is_listed: Reads from the store whether it lists a server's incarnation now.
         on_new_fence_needed: Called while a server's keys need new fencing tokens.
         ask_others: Has another host tell a server of a fencing token; returns whether the server
             confirmed it.
@@ -92,6 +98,7 @@
         self._view = view
         self._clock = clock
         self._channels: dict[ServerIncarnation, ServerChannel] = {}
+        self.is_listed: Callable[[ServerIncarnation], Awaitable[bool]] = _is_listed
         self.on_new_fence_needed: Callable[[], None] = lambda: None
         self.ask_others: Callable[[ServerIncarnation, KeySpan, int], Awaitable[bool]] | None = None
         self._sent_fences: dict[str, int] = {}
@@ -272,6 +279,7 @@
             RESTART_DETECTION_HEARTBEATS * self._view.settings.heartbeat_s,
             ENTRY_EXPIRY_HEARTBEATS * self._view.settings.heartbeat_s,
             self._sent_fences.get(server_id, 0),
+            partial(self.is_listed, incarnation),
         )
         channel = ServerChannel(
             entry, service, self._clock, self.open_pool(entry.address), knowledge, self._stop
--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -26,7 +26,7 @@
 from greengagefall.ownership.model import LAST_KEY
 from greengagefall.platform import grants as calls
 from greengagefall.utils.metrics import count
-from greengagefall.utils.supervision import start_supervised
+from greengagefall.utils.supervision import log_failure, start_supervised
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -47,6 +47,8 @@
 # A new fencing token is requested this long before a grant expires.
 NEW_FENCE_MARGIN_S = 1.2
 RELEASE_RETRY_INTERVAL_S = 0.1
+# Pause after a read of an entry that proved nothing; reads are priced.
+ENTRY_READ_PAUSE_S = 1.0
 
 
 class ReleaseOutcome(NamedTuple):
@@ -107,6 +109,7 @@
         self._renewal_needed = asyncio.Event()
         self._granted = asyncio.Event()
         self._task: asyncio.Task | None = None
+        self._entry_read: asyncio.Task | None = None
 
     def start(self) -> None:
         """Starts to renew grants and to send notices of newer fencing tokens."""
@@ -119,6 +122,8 @@
         if self._task is not None:
             self._task.cancel()
             self._task = None
+        if self._entry_read is not None:
+            self._entry_read.cancel()
 
     def set_key_ranges(self, key_ranges: list[KeyRange]) -> None:
         """Sets the key ranges that the server owns according to a newer assignment."""
@@ -320,6 +325,7 @@
     async def _renew(self) -> None:
         while True:
             self._renewal_needed.clear()
+            self._begin_entry_read()
             sends = [
                 self._send(key_range)
                 for key_range in self._key_ranges
@@ -336,6 +342,34 @@
             except TimeoutError:
                 continue
 
+    def _begin_entry_read(self) -> None:
+        """Begins to read the server's entry from the store if that may prove its incarnation."""
+        reads = self._entry_read is not None and not self._entry_read.done()
+        if reads or not self._key_ranges or not self._check.needs_entry:
+            return
+        self._entry_read = asyncio.create_task(self._read_entry())
+        self._entry_read.add_done_callback(log_failure)
+
+    async def _read_entry(self) -> None:
+        read_s = self._clock.now_s()
+        fence = self._check.suspect_fence
+        listed = await self._knowledge.is_listed()
+        proved = listed and self._check.on_entry_listed(read_s)
+        log.info(
+            "Entry of a backend server that may have restarted was read.",
+            extra={
+                "server": self._incarnation.server_id,
+                "fence": fence,
+                "listed": listed,
+                "proved": proved,
+                "took_ms": int((self._clock.now_s() - read_s) * MS_PER_S),
+            },
+        )
+        if not proved:
+            await asyncio.sleep(ENTRY_READ_PAUSE_S)
+            return
+        self._renewal_needed.set()
+
     async def _send(self, key_range: KeyRange) -> bool:
         """Sends one grant; returns whether the server accepted it."""
         grant_id = (key_range.first, key_range.last, key_range.fence)
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -14,6 +14,7 @@
 from greengagefall.gateway.coordinator import Coordinator
 from greengagefall.gateway.dispatchers import ChannelManager
 from greengagefall.gateway.election import Election
+from greengagefall.gateway.entry_check import EntryCheck
 from greengagefall.gateway.following import RESTORE_GRACE_HEARTBEATS, PrefixWatcher
 from greengagefall.gateway.handlers import PeerHandlers
 from greengagefall.gateway.peer_notices import PeerNotices
@@ -73,6 +74,7 @@
         self._channels = ChannelManager(self.view, clock, stop=self._stop)
         self._handlers = PeerHandlers(self.view, self._channels)
         self._peers = Peers(self.view, self._handlers.handle)
+        self._channels.is_listed = EntryCheck(self._store).lists
         ask_others = PeerNotices(self.view, self._peers).ask
         self._channels.ask_others = ask_others
         self._stand_in = StandInNotices(
--- a/greengagefall/gateway/incarnation_check.py
+++ b/greengagefall/gateway/incarnation_check.py
@@ -41,6 +41,12 @@
         """Highest fencing token that was sent to the server."""
         return self._sent_fence
 
+    @property
+    def needs_entry(self) -> bool:
+        """Whether an entry that is read from the store now would prove the incarnation."""
+        self._update()
+        return not self._unverified and self.suspect_fence > 0 and self._is_expiry_over()
+
     @property
     def settled(self) -> bool:
         """Whether nothing suggests that the server restarted."""
@@ -69,6 +75,20 @@
         """Records a call without an answer; a server that restarted can be known already."""
         self._suspect(0.0)
 
+    def on_entry_listed(self, read_s: float) -> bool:
+        """Takes the entry of this incarnation, as the store itself has it, as a proof.
+
+        Args:
+            read_s: When the read began.
+
+        Returns:
+            Whether it proves the incarnation: the entry of a former one had expired by then.
+        """
+        if self._unverified or read_s < self._unverified_since_s + self._knowledge.entry_expiry_s:
+            return False
+        self.suspect_fence = 0
+        return True
+
     def on_executed(self, fence: int, sent_s: float) -> bool:
         """Takes an executed request for a held key as proof of the incarnation.
 
@@ -102,5 +122,7 @@
         if known_s < self._unverified_until_s or not self._knowledge.is_entry_current():
             return
         self._unverified = False
-        if known_s >= self._unverified_since_s + self._knowledge.entry_expiry_s:
-            self.suspect_fence = 0
+
+    def _is_expiry_over(self) -> bool:
+        expired_s = self._unverified_since_s + self._knowledge.entry_expiry_s
+        return self._clock.now_s() >= expired_s
--- a/greengagefall/gateway/server_knowledge.py
+++ b/greengagefall/gateway/server_knowledge.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
 
 def _is_current() -> bool:
@@ -18,6 +18,11 @@
     return 0.0
 
 
+async def _is_listed() -> bool:
+    """Tells that the store lists the incarnation."""
+    return True
+
+
 class ServerKnowledge(NamedTuple):
     """The knowledge by which one incarnation of a server gets grants and notices.
 
@@ -32,6 +37,7 @@
         entry_expiry_s: Time after a lost connection by which the store has dropped the entry of an
             incarnation that ended then, also if no new one reaches the store.
         suspect_fence: Highest fencing token that this host may have granted to the server before.
+        is_listed: Reads from the store whether it lists this incarnation now.
     """
 
     is_assignment_current: Callable[[], bool] = _is_current
@@ -41,6 +47,7 @@
     restart_detection_s: float = 0.0
     entry_expiry_s: float = 0.0
     suspect_fence: int = 0
+    is_listed: Callable[[], Awaitable[bool]] = _is_listed
 
 
 ALL_IS_KNOWN = ServerKnowledge()
--- a/greengagefall/tests/gateway_incarnation_check_tests.py
+++ b/greengagefall/tests/gateway_incarnation_check_tests.py
@@ -42,14 +42,37 @@
         self.assertFalse(self.check.may_grant(OLD_FENCE))
         self.assertTrue(self.check.needs_new_fence(OLD_FENCE))
         self.clock.advance(EXPIRY_S - DETECTION_S)
+        self.assertTrue(self.check.needs_entry)
+        self.assertTrue(self.check.on_entry_listed(self.clock.now_s()))
         self.assertTrue(self.check.may_grant(OLD_FENCE))
 
+    def test_old_fences_need_an_entry_that_the_store_itself_lists(self):
+        # A watch whose answers were lost counted as proof that the old entry was still there.
+        self.check.on_connection_lost()
+        self.clock.advance(2 * EXPIRY_S)
+        self.assertTrue(self.check.may_grant(NEW_FENCE))
+        self.assertFalse(self.check.may_grant(OLD_FENCE))
+        self.assertFalse(self.check.settled)
+
+    def test_an_entry_that_was_read_before_it_would_have_expired_proves_nothing(self):
+        self.check.on_connection_lost()
+        self.clock.advance(DETECTION_S)
+        read_s = self.clock.now_s()
+        self.assertFalse(self.check.needs_entry)
+        self.clock.advance(EXPIRY_S)
+        self.assertFalse(self.check.on_entry_listed(read_s))
+        self.assertFalse(self.check.may_grant(OLD_FENCE))
+
     def test_entries_that_this_host_knows_late_prove_nothing_sooner(self):
         self.check.on_connection_lost()
         self.lag_s = 1.0
-        self.clock.advance(EXPIRY_S)
+        self.clock.advance(DETECTION_S)
+        self.assertFalse(self.check.may_grant(NEW_FENCE))
+        self.clock.advance(EXPIRY_S - DETECTION_S)
         self.assertFalse(self.check.may_grant(OLD_FENCE))
         self.clock.advance(self.lag_s)
+        self.assertFalse(self.check.may_grant(OLD_FENCE))
+        self.assertTrue(self.check.on_entry_listed(self.clock.now_s()))
         self.assertTrue(self.check.may_grant(OLD_FENCE))
 
     def test_nothing_is_granted_while_the_entry_is_not_current(self):
--- a/greengagefall/tests/simulated_hosts.py
+++ b/greengagefall/tests/simulated_hosts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from typing import TYPE_CHECKING
 
@@ -27,6 +28,7 @@
 from greengagefall.tests.virtual_time import LoopClock
 
 if TYPE_CHECKING:
+    from greengagefall.ownership.model import ServerIncarnation
     from greengagefall.tests.ownership_simulation import Simulation
 
 TABLE = RoutingTable(
@@ -34,6 +36,7 @@
 )
 # Time after which a host knows of a change in the store.
 WATCH_DELAY_S = 0.1
+STORE_READ_S = 0.005
 
 
 class SimulatedHost:
@@ -43,6 +46,7 @@
         self.name = name
         self.zone = zone
         self.up = True
+        self._simulation = simulation
         clock = LoopClock(simulation.loop)
         settings = PlatformSettings(
             name, zone, "", "", f"{name}:1", "", 1.0, 1.0, 20.0, 1.0, OperatorLimits()
@@ -60,6 +64,7 @@
             and simulation.loop.now_s - simulation.store_reachable_since_s > 2 * WATCH_DELAY_S
             and server_id in simulation.server_entries
         )
+        self.channels.is_listed = self._is_listed
         self.channels.ask_others = PeerNotices(self.view, peers).ask
         # With random numbers of their own, so that seeds keep their faults.
         rng = random.Random(f"{name} {start_ms}")
@@ -87,6 +92,15 @@
 
         self.election = Election(store, self.view, clock, become_coordinator, step_down)
 
+    async def _is_listed(self, incarnation: ServerIncarnation) -> bool:
+        """Reads from the simulated store whether it lists an incarnation of a server."""
+        await asyncio.sleep(STORE_READ_S)
+        simulation = self._simulation
+        if not simulation.store_up or simulation.is_cut(self.name, "store"):
+            return False
+        written = simulation.server_entries.get(incarnation.server_id)
+        return written is not None and written[0].incarnation == incarnation
+
     def record(self) -> HostRecord:
         return HostRecord(
             self.name, self.host_incarnation.start_ms, f"{self.name}:1", self.zone, 1.0
