--- a/greengagefall/tests/gateway_move_takeover_tests.py
+++ b/greengagefall/tests/gateway_move_takeover_tests.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from greengagefall.tests.ownership_simulation import Simulation
+from greengagefall.tests.planted_ownership import keep_fences_of_moves
 from greengagefall.tests.simulated_servers import SERVICE
 from greengagefall.tests.virtual_time import VirtualLoop, run_in_virtual_time, wait_for
 
@@ -81,6 +82,12 @@
                 self.assertEqual(simulation.violations, [])
                 self.assertTrue(simulation.all_held())
 
+    def test_oracle_detects_planted_fences_that_stay_while_ranges_move(self):
+        with keep_fences_of_moves():
+            for seed in SEEDS:
+                with self.subTest(seed=seed):
+                    self.assertNotEqual(self.play(seed).violations, [])
+
 
 def _granted_moves(simulation: Simulation) -> list[KeyRange]:
     """Returns the ranges that their new owners hold, and that still move by the assignment."""
