Let a simulated connection end with the process that accepted it

The next renewal went over the kept connection to the later process.

No platform does that: a connection ends with the process that accepted it, and a call over it is answered by a reset, which the dispatcher takes as a sign of a restart. The simulated pool does the same now: the call is lost, and nothing of it reaches the later process; a pool that sees the end of a process keeps no connection to it. The check of fences is unchanged.

--- a/greengagefall/tests/simulated_network.py
+++ b/greengagefall/tests/simulated_network.py
@@ -9,7 +9,12 @@
 from tornado.httputil import HTTPHeaders
 
 from greengagefall.dispatch.connection_pool import HttpAnswer
-from greengagefall.dispatch.exceptions import AnswerTimeoutError, NotSentError, SendRefusedError
+from greengagefall.dispatch.exceptions import (
+    AnswerLostError,
+    AnswerTimeoutError,
+    NotSentError,
+    SendRefusedError,
+)
 from greengagefall.gateway.peers import REPLY_LOST, UNREACHABLE
 from greengagefall.platform.requests import (
     RATE_LIMIT_HEADER,
@@ -98,6 +103,11 @@
             raise NotSentError(f"no new connection to {server.name}")
         if not may_send():
             raise SendRefusedError(f"the call to {server.name} is no longer current")
+        if self._kept_with_ms not in (None, server.start_ms):
+            # A connection ends with the process that accepted it; its next call is answered by a
+            # reset, and nothing of it reaches a later process.
+            self._kept_with_ms = None
+            raise AnswerLostError(f"{server.name} has restarted")
         self._kept_with_ms = server.start_ms
         arrived_s = simulation.loop.now_s
         if path in (PATH_SILENT, PATH_ANSWERS_LOST):
--- a/greengagefall/tests/simulated_servers.py
+++ b/greengagefall/tests/simulated_servers.py
@@ -86,10 +86,8 @@
         if not seen:
             return
         for pool in self.pools:
-            if pool.on_idle_close is not None and not self.simulation.is_cut(
-                pool.host_name, self.name
-            ):
-                pool.on_idle_close()
+            if not self.simulation.is_cut(pool.host_name, self.name):
+                pool.reset()
 
     def entry(self) -> ServerEntry:
         return ServerEntry(
