Wait for hosts that a restored store does not know, too

What callers saw: two backend servers held the same keys for seconds and both worked on them, the users' words for an overlap ("held the keys 4228 to 6341 for 3367 ms").

Cause: if no host remembers an assignment after a restore, the coordinator waits until all grants have expired, 3.1 s, and 8 s longer for hosts that are cut off and renew theirs, unless all known hosts had reported. Which hosts there are it takes from the restored store.

Ruled out: the store's version was taken for the newest (it was 0); a server that restarted (none did).

The wait is 11.1 s now whoever reported: the store that was restored can't prove that nobody else is there. It costs 8 s of service when a restore meets the loss of all hosts that remember; with one host lost for good it was so before. The new test failed before. The test that expected the short wait expects the long one: its reason, that all hosts of the copy are all hosts, is what was wrong.

--- a/greengagefall/gateway/assignment_recovery.py
+++ b/greengagefall/gateway/assignment_recovery.py
@@ -34,6 +34,9 @@
 # Longest wait for the reports of all hosts.
 REPORT_WAIT_S = 2.0
 REQUEST_TIMEOUT_S = 0.6
+# How long after the restore grants by a forgotten assignment may be in force. The copy may lack the
+# records of hosts that are cut off with their servers and go on renewing grants for a while.
+GRANTS_END_S = ASSIGNMENT_VALIDITY_S + MAX_DELIVERY_DELAY_S + max_grant_lifetime_s()
 # Added to versions and fences for each restore: more than can have been given out and lost with it.
 LOST_NUMBERS = 100_000
 
@@ -98,7 +101,7 @@
             known = found
         # Hosts get no assignment from the store before it is recovered.
         forgotten = version == 0
-        if forgotten and waited_s < _grants_end_s(all_reported):
+        if forgotten and waited_s < GRANTS_END_S:
             # No host remembers who got keys after the copy was made: wait until no grant is left.
             return None
         log.warning(
@@ -136,17 +139,6 @@
             return None
 
 
-def _grants_end_s(all_reported: bool) -> float:
-    """Returns how long after the restore grants by a forgotten assignment may be in force.
-
-    Args:
-        all_reported: Whether each host has reported since. One that has not may be cut off with the
-            servers that it dispatches, and goes on renewing their grants for a while.
-    """
-    renewed_s = 0.0 if all_reported else ASSIGNMENT_VALIDITY_S
-    return renewed_s + MAX_DELIVERY_DELAY_S + max_grant_lifetime_s()
-
-
 def _with_new_fences(assignment: Assignment, *, clear_sources: bool) -> Assignment:
     """Returns an assignment in which every key range has a fence above all that were lost.
 
--- a/greengagefall/tests/gateway_assignment_recovery_tests.py
+++ b/greengagefall/tests/gateway_assignment_recovery_tests.py
@@ -6,6 +6,7 @@
 from types import SimpleNamespace
 
 from greengagefall.gateway.assignment_recovery import (
+    GRANTS_END_S,
     LOST_NUMBERS,
     REPORT_WAIT_S,
     AssignmentRecovery,
@@ -14,7 +15,6 @@
 from greengagefall.gateway.host_reports import HOST_TIMEOUT_S, HostReports
 from greengagefall.gateway.peers import UNREACHABLE
 from greengagefall.gateway.publishing import full_message
-from greengagefall.gateway.view import ASSIGNMENT_VALIDITY_S
 from greengagefall.ownership.key_grants import MAX_DELIVERY_DELAY_S, max_grant_lifetime_s
 from greengagefall.ownership.model import (
     LAST_KEY,
@@ -138,18 +138,27 @@
         self.recovery.begin(assignment(27), 1)
         for host in HOSTS:
             self.report(host, 0)
-        self.clock.advance(0.9 * (MAX_DELIVERY_DELAY_S + max_grant_lifetime_s()))
+        self.clock.advance(GRANTS_END_S - 0.1)
         self.assertIsNone(await self.recover(assignment(27)))
-        self.clock.advance(0.2 * (MAX_DELIVERY_DELAY_S + max_grant_lifetime_s()))
+        self.clock.advance(0.2)
         recovered = await self.recover(assignment(27))
         self.assertFalse(any(one.moving for one in recovered.key_ranges["proofdesk"]))
 
+    async def test_hosts_that_the_copy_lacks_may_renew_forgotten_grants_for_longer(self):
+        # All hosts of the copy had reported, but others were cut off with their servers.
+        self.recovery.begin(assignment(0), 1)
+        for host in HOSTS:
+            self.report(host, 0)
+        self.clock.advance(1.1 * (MAX_DELIVERY_DELAY_S + max_grant_lifetime_s()))
+        for host in HOSTS:
+            self.report(host, 0)
+        self.assertIsNone(await self.recover(assignment(0)))
+
     async def test_host_that_is_not_heard_may_renew_forgotten_grants_for_longer(self):
         # It may be cut off with its servers, while all others restarted and forgot.
         self.recovery.begin(assignment(27), 1)
         self.report("h0", 0)
-        grants_end_s = ASSIGNMENT_VALIDITY_S + MAX_DELIVERY_DELAY_S + max_grant_lifetime_s()
-        self.clock.advance(grants_end_s - 0.1)
+        self.clock.advance(GRANTS_END_S - 0.1)
         self.report("h0", 0)
         self.assertIsNone(await self.recover(assignment(27)))
         self.clock.advance(0.2)
