Wait after a restore if the newest known version may be outdated

What callers saw: two backend servers held the same keys and both worked on them ("held the keys 50575 to 50737 for 3352 ms").

Cause: after a restore any version above 0 from any host ended the wait for grants by forgotten versions after 2 s. A host that had been frozen for seconds before reported version 37; the last one was 51, and only hosts that were cut off with their servers still knew it and went on renewing.

Hosts now tell with each heartbeat how long ago their version was known to be the newest. If some host has not reported, and nobody knew the newest reported version to be the newest in the 4 s before the recovery began, it counts as forgotten. A host in touch has heard of it until the former coordinator was lost, 2 to 3 s before. What is left is a version written in that time that no reporting host heard of: 0.3 s for hosts that are in touch.

The new test of an outdated host failed before; one for a host in touch passes before and after, so that an ordinary restore waits no longer.

--- a/greengagefall/gateway/assignment_recovery.py
+++ b/greengagefall/gateway/assignment_recovery.py
@@ -34,6 +34,9 @@
 # Longest wait for the reports of all hosts.
 REPORT_WAIT_S = 2.0
 REQUEST_TIMEOUT_S = 0.6
+# Hosts in touch have heard of the newest version until the former coordinator was lost; its lease
+# and the election of the next one take the rest.
+MAX_OUT_OF_TOUCH_S = 4.0
 # How long after the restore grants by a forgotten assignment may be in force. The copy may lack the
 # records of hosts that are cut off with their servers and go on renewing grants for a while.
 GRANTS_END_S = ASSIGNMENT_VALIDITY_S + MAX_DELIVERY_DELAY_S + max_grant_lifetime_s()
@@ -100,7 +103,7 @@
                 return None
             known = found
         # Hosts get no assignment from the store before it is recovered.
-        forgotten = version == 0
+        forgotten = version == 0 or (not all_reported and self._is_outdated(version))
         if forgotten and waited_s < GRANTS_END_S:
             # No host remembers who got keys after the copy was made: wait until no grant is left.
             return None
@@ -111,11 +114,20 @@
                 "stored": self._stored.version,
                 "from": host if version >= known.version else "",
                 "all_reported": all_reported,
+                "forgotten": forgotten,
                 "waited_s": round(waited_s, 3),
             },
         )
         return _with_new_fences(self._renumbered(known), clear_sources=forgotten)
 
+    def _is_outdated(self, version: int) -> bool:
+        """Returns whether a newer version may have been written while its hosts were out of touch.
+
+        A host that has not reported may know that version, and be cut off with its servers.
+        """
+        known_s = self._reports.last_newest_s(version, self._began_s)
+        return self._began_s - known_s > MAX_OUT_OF_TOUCH_S
+
     def _renumbered(self, known: Assignment) -> Assignment:
         """Returns an assignment whose next version and fence are above all that were lost.
 
--- a/greengagefall/gateway/beats.py
+++ b/greengagefall/gateway/beats.py
@@ -101,6 +101,7 @@
                 self._channels.pop_key_counts(),
                 self._channels.rate_limits(),
                 self._channels.suspect_fences(),
+                int(self._view.assignment_age_s() * MS_PER_S),
             )
             reply = await self._peers.call(coordinator.host, message, HEARTBEAT_TIMEOUT_S)
             if isinstance(reply, BeatReply):
--- a/greengagefall/gateway/host_reports.py
+++ b/greengagefall/gateway/host_reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import TYPE_CHECKING, NamedTuple, TypeVar
 
 from greengagefall.gateway.view import ASSIGNMENT_VALIDITY_S
@@ -120,6 +121,20 @@
         ]
         return max(versions, default=(0, ""))
 
+    def last_newest_s(self, version: int, since_s: float) -> float:
+        """Returns when a version was last known to be the newest by a host that reported it.
+
+        Args:
+            version: The version.
+            since_s: Earlier reports are ignored.
+        """
+        known_s = (
+            report.received_s - report.heartbeat.assignment_age_ms / MS_PER_S
+            for report in self._reports.values()
+            if report.received_s >= since_s and report.heartbeat.assignment_version == version
+        )
+        return max(known_s, default=-math.inf)
+
     def has_current_report(self, host: HostIncarnation) -> bool:
         """Returns whether the last heartbeat of a host came from this incarnation."""
         report = self._reports.get(host.host)
--- a/greengagefall/protocol/gateway_messages.py
+++ b/greengagefall/protocol/gateway_messages.py
@@ -109,6 +109,7 @@
         suspect_fences: For each server that it dispatches and that may have restarted: id, start
             time of the incarnation that owns its keys, and the highest fencing token that has to be
             replaced before they are granted again.
+        assignment_age_ms: How long ago the assignment that it has was last known to be the newest.
     """
 
     call_id: int
@@ -120,6 +121,7 @@
     key_counts: list[list[Any]]
     rate_limits: Sequence[list[Any]] = ()
     suspect_fences: Sequence[list[Any]] = ()
+    assignment_age_ms: int = 0
 
 
 @message("hr")
--- a/greengagefall/tests/gateway_assignment_recovery_tests.py
+++ b/greengagefall/tests/gateway_assignment_recovery_tests.py
@@ -8,6 +8,7 @@
 from greengagefall.gateway.assignment_recovery import (
     GRANTS_END_S,
     LOST_NUMBERS,
+    MAX_OUT_OF_TOUCH_S,
     REPORT_WAIT_S,
     AssignmentRecovery,
 )
@@ -29,6 +30,7 @@
 from greengagefall.standins.platform_store import PlatformStoreStandIn
 from greengagefall.utils.clock import ManualClock
 
+MS_PER_S = 1000.0
 HOSTS = ("h0", "h1")
 MIDDLE = 30_000
 
@@ -59,8 +61,11 @@
             return UNREACHABLE
         return full_message(self.remembered)
 
-    def report(self, host: str, version: int) -> None:
-        self.reports.record_heartbeat(HostBeat(0, host, 1, version, False, [], []))
+    def report(self, host: str, version: int, age_s: float = 0.0) -> None:
+        age_ms = int(age_s * MS_PER_S)
+        self.reports.record_heartbeat(
+            HostBeat(0, host, 1, version, False, [], [], assignment_age_ms=age_ms)
+        )
 
     async def recover(self, known: Assignment) -> Assignment | None:
         return await self.recovery.recover(known, HOSTS)
@@ -164,6 +169,25 @@
         self.clock.advance(0.2)
         self.assertIsNotNone(await self.recover(assignment(27)))
 
+    async def test_version_of_a_host_that_was_out_of_touch_is_not_taken_for_the_newest(self):
+        # A host that woke up knew an older version than one that was cut off with its servers.
+        self.recovery.begin(assignment(27), 1)
+        for waited_s in (0.0, 1.1 * REPORT_WAIT_S, GRANTS_END_S - 1.2 * REPORT_WAIT_S):
+            self.clock.advance(waited_s)
+            self.report("h0", 35, MAX_OUT_OF_TOUCH_S + 0.1 + self.clock.now_s() - 100.0)
+            self.assertIsNone(await self.recover(assignment(27)))
+        self.clock.advance(0.2 * REPORT_WAIT_S)
+        self.report("h0", 35, MAX_OUT_OF_TOUCH_S + 0.1 + self.clock.now_s() - 100.0)
+        recovered = await self.recover(assignment(27))
+        self.assertFalse(any(one.moving for one in recovered.key_ranges["proofdesk"]))
+
+    async def test_version_of_a_host_in_touch_is_taken_for_the_newest(self):
+        self.recovery.begin(assignment(27), 1)
+        self.clock.advance(1.1 * REPORT_WAIT_S)
+        self.report("h0", 35, MAX_OUT_OF_TOUCH_S - 0.1 + self.clock.now_s() - 100.0)
+        recovered = await self.recover(assignment(27))
+        self.assertTrue(any(one.moving for one in recovered.key_ranges["proofdesk"]))
+
     async def test_host_that_is_heard_again_after_all_ends_the_wait_for_it(self):
         self.recovery.begin(assignment(27), 1)
         self.report("h0", 0)
