Begin a second connection when the first one to a server takes long

Callers may have met two backend servers for the same keys (OWNER, its form of fences): a server took an outdated grant 0.4 s after a cut, though its dispatcher was alive, reached it and knew the newer fence.

Cause: a dispatcher that takes over, or a host that stands in, counted a server as reached until its first call failed, and began no other one for the same keys meanwhile. A connection that is begun behind a cut does not notice its end, so that this took the whole 0.5 s.

Ruled out: a missing assignment (the dispatcher had it), keys left out as the server's own.

A server that has not answered this host yet counts as not reached once its first connection has taken 0.15 s; from then on one more call is begun every 0.1 s, as for any server that is not reached. Other hosts are asked as late as before. A server that has answered any grant, release or notice is not concerned.

A slow first connection costs three further ones.

--- a/greengagefall/gateway/fence_notices.py
+++ b/greengagefall/gateway/fence_notices.py
@@ -35,6 +35,8 @@
 RETRY_INTERVAL_S = 0.1
 NOTICE_TIMEOUT_S = 0.5
 ALL_KEYS = KeySpan(0, LAST_KEY)
+# A server that was never reached yet may be behind a cut.
+FIRST_CONNECT_S = 0.15
 # Other hosts are asked for notices once this one has not reached the server for a while.
 ASK_DELAY_S = 0.3
 # A server takes a limited number of connections, and resets those beyond.
@@ -103,6 +105,7 @@
         self._fence = 0
         self._reached = True
         self._reached_by_others = False
+        self._answered = False
         self._ask_from_s = 0.0
         self._tries = 0
         self._attempts: set[asyncio.Task] = set()
@@ -146,6 +149,7 @@
 
     def on_confirmed(self, span: KeySpan, sent_s: float) -> None:
         """Records an answered grant or release that was sent at ``sent_s``."""
+        self._answered = True
         self._unconfirmed.confirm(span, sent_s)
 
     def on_unconfirmed(self, span: KeySpan) -> None:
@@ -238,12 +242,16 @@
         def may_send() -> bool:
             if _overlaps_any(span, self._in_flight) or notice not in self._notices_to_send():
                 return False
+            first_connect.cancel()
             sent.append(span)
             self._in_flight.append(span)
             return True
 
         self._tries += 1
         self._begun.append(span)
+        first_connect = asyncio.get_running_loop().call_later(
+            FIRST_CONNECT_S, self._note_not_connected
+        )
         try:
             answer = await self._pool.exchange(
                 request, NOTICE_TIMEOUT_S, may_send, calls.may_answer_release
@@ -254,6 +262,7 @@
             self._on_failure(error)
             return
         finally:
+            first_connect.cancel()
             self._begun.remove(span)
             for one in sent:
                 self._in_flight.remove(one)
@@ -263,11 +272,16 @@
         count("fence_notice_failures", error=type(error).__name__)
         self._note_not_reached(type(error).__name__)
 
-    def _note_not_reached(self, reason: str) -> None:
+    def _note_not_connected(self) -> None:
+        """Notes that the first connection takes long; it may have been begun during a cut."""
+        if not self._answered:
+            self._note_not_reached("NotConnected", NOTICE_TIMEOUT_S - FIRST_CONNECT_S)
+
+    def _note_not_reached(self, reason: str, ask_later_s: float = 0.0) -> None:
         if not self._reached:
             return
         self._reached = self._reached_by_others = False
-        self._ask_from_s = self._clock.now_s() + ASK_DELAY_S
+        self._ask_from_s = self._clock.now_s() + ask_later_s + ASK_DELAY_S
         log.info(
             "Backend server is not reached; it is told of the newest fencing token once it is.",
             extra={"server": self._server_id, "reason": reason},
@@ -283,7 +297,7 @@
         if status != calls.HTTP_OK:
             self._note_not_reached(str(status))
             return
-        self._reached = True
+        self._reached = self._answered = True
         self._on_told(notice, begun_s, by_another_host=False)
 
     def _on_told(self, notice: Notice, begun_s: float, *, by_another_host: bool) -> None:
