--- a/greengagefall/standins/platform_server.py
+++ b/greengagefall/standins/platform_server.py
@@ -64,6 +64,7 @@
         order_delay_s: Returns how long the next grant or release stays unanswered before it is
             applied, 0 for an order that is applied and answered at once. A delayed order gets no
             answer at all. The time of a delayed grant counts from its arrival.
+        closes_after_orders: Whether answers to grants and releases end their connection.
         handover_tokens: Tokens of releases that grants passed to this server.
         wrong_answers: Number of next answers that carry the id of another request.
         spoil_answer: Returns what happens to the next answer: ``CUT_IN_HEAD`` for an answer whose
@@ -95,6 +96,7 @@
         self.swallow_grants = 0
         self.reset_grants = 0
         self.order_delay_s: Callable[[], float] = lambda: 0.0
+        self.closes_after_orders = False
         self.handover_tokens: list[str] = []
         self.wrong_answers = 0
         self.spoil_answer: Callable[[], str] = lambda: ""
@@ -210,6 +212,8 @@
     def answer(self) -> None:
         """Answers with 200 unless the order was delayed."""
         if self._auto_finish:
+            if self.server.closes_after_orders:
+                self.set_header("Connection", "close")
             self.finish({})
 
 
