Grant a fence for the first time only by a recent assignment

What callers may have met: a server that restarted unseen was granted a fence below the one that others had had (OWNER), in one case while another server held the keys.

Cause: a former dispatcher that is cut off may act by its assignment for 8 s. A fence that it never sent may go to a later process of the server, as nobody can have had it. That process does not know the newer fences that the former one was told, also by a confirmed release, by which the keys had moved on.

Ruled out: the same fence sent twice (it was sent once), a takeover that kept a fence, the connection to the former process.

The new unit test failed before. What is left: a restart, a move and such a grant all within 2 s.

--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -279,6 +279,7 @@
             RESTART_DETECTION_HEARTBEATS * self._view.settings.heartbeat_s,
             ENTRY_EXPIRY_HEARTBEATS * self._view.settings.heartbeat_s,
             self._sent_fences.get(server_id, 0),
+            self._view.assignment_age_s,
             partial(self.is_listed, incarnation),
         )
         channel = ServerChannel(
--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -47,6 +47,10 @@
 # A new fencing token is requested this long before a grant expires.
 NEW_FENCE_MARGIN_S = 1.2
 RELEASE_RETRY_INTERVAL_S = 0.1
+# Keys may have moved on by an assignment that this host has not heard of, and a server that has
+# restarted since does not know the newer fencing tokens. Hosts hear of the newest one every 0.3 s
+# from the coordinator, or every 1.9 s from the store.
+MAX_FIRST_GRANT_AGE_S = 2.0
 # Pause after a read of an entry that proved nothing; reads are priced.
 ENTRY_READ_PAUSE_S = 1.0
 
@@ -301,6 +305,8 @@
     def _may_grant(self, key_range: KeyRange) -> bool:
         if not self._knowledge.is_assignment_current() or key_range not in self._key_ranges:
             return False
+        if key_range.fence > self._check.sent_fence and not self._may_grant_first():
+            return False
         grant_id = (key_range.first, key_range.last, key_range.fence)
         if self.notices.may_end_grant(KeySpan(key_range.first, key_range.last)):
             return False
@@ -322,6 +328,10 @@
         ordered = not key_range.moving or grant_id in self._ordered_grants
         return not ordered or not self._check.may_grant(key_range.fence)
 
+    def _may_grant_first(self) -> bool:
+        """Returns whether the assignment is recent enough for a fencing token not sent before."""
+        return self._knowledge.assignment_age_s() <= MAX_FIRST_GRANT_AGE_S
+
     async def _renew(self) -> None:
         while True:
             self._renewal_needed.clear()
--- a/greengagefall/gateway/server_knowledge.py
+++ b/greengagefall/gateway/server_knowledge.py
@@ -37,6 +37,7 @@
         entry_expiry_s: Time after a lost connection by which the store has dropped the entry of an
             incarnation that ended then, also if no new one reaches the store.
         suspect_fence: Highest fencing token that this host may have granted to the server before.
+        assignment_age_s: Returns how long ago the assignment was last known to be the newest.
         is_listed: Reads from the store whether it lists this incarnation now.
     """
 
@@ -47,6 +48,7 @@
     restart_detection_s: float = 0.0
     entry_expiry_s: float = 0.0
     suspect_fence: int = 0
+    assignment_age_s: Callable[[], float] = _no_lag_s
     is_listed: Callable[[], Awaitable[bool]] = _is_listed
 
 
--- a/greengagefall/tests/gateway_grants_tests.py
+++ b/greengagefall/tests/gateway_grants_tests.py
@@ -7,7 +7,7 @@
 from types import SimpleNamespace
 
 from greengagefall.dispatch.exceptions import AnswerTimeoutError, SendRefusedError
-from greengagefall.gateway.grants import GrantManager
+from greengagefall.gateway.grants import MAX_FIRST_GRANT_AGE_S, GrantManager
 from greengagefall.gateway.server_health import ServerHealth
 from greengagefall.gateway.server_knowledge import ServerKnowledge
 from greengagefall.ownership.key_grants import max_grant_lifetime_s
@@ -88,6 +88,37 @@
         self.assertEqual(len(self.pool.sent_s), 1)
 
 
+class FirstGrantTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = ManualClock()
+        self.pool = GrantingPool(self.clock)
+        self.age_s = 0.0
+        self.manager = GrantManager(
+            INCARNATION,
+            self.pool,
+            ServerHealth(self.clock),
+            self.clock,
+            ServerKnowledge(assignment_age_s=lambda: self.age_s),
+        )
+        self.manager.set_key_ranges([KEY_RANGE])
+
+    async def grant(self) -> bool:
+        return await self.manager.grant(*KEY_RANGE[:2], KEY_RANGE.fence, "")
+
+    async def test_a_former_dispatcher_grants_no_fence_for_the_first_time_by_an_old_assignment(
+        self,
+    ):
+        # A later process of the server took it, although the keys had moved on meanwhile.
+        self.age_s = MAX_FIRST_GRANT_AGE_S + 0.1
+        self.assertFalse(await self.grant())
+        self.assertEqual(self.pool.requests, [])
+
+    async def test_a_fence_that_was_granted_is_renewed_by_an_older_assignment(self):
+        self.assertTrue(await self.grant())
+        self.age_s = MAX_FIRST_GRANT_AGE_S + 0.1
+        self.assertTrue(await self.grant())
+
+
 class RefusedGrantTests(unittest.IsolatedAsyncioTestCase):
     async def test_keys_whose_fence_the_server_refuses_need_a_new_one(self):
         # They had no owner for good after an outdated notice under a higher fence.
