Take no entry for a proof of a process right after an outage

After an outage in which leases paused the store lists the entry of a process that ended in it, until the servers have written again.

The entry has to be current by this host's watches, too, as it had to before.

--- a/greengagefall/gateway/incarnation_check.py
+++ b/greengagefall/gateway/incarnation_check.py
@@ -45,7 +45,9 @@
     def needs_entry(self) -> bool:
         """Whether an entry that is read from the store now would prove the incarnation."""
         self._update()
-        return not self._unverified and self.suspect_fence > 0 and self._is_expiry_over()
+        if self._unverified or not self.suspect_fence or not self._is_expiry_over():
+            return False
+        return self._knowledge.is_entry_current()
 
     @property
     def settled(self) -> bool:
@@ -84,6 +86,9 @@
         Returns:
             Whether it proves the incarnation: the entry of a former one had expired by then.
         """
+        # After an outage the store may list the entry of a process that ended in it.
+        if not self._knowledge.is_entry_current():
+            return False
         if self._unverified or read_s < self._unverified_since_s + self._knowledge.entry_expiry_s:
             return False
         self.suspect_fence = 0
