Take a lost answer to a release or a notice as a sign of a restart

Grants and requests whose connection ended were reported, these were not.

The connection of a release or notice that ends before its answer makes old fences suspect now, as that of a grant does. Both tests of the reviewer failed before and pass. A new connection that nothing precedes (answers with Connection: close) is still taken for one to the same process; that test stays listed.

--- a/greengagefall/gateway/fence_notices.py
+++ b/greengagefall/gateway/fence_notices.py
@@ -12,7 +12,7 @@
 import logging
 from typing import TYPE_CHECKING, NamedTuple
 
-from greengagefall.dispatch.exceptions import DispatchError, SendRefusedError
+from greengagefall.dispatch.exceptions import AnswerLostError, DispatchError, SendRefusedError
 from greengagefall.ownership.key_spans import KeySpan, without_all
 from greengagefall.ownership.model import LAST_KEY
 from greengagefall.ownership.unconfirmed_fences import UnconfirmedFences
@@ -78,6 +78,7 @@
 
     Attributes:
         ask_others: Has another host send a notice; returns whether the server confirmed it.
+        on_connection_lost: Called when the connection of a notice ends before its answer.
         awaits_grant: Returns whether a range of the server may not be granted yet; other ranges
             are not told, since their grants tell the fencing token.
     """
@@ -92,6 +93,7 @@
         most_at_once: int = MAX_NOTICES_AT_ONCE,
     ) -> None:
         self.ask_others: Callable[[KeySpan, int], Awaitable[bool]] = _ask_nobody
+        self.on_connection_lost: Callable[[], None] = lambda: None
         self.awaits_grant: Callable[[KeyRange], bool] = lambda key_range: False
         self._server_id = server_id
         self._pool = pool
@@ -259,6 +261,8 @@
         except SendRefusedError:
             return
         except DispatchError as error:
+            if isinstance(error, AnswerLostError):
+                self.on_connection_lost()
             self._on_failure(error)
             return
         finally:
--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from greengagefall.dispatch.exceptions import (
+    AnswerLostError,
     AnswerMismatchError,
     AnswerTimeoutError,
     DispatchError,
@@ -99,6 +100,7 @@
         self.notices.awaits_grant = self._awaits_grant
         self.on_new_fence_needed: Callable[[], None] = lambda: None
         self._check = IncarnationCheck(clock, knowledge)
+        self.notices.on_connection_lost = self._check.on_connection_lost
         self._incarnation = incarnation
         self._pool = pool
         self._health = health
@@ -266,6 +268,8 @@
             except DispatchError as error:
                 if not isinstance(error, AnswerMismatchError):
                     self._health.record_failure()
+                if isinstance(error, AnswerLostError):
+                    self._check.on_connection_lost()
                 self._log_unanswered("release", (first, last, fence), sent_s, error)
                 await asyncio.sleep(RELEASE_RETRY_INTERVAL_S)
                 continue
