Begin a recovery anew at each restore of the store

What callers may meet: two servers for the same keys after a second restore. The restores since the stored assignment are 1 both times, so the recovery kept its begin; reports from before the second restore counted as all hosts', and 100012 was stored although 100014 had been written.

Ruled out: the stand-ins and notices, which take no part in it.

A recovery now compares the store's own count of restores.

--- a/greengagefall/gateway/assignment_recovery.py
+++ b/greengagefall/gateway/assignment_recovery.py
@@ -64,19 +64,24 @@
         self._began_s = 0.0
         self._stored = EMPTY_ASSIGNMENT
         self._restores = 0
+        self._store_restores = 0
 
-    def begin(self, stored: Assignment, restores: int) -> None:
+    def begin(self, stored: Assignment, restores: int, store_restores: int) -> None:
         """Begins a recovery, or notes what the store holds if one has begun.
 
+        Each restore begins it anew: what hosts reported before does not count.
+
         Args:
             stored: The assignment in the store.
             restores: Restores of the store since that was written.
+            store_restores: All restores of the store.
         """
-        if not self.needed or restores > self._restores:
+        if not self.needed or store_restores > self._store_restores:
             self._began_s = self._clock.now_s()
         self.needed = True
         self._stored = stored
         self._restores = restores
+        self._store_restores = store_restores
 
     def end(self) -> None:
         """Ends the recovery, since the newest assignment is stored."""
--- a/greengagefall/gateway/assignment_store.py
+++ b/greengagefall/gateway/assignment_store.py
@@ -66,6 +66,11 @@
         self._revision = 0
         self._restores = UNKNOWN_RESTORES
 
+    @property
+    def restores(self) -> int:
+        """All restores of the store, as of the last read."""
+        return self._restores
+
     @property
     def restored(self) -> bool:
         """Whether the store was restored since the last read or write."""
--- a/greengagefall/gateway/coordinator.py
+++ b/greengagefall/gateway/coordinator.py
@@ -151,7 +151,7 @@
         self._assignment = newest
         if stored.restores:
             # Hosts get no assignment before the newest one is stored again.
-            self._recovery.begin(stored.assignment, stored.restores)
+            self._recovery.begin(stored.assignment, stored.restores, self._stored.restores)
             return
         self._recovery.end()
         self._publisher.set_newest(newest)
--- a/greengagefall/tests/gateway_assignment_recovery_tests.py
+++ b/greengagefall/tests/gateway_assignment_recovery_tests.py
@@ -71,7 +71,7 @@
         return await self.recovery.recover(known, HOSTS)
 
     async def test_newest_assignment_of_the_coordinator_itself_is_stored_again(self):
-        self.recovery.begin(assignment(27), 1)
+        self.recovery.begin(assignment(27), 1, 1)
         for host in HOSTS:
             self.report(host, 35)
         recovered = await self.recover(self.remembered)
@@ -83,7 +83,7 @@
         for host in HOSTS:
             self.report(host, 27)
         self.clock.advance(5.0)
-        self.recovery.begin(assignment(27), 1)
+        self.recovery.begin(assignment(27), 1, 1)
         self.assertIsNone(await self.recover(assignment(30, "s3")))
         for host in HOSTS:
             self.report(host, 35)
@@ -91,7 +91,7 @@
         self.assertEqual(recovered.find_key_range("proofdesk", LAST_KEY).owner.server_id, "s2")
 
     async def test_newest_assignment_comes_from_the_host_that_has_it(self):
-        self.recovery.begin(assignment(27), 1)
+        self.recovery.begin(assignment(27), 1, 1)
         self.report("h0", 27)
         self.assertIsNone(await self.recover(assignment(27)))
         self.report("h1", 35)
@@ -100,7 +100,7 @@
         self.assertEqual(recovered.find_key_range("proofdesk", LAST_KEY).owner.server_id, "s2")
 
     async def test_version_and_all_fences_are_above_those_that_were_lost(self):
-        self.recovery.begin(assignment(27), 1)
+        self.recovery.begin(assignment(27), 1, 1)
         for host in HOSTS:
             self.report(host, 27)
         recovered = await self.recover(assignment(27))
@@ -112,7 +112,7 @@
 
     async def test_numbers_of_all_restores_since_the_copy_are_passed(self):
         """A copy from before the last three restores, each of which was followed by new numbers."""
-        self.recovery.begin(assignment(27), 3)
+        self.recovery.begin(assignment(27), 3, 3)
         self.report("h0", 0)
         self.report("h1", 35)
         recovered = await self.recover(assignment(27))
@@ -120,7 +120,7 @@
         self.assertGreater(recovered.key_ranges["proofdesk"][0].fence, 3 * LOST_NUMBERS)
 
     async def test_host_that_ends_after_its_report_is_not_asked_for_ever(self):
-        self.recovery.begin(assignment(27), 1)
+        self.recovery.begin(assignment(27), 1, 1)
         for host, version in zip(HOSTS, (27, 35), strict=True):
             self.report(host, version)
         self.answer_is_lost = True
@@ -130,7 +130,7 @@
         self.assertIsNotNone(await self.recover(assignment(27)))
 
     async def test_silent_hosts_are_waited_for_but_not_for_ever(self):
-        self.recovery.begin(assignment(27), 1)
+        self.recovery.begin(assignment(27), 1, 1)
         self.report("h0", 27)
         self.clock.advance(0.9 * REPORT_WAIT_S)
         self.assertIsNone(await self.recover(assignment(27)))
@@ -140,7 +140,7 @@
 
     async def test_nothing_is_granted_before_forgotten_grants_have_expired(self):
         """All hosts restarted, so nobody knows who got keys after the copy was made."""
-        self.recovery.begin(assignment(27), 1)
+        self.recovery.begin(assignment(27), 1, 1)
         for host in HOSTS:
             self.report(host, 0)
         self.clock.advance(GRANTS_END_S - 0.1)
@@ -151,7 +151,7 @@
 
     async def test_hosts_that_the_copy_lacks_may_renew_forgotten_grants_for_longer(self):
         # All hosts of the copy had reported, but others were cut off with their servers.
-        self.recovery.begin(assignment(0), 1)
+        self.recovery.begin(assignment(0), 1, 1)
         for host in HOSTS:
             self.report(host, 0)
         self.clock.advance(1.1 * (MAX_DELIVERY_DELAY_S + max_grant_lifetime_s()))
@@ -161,7 +161,7 @@
 
     async def test_host_that_is_not_heard_may_renew_forgotten_grants_for_longer(self):
         # It may be cut off with its servers, while all others restarted and forgot.
-        self.recovery.begin(assignment(27), 1)
+        self.recovery.begin(assignment(27), 1, 1)
         self.report("h0", 0)
         self.clock.advance(GRANTS_END_S - 0.1)
         self.report("h0", 0)
@@ -171,7 +171,7 @@
 
     async def test_version_of_a_host_that_was_out_of_touch_is_not_taken_for_the_newest(self):
         # A host that woke up knew an older version than one that was cut off with its servers.
-        self.recovery.begin(assignment(27), 1)
+        self.recovery.begin(assignment(27), 1, 1)
         for waited_s in (0.0, 1.1 * REPORT_WAIT_S, GRANTS_END_S - 1.2 * REPORT_WAIT_S):
             self.clock.advance(waited_s)
             self.report("h0", 35, MAX_OUT_OF_TOUCH_S + 0.1 + self.clock.now_s() - 100.0)
@@ -182,14 +182,24 @@
         self.assertFalse(any(one.moving for one in recovered.key_ranges["proofdesk"]))
 
     async def test_version_of_a_host_in_touch_is_taken_for_the_newest(self):
-        self.recovery.begin(assignment(27), 1)
+        self.recovery.begin(assignment(27), 1, 1)
         self.clock.advance(1.1 * REPORT_WAIT_S)
         self.report("h0", 35, MAX_OUT_OF_TOUCH_S - 0.1 + self.clock.now_s() - 100.0)
         recovered = await self.recover(assignment(27))
         self.assertTrue(any(one.moving for one in recovered.key_ranges["proofdesk"]))
 
+    async def test_reports_from_before_another_restore_do_not_count(self):
+        # The store came back from a copy that had been written after the first restore.
+        self.recovery.begin(assignment(27), 1, 1)
+        self.clock.advance(2 * REPORT_WAIT_S)
+        for host in HOSTS:
+            self.report(host, 27)
+        self.clock.advance(0.1)
+        self.recovery.begin(assignment(29), 1, 2)
+        self.assertIsNone(await self.recover(assignment(29)))
+
     async def test_host_that_is_heard_again_after_all_ends_the_wait_for_it(self):
-        self.recovery.begin(assignment(27), 1)
+        self.recovery.begin(assignment(27), 1, 1)
         self.report("h0", 0)
         self.clock.advance(REPORT_WAIT_S)
         self.report("h1", 35)
