--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -63,6 +63,11 @@
     return lambda address: ConnectionPool(address, answer_limit_bytes, memory=memory)
 
 
+async def _is_listed(incarnation: ServerIncarnation) -> bool:
+    """Tells that the store lists an incarnation, as long as nothing else is set."""
+    return True
+
+
 class ChannelManager:
     """Opens and closes channels to backend servers as the assignment requires.
 
@@ -74,6 +79,8 @@
         stop: Which requests are taken while this host stops; by default it never stops.
 
     Attributes:
+        open_pool: Creates the connection pool of a server from its address.
+        is_listed: Reads from the store whether it lists a server's incarnation now.
         on_new_fence_needed: Called while a server's keys need new fencing tokens.
         ask_others: Has another host tell a server of a fencing token; returns whether the server
             confirmed it.
@@ -86,11 +93,12 @@
         open_pool: Callable[[str], ConnectionPool] | None = None,
         stop: StopAdmission | None = None,
     ) -> None:
-        self._open_pool = open_pool or _pool_opener(view.settings.memory_bytes)
+        self.open_pool = open_pool or _pool_opener(view.settings.memory_bytes)
         self._stop = stop or StopAdmission(clock)
         self._view = view
         self._clock = clock
         self._channels: dict[ServerIncarnation, ServerChannel] = {}
+        self.is_listed: Callable[[ServerIncarnation], Awaitable[bool]] = _is_listed
         self.on_new_fence_needed: Callable[[], None] = lambda: None
         self.ask_others: Callable[[ServerIncarnation, KeySpan, int], Awaitable[bool]] | None = None
         self._sent_fences: dict[str, int] = {}
@@ -189,11 +197,11 @@
         if entry is None or self._view.is_replaced(incarnation, entry.address):
             return None
         span = KeySpan(order.first, order.last)
-        owned = self._view.assignment.key_spans_of(entry.service, order.server_id)
-        if any(span.overlaps(one) for one in owned):
+        owned = self._view.assignment.key_ranges_of(entry.service, order.server_id)
+        if any(span.overlaps(one.span) for one in owned):
             log.info("Outdated order to release keys is ignored.", extra=_order_fields(order))
             return None
-        pool = self._open_pool(entry.address)
+        pool = self.open_pool(entry.address)
         try:
             token = await send_release(pool, order.server_id, span, order.fence)
         finally:
@@ -271,9 +279,11 @@
             RESTART_DETECTION_HEARTBEATS * self._view.settings.heartbeat_s,
             ENTRY_EXPIRY_HEARTBEATS * self._view.settings.heartbeat_s,
             self._sent_fences.get(server_id, 0),
+            self._view.assignment_age_s,
+            partial(self.is_listed, incarnation),
         )
         channel = ServerChannel(
-            entry, service, self._clock, self._open_pool(entry.address), knowledge, self._stop
+            entry, service, self._clock, self.open_pool(entry.address), knowledge, self._stop
         )
         if channel.grants is not None:
             channel.grants.on_new_fence_needed = self._request_new_fence
--- a/greengagefall/gateway/grants.py
+++ b/greengagefall/gateway/grants.py
@@ -26,7 +26,7 @@
 from greengagefall.ownership.model import LAST_KEY
 from greengagefall.platform import grants as calls
 from greengagefall.utils.metrics import count
-from greengagefall.utils.supervision import start_supervised
+from greengagefall.utils.supervision import log_failure, start_supervised
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -47,6 +47,12 @@
 # A new fencing token is requested this long before a grant expires.
 NEW_FENCE_MARGIN_S = 1.2
 RELEASE_RETRY_INTERVAL_S = 0.1
+# Keys may have moved on by an assignment that this host has not heard of, and a server that has
+# restarted since does not know the newer fencing tokens. Hosts hear of the newest one every 0.3 s
+# from the coordinator, or every 1.9 s from the store.
+MAX_FIRST_GRANT_AGE_S = 2.0
+# Pause after a read of an entry that proved nothing; reads are priced.
+ENTRY_READ_PAUSE_S = 1.0
 
 
 class ReleaseOutcome(NamedTuple):
@@ -90,6 +96,7 @@
         knowledge: ServerKnowledge = ALL_IS_KNOWN,
     ) -> None:
         self.notices = FenceNotices(incarnation.server_id, pool, health, clock, knowledge.may_tell)
+        self.notices.awaits_grant = self._awaits_grant
         self.on_new_fence_needed: Callable[[], None] = lambda: None
         self._check = IncarnationCheck(clock, knowledge)
         self._incarnation = incarnation
@@ -101,10 +108,12 @@
         self._key_ranges: list[KeyRange] = []
         self._ordered_grants: set[tuple[int, int, int]] = set()
         self._superseded_grants: set[tuple[int, int, int]] = set()
+        self._sent_grants: set[tuple[int, int, int]] = set()
         self._handover_tokens: dict[tuple[int, int, int], str] = {}
         self._renewal_needed = asyncio.Event()
         self._granted = asyncio.Event()
         self._task: asyncio.Task | None = None
+        self._entry_read: asyncio.Task | None = None
 
     def start(self) -> None:
         """Starts to renew grants and to send notices of newer fencing tokens."""
@@ -117,6 +126,8 @@
         if self._task is not None:
             self._task.cancel()
             self._task = None
+        if self._entry_read is not None:
+            self._entry_read.cancel()
 
     def set_key_ranges(self, key_ranges: list[KeyRange]) -> None:
         """Sets the key ranges that the server owns according to a newer assignment."""
@@ -126,6 +137,7 @@
         known = {(key_range.first, key_range.last, key_range.fence) for key_range in key_ranges}
         self._ordered_grants &= known
         self._superseded_grants &= known
+        self._sent_grants &= known
         self._renewal_needed.set()
 
     def holds(self, key: int) -> bool:
@@ -161,7 +173,8 @@
     def fence_to_replace(self) -> int:
         """Returns the highest fencing token that has to be replaced soon, 0 for none.
 
-        That is so if the server may have restarted and keys lapse before that is known.
+        That is so if the server may have restarted and keys lapse before that is known, or if it
+        refused a fencing token that its keys still have.
         """
         lapse_s = self._clock.now_s() + NEW_FENCE_MARGIN_S
         needed = any(
@@ -170,7 +183,8 @@
             < lapse_s
             for key_range in self._key_ranges
         )
-        return self._check.suspect_fence if needed else 0
+        refused = max((fence for _, _, fence in self._superseded_grants), default=0)
+        return max(self._check.suspect_fence if needed else 0, refused)
 
     def owns(self, key: int) -> bool:
         """Returns whether the server owns the key according to the assignment."""
@@ -291,6 +305,8 @@
     def _may_grant(self, key_range: KeyRange) -> bool:
         if not self._knowledge.is_assignment_current() or key_range not in self._key_ranges:
             return False
+        if key_range.fence > self._check.sent_fence and not self._may_grant_first():
+            return False
         grant_id = (key_range.first, key_range.last, key_range.fence)
         if self.notices.may_end_grant(KeySpan(key_range.first, key_range.last)):
             return False
@@ -298,9 +314,28 @@
             return False
         return not key_range.moving or grant_id in self._ordered_grants
 
+    def _awaits_grant(self, key_range: KeyRange) -> bool:
+        """Returns whether this host granted nothing of a range yet and may not do so now.
+
+        That is so while the range is moving, and while the server may have restarted. With an
+        older assignment the keys may be granted by another host meanwhile.
+        """
+        grant_id = (key_range.first, key_range.last, key_range.fence)
+        if key_range not in self._key_ranges or not self._knowledge.is_assignment_current():
+            return False
+        if grant_id in self._sent_grants or grant_id in self._superseded_grants:
+            return False
+        ordered = not key_range.moving or grant_id in self._ordered_grants
+        return not ordered or not self._check.may_grant(key_range.fence)
+
+    def _may_grant_first(self) -> bool:
+        """Returns whether the assignment is recent enough for a fencing token not sent before."""
+        return self._knowledge.assignment_age_s() <= MAX_FIRST_GRANT_AGE_S
+
     async def _renew(self) -> None:
         while True:
             self._renewal_needed.clear()
+            self._begin_entry_read()
             sends = [
                 self._send(key_range)
                 for key_range in self._key_ranges
@@ -317,6 +352,34 @@
             except TimeoutError:
                 continue
 
+    def _begin_entry_read(self) -> None:
+        """Begins to read the server's entry from the store if that may prove its incarnation."""
+        reads = self._entry_read is not None and not self._entry_read.done()
+        if reads or not self._key_ranges or not self._check.needs_entry:
+            return
+        self._entry_read = asyncio.create_task(self._read_entry())
+        self._entry_read.add_done_callback(log_failure)
+
+    async def _read_entry(self) -> None:
+        read_s = self._clock.now_s()
+        fence = self._check.suspect_fence
+        listed = await self._knowledge.is_listed()
+        proved = listed and self._check.on_entry_listed(read_s)
+        log.info(
+            "Entry of a backend server that may have restarted was read.",
+            extra={
+                "server": self._incarnation.server_id,
+                "fence": fence,
+                "listed": listed,
+                "proved": proved,
+                "took_ms": int((self._clock.now_s() - read_s) * MS_PER_S),
+            },
+        )
+        if not proved:
+            await asyncio.sleep(ENTRY_READ_PAUSE_S)
+            return
+        self._renewal_needed.set()
+
     async def _send(self, key_range: KeyRange) -> bool:
         """Sends one grant; returns whether the server accepted it."""
         grant_id = (key_range.first, key_range.last, key_range.fence)
@@ -328,6 +391,7 @@
         def may_send() -> bool:
             allowed = self._may_grant(key_range)
             if allowed:
+                self._sent_grants.add(grant_id)
                 self._check.record_sent(key_range.fence)
                 self._tracker.record_sent(key_range.first, key_range.last)
                 log.debug(
@@ -372,9 +436,8 @@
     def _on_refused(self, grant_id: tuple[int, int, int], status: int) -> None:
         """Records why the server refused a grant; 409 ends its repetition."""
         if status == calls.HTTP_CONFLICT:
-            # Another host sent a higher fencing token under a newer assignment. This grant is not
-            # repeated: a new incarnation of the server would not know that token and would
-            # accept this lower one.
+            # Another host sent a higher fencing token. This grant is not repeated: a new
+            # incarnation of the server would not know that token and would accept this lower one.
             self._superseded_grants.add(grant_id)
         if status == calls.HTTP_MISDIRECTED:
             self._check.on_connection_lost()
--- a/greengagefall/tests/simulated_network.py
+++ b/greengagefall/tests/simulated_network.py
@@ -9,7 +9,12 @@
 from tornado.httputil import HTTPHeaders
 
 from greengagefall.dispatch.connection_pool import HttpAnswer
-from greengagefall.dispatch.exceptions import AnswerTimeoutError, NotSentError, SendRefusedError
+from greengagefall.dispatch.exceptions import (
+    AnswerLostError,
+    AnswerTimeoutError,
+    NotSentError,
+    SendRefusedError,
+)
 from greengagefall.gateway.peers import REPLY_LOST, UNREACHABLE
 from greengagefall.platform.requests import (
     RATE_LIMIT_HEADER,
@@ -18,6 +23,8 @@
 )
 
 if TYPE_CHECKING:
+    import random
+
     from greengagefall.tests.ownership_simulation import Simulation
     from greengagefall.tests.simulated_hosts import SimulatedHost
 
@@ -46,16 +53,29 @@
     path is broken or holds calls up, a call over it may still arrive, and no new connection can be
     opened. What is held up when its host is killed arrives at a repetition of TCP.
 
+    Args:
+        simulation: The simulation.
+        host: The host.
+        address: The server's address.
+        rng: Random numbers; by default those that choose the faults, too.
+
     Attributes:
         resets_given_up_calls: Whether giving a call up discards what the network holds of it.
     """
 
     resets_given_up_calls = True
 
-    def __init__(self, simulation: Simulation, host: SimulatedHost, address: str) -> None:
+    def __init__(
+        self,
+        simulation: Simulation,
+        host: SimulatedHost,
+        address: str,
+        rng: random.Random | None = None,
+    ) -> None:
         self.on_idle_close = None
         self.host_name = host.name
         self._simulation = simulation
+        self._rng = rng or simulation.rng
         self._host = host
         self._server = simulation.servers[address.partition(":")[0]]
         self._server.pools.append(self)
@@ -66,7 +86,7 @@
 
     async def exchange(self, request, timeout_s, may_send, matches=None) -> HttpAnswer:
         simulation, server = self._simulation, self._server
-        rng = simulation.rng
+        rng = self._rng
         await asyncio.sleep(rng.uniform(0.0005, 0.005))
         if not self._host.up:
             raise NotSentError(f"{self._host.name} was killed")
@@ -83,6 +103,11 @@
             raise NotSentError(f"no new connection to {server.name}")
         if not may_send():
             raise SendRefusedError(f"the call to {server.name} is no longer current")
+        if self._kept_with_ms not in (None, server.start_ms):
+            # A connection ends with the process that accepted it; its next call is answered by a
+            # reset, and nothing of it reaches a later process.
+            self._kept_with_ms = None
+            raise AnswerLostError(f"{server.name} has restarted")
         self._kept_with_ms = server.start_ms
         arrived_s = simulation.loop.now_s
         if path in (PATH_SILENT, PATH_ANSWERS_LOST):
@@ -138,7 +163,7 @@
 
     async def _deliver_late(self, request, start_ms: int, answered: asyncio.Future) -> None:
         await self._server.calls_pass.wait()
-        await asyncio.sleep(self._simulation.rng.uniform(0.0, MAX_RETRANSMISSION_S))
+        await asyncio.sleep(self._rng.uniform(0.0, MAX_RETRANSMISSION_S))
         answer = self._apply(request, self._simulation.loop.now_s, start_ms)
         if answer is not None and not answered.done():
             answered.set_result(answer)
@@ -181,26 +206,39 @@
 
 
 class SimulatedPeers:
-    """Simulates the calls of one host to other hosts."""
+    """Simulates the calls of one host to other hosts.
 
-    def __init__(self, simulation: Simulation, host: SimulatedHost) -> None:
+    Args:
+        simulation: The simulation.
+        host: The host that calls.
+        rng: Random numbers; by default those that choose the faults, too.
+    """
+
+    def __init__(
+        self, simulation: Simulation, host: SimulatedHost, rng: random.Random | None = None
+    ) -> None:
         self._simulation = simulation
         self._host = host
+        self._rng = rng or simulation.rng
 
     def connected(self, name) -> bool:
         target = self._simulation.hosts.get(name)
         return target is not None and target.up
 
+    def is_lost(self, name) -> bool:
+        cut = name != self._host.name and self._simulation.is_cut(self._host.name, name)
+        return cut or not self.connected(name)
+
     async def call(self, name, message, timeout_s):
         target = self._simulation.hosts.get(name)
         if name != self._host.name:
-            await asyncio.sleep(self._simulation.rng.uniform(0.0005, 0.003))
+            await asyncio.sleep(self._rng.uniform(0.0005, 0.003))
             if target is None or not target.up or self._simulation.is_cut(self._host.name, name):
-                await asyncio.sleep(self._simulation.rng.choice((0.0, timeout_s)))
+                await asyncio.sleep(self._rng.choice((0.0, timeout_s)))
                 return UNREACHABLE
             late_share = self._simulation.late_message_share
             # Without such a fault nothing is drawn, so that seeds keep their meaning.
-            if late_share and self._simulation.rng.random() < late_share:
+            if late_share and self._rng.random() < late_share:
                 self._deliver_late(target, message)
                 await asyncio.sleep(timeout_s)
                 return REPLY_LOST
@@ -210,7 +248,7 @@
                 reply = await reply if hasattr(reply, "__await__") else reply
         except TimeoutError:
             return REPLY_LOST
-        if self._simulation.rng.random() < self._simulation.lost_share:
+        if self._rng.random() < self._simulation.lost_share:
             return REPLY_LOST
         return reply
 
@@ -219,7 +257,7 @@
         self._simulation.start_delivery(self._deliver(target, message))
 
     async def _deliver(self, target: SimulatedHost, message) -> None:
-        await asyncio.sleep(self._simulation.rng.uniform(*LATE_MESSAGE_RANGE_S))
+        await asyncio.sleep(self._rng.uniform(*LATE_MESSAGE_RANGE_S))
         if not target.up:
             return
         reply = target.handlers.handle(target.hello, message)
