--- a/greengagefall/standins/http.py
+++ b/greengagefall/standins/http.py
@@ -84,6 +84,10 @@
     async def close(self) -> None:
         """Stops serving and closes every connection."""
         self._server.stop()
+        await self.drop_connections()
+
+    async def drop_connections(self) -> None:
+        """Closes every connection and goes on serving."""
         await self._server.close_all_connections()
 
 
--- a/greengagefall/standins/platform_server.py
+++ b/greengagefall/standins/platform_server.py
@@ -131,6 +131,10 @@
         """Stops listening."""
         await self._listener.close()
 
+    async def drop_connections(self) -> None:
+        """Ends all connections; the server goes on."""
+        await self._listener.drop_connections()
+
     def entry(self, **changes: Any) -> dict[str, Any]:
         """Returns the server entry for the store, with ``changes`` to its fields."""
         return {
--- a/greengagefall/tests/gateway_new_connection_grant_tests.py
+++ b/greengagefall/tests/gateway_new_connection_grant_tests.py
@@ -25,6 +25,8 @@
 OTHER_KEYS = KeySpan(100, 109)
 NEWEST_FENCE = 50
 RELEASE_WORK_S = 0.4
+# The store lists the former process for up to 3 s after it ended.
+RESTART_AFTER_LOSS_S = 2.0
 
 
 class NewConnectionGrantTests(unittest.IsolatedAsyncioTestCase):
@@ -106,6 +108,13 @@
         self.assertTrue(await wait_until(lambda: self.releases, 1.0))
         self.assertEqual(await self.fences_after_a_restart(), [])
 
+    async def test_a_restart_while_no_connection_is_kept_gets_no_former_fence(self):
+        # The proof by an entry counted from the loss of all connections, none was opened since.
+        await self.grant(1)
+        await self.server.drop_connections()
+        await asyncio.sleep(RESTART_AFTER_LOSS_S)
+        self.assertEqual(await self.fences_after_a_restart(), [])
+
 
 if __name__ == "__main__":
     unittest.main()
