Add the model of workspaces and the settings that the new parts read

Routes of the kind download are idempotent. Before, one route of this kind made the whole configuration unreadable, and every host refused all requests.

--- a/greengagefall/gateway/model.py
+++ b/greengagefall/gateway/model.py
@@ -5,9 +5,11 @@
 from typing import NamedTuple
 
 from greengagefall.ownership.model import ServerIncarnation
+from greengagefall.workspaces.directory import NO_WORKSPACES, WorkspaceDirectory
 
 NO_KEY = -1
 DEFAULT_MEMORY_BYTES = 128 * 1024 * 1024
+DEFAULT_HEADER_TIMEOUT_S = 10.0
 
 
 class OperatorLimits(NamedTuple):
@@ -23,6 +25,10 @@
         cold_factor: Factor on the rate that a cold server can take by its service's settings.
         cold_margin_per_s: Requests a second allowed in addition to that rate.
         max_grant_duration_s: Longest duration of one grant of keys.
+        quota_window_s: Window in which the requests of a workspace are counted.
+        quota_overage_ratio: Share of a quota by which it may be exceeded in a window.
+        quota_extra_requests: Requests by which it may be exceeded in addition.
+        configuration_apply_s: Time in which a new configuration has to be in force.
     """
 
     drain_timeout_s: float = 2.0
@@ -34,6 +40,10 @@
     cold_factor: float = 1.5
     cold_margin_per_s: float = 5.0
     max_grant_duration_s: float = 10.0
+    quota_window_s: float = 5.0
+    quota_overage_ratio: float = 0.1
+    quota_extra_requests: float = 20.0
+    configuration_apply_s: float = 2.0
 
 
 class PlatformSettings(NamedTuple):
@@ -52,6 +62,8 @@
         cpu_cores: Processor cores that this host may use.
         limits: Limits of the operators.
         memory_bytes: Memory that this host may use.
+        max_descriptors: Open files and sockets that this host may have; 0 if unknown.
+        link_mbps: Bandwidth of this host's network link; 0 if unknown.
     """
 
     host: str
@@ -66,6 +78,8 @@
     cpu_cores: float
     limits: OperatorLimits
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    max_descriptors: int = 0
+    link_mbps: float = 0.0
 
 
 class ServerEntry(NamedTuple):
@@ -117,6 +131,7 @@
         objective_s: Latency within which an answer has its full value.
         timeout_s: Longest time that a caller is kept waiting.
         max_attempts: Maximum number of times that one request may be sent to a server.
+        public: Whether requests need no API key, even if the configuration has workspaces.
     """
 
     name: str
@@ -128,6 +143,7 @@
     objective_s: float
     timeout_s: float
     max_attempts: int
+    public: bool = False
 
 
 class Service(NamedTuple):
@@ -162,6 +178,8 @@
         max_header_bytes: Largest header block of a request.
         max_body_bytes: Largest body of a request.
         idle_timeout_s: How long a caller's connection may be idle.
+        header_timeout_s: How long a caller may take to send a header block.
+        workspaces: Workspaces by API key.
     """
 
     version: int
@@ -170,6 +188,8 @@
     max_header_bytes: int
     max_body_bytes: int
     idle_timeout_s: float
+    header_timeout_s: float = DEFAULT_HEADER_TIMEOUT_S
+    workspaces: WorkspaceDirectory = NO_WORKSPACES
 
     def find_route(self, host_name: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of the path, if there is one."""
--- a/greengagefall/platform/records.py
+++ b/greengagefall/platform/records.py
@@ -5,7 +5,14 @@
 import math
 from typing import Any
 
-from greengagefall.gateway.model import Destination, Route, RoutingTable, ServerEntry, Service
+from greengagefall.gateway.model import (
+    DEFAULT_HEADER_TIMEOUT_S,
+    Destination,
+    Route,
+    RoutingTable,
+    ServerEntry,
+    Service,
+)
 from greengagefall.platform.exceptions import RecordError
 from greengagefall.platform.fields import (
     MAX_NUMBER,
@@ -26,8 +33,8 @@
 
 STATE_READY = "ready"
 STATE_DRAINING = "draining"
-KIND_SAFE = "safe"
-KINDS = (KIND_SAFE, "unsafe")
+IDEMPOTENT_KINDS = ("safe", "download")
+KINDS = (*IDEMPOTENT_KINDS, "unsafe")
 VERSION_RADIX = 16
 DEFAULT_OBJECTIVE_S = 1.0
 MAX_SLOTS = 1_000_000
@@ -99,6 +106,9 @@
         max_header_bytes=int(read_number(ROUTING_KEY, limits, "maxHeaderBytes", 65_536)),
         max_body_bytes=int(read_number(ROUTING_KEY, limits, "maxBodyBytes", 67_108_864)),
         idle_timeout_s=read_number(ROUTING_KEY, limits, "idleTimeoutS", 60.0),
+        header_timeout_s=read_number(
+            ROUTING_KEY, limits, "headerTimeoutS", DEFAULT_HEADER_TIMEOUT_S
+        ),
     )
 
 
@@ -132,7 +142,7 @@
         host_name=host_name,
         prefix=prefix,
         destinations=_destinations(action),
-        idempotent=kind == KIND_SAFE,
+        idempotent=kind in IDEMPOTENT_KINDS,
         priority=int(read_number(ROUTING_KEY, rule, "priority", 0)),
         objective_s=read_number(ROUTING_KEY, rule, "latencyGoalS", DEFAULT_OBJECTIVE_S),
         timeout_s=timeout_s,
--- a/greengagefall/platform/settings.py
+++ b/greengagefall/platform/settings.py
@@ -64,6 +64,8 @@
             fields.number("self.limits.memoryMb", DEFAULT_MEMORY_BYTES / BYTES_PER_MB)
             * BYTES_PER_MB
         ),
+        max_descriptors=int(fields.number("self.limits.maxFds", 0)),
+        link_mbps=fields.number("self.limits.linkMbps", 0.0),
     )
 
 
@@ -83,6 +85,10 @@
         cold_factor=limit("warmupFactor", default.cold_factor),
         cold_margin_per_s=limit("warmupSlack", default.cold_margin_per_s),
         max_grant_duration_s=limit("holdMaxS", default.max_grant_duration_s),
+        quota_window_s=limit("quotaWindowS", default.quota_window_s),
+        quota_overage_ratio=limit("quotaOverage", default.quota_overage_ratio),
+        quota_extra_requests=limit("quotaSlack", default.quota_extra_requests),
+        configuration_apply_s=limit("configApplyS", default.configuration_apply_s),
     )
 
 
--- /dev/null
+++ b/greengagefall/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Workspaces of callers: API keys, priorities and limits."""
