--- a/greengagefall/gateway/coordinator.py
+++ b/greengagefall/gateway/coordinator.py
@@ -203,7 +203,7 @@
 
     def _plan_dispatching(self, assignment: Assignment) -> Assignment:
         hosts = [
-            DispatcherCandidate(record.incarnation, record.zone, record.weight)
+            DispatcherCandidate(record.incarnation, record.zone, record.weight, record.link_mbps)
             for record in self._view.hosts.values()
             if self._may_dispatch(record.incarnation)
         ]
@@ -227,6 +227,7 @@
             hosts,
             self._view.host_incarnation,
             keyed,
+            self._view.routing_table.large_answer_services,
         )
         # Clearing former dispatchers alone does not justify a write.
         if planned == assignment.dispatchers:
--- a/greengagefall/gateway/dispatch_planning.py
+++ b/greengagefall/gateway/dispatch_planning.py
@@ -6,7 +6,9 @@
 hosts only the strongest ones dispatch, as many as its servers need, since every host keeps a link
 to each dispatcher. Among these hosts, the one with the fewest slots per processor core is chosen.
 The servers of a service without keys share one dispatcher in each zone, so that their requests wait
-in one queue. The coordinator dispatches only if no other host can.
+in one queue. If such a service has large answers, its dispatcher is a host with a fast network
+link, since all its answers in the zone pass through that link, and a full link also delays the
+host's control traffic. The coordinator dispatches only if no other host can.
 """
 
 from __future__ import annotations
@@ -27,6 +29,8 @@
 SERVERS_PER_DISPATCHER = 6
 # Hosts of a zone that always share its servers, so that the loss of one costs a small part of them.
 MIN_ZONE_DISPATCHERS = 6
+# A link with at least this share of the bandwidth of the zone's fastest one counts as fast.
+FAST_LINK_SHARE = 0.5
 
 
 class DispatcherCandidate(NamedTuple):
@@ -36,11 +40,13 @@
         incarnation: Its incarnation.
         zone: Its availability zone.
         weight: Number of processor cores that it may use.
+        link_mbps: Bandwidth of its network link; 0 if unknown.
     """
 
     incarnation: HostIncarnation
     zone: str
     weight: float
+    link_mbps: float = 0.0
 
 
 def plan_dispatchers(
@@ -50,6 +56,7 @@
     hosts: list[DispatcherCandidate],
     coordinator: HostIncarnation,
     keyed: Iterable[str],
+    large_answers: Iterable[str] = (),
 ) -> dict[str, DispatcherRecord]:
     """Returns the dispatcher record of each server by id.
 
@@ -60,10 +67,12 @@
         hosts: Hosts that may dispatch.
         coordinator: The coordinator's incarnation.
         keyed: Names of services whose servers own keys exclusively.
+        large_answers: Names of services with large answers.
     """
     by_incarnation = {host.incarnation: host for host in hosts}
     slots = {host.incarnation: 0 for host in hosts}
     keyed_services = set(keyed)
+    large_answer_services = set(large_answers)
     needed = set(holders)
     planned: dict[str, DispatcherRecord] = {}
     unplaced: list[ServerEntry] = []
@@ -84,9 +93,13 @@
             pool_dispatchers.setdefault((entry.service, entry.zone), host.incarnation)
     unplaced += [entry for entry in servers.values() if entry.server_id not in current]
     strongest = _strongest_hosts(hosts, servers, coordinator)
+    fast = _hosts_with_fast_links(hosts, coordinator)
     for entry in sorted(unplaced, key=lambda entry: entry.server_id):
         group = (entry.service, entry.zone)
-        chosen = pool_dispatchers.get(group) or _least_loaded(entry.zone, strongest, slots)
+        candidates = strongest
+        if entry.service in large_answer_services - keyed_services:
+            candidates = fast or strongest
+        chosen = pool_dispatchers.get(group) or _least_loaded(entry.zone, candidates, slots)
         previous = current.get(entry.server_id)
         if chosen is None:
             if previous is not None:
@@ -129,6 +142,24 @@
     return chosen
 
 
+def _hosts_with_fast_links(
+    hosts: list[DispatcherCandidate], coordinator: HostIncarnation
+) -> list[DispatcherCandidate]:
+    """Returns the hosts of each zone whose links are about as fast as the fastest there.
+
+    Hosts of which no bandwidth is known are left out.
+    """
+    others = [host for host in hosts if host.incarnation != coordinator] or hosts
+    fastest_mbps: dict[str, float] = {}
+    for host in others:
+        fastest_mbps[host.zone] = max(host.link_mbps, fastest_mbps.get(host.zone, 0.0))
+    return [
+        host
+        for host in others
+        if host.link_mbps and host.link_mbps >= FAST_LINK_SHARE * fastest_mbps[host.zone]
+    ]
+
+
 def _least_loaded(
     zone: str, hosts: list[DispatcherCandidate], slots: Mapping[HostIncarnation, int]
 ) -> HostIncarnation | None:
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -244,6 +244,7 @@
             self.settings.zone,
             self.settings.cpu_cores,
             True,
+            self.settings.link_mbps,
         )
         key = HOST_PREFIX + record.host
         registered_after = UNKNOWN_RESTORES
--- a/greengagefall/gateway/model.py
+++ b/greengagefall/gateway/model.py
@@ -132,6 +132,7 @@
         timeout_s: Longest time that a caller is kept waiting.
         max_attempts: Maximum number of times that one request may be sent to a server.
         public: Whether requests need no API key, even if the configuration has workspaces.
+        large_answers: Whether operators expect large answers, such as downloads.
     """
 
     name: str
@@ -144,6 +145,7 @@
     timeout_s: float
     max_attempts: int
     public: bool = False
+    large_answers: bool = False
 
 
 class Service(NamedTuple):
@@ -191,6 +193,17 @@
     header_timeout_s: float = DEFAULT_HEADER_TIMEOUT_S
     workspaces: WorkspaceDirectory = NO_WORKSPACES
 
+    @property
+    def large_answer_services(self) -> set[str]:
+        """Names of the services to which routes with large answers lead."""
+        return {
+            destination.service
+            for routes in self.routes.values()
+            for route in routes
+            if route.large_answers
+            for destination in route.destinations
+        }
+
     def find_route(self, host_name: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of the path, if there is one."""
         for route in self.routes.get(host_name, ()):
--- a/greengagefall/gateway/records.py
+++ b/greengagefall/gateway/records.py
@@ -173,6 +173,7 @@
         read_text(key, fields, "zone"),
         read_number(key, fields, "weight", minimum=MIN_WEIGHT),
         fields.get("relays") is True,
+        read_number(key, fields, "link_mbps", 0.0),
     )
 
 
--- a/greengagefall/gateway/view.py
+++ b/greengagefall/gateway/view.py
@@ -45,6 +45,7 @@
         zone: Its availability zone.
         weight: Number of processor cores that it may use.
         relays: Whether it passes changes of the store on to hosts that ask for them.
+        link_mbps: Bandwidth of its network link; 0 if unknown.
     """
 
     host: str
@@ -53,6 +54,7 @@
     zone: str
     weight: float
     relays: bool = False
+    link_mbps: float = 0.0
 
     @property
     def incarnation(self) -> HostIncarnation:
--- a/greengagefall/platform/records.py
+++ b/greengagefall/platform/records.py
@@ -33,7 +33,8 @@
 
 STATE_READY = "ready"
 STATE_DRAINING = "draining"
-IDEMPOTENT_KINDS = ("safe", "download")
+KIND_DOWNLOAD = "download"
+IDEMPOTENT_KINDS = ("safe", KIND_DOWNLOAD)
 KINDS = (*IDEMPOTENT_KINDS, "unsafe")
 VERSION_RADIX = 16
 DEFAULT_OBJECTIVE_S = 1.0
@@ -147,6 +148,7 @@
         objective_s=read_number(ROUTING_KEY, rule, "latencyGoalS", DEFAULT_OBJECTIVE_S),
         timeout_s=timeout_s,
         max_attempts=max(1, int(read_number(ROUTING_KEY, action, "attempts", 1))),
+        large_answers=kind == KIND_DOWNLOAD,
     )
 
 
--- a/greengagefall/tests/gateway_dispatch_planning_tests.py
+++ b/greengagefall/tests/gateway_dispatch_planning_tests.py
@@ -83,3 +83,25 @@
         hosts = [host for host in hosts_of(4, 1) if host.incarnation == COORDINATOR]
         planned = plan(hosts, servers_of(3))
         self.assertEqual({record.dispatcher for record in planned.values()}, {COORDINATOR})
+
+    def test_large_answers_do_not_pass_through_hosts_with_slow_links(self):
+        hosts = [
+            host._replace(link_mbps=200.0 if int(host.incarnation.host[2:]) == 5 else 10.0)
+            for host in hosts_of(12, 3)
+        ]
+        servers = {
+            server_id: entry._replace(service="archive")
+            for server_id, entry in servers_of(18).items()
+        }
+        planned = plan_dispatchers({}, servers, [], hosts, COORDINATOR, KEYED, ["archive"])
+        for server_id, record in planned.items():
+            self.assertEqual(record.dispatcher.host, f"{servers[server_id].zone}-05")
+
+    def test_servers_with_large_answers_are_dispatched_while_no_bandwidth_is_known(self):
+        servers = {
+            server_id: entry._replace(service="archive")
+            for server_id, entry in servers_of(9).items()
+        }
+        hosts = hosts_of(12, 3)
+        planned = plan_dispatchers({}, servers, [], hosts, COORDINATOR, KEYED, ["archive"])
+        self.assertEqual(set(planned), set(servers))
