Spread busy keys that lie side by side over many servers in one plan

A server whose load exceeds its capacity now gives parts of its busiest key range to as many servers as have room, within bounds on servers and keys of one plan.

The test fails before: two servers stay above their capacity after one plan.

--- a/greengagefall/ownership/balance.py
+++ b/greengagefall/ownership/balance.py
@@ -79,9 +79,21 @@
         """Returns the load of a server as a fraction of its capacity."""
         return self._load[incarnation] / self.servers[incarnation].capacity_per_s
 
-    def room_per_s(self, incarnation: ServerIncarnation) -> float:
+    def room_per_s(self, incarnation: ServerIncarnation, max_utilisation: float = 1.0) -> float:
         """Returns the requests per second that a server could execute beside its load."""
-        return self.servers[incarnation].capacity_per_s - self._load[incarnation]
+        capacity_per_s = self.servers[incarnation].capacity_per_s
+        return max_utilisation * capacity_per_s - self._load[incarnation]
+
+    def roomiest(
+        self, without: Container[ServerIncarnation], max_utilisation: float = 1.0
+    ) -> ServerIncarnation | None:
+        """Returns the server that could execute most beside its load, or None without any."""
+        candidates = [incarnation for incarnation in self._load if incarnation not in without]
+        return max(
+            candidates,
+            key=lambda incarnation: (self.room_per_s(incarnation, max_utilisation), incarnation),
+            default=None,
+        )
 
     def busy_key(self, key_ranges: Iterable[KeyRange]) -> tuple[int, float]:
         """Returns the busiest key of some key ranges and its requests per second."""
--- a/greengagefall/ownership/planning.py
+++ b/greengagefall/ownership/planning.py
@@ -44,6 +44,19 @@
 # Moves of one plan as a fraction of the number of servers; ``MIN_MOVE_LIMIT`` moves are always
 # allowed.
 MOVING_SHARE = 0.1
+# Utilisation from which the keys of a server are spread over several servers in one plan. One move
+# in each plan would halve the load of busy keys that lie side by side, and take seconds.
+SPREAD_UTILISATION = 1.0
+# Servers that get keys of such servers in one plan, as a fraction of all.
+SPREAD_SERVERS_SHARE = 0.5
+# Utilisation up to which a server gets such keys. It is above an even share, so that few moves
+# relieve the source at once; later plans even the load out.
+SPREAD_TARGET_UTILISATION = 0.6
+# Keys that are moved so in one plan, as a fraction of all keys. Beyond it, moves cost more than
+# the load of few keys is worth.
+SPREAD_KEYS_SHARE = 0.02
+# Least load of such a move, as a fraction of the capacity of the server that gets it.
+MIN_SPREAD_LOAD_SHARE = 0.1
 # Fraction of an excess that the owner of neighbouring keys has to take for a move to it.
 NEIGHBOUR_SHARE = 0.5
 # Largest load that one move of keys without a usable owner adds to a server, as a fraction of its
@@ -176,6 +189,9 @@
         self._busy |= {key_range.source for key_range in plan_input.key_ranges if key_range.moving}
         self._reason = ""
         self._max_moves = max(MIN_MOVE_LIMIT, int(MOVING_SHARE * server_count))
+        self._max_spread_moves = int(SPREAD_SERVERS_SHARE * server_count)
+        self._spread_moves = 0
+        self._spread_keys_left = int(SPREAD_KEYS_SHARE * KEY_COUNT)
 
     def fill_new_servers(self, balance: Balance) -> None:
         """Moves keys to servers without keys, for a part of their share."""
@@ -198,7 +214,11 @@
                 return
             if not balance.is_overloaded(source, max_utilisation):
                 continue
-            if not self._relocate_busy_key(balance, source):
+            if self._relocate_busy_key(balance, source):
+                continue
+            if balance.utilisation(source) < SPREAD_UTILISATION or not self._spread(
+                balance, source, max_utilisation
+            ):
                 self._move_to_least_loaded(balance, source)
 
     def shift_excess(self, balance: Balance) -> None:
@@ -211,7 +231,7 @@
                 self._move_to_least_loaded(balance, source, only_settled=True)
 
     def _is_complete(self) -> bool:
-        return len(self.moves) >= self._max_moves
+        return len(self.moves) - self._spread_moves >= self._max_moves
 
     def _descending(
         self, balance: Balance, measure: Callable[[ServerIncarnation], float]
@@ -290,6 +310,49 @@
                 return True
         return False
 
+    def _spread(self, balance: Balance, source: ServerIncarnation, max_utilisation: float) -> bool:
+        """Moves busy keys of a server to as many servers as their load needs.
+
+        Returns:
+            Whether a move was added.
+        """
+        key_ranges = self._ranges_not_moving(source)
+        spread = False
+        while (
+            self._spread_moves < self._max_spread_moves
+            and balance.utilisation(source) >= max_utilisation
+        ):
+            target = balance.roomiest({*self._busy, source}, SPREAD_TARGET_UTILISATION)
+            if target is None:
+                break
+            room_per_s = balance.room_per_s(target, SPREAD_TARGET_UTILISATION)
+            if room_per_s < MIN_SPREAD_LOAD_SHARE * balance.servers[target].capacity_per_s:
+                break
+            wanted_per_s = min(room_per_s, -balance.deficit_per_s(source))
+            part = self._busiest_part(balance, key_ranges, wanted_per_s)
+            if part is None:
+                break
+            self._spread_moves += 1
+            self._spread_keys_left -= part[1] - part[0] + 1
+            key_ranges = _without_keys(key_ranges, *part)
+            self._add(balance, *part, source, target)
+            spread = True
+        return spread
+
+    def _busiest_part(
+        self, balance: Balance, key_ranges: list[KeyRange], wanted_per_s: float
+    ) -> tuple[int, int] | None:
+        """Returns the part with the wanted load of the key range that has the highest load."""
+        busiest = max(
+            key_ranges, key=lambda one: balance.range_load(one.first, one.last), default=None
+        )
+        if busiest is None:
+            return None
+        part = part_to_move(balance, busiest, wanted_per_s, may_move_all=len(key_ranges) > 1)
+        if part is None or part[1] - part[0] >= self._spread_keys_left:
+            return None
+        return part
+
     def _shift_to_neighbour(self, balance: Balance, source: ServerIncarnation) -> bool:
         """Adds a move to an owner of neighbouring keys, which adds no key range.
 
@@ -325,16 +388,11 @@
             Whether the key was moved.
         """
         key, rate_per_s = balance.busy_key(self._ranges_not_moving(source))
-        others = [
-            incarnation
-            for incarnation in balance.servers
-            if incarnation not in self._busy and incarnation != source
-        ]
-        if rate_per_s < BUSY_KEY_SHARE * balance.servers[source].capacity_per_s or not others:
+        best = balance.roomiest({*self._busy, source})
+        if rate_per_s < BUSY_KEY_SHARE * balance.servers[source].capacity_per_s or best is None:
             return False
         if rate_per_s < BUSY_KEY_EXCESS_SHARE * -balance.deficit_per_s(source):
             return False
-        best = max(others, key=lambda incarnation: (balance.room_per_s(incarnation), incarnation))
         present_room_per_s = balance.room_per_s(source) + rate_per_s
         if balance.room_per_s(best) < MIN_RELOCATION_GAIN * present_room_per_s:
             return False
@@ -342,6 +400,20 @@
         return True
 
 
+def _without_keys(key_ranges: list[KeyRange], first: int, last: int) -> list[KeyRange]:
+    """Returns key ranges without the keys from ``first`` to ``last``, which one of them has."""
+    left = []
+    for key_range in key_ranges:
+        if key_range.last < first or last < key_range.first:
+            left.append(key_range)
+            continue
+        if key_range.first < first:
+            left.append(key_range._replace(last=first - 1))
+        if last < key_range.last:
+            left.append(key_range._replace(first=last + 1))
+    return left
+
+
 def _neighbours(key_ranges: tuple[KeyRange, ...], index: int) -> list[KeyRange]:
     """Returns the adjacent key ranges of other owners that are not moving."""
     key_range = key_ranges[index]
--- a/greengagefall/tests/ownership_planning_tests.py
+++ b/greengagefall/tests/ownership_planning_tests.py
@@ -5,7 +5,7 @@
 import random
 import unittest
 
-from greengagefall.ownership.balance import LoadEstimate
+from greengagefall.ownership.balance import Balance, LoadEstimate
 from greengagefall.ownership.key_load import KeyCounter, KeyRates
 from greengagefall.ownership.key_moves import (
     REASON_NEW_SERVER,
@@ -105,6 +105,21 @@
         self.assertLess(max(loads), 0.7 * 30)
         self.assertGreaterEqual(sum(load > 5 for load in loads), 3)
 
+    def test_busy_keys_side_by_side_are_spread_over_many_servers_by_one_plan(self):
+        """Halving the load of one server in each plan took five plans, a second each."""
+        servers = [server(f"s{number:03}", 0.25, 3) for number in range(100)]
+        calm = dict.fromkeys(range(0, LAST_KEY, 20), 0.005)
+        assignment, _ = self.apply_plans(servers, rates_of(calm))
+        hot = calm | dict.fromkeys(range(30000, 30200), 1.0)
+        estimate = LoadEstimate(servers, rates_of(hot))
+        key_ranges = assignment.key_ranges[SERVICE]
+        moves = plan_moves(PlanInput(key_ranges, estimate, estimate))
+        moved_keys = sum(move.last - move.first + 1 for move in moves)
+        self.assertLess(moved_keys, 0.03 * LAST_KEY)
+        balance = Balance(apply_moves(assignment, SERVICE, moves).key_ranges[SERVICE], estimate)
+        overloaded = [one for one in balance.servers if balance.utilisation(one) > 1.0]
+        self.assertEqual(overloaded, [])
+
     def test_a_single_busy_key_is_moved_alone_to_the_fastest_server(self):
         """One key has 35 requests a second; a usual server can serve 30, the fast one 60."""
         servers = [server("a"), server("b"), server("c"), server("fast", 0.1)]
