Take only status lines of HTTP/1 with 200 to 599 as answers

A server's status 000, 099, 600 or 999, HTTP/1.2, and an answer after 101 reached the caller or counted as a reply to a health check, grant or release. The connection pool now closes such a connection with AnswerMalformedError; callers get 502 bad_answer, interim answers are still skipped. The control interface is confirmed by 200 only; before, a 500 with a valid body confirmed a grant.

--- a/greengagefall/dispatch/connection_pool.py
+++ b/greengagefall/dispatch/connection_pool.py
@@ -23,12 +23,14 @@
 from greengagefall.dispatch.answer_memory import AnswerMemory
 from greengagefall.dispatch.exceptions import (
     AnswerLostError,
+    AnswerMalformedError,
     AnswerMismatchError,
     AnswerTimeoutError,
     AnswerTooLargeError,
     NotSentError,
     SendRefusedError,
 )
+from greengagefall.utils.metrics import count
 from greengagefall.utils.sockets import enable_tcp_keepalive, reset_on_close
 
 if TYPE_CHECKING:
@@ -56,6 +58,10 @@
 MAX_REMEMBERED_IDS = 64
 
 
+HTTP_VERSIONS = frozenset({"HTTP/1.0", "HTTP/1.1"})
+SWITCHING_PROTOCOLS = 101
+INTERIM_STATUSES = range(100, 200)
+FINAL_STATUSES = range(200, 600)
 BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE"})
 
 
@@ -105,15 +111,24 @@
         self.headers = HTTPHeaders()
         self.complete = False
         self.too_large = False
+        self.malformed = False
 
     def headers_received(self, start_line: ResponseStartLine, headers: HTTPHeaders) -> None:
-        """Stores the status and headers."""
+        """Stores the status and headers; closes the connection if HTTP does not allow the status.
+
+        Interim answers are passed here before the final one, which replaces them. 101 ends HTTP on
+        a connection, so it is no answer to a request that did not ask for this.
+        """
+        if not _is_allowed(start_line):
+            self.malformed = True
+            self._close()
+            return
         self.status = start_line.code
         self.headers = headers
 
     def data_received(self, chunk: bytes) -> None:
         """Appends a chunk of the body until a limit is exceeded."""
-        if self.too_large:
+        if self.too_large or self.malformed:
             return
         self._size_bytes += len(chunk)
         if self._size_bytes > self._limit_bytes:
@@ -123,8 +138,8 @@
         self._memory.add(self, len(chunk))
 
     def finish(self) -> None:
-        """Marks the answer as complete unless it is too large."""
-        self.complete = not self.too_large
+        """Marks the answer as complete unless it is malformed or too large."""
+        self.complete = not self.too_large and not self.malformed
 
     def give_up(self) -> None:
         """Drops what was read and closes the connection; the answer counts as too large."""
@@ -219,6 +234,7 @@
             AnswerTimeoutError: The request was sent; no complete answer arrived in time.
             AnswerLostError: The request was sent; the connection ended before the answer was
                 complete.
+            AnswerMalformedError: The request was sent; the answer is not valid HTTP/1.
             AnswerTooLargeError: The request was sent; the answer exceeds the limit.
         """
         loop = asyncio.get_running_loop()
@@ -288,7 +304,8 @@
 
         timer = asyncio.get_running_loop().call_later(remaining_s, expire)
         try:
-            await connection.read_response(reader)
+            if not await connection.read_response(reader):
+                reader.malformed = True
         except StreamClosedError:
             pass
         except asyncio.CancelledError:
@@ -319,6 +336,13 @@
             raise AnswerTimeoutError(
                 f"no complete answer from {self.address} within {remaining_s:.3f} s"
             )
+        if reader.malformed:
+            count("malformed_answers")
+            log.warning(
+                "Answer is not valid HTTP; the connection was closed.",
+                extra={"address": self.address, "request_id": request.request_id},
+            )
+            raise AnswerMalformedError(f"the answer of {self.address} is not valid HTTP")
         raise AnswerLostError(
             f"the connection to {self.address} ended before the answer was complete"
         )
@@ -379,6 +403,13 @@
         self._idle.append((stream, asyncio.get_running_loop().time()))
 
 
+def _is_allowed(line: ResponseStartLine) -> bool:
+    """Returns whether a status line is that of an interim or final answer of HTTP/1."""
+    if line.version not in HTTP_VERSIONS or line.code == SWITCHING_PROTOCOLS:
+        return False
+    return line.code in INTERIM_STATUSES or line.code in FINAL_STATUSES
+
+
 def _ignore_close() -> None:
     """Does nothing; ``_acquire`` reads from the stream whether it is closed."""
 
--- a/greengagefall/dispatch/exceptions.py
+++ b/greengagefall/dispatch/exceptions.py
@@ -27,5 +27,9 @@
     """The answer that was received belongs to another request."""
 
 
+class AnswerMalformedError(AnswerLostError):
+    """The bytes that were received are no HTTP answer, or one with a status without a meaning."""
+
+
 class AnswerTooLargeError(AnswerLostError):
     """The body of the answer exceeds the limit."""
--- a/greengagefall/dispatch/server_control.py
+++ b/greengagefall/dispatch/server_control.py
@@ -93,6 +93,8 @@
 def _parse_reply(answer: HttpAnswer) -> ControlReply:
     if answer.status == HTTP_NOT_FOUND:
         return NO_CONTROL_INTERFACE
+    if answer.status not in (HTTP_OK, HTTP_CONFLICT):
+        raise DispatchError(f"status {answer.status} of the control interface is no confirmation")
     try:
         fields = json.loads(answer.body)
         refusal = str(fields["reason"]) if answer.status == HTTP_CONFLICT else ""
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -9,6 +9,7 @@
 from greengagefall.dispatch.connection_pool import HttpAnswer, HttpRequest
 from greengagefall.dispatch.exceptions import (
     AnswerLostError,
+    AnswerMalformedError,
     AnswerMismatchError,
     AnswerTimeoutError,
     NotSentError,
@@ -269,10 +270,12 @@
         except AnswerTimeoutError:
             self.health.record_failure()
             return self._refusal(request, outcomes.TIMED_OUT, sent=True)
-        except AnswerLostError:
+        except AnswerLostError as error:
             self._on_connection_lost()
             self.health.record_failure()
-            return self._refusal(request, outcomes.OUTCOME_UNKNOWN, sent=True)
+            malformed = isinstance(error, AnswerMalformedError)
+            reason = outcomes.BAD_ANSWER if malformed else outcomes.OUTCOME_UNKNOWN
+            return self._refusal(request, reason, sent=True)
         self.health.record_answer()
         self._record_rate_limit(answer, sent_s)
         outcome = self._convert_answer(request, answer)
--- a/greengagefall/tests/dispatch_connection_pool_tests.py
+++ b/greengagefall/tests/dispatch_connection_pool_tests.py
@@ -71,7 +71,9 @@
         return True
 
 
-class ConnectionPoolTests(unittest.IsolatedAsyncioTestCase):
+class ScriptedPoolTests(unittest.IsolatedAsyncioTestCase):
+    """Base class of tests of a pool of connections to a scripted server."""
+
     async def start_server(self, *answers: ScriptedAnswer) -> ConnectionPool:
         self.server = ScriptedServer(list(answers))
         address = await self.server.start()
@@ -88,6 +90,8 @@
         with self.assertRaises(error):
             await self.send(pool)
 
+
+class ConnectionPoolTests(ScriptedPoolTests):
     async def test_complete_answer_keeps_the_connection(self):
         pool = await self.start_server(
             ScriptedAnswer(COMPLETE_ANSWER), ScriptedAnswer(COMPLETE_ANSWER)
