Promise "not executed" only if no attempt may have been executed

An idempotent request whose first attempt had an unknown outcome and whose later attempt was refused got the 503 of the last attempt, which promises that it was not executed. The router now returns the earlier reason (502 or 504) without Retry-After. A mark "Not-Executed" that the answer's status or value contradicts is ignored, and a connection that closes during the write no longer counts as one to which nothing was sent. The gateway soak checked the promise only for requests that are not idempotent; it checks all now.

--- a/greengagefall/bench/gateway_soak.py
+++ b/greengagefall/bench/gateway_soak.py
@@ -207,7 +207,7 @@
         execution_count = executions[record.request_id]
         if record.kind != "safe" and execution_count > 1:
             found.append(f"{record.request_id} was executed {execution_count} times")
-        if record.kind != "safe" and record.status in NOT_EXECUTED_STATUSES and execution_count:
+        if record.status in NOT_EXECUTED_STATUSES and execution_count:
             found.append(f"{record.request_id} got {record.status}, but was executed")
         if record.status == OK and not execution_count:
             found.append(f"{record.request_id} got {OK}, but was not executed")
--- a/greengagefall/dispatch/connection_pool.py
+++ b/greengagefall/dispatch/connection_pool.py
@@ -276,12 +276,15 @@
         if request.body or request.method not in BODILESS_METHODS:
             headers["Content-Length"] = str(len(request.body))
         start_line = RequestStartLine(request.method, request.path, "")
+        if stream.closed():
+            raise NotSentError(f"the connection to {self.address} was closed before the send")
         try:
             connection.write_headers(start_line, headers, request.body or None)
             connection.finish()
         except StreamClosedError as error:
-            raise NotSentError(
-                f"the connection to {self.address} was closed before the send"
+            # A part of the request may have been written before the connection closed.
+            raise AnswerLostError(
+                f"the connection to {self.address} was closed during the send"
             ) from error
         return await self._read_answer(stream, connection, request, remaining_s, matches)
 
--- a/greengagefall/gateway/router.py
+++ b/greengagefall/gateway/router.py
@@ -147,8 +147,13 @@
         started_s: float,
         deadline_s: float,
     ) -> Answer | Refusal:
+        """Makes attempts until one is answered or no other one is allowed.
+
+        If an attempt may have been executed, a later refusal must not say "not executed".
+        """
         sends = 0
         attempts = 0
+        unknown: NotDispatched | None = None
         while True:
             attempts += 1
             target = self._target(request, service)
@@ -159,6 +164,8 @@
             if isinstance(outcome, Dispatched):
                 return Answer(outcome.status, outcome.headers, outcome.body)
             sends += outcome.sent
+            if unknown is None and not outcome.not_run:
+                unknown = outcome
             if outcome.reason == outcomes.NOT_OWNER:
                 self._request_update()
             remaining_s = deadline_s - self._clock.now_s()
@@ -170,13 +177,37 @@
             )
             self._log(request, service, outcome, attempts, retry)
             if not retry:
-                return Refusal(outcome.reason, outcome.retry_after_ms)
+                return self._final(request, outcome, unknown)
             await asyncio.sleep(REROUTE_PAUSE_S * (1 + self._random.random()))
             if outcome.reason != outcomes.STOPPING:
                 continue
             wait_s = min(TAKEOVER_WAIT_S, deadline_s - self._clock.now_s())
             if not await wait_until(partial(self._moved, request, service, target), wait_s):
-                return Refusal(outcome.reason, outcome.retry_after_ms)
+                return self._final(request, outcome, unknown)
+
+    def _final(
+        self, request: CallerRequest, outcome: NotDispatched, unknown: NotDispatched | None
+    ) -> Refusal:
+        """Returns the refusal for the caller.
+
+        Args:
+            request: The caller's request.
+            outcome: The outcome of the last attempt.
+            unknown: The first attempt that may have been executed, None if there is none.
+        """
+        if unknown is None or not outcome.not_run:
+            return Refusal(outcome.reason, outcome.retry_after_ms)
+        count("unknown_before_refusal", reason=outcome.reason)
+        log.info(
+            "Last attempt was refused, but an earlier one may have been executed.",
+            extra={
+                "request_id": request.request_id,
+                "reason": outcome.reason,
+                "earlier_reason": unknown.reason,
+                "earlier_server": unknown.server_id,
+            },
+        )
+        return Refusal(unknown.reason, 0)
 
     def _may_repeat(
         self, route: Route, service: Service, outcome: NotDispatched, sends: int
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -53,7 +53,6 @@
 PROBE_INTERVAL_S = 0.5
 PROBE_TIMEOUT_S = 0.5
 OK = 200
-SUCCESSES = range(200, 300)
 
 
 class ServerChannel:
@@ -321,7 +320,7 @@
             count("server_refusals", status=str(answer.status))
             return self._refusal(request, outcomes.SERVER_REFUSED, sent=True)
         trusted = metadata.signed and metadata.request_id == request.request_id
-        if answer.status in SUCCESSES and not trusted:
+        if answer.status in headers.SUCCESSES and not trusted:
             return self._refusal(request, outcomes.BAD_ANSWER, sent=True)
         if answer.status in AMBIGUOUS_STATUSES:
             return self._refusal(request, outcomes.OUTCOME_UNKNOWN, sent=True)
--- a/greengagefall/platform/requests.py
+++ b/greengagefall/platform/requests.py
@@ -29,10 +29,14 @@
 NOT_EXECUTED_HEADER = "Not-Executed"
 RATE_LIMIT_HEADER = "Server-Limit"
 
+# Values of the header that say the opposite of its name.
+NOT_EXECUTED_DENIALS = frozenset({"", "0", "false", "no"})
+
 JSON_HEADERS = [["Content-Type", "application/json"]]
 HTTP_MISDIRECTED_REQUEST = 421
 MS_PER_S = 1000.0
 PERCENT = 100.0
+SUCCESSES = range(200, 300)
 
 # Headers that apply to a single connection, and headers that this system sets itself.
 DROPPED_REQUEST_HEADERS = frozenset(
@@ -54,6 +58,7 @@
 )
 DROPPED_ANSWER_HEADERS = DROPPED_REQUEST_HEADERS - {"request-id"} | {
     "date",
+    "not-executed",
     "server",
     "upstream-load",
 }
@@ -143,7 +148,7 @@
 def read_answer_metadata(status: int, headers: HTTPHeaders) -> AnswerMetadata:
     """Returns what the headers of a server's answer state about the request."""
     return AnswerMetadata(
-        not_run=NOT_EXECUTED_HEADER in headers or status == HTTP_MISDIRECTED_REQUEST,
+        not_run=status == HTTP_MISDIRECTED_REQUEST or _says_not_executed(status, headers),
         misdirected=status == HTTP_MISDIRECTED_REQUEST,
         signed=SIGNATURE_HEADER in headers,
         request_id=headers.get(REQUEST_ID_HEADER, ""),
@@ -151,6 +156,17 @@
     )
 
 
+def _says_not_executed(status: int, headers: HTTPHeaders) -> bool:
+    """Returns whether a server states that it did not execute a request.
+
+    A success says the opposite, so that the statement cannot be relied on.
+    """
+    value = headers.get(NOT_EXECUTED_HEADER)
+    if value is None or status in SUCCESSES:
+        return False
+    return value.strip().lower() not in NOT_EXECUTED_DENIALS
+
+
 def read_load(headers: HTTPHeaders) -> ReportedLoad | None:
     """Returns the load that a server reports with an answer, None without a valid report.
 
--- a/greengagefall/tests/dispatch_connection_pool_tests.py
+++ b/greengagefall/tests/dispatch_connection_pool_tests.py
@@ -9,7 +9,8 @@
 import unittest
 from unittest import mock
 
-from tornado.iostream import IOStream
+from tornado.http1connection import HTTP1Connection
+from tornado.iostream import IOStream, StreamClosedError
 
 from greengagefall.dispatch.connection_pool import ConnectionPool, HttpRequest
 from greengagefall.dispatch.exceptions import (
@@ -210,6 +211,39 @@
         with self.assertRaises(NotSentError):
             await pool.exchange(REQUEST, TIMEOUT_S, lambda: True)
 
+    async def test_a_write_that_fails_halfway_may_have_reached_the_server(self):
+        """Guards against "nothing was sent" for a request of which a part was written."""
+        pool = await self.start_server(ScriptedAnswer(COMPLETE_ANSWER))
+
+        def fail(connection) -> None:
+            connection.stream.close()
+            raise StreamClosedError
+
+        with (
+            mock.patch.object(HTTP1Connection, "finish", fail),
+            self.assertRaises(AnswerLostError),
+        ):
+            await self.send(pool)
+        await asyncio.sleep(0.05)
+        self.assertEqual(len(self.server.requests), 1)
+
+    async def test_a_stream_that_closes_before_the_write_means_nothing_was_sent(self):
+        pool = await self.start_server(ScriptedAnswer(COMPLETE_ANSWER))
+        streams = []
+        connect = pool._connect
+
+        async def keep(timeout_s: float) -> IOStream:
+            streams.append(await connect(timeout_s))
+            return streams[0]
+
+        def close_stream() -> bool:
+            streams[0].close()
+            return True
+
+        pool._connect = keep
+        with self.assertRaises(NotSentError):
+            await pool.exchange(REQUEST, TIMEOUT_S, close_stream)
+
     async def test_connecting_does_not_wait_for_a_thread(self):
         pool = await self.start_server(ScriptedAnswer(COMPLETE_ANSWER))
         loop = asyncio.get_running_loop()
--- a/greengagefall/tests/gateway_router_tests.py
+++ b/greengagefall/tests/gateway_router_tests.py
@@ -49,9 +49,11 @@
     def __init__(self, replies):
         self.replies = list(replies)
         self.calls = []
+        self.on_call = lambda *_: None
 
     async def call(self, host, message, timeout_s):
         self.calls.append((host, message))
+        self.on_call()
         return self.replies.pop(0) if len(self.replies) > 1 else self.replies[0]
 
 
@@ -131,6 +133,29 @@
         self.assertIsInstance(outcome, Answer)
         self.assertEqual(len(self.peers.calls), 2)
 
+    async def test_a_refusal_after_an_unknown_outcome_does_not_say_not_executed(self):
+        """Guards against a 503 for a request that an earlier attempt may have had executed."""
+        not_run = [reason for reason, row in outcomes.OUTCOMES.items() if row.not_run]
+        cases = [(outcomes.OUTCOME_UNKNOWN, reason) for reason in not_run]
+        cases += [(outcomes.TIMED_OUT, outcomes.QUEUE_FULL)]
+        cases += [(outcomes.BAD_ANSWER, outcomes.SERVER_REFUSED)]
+        for before, reason in cases:
+            with self.subTest(before=before, reason=reason):
+                replies = failed(before, sent=True), failed(reason)
+                outcome = await self.route_request("/safe/1", *replies)
+                self.assertEqual(outcome, Refusal(before, 0))
+                self.assertGreater(len(self.peers.calls), 1)
+
+    async def test_a_dispatcher_that_cannot_be_reached_after_a_lost_reply_promises_nothing(self):
+        outcome = await self.route_request("/safe/1", REPLY_LOST, UNREACHABLE)
+        self.assertEqual(outcome, Refusal(outcomes.OUTCOME_UNKNOWN, 0))
+
+    async def test_a_key_without_an_owner_after_a_lost_reply_promises_nothing(self):
+        peers = FakePeers([REPLY_LOST])
+        peers.on_call = lambda: self.view.update_assignment(Assignment(2, 1, {}, {}))
+        outcome = await Router(self.view, peers, self.clock).route(self.request("/safe/1"))
+        self.assertEqual(outcome, Refusal(outcomes.OUTCOME_UNKNOWN, 0))
+
     async def test_full_queue_is_refused_at_once_with_retry_after(self):
         outcome = await self.route_request("/once/1", failed(outcomes.QUEUE_FULL), ANSWER)
         self.assertEqual(outcome, Refusal(outcomes.QUEUE_FULL, 250))
--- a/greengagefall/tests/platform_adapter_tests.py
+++ b/greengagefall/tests/platform_adapter_tests.py
@@ -153,6 +153,13 @@
         self.assertFalse(requests.read_answer_metadata(503, HTTPHeaders()).not_run)
         self.assertTrue(requests.read_answer_metadata(421, HTTPHeaders()).misdirected)
 
+    def test_an_answer_that_contradicts_its_mark_does_not_count_as_not_executed(self):
+        """Guards against a promise that the server's own status or value takes back."""
+        for status, value in ((200, "1"), (204, "1"), (503, "0"), (503, "false"), (503, "")):
+            with self.subTest(status=status, value=value):
+                headers = HTTPHeaders({"Not-Executed": value})
+                self.assertFalse(requests.read_answer_metadata(status, headers).not_run)
+
     def test_load_is_read_with_and_without_the_slowdown_field(self):
         load = requests.read_load(HTTPHeaders({"Upstream-Load": "3,1,8,250"}))
         self.assertEqual(load, (3, 1, 8, 2.5))
