Estimate service times by route and backend server

A server had one mean service time for all requests, though they take 85 to 270 ms on the same server, and the slowdown that servers report was read nowhere. The estimate is now a product of the work of the kind, the pace of the server, a correction for the kind on this server and the reported slowdown. It serves the expected wait, which plays through the work of those ahead, shedding, Retry-After and the choice among servers. Dispatch has a field kind with the name of the route. A load header whose slowdown is not a positive finite number is ignored.

--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -17,6 +17,7 @@
 from greengagefall.gateway.server_knowledge import ServerKnowledge
 from greengagefall.limits.server_rate_limit import UNLIMITED
 from greengagefall.limits.stop_admission import StopAdmission
+from greengagefall.limits.work_estimate import ServiceWork
 from greengagefall.ownership.key_load import KeyCounter
 from greengagefall.ownership.key_spans import KeySpan
 from greengagefall.ownership.model import ServerIncarnation
@@ -103,6 +104,7 @@
         self.ask_others: Callable[[ServerIncarnation, KeySpan, int], Awaitable[bool]] | None = None
         self._sent_fences: dict[str, int] = {}
         self._unneeded_since_s: dict[ServerIncarnation, float] = {}
+        self._works: dict[str, ServiceWork] = {}
         self._key_counters: dict[str, KeyCounter] = {}
         self._task: asyncio.Task | None = None
         self._submitted = 0
@@ -282,8 +284,9 @@
             self._view.assignment_age_s,
             partial(self.is_listed, incarnation),
         )
+        work = self._works.setdefault(service.name, ServiceWork(self._clock))
         channel = ServerChannel(
-            entry, service, self._clock, self.open_pool(entry.address), knowledge, self._stop
+            entry, service, self._clock, self.open_pool(entry.address), knowledge, self._stop, work
         )
         if channel.grants is not None:
             channel.grants.on_new_fence_needed = self._request_new_fence
@@ -312,7 +315,11 @@
             and self._view.is_usable(channel.entry)
         ]
         alive = [channel for channel in candidates if channel.health.up]
-        return min(alive or candidates, key=ServerChannel.expected_finish_s, default=None)
+        return min(
+            alive or candidates,
+            key=lambda channel: channel.expected_finish_s(request),
+            default=None,
+        )
 
     def _refuse(self, request: Dispatch, reason: str) -> NotDispatched:
         count("dispatch_failures", reason=reason)
--- a/greengagefall/gateway/router.py
+++ b/greengagefall/gateway/router.py
@@ -248,6 +248,7 @@
             max(1, int((started_s + route.objective_s - now_s) * MS_PER_S)),
             route.idempotent,
             route.priority,
+            route.name,
         )
         reply = await self._peers.call(host, message, deadline_s - now_s + REPLY_MARGIN_S)
         if isinstance(reply, (Dispatched, NotDispatched)):
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -24,6 +24,7 @@
 from greengagefall.limits.server_queue import ServerQueue
 from greengagefall.limits.server_rate_limit import ServerRateLimit, logged_rate_per_s
 from greengagefall.limits.stop_admission import StopAdmission
+from greengagefall.limits.work_estimate import ServerWork, ServiceWork
 from greengagefall.platform import requests as headers
 from greengagefall.protocol.gateway_messages import Dispatched, NotDispatched
 from greengagefall.utils.metrics import count, observe_ms
@@ -33,6 +34,7 @@
     from greengagefall.dispatch.connection_pool import ConnectionPool
     from greengagefall.gateway.model import ServerEntry, Service
     from greengagefall.gateway.server_knowledge import ServerKnowledge
+    from greengagefall.limits.server_queue import QueuedDispatch
     from greengagefall.ownership.model import KeyRange
     from greengagefall.protocol.gateway_messages import Dispatch
     from greengagefall.utils.clock import Clock
@@ -53,6 +55,8 @@
 PROBE_INTERVAL_S = 0.5
 PROBE_TIMEOUT_S = 0.5
 OK = 200
+SERVER_ERROR = 500
+NO_SLOWDOWN = 1.0
 
 
 class ServerChannel:
@@ -65,6 +69,7 @@
         pool: Connections to the server.
         knowledge: What this host knows of the server's process.
         stop: Which requests are sent while this host stops; by default it never stops.
+        work: What this host knows of the work of the service's requests.
 
     Attributes:
         entry: Newest entry of the incarnation.
@@ -84,10 +89,12 @@
         pool: ConnectionPool,
         knowledge: ServerKnowledge = ALL_IS_KNOWN,
         stop: StopAdmission | None = None,
+        work: ServiceWork | None = None,
     ) -> None:
         self.entry = entry
         self.incarnation = entry.incarnation
-        self.queue = ServerQueue(entry.slots, clock)
+        work = ServerWork(work or ServiceWork(clock))
+        self.queue = ServerQueue(entry.slots, clock, work)
         self.health = ServerHealth(clock)
         self.rate_limit = ServerRateLimit(clock)
         self.admission_closed = False
@@ -100,6 +107,7 @@
             self._grants = GrantManager(self.incarnation, pool, self.health, clock, knowledge)
             pool.on_idle_close = self._grants.on_connection_lost
         self._waiting = SlotWaiting(self.queue)
+        self._slowdown = NO_SLOWDOWN
         self._probe_task: asyncio.Task | None = None
         self.update_entry(entry)
 
@@ -162,9 +170,12 @@
             lambda key: key != NO_KEY and not self._grants.owns(key), outcomes.NOT_OWNER
         )
 
-    def expected_finish_s(self) -> float:
+    def expected_finish_s(self, request: Dispatch) -> float:
         """Returns how long a request that arrives now would take, in seconds."""
-        return self.queue.expected_wait_s() + self.queue.service_time_s
+        received_s = self._clock.now_s()
+        deadline_s = received_s + request.remaining_ms / MS_PER_S
+        item = self._waiting.queued_item(request, received_s, deadline_s)
+        return self.queue.expected_wait_s(item) + self.queue.work.expected_s(request.kind)
 
     def load_percent(self) -> int:
         """Returns in-flight and queued requests per slot, in percent.
@@ -195,31 +206,45 @@
                 return self._refusal(request, outcomes.NOT_GRANTED)
         if self.admission_closed:
             return self._refusal(request, outcomes.SERVER_LEAVING)
-        admitted = await self._waiting.admit(request, received_s, deadline_s)
-        if admitted == outcomes.QUEUE_FULL:
-            return self._queue_refusal(request)
-        if admitted != ADMITTED:
-            return self._refusal(request, admitted)
+        admission = await self._waiting.admit(request, received_s, deadline_s)
+        if admission.outcome == outcomes.QUEUE_FULL:
+            return self._queue_refusal(request, admission.item)
+        if admission.outcome != ADMITTED:
+            return self._refusal(request, admission.outcome)
+        return await self._execute(request, admission.item)
+
+    async def _execute(self, request: Dispatch, item: QueuedDispatch) -> Dispatched | NotDispatched:
+        """Sends a request that has a slot, and frees the slot when it has its outcome."""
         started_s = self._clock.now_s()
-        send = asyncio.ensure_future(self._send(request, deadline_s))
+        send = asyncio.ensure_future(self._send(request, item.deadline_s))
         try:
             # A request that is not idempotent is not cancelled when its caller disconnects.
             outcome = await (send if request.idempotent else asyncio.shield(send))
         except asyncio.CancelledError:
             if request.idempotent:
-                self._waiting.finish(None)
+                self._waiting.finish(item)
             else:
-                send.add_done_callback(lambda _: self._waiting.finish(None))
+                send.add_done_callback(lambda _: self._waiting.finish(item))
             raise
         except Exception:
-            self._waiting.finish(None)
+            self._waiting.finish(item)
             raise
-        executed = isinstance(outcome, Dispatched)
         duration_s = self._clock.now_s() - started_s
-        self._waiting.finish(duration_s if executed else None)
+        self._record_work(item, outcome, duration_s)
         observe_ms("server_time_ms", duration_s * MS_PER_S, service=self._service.name)
         return outcome
 
+    def _record_work(
+        self, item: QueuedDispatch, outcome: Dispatched | NotDispatched, duration_s: float
+    ) -> None:
+        """Frees a slot; an answer that reports no error shows how long the work takes."""
+        if not isinstance(outcome, Dispatched) or outcome.status >= SERVER_ERROR:
+            self._waiting.finish(item)
+            return
+        error_s = abs(duration_s - self.queue.work.expected_s(item.kind))
+        observe_ms("work_estimate_error_ms", error_s * MS_PER_S, service=self._service.name)
+        self._waiting.finish(item, duration_s, self._slowdown)
+
     async def _send(self, request: Dispatch, deadline_s: float) -> Dispatched | NotDispatched:
         sent_s = self._clock.now_s()
         remaining_s = deadline_s - sent_s
@@ -277,6 +302,7 @@
             return self._refusal(request, reason, sent=True)
         self.health.record_answer()
         self._record_rate_limit(answer, sent_s)
+        self._record_slowdown(answer)
         outcome = self._convert_answer(request, answer)
         if isinstance(outcome, Dispatched) and self._grants is not None:
             self._grants.on_request_executed(request.key, sent_s)
@@ -289,6 +315,12 @@
             rate_per_s = headers.read_max_rate_per_s(answer.headers)
             self._set_rate_limit(rate_per_s, sent_s, "answer")
 
+    def _record_slowdown(self, answer: HttpAnswer) -> None:
+        """Records the slowdown that an answer of the server reports."""
+        metadata = headers.read_answer_metadata(answer.status, answer.headers)
+        load = headers.read_load(answer.headers) if metadata.signed else None
+        self._slowdown = load.slowdown_factor if load is not None else NO_SLOWDOWN
+
     def _set_rate_limit(self, rate_per_s: float, sent_s: float, learned_from: str) -> None:
         before_per_s = self.rate_limit.rate_per_s
         if not self.rate_limit.on_answer(rate_per_s, sent_s):
@@ -332,9 +364,9 @@
             self.load_percent(),
         )
 
-    def _queue_refusal(self, request: Dispatch) -> NotDispatched:
+    def _queue_refusal(self, request: Dispatch, item: QueuedDispatch) -> NotDispatched:
         refusal = self._refusal(request, outcomes.QUEUE_FULL)
-        retry_after_ms = int(self.queue.retry_after_s() * MS_PER_S)
+        retry_after_ms = int(self.queue.retry_after_s(item) * MS_PER_S)
         return refusal._replace(retry_after_ms=retry_after_ms)
 
     def _refusal(self, request: Dispatch, reason: str, *, sent: bool = False) -> NotDispatched:
@@ -349,6 +381,9 @@
                 "in_flight": self.queue.in_flight,
                 "waiting": len(self.queue),
                 "service_time_ms": int(self.queue.service_time_s * MS_PER_S),
+                "kind": request.kind,
+                "expected_ms": int(self.queue.work.expected_s(request.kind) * MS_PER_S),
+                "slowdown": round(self.queue.work.slowdown, 2),
             },
         )
         return outcomes.failure(
--- a/greengagefall/gateway/slot_waiting.py
+++ b/greengagefall/gateway/slot_waiting.py
@@ -22,6 +22,18 @@
 MAX_QUEUE_CHECK_S = 0.1
 
 
+class Admission(NamedTuple):
+    """The end of a request's wait for a slot.
+
+    Attributes:
+        outcome: ``ADMITTED`` or the reason of the refusal.
+        item: The request in the queue, to free its slot.
+    """
+
+    outcome: str
+    item: QueuedDispatch
+
+
 class _QueuedRequest(NamedTuple):
     """A queued request; the outcome is ``ADMITTED`` or the reason of the refusal."""
 
@@ -53,38 +65,53 @@
         for queued in list(self._queued_requests.values()):
             self._complete(queued, outcomes.QUEUE_FULL)
 
-    async def admit(self, request: Dispatch, received_s: float, deadline_s: float) -> str:
-        """Waits for a slot; returns ``ADMITTED`` or the reason of the refusal.
+    async def admit(self, request: Dispatch, received_s: float, deadline_s: float) -> Admission:
+        """Waits for a slot; a request that is admitted has to call ``finish``.
 
         Args:
             request: The request.
             received_s: When it arrived at this host.
             deadline_s: When its caller no longer waits.
         """
-        objective_s = received_s + request.objective_ms / MS_PER_S
-        item = QueuedDispatch(request.priority, deadline_s, next(self._ticket_numbers), objective_s)
+        item = self.queued_item(request, received_s, deadline_s)
         outcome = asyncio.get_running_loop().create_future()
         queued = _QueuedRequest(item, request.key, outcome)
         self._queued_requests[item.ticket] = queued
         self._refuse(self._queue.offer(item))
         self.process()
         try:
-            return await queued.outcome
+            return Admission(await queued.outcome, item)
         except asyncio.CancelledError:
             self._queued_requests.pop(item.ticket, None)
             self._queue.remove(item)
             ended = queued.outcome.done() and not queued.outcome.cancelled()
             if ended and queued.outcome.result() == ADMITTED:
-                self.finish(None)
+                self.finish(item)
             raise
 
-    def finish(self, duration_s: float | None) -> None:
+    def queued_item(
+        self, request: Dispatch, received_s: float, deadline_s: float
+    ) -> QueuedDispatch:
+        """Returns a request as it would be queued now."""
+        return QueuedDispatch(
+            request.priority,
+            deadline_s,
+            next(self._ticket_numbers),
+            received_s + request.objective_ms / MS_PER_S,
+            request.kind,
+        )
+
+    def finish(
+        self, item: QueuedDispatch, duration_s: float | None = None, slowdown: float = 1.0
+    ) -> None:
         """Frees a slot and admits the next request.
 
         Args:
+            item: The request that had the slot.
             duration_s: Service time; None if the request was not executed to its end.
+            slowdown: The slowdown that the server reported with the answer.
         """
-        self._queue.finish(duration_s)
+        self._queue.finish(item, duration_s, slowdown)
         self.process()
 
     def refuse_keys(self, is_refused: Callable[[int], bool], reason: str) -> None:
@@ -99,7 +126,7 @@
         while (item := self._queue.start_next()) is not None:
             queued = self._queued_requests.get(item.ticket)
             if queued is None:
-                self._queue.finish()
+                self._queue.finish(item)
                 continue
             self._complete(queued, ADMITTED)
         self._refuse(self._queue.shed_late())
--- a/greengagefall/limits/server_queue.py
+++ b/greengagefall/limits/server_queue.py
@@ -6,18 +6,25 @@
 
 from __future__ import annotations
 
+import heapq
 from bisect import insort
 from typing import TYPE_CHECKING, NamedTuple
 
 from greengagefall.limits.server_rate_limit import UNLIMITED
+from greengagefall.limits.work_estimate import (
+    INITIAL_SERVICE_TIME_S,
+    MIN_SERVICE_TIME_S,
+    ServerWork,
+    ServiceWork,
+)
 from greengagefall.utils.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
     from greengagefall.utils.clock import Clock
 
-INITIAL_SERVICE_TIME_S = 0.2
 SERVICE_TIME_WEIGHT = 0.1
-MIN_SERVICE_TIME_S = 0.001
+# Share of the expected service time that a request is assumed to need when it took longer already.
+OVERDUE_SHARE = 0.25
 # Fraction of the time between objective and deadline in which an answer is still worth a slot.
 USEFUL_LATE_SHARE = 0.5
 COLD_BURST_REQUESTS = 2.0
@@ -35,12 +42,14 @@
         deadline_s: Time after which the caller no longer waits for the answer.
         ticket: Unique number.
         objective_s: Time after which the answer loses value.
+        kind: Kind of its work.
     """
 
     priority: int
     deadline_s: float
     ticket: int
     objective_s: float
+    kind: str = ""
 
     @property
     def useful_until_s(self) -> float:
@@ -49,23 +58,32 @@
         return min(self.deadline_s, self.objective_s + USEFUL_LATE_SHARE * late_s)
 
 
+class _Running(NamedTuple):
+    """A request that was sent and has no answer yet."""
+
+    kind: str
+    started_s: float
+
+
 class ServerQueue:
     """The slots of one server and the requests that are queued for them.
 
     Args:
         slots: Number of requests that the server executes concurrently.
         clock: Monotonic clock.
+        work: Expected service times of the server; by default they are learned from it alone.
 
     Attributes:
-        in_flight: Number of requests that were sent and have no answer yet.
-        service_time_s: Estimated time in which the server executes a request.
+        service_time_s: Mean time in which the server executes a request, of any kind.
+        work: Expected service times by kind.
     """
 
-    def __init__(self, slots: int, clock: Clock) -> None:
+    def __init__(self, slots: int, clock: Clock, work: ServerWork | None = None) -> None:
         self.slots = slots
-        self.in_flight = 0
         self.service_time_s = INITIAL_SERVICE_TIME_S
+        self.work = work or ServerWork(ServiceWork(clock))
         self._clock = clock
+        self._running: dict[int, _Running] = {}
         self._queued: list[QueuedDispatch] = []
         self._cold_tokens: TokenBucket | None = None
         self._cold_until_s = 0.0
@@ -74,6 +92,11 @@
     def __len__(self) -> int:
         return len(self._queued)
 
+    @property
+    def in_flight(self) -> int:
+        """Number of requests that were sent and have no answer yet."""
+        return len(self._running)
+
     @property
     def cold(self) -> bool:
         """Whether the server takes only the request rate of a cold start."""
@@ -116,12 +139,17 @@
         waits_s = [limit.wait_s(ahead + 1) for limit in self._rate_limits()]
         return max(waits_s, default=0.0)
 
-    def expected_wait_s(self, ahead: int | None = None) -> float:
-        """Returns the expected wait for a slot behind ``ahead`` queued requests, by default all."""
-        ahead = len(self._queued) if ahead is None else ahead
-        behind = ahead + 1 + self.in_flight - self.slots
-        wait_s = max(0, behind) * self.service_time_s / self.slots
-        return max(wait_s, self.rate_wait_s(ahead))
+    def expected_wait_s(self, item: QueuedDispatch | None = None) -> float:
+        """Returns the expected wait for a slot, by the work of those ahead.
+
+        Args:
+            item: A request that is not queued; None for one behind all others.
+        """
+        ahead = [one for one in self._queued if item is None or one < item]
+        free_s = self._slot_times_s()
+        for one in ahead:
+            heapq.heapreplace(free_s, free_s[0] + self.work.expected_s(one.kind))
+        return max(free_s[0], self.rate_wait_s(len(ahead)))
 
     def offer(self, item: QueuedDispatch) -> list[QueuedDispatch]:
         """Adds a request; returns the requests that are now refused, which may include it."""
@@ -131,14 +159,17 @@
     def shed_late(self) -> list[QueuedDispatch]:
         """Removes and returns the requests that cannot finish in time."""
         now_s = self._clock.now_s()
+        free_s = self._slot_times_s()
         kept: list[QueuedDispatch] = []
         dropped = []
         for item in self._queued:
-            finish_s = now_s + self.expected_wait_s(len(kept)) + self.service_time_s
+            start_s = max(free_s[0], self.rate_wait_s(len(kept)))
+            finish_s = start_s + self.work.expected_s(item.kind)
             # Keep a request that could start at once, even if it is expected to finish late.
             starts_now = self._starts_now(len(kept)) and item.deadline_s > now_s
-            if starts_now or finish_s <= item.useful_until_s:
+            if starts_now or now_s + finish_s <= item.useful_until_s:
                 kept.append(item)
+                heapq.heapreplace(free_s, finish_s)
             else:
                 dropped.append(item)
         self._queued = kept
@@ -150,25 +181,48 @@
             return None
         if not self.try_take_tokens():
             return None
-        self.in_flight += 1
-        return self._queued.pop(0)
+        item = self._queued.pop(0)
+        self._running[item.ticket] = _Running(item.kind, self._clock.now_s())
+        return item
 
     def remove(self, item: QueuedDispatch) -> None:
         """Removes a request whose caller disconnected."""
         if item in self._queued:
             self._queued.remove(item)
 
-    def finish(self, service_time_s: float | None = None) -> None:
-        """Frees a slot; ``service_time_s`` is None if the request was not executed to its end."""
-        self.in_flight -= 1
+    def finish(
+        self, item: QueuedDispatch, service_time_s: float | None = None, slowdown: float = 1.0
+    ) -> None:
+        """Frees the slot of a request.
+
+        Args:
+            item: The request.
+            service_time_s: How long it took; None if it was not executed to its end.
+            slowdown: The slowdown that the server reported with the answer.
+        """
+        del self._running[item.ticket]
         if service_time_s is None:
             return
         change_s = max(MIN_SERVICE_TIME_S, service_time_s) - self.service_time_s
         self.service_time_s += SERVICE_TIME_WEIGHT * change_s
+        self.work.on_executed(item.kind, service_time_s, slowdown)
 
-    def retry_after_s(self) -> float:
-        """Returns the delay after which a refused request may be admitted."""
-        return max(MIN_RETRY_AFTER_S, self.expected_wait_s())
+    def retry_after_s(self, item: QueuedDispatch) -> float:
+        """Returns the delay after which a request that was refused may be admitted."""
+        return max(MIN_RETRY_AFTER_S, self.expected_wait_s(item))
+
+    def _slot_times_s(self) -> list[float]:
+        """Returns a heap of the times from now after which each slot is expected to be free."""
+        now_s = self._clock.now_s()
+        left_s = []
+        for running in self._running.values():
+            expected_s = self.work.expected_s(running.kind)
+            elapsed_s = now_s - running.started_s
+            left_s.append(max(expected_s - elapsed_s, OVERDUE_SHARE * expected_s))
+        left_s += [0.0] * (self.slots - len(left_s))
+        left_s.sort()
+        # Of a server whose slots became fewer, the last requests to end free the slots that remain.
+        return left_s[-self.slots :]
 
     def _rate_limits(self) -> list[TokenBucket]:
         """Returns the rate limits that apply now."""
--- a/greengagefall/platform/requests.py
+++ b/greengagefall/platform/requests.py
@@ -179,6 +179,8 @@
         slowdown_factor = float(fields[3]) / PERCENT if len(fields) > 3 else 1.0
     except ValueError:
         return None
+    if not 0 < slowdown_factor < math.inf:
+        return None
     return ReportedLoad(in_flight, queued, slots, slowdown_factor)
 
 
--- a/greengagefall/protocol/gateway_messages.py
+++ b/greengagefall/protocol/gateway_messages.py
@@ -31,6 +31,7 @@
         objective_ms: Time until the latency objective, after which the answer loses value.
         idempotent: Whether it may be executed more than once.
         priority: 0 is the most urgent.
+        kind: Kind of work, the name of its route; empty if unknown.
     """
 
     call_id: int
@@ -47,6 +48,7 @@
     objective_ms: int
     idempotent: bool
     priority: int
+    kind: str = ""
 
 
 @message("a")
--- a/greengagefall/tests/gateway_rate_limit_tests.py
+++ b/greengagefall/tests/gateway_rate_limit_tests.py
@@ -47,6 +47,8 @@
         first_named_s: When the first answer that names a limit was sent.
         healthy: Whether the health check passes.
         health_checks: Number of health checks.
+        load: Value of the header that reports the load, empty for none.
+        work_s: Service time by path.
     """
 
     def __init__(self, clock: LoopClock) -> None:
@@ -54,6 +56,8 @@
         self.arrivals_s: list[float] = []
         self.limited_arrivals_s: list[float] = []
         self.first_named_s = float("inf")
+        self.load = ""
+        self.work_s: dict[str, float] = {}
         self.healthy = True
         self.health_checks = 0
         self.on_idle_close = None
@@ -73,8 +77,10 @@
         self.arrivals_s.append(self._clock.now_s())
         if self._clock.now_s() >= self.first_named_s + NOTICE_S and self.limit:
             self.limited_arrivals_s.append(self._clock.now_s())
-        await asyncio.sleep(SERVICE_TIME_S)
+        await asyncio.sleep(self.work_s.get(request.path, SERVICE_TIME_S))
         fields = {"Request-Id": request_headers["Request-Id"], "Upstream-Signature": "signed"}
+        if self.load:
+            fields["Upstream-Load"] = self.load
         if self.limit:
             fields["Server-Limit"] = self.limit
             self.first_named_s = min(self.first_named_s, self._clock.now_s())
@@ -109,7 +115,9 @@
     )
 
 
-class RateLimitTests(unittest.TestCase):
+class ChannelTests(unittest.TestCase):
+    """Base class of tests of a channel to such a server."""
+
     def setUp(self):
         self.loop = VirtualLoop()
         self.addCleanup(self.loop.close)
@@ -121,6 +129,8 @@
         entry = ServerEntry("s0", service.name, "127.0.0.1:1", "a", 6, False, 0.0, 1)
         return ServerChannel(entry, service, self.clock, self.server)
 
+
+class RateLimitTests(ChannelTests):
     async def call(self, channel: ServerChannel, number: int, service: Service) -> None:
         started_s = self.clock.now_s()
         outcome = await channel.submit(dispatch(number, service), started_s)
@@ -270,3 +280,31 @@
         sent_s = [at_s for host, at_s in self.requests if host == after]
         in_first_second = sum(at_s < sent_s[0] + 1.0 for at_s in sent_s)
         self.assertLessEqual(in_first_second, 3.0 + LIMITED_BURST_REQUESTS)
+
+
+class WorkEstimateTests(ChannelTests):
+    """Guards against a channel that does not learn from the answers of its server."""
+
+    async def send_one_by_one(self, channel: ServerChannel, kinds: list[str]) -> None:
+        for number, kind in enumerate(kinds):
+            request = dispatch(number, POOLED)._replace(kind=kind, target=f"/{kind}")
+            await channel.submit(request, self.clock.now_s())
+
+    def test_kinds_of_work_are_told_apart(self):
+        channel = self.channel(POOLED)
+        self.server.work_s = {"/short": 0.085, "/long": 0.27}
+        self.loop.run_until_complete(self.send_one_by_one(channel, ["short", "long"] * 40))
+        expected_s = channel.queue.work.expected_s
+        self.assertAlmostEqual(expected_s("short"), 0.085, delta=0.02)
+        self.assertAlmostEqual(expected_s("long"), 0.27, delta=0.05)
+        requests = [dispatch(1, POOLED)._replace(kind=kind) for kind in ("short", "long")]
+        short_s, long_s = (channel.expected_finish_s(request) for request in requests)
+        self.assertLess(short_s, long_s / 2)
+
+    def test_a_reported_slowdown_counts_from_the_first_answer(self):
+        channel = self.channel(POOLED)
+        self.loop.run_until_complete(self.send_one_by_one(channel, ["k"] * 40))
+        usual_s = channel.queue.work.expected_s("k")
+        self.server.load, self.server.work_s = "1,0,6,300", {"/k": 3 * SERVICE_TIME_S}
+        self.loop.run_until_complete(self.send_one_by_one(channel, ["k"]))
+        self.assertGreater(channel.queue.work.expected_s("k"), 2.5 * usual_s)
--- a/greengagefall/tests/gateway_router_tests.py
+++ b/greengagefall/tests/gateway_router_tests.py
@@ -104,6 +104,7 @@
         host, message = self.peers.calls[0]
         self.assertEqual((host, message.server_id, message.key), ("near", "s1", 7))
         self.assertEqual(message.remaining_ms, 2000)
+        self.assertEqual(message.kind, "/safe/")
 
     async def test_non_idempotent_request_is_not_retried_after_unknown_outcome(self):
         for reply in (
--- a/greengagefall/tests/limits_server_queue_tests.py
+++ b/greengagefall/tests/limits_server_queue_tests.py
@@ -6,6 +6,7 @@
 import unittest
 
 from greengagefall.limits.server_queue import QueuedDispatch, ServerQueue
+from greengagefall.limits.work_estimate import ServerWork, ServiceWork
 from greengagefall.utils.clock import ManualClock
 
 SERVICE_TIME_S = 0.2
@@ -18,25 +19,37 @@
     def setUp(self):
         self.clock = ManualClock(100.0)
         self.queue = ServerQueue(2, self.clock)
-        self.queue.service_time_s = SERVICE_TIME_S
         self.tickets = 0
+        self.started = []
 
-    def queued_request(self, priority=1, remaining_s=2.0, objective_s=0.6):
+    def queued_request(self, priority=1, remaining_s=2.0, objective_s=0.6, kind=""):
         self.tickets += 1
         now_s = self.clock.now_s()
-        return QueuedDispatch(priority, now_s + remaining_s, self.tickets, now_s + objective_s)
+        deadline_s, objective_s = now_s + remaining_s, now_s + objective_s
+        return QueuedDispatch(priority, deadline_s, self.tickets, objective_s, kind)
 
     def fill(self):
         for _ in range(2):
             self.assertEqual(self.queue.offer(self.queued_request()), [])
-            self.assertIsNotNone(self.queue.start_next())
+            self.assertIsNotNone(self.start())
+
+    def start(self, queue=None):
+        """Starts the next request if there is a slot, and remembers it."""
+        item = (self.queue if queue is None else queue).start_next()
+        if item is not None:
+            self.started.append(item)
+        return item
+
+    def finish(self, duration_s=None, queue=None):
+        """Ends the request that was started first."""
+        (self.queue if queue is None else queue).finish(self.started.pop(0), duration_s)
 
     def test_no_more_requests_than_slots_are_started(self):
         self.fill()
         self.assertEqual(self.queue.offer(self.queued_request()), [])
-        self.assertIsNone(self.queue.start_next())
-        self.queue.finish(0.2)
-        self.assertIsNotNone(self.queue.start_next())
+        self.assertIsNone(self.start())
+        self.finish(0.2)
+        self.assertIsNotNone(self.start())
 
     def test_the_most_urgent_starts_first_then_the_earliest_deadline(self):
         self.fill()
@@ -47,8 +60,8 @@
             self.queue.offer(item)
         order = []
         for _ in range(3):
-            self.queue.finish(0.2)
-            order.append(self.queue.start_next())
+            self.finish(0.2)
+            order.append(self.start())
         self.assertEqual(order, [urgent, early, late])
 
     def test_a_request_that_cannot_finish_in_time_is_refused_at_once(self):
@@ -67,11 +80,35 @@
         urgent = self.queued_request(priority=0)
         displaced = self.queue.offer(urgent)
         self.assertTrue(all(item.priority == 2 for item in displaced))
-        self.queue.finish(0.2)
-        self.assertEqual(self.queue.start_next(), urgent)
+        self.finish(0.2)
+        self.assertEqual(self.start(), urgent)
+
+    def test_the_wait_is_that_for_the_work_of_those_ahead(self):
+        """Guards against a mean service time for kinds of work that differ."""
+        work = ServerWork(ServiceWork(self.clock))
+        for _ in range(200):
+            work.on_executed("short", 0.1)
+            work.on_executed("long", 0.4)
+        waits_s = {}
+        for kind in ("short", "long"):
+            queue = ServerQueue(1, self.clock, work)
+            for _ in range(3):
+                queue.offer(self.queued_request(remaining_s=9.0, objective_s=9.0, kind=kind))
+            queue.start_next()
+            self.clock.advance(0.05)
+            waits_s[kind] = queue.expected_wait_s()
+        self.assertAlmostEqual(waits_s["short"], 0.25, delta=0.05)
+        self.assertAlmostEqual(waits_s["long"], 1.15, delta=0.1)
+
+    def test_an_urgent_request_waits_for_its_equals_only(self):
+        self.fill()
+        for _ in range(4):
+            self.queue.offer(self.queued_request(priority=2, remaining_s=9.0, objective_s=9.0))
+        urgent, late = self.queued_request(priority=0), self.queued_request(priority=3)
+        self.assertLess(self.queue.retry_after_s(urgent), self.queue.retry_after_s(late) / 2)
 
     def test_a_request_that_could_start_at_once_is_kept_for_a_slow_server(self):
-        self.queue.service_time_s = 5.0
+        self.queue = ServerQueue(2, self.clock, ServerWork(ServiceWork(self.clock, 5.0)))
         self.assertEqual(self.queue.offer(self.queued_request()), [])
         self.assertIsNotNone(self.queue.start_next())
 
@@ -81,9 +118,9 @@
         sent_s = []
         while self.clock.now_s() < 105.0:
             queue.offer(self.queued_request(remaining_s=0.5))
-            while queue.start_next() is not None:
+            while self.start(queue) is not None:
                 sent_s.append(self.clock.now_s())
-                queue.finish()
+                self.finish(queue=queue)
             self.clock.advance(0.01)
         most = max(sum(start <= at < start + 1 for at in sent_s) for start in sent_s)
         self.assertLessEqual(most, COLD_BOUND)
@@ -103,8 +140,8 @@
         queue.set_cold(COLD_RATE_PER_S, 10.0)
         for _ in range(2):
             queue.offer(self.queued_request())
-            self.assertIsNotNone(queue.start_next())
-            queue.finish(SERVICE_TIME_S)
+            self.assertIsNotNone(self.start(queue))
+            self.finish(SERVICE_TIME_S, queue)
         self.clock.advance(1.0)
         self.assertEqual(queue.expected_wait_s(), 0.0)
 
@@ -120,7 +157,7 @@
             now_s = self.clock.now_s()
             for end_s, item in [pair for pair in running if pair[0] <= now_s]:
                 running.remove((end_s, item))
-                self.queue.finish(SERVICE_TIME_S)
+                self.queue.finish(item, SERVICE_TIME_S)
                 served += 1
                 in_time += now_s <= item.deadline_s
             if rng.random() < 0.3:
--- /dev/null
+++ b/greengagefall/tests/limits_work_estimate_tests.py
@@ -0,0 +1,94 @@
+"""Tests of the estimated service time by kind of work and server, without a network."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from greengagefall.limits.work_estimate import (
+    INITIAL_SERVICE_TIME_S,
+    MAX_KINDS,
+    ServerWork,
+    ServiceWork,
+)
+from greengagefall.utils.clock import ManualClock
+
+KINDS_S = {"search": 0.085, "order": 0.15, "report": 0.27}
+
+
+class WorkEstimateTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock(10.0)
+        self.service = ServiceWork(self.clock)
+        self.rng = random.Random(5)
+
+    def play(self, server, count, pace=1.0, kinds=tuple(KINDS_S), slowdown=1.0, reported=1.0):
+        for _ in range(count):
+            self.clock.advance(0.05)
+            kind = self.rng.choice(kinds)
+            duration_s = KINDS_S[kind] * pace * slowdown * self.rng.uniform(0.7, 1.3)
+            server.on_executed(kind, duration_s, reported)
+
+    def assert_near(self, server, kind, pace, share=0.2):
+        self.assertAlmostEqual(
+            server.expected_s(kind) / (KINDS_S[kind] * pace), 1.0, delta=share, msg=kind
+        )
+
+    def test_kinds_on_one_server_are_told_apart(self):
+        """Guards against one mean for kinds that take from 85 to 270 ms."""
+        server = ServerWork(self.service)
+        self.play(server, 200)
+        for kind in KINDS_S:
+            self.assert_near(server, kind, 1.0)
+
+    def test_a_new_server_starts_from_what_the_others_show(self):
+        self.play(ServerWork(self.service), 200)
+        new = ServerWork(self.service)
+        for kind in KINDS_S:
+            self.assert_near(new, kind, 1.0)
+
+    def test_one_kind_shows_the_pace_of_a_server_for_the_others(self):
+        self.play(ServerWork(self.service), 200)
+        slow = ServerWork(self.service)
+        self.play(slow, 30, pace=2.0, kinds=("search",))
+        self.assertGreater(slow.expected_s("report"), 1.4 * KINDS_S["report"])
+
+    def test_a_slow_server_does_not_make_the_others_look_slow(self):
+        usual, slow = ServerWork(self.service), ServerWork(self.service)
+        for _ in range(100):
+            self.play(usual, 2)
+            self.play(slow, 1, pace=3.0)
+        for kind in KINDS_S:
+            self.assert_near(usual, kind, 1.0, 0.25)
+            self.assert_near(slow, kind, 3.0, 0.25)
+
+    def test_a_reported_slowdown_counts_at_once_and_leaves_the_usual_pace(self):
+        """Guards against a slowdown that is seen late and remembered for long."""
+        server = ServerWork(self.service)
+        self.play(server, 100)
+        self.play(server, 1, slowdown=4.0, reported=4.0)
+        self.assertGreater(server.expected_s("order"), 3.0 * KINDS_S["order"])
+        self.play(server, 40, slowdown=4.0, reported=4.0)
+        self.play(server, 1)
+        self.assert_near(server, "order", 1.0, 0.3)
+
+    def test_a_reported_slowdown_is_not_believed_for_long(self):
+        server = ServerWork(self.service)
+        self.play(server, 100)
+        self.play(server, 1, slowdown=4.0, reported=4.0)
+        self.clock.advance(15.0)
+        self.assert_near(server, "order", 1.0, 0.3)
+
+    def test_without_samples_the_initial_time_holds_and_old_samples_lose_weight(self):
+        server = ServerWork(self.service)
+        self.assertEqual(server.expected_s("order"), INITIAL_SERVICE_TIME_S)
+        self.play(server, 100)
+        self.clock.advance(3600.0)
+        self.assertAlmostEqual(server.expected_s("search"), INITIAL_SERVICE_TIME_S, delta=0.01)
+
+    def test_no_more_kinds_are_kept_than_the_limit(self):
+        server = ServerWork(self.service)
+        for number in range(2 * MAX_KINDS):
+            server.on_executed(f"route-{number}", 0.1)
+        self.assertLessEqual(len(self.service._kinds._means), MAX_KINDS)
+        self.assertLessEqual(len(server._corrections._means), MAX_KINDS)
--- a/greengagefall/tests/platform_adapter_tests.py
+++ b/greengagefall/tests/platform_adapter_tests.py
@@ -165,7 +165,8 @@
         self.assertEqual(load, (3, 1, 8, 2.5))
         load = requests.read_load(HTTPHeaders({"Upstream-Load": "3,1,8"}))
         self.assertEqual(load.slowdown_factor, 1.0)
-        self.assertIsNone(requests.read_load(HTTPHeaders({"Upstream-Load": "busy"})))
+        for value in ("busy", "1,0,6,nan", "1,0,6,inf", "1,0,6,0", "1,0,6,-50"):
+            self.assertIsNone(requests.read_load(HTTPHeaders({"Upstream-Load": value})), value)
 
     def test_rate_limit_is_a_number_of_at_least_zero_or_absent(self):
         limits = {"2.9": 2.9, "0": 0.0, "4": 4.0, "soon": math.inf, "nan": math.inf, "-1": math.inf}
