Refuse only requests that need an unreadable entry of the configuration

Cause: one value that a host could not read, such as an unknown kind of a route, made the whole document unreadable, and a host that had just started then refused all requests.

Change: the decoder of the routing configuration is in modules of its own (platform/configuration*.py). An EntryReader notes what it cannot read with its path and goes on; the table tells which host names, routes, services and workspaces that concerns. gateway/request_checks.py decides about a request in the order route, API key, rest. Each unreadable entry is logged and counted once per version. Messages show no members of lists and objects, and no texts of the section with API keys. Tornado's log lines on malformed headers, reprs of requests, key-values and store changes show none, either. An integer with thousands of digits no longer makes the document unreadable.

With workspaces, the key is checked by each request, the caller's key and workspace headers are removed, and the workspace's name and priority are set. A key that several workspaces list, and a name that several entries have, are refused as unreadable.

--- a/greengagefall/gateway/caller_http.py
+++ b/greengagefall/gateway/caller_http.py
@@ -13,7 +13,8 @@
 
 from greengagefall.gateway import outcomes
 from greengagefall.gateway.caller_connections import CallerConnections
-from greengagefall.gateway.router import Answer, Refusal
+from greengagefall.gateway.outcomes import Refusal
+from greengagefall.gateway.router import Answer
 from greengagefall.platform import requests as headers
 from greengagefall.utils.metrics import count, observe_ms
 from greengagefall.utils.supervision import log_failure
@@ -154,6 +155,7 @@
         log.info(
             "Request refused.",
             extra={
+                **dict(refusal.inputs),
                 "request_id": caller_request.request_id,
                 "reason": refusal.reason,
                 "status": row.http_status,
--- a/greengagefall/gateway/model.py
+++ b/greengagefall/gateway/model.py
@@ -132,6 +132,7 @@
         timeout_s: Longest time that a caller is kept waiting.
         max_attempts: Maximum number of times that one request may be sent to a server.
         public: Whether requests need no API key, even if the configuration has workspaces.
+        readable: Whether all of its fields could be read; requests of others are refused.
     """
 
     name: str
@@ -144,6 +145,7 @@
     timeout_s: float
     max_attempts: int
     public: bool = False
+    readable: bool = True
 
 
 class Service(NamedTuple):
@@ -168,18 +170,56 @@
     key_warmup_s: float
 
 
+class UnreadableEntry(NamedTuple):
+    """A value of the configuration that could not be read.
+
+    Attributes:
+        path: Its place in the document, such as ``listeners[0].routingRules[2].kind``.
+        value: Short description of it; never an API key.
+        expected: What it should be.
+    """
+
+    path: str
+    value: str
+    expected: str
+
+    @property
+    def section(self) -> str:
+        """The section of the document that it is in."""
+        return self.path.partition(".")[0].partition("[")[0]
+
+
+class UnreadableParts(NamedTuple):
+    """What could not be read of a configuration, and which requests that concerns.
+
+    Attributes:
+        entries: The unreadable values in the order of the document.
+        listeners: Whether there are listeners without a readable host name.
+        host_names: Host names that have routes without a readable prefix.
+        clusters: Whether there are services without a readable name.
+        services: Names of the services that could not be read otherwise.
+    """
+
+    entries: tuple[UnreadableEntry, ...] = ()
+    listeners: bool = False
+    host_names: frozenset[str] = frozenset()
+    clusters: bool = False
+    services: frozenset[str] = frozenset()
+
+
 class RoutingTable(NamedTuple):
     """One version of the routing configuration.
 
     Attributes:
         version: Its number; never decreases.
         routes: Routes of each host name, longest prefix first.
-        services: Services by name.
+        services: Services by name, without unreadable ones.
         max_header_bytes: Largest header block of a request.
         max_body_bytes: Largest body of a request.
         idle_timeout_s: How long a caller's connection may be idle.
         header_timeout_s: How long a caller may take to send a header block.
         workspaces: Workspaces by API key.
+        unreadable: What could not be read.
     """
 
     version: int
@@ -190,6 +230,7 @@
     idle_timeout_s: float
     header_timeout_s: float = DEFAULT_HEADER_TIMEOUT_S
     workspaces: WorkspaceDirectory = NO_WORKSPACES
+    unreadable: UnreadableParts = UnreadableParts()
 
     def find_route(self, host_name: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of the path, if there is one."""
@@ -198,6 +239,18 @@
                 return route
         return None
 
+    def may_have_unreadable_route(self, host_name: str) -> bool:
+        """Returns whether an unreadable entry may hold routes of a host name."""
+        if host_name in self.unreadable.host_names:
+            return True
+        return self.unreadable.listeners and host_name not in self.routes
+
+    def is_service_unreadable(self, name: str) -> bool:
+        """Returns whether a service, or an entry that may be it, could not be read."""
+        if name in self.unreadable.services:
+            return True
+        return self.unreadable.clusters and name not in self.services
+
 
 EMPTY_ROUTING_TABLE = RoutingTable(0, {}, {}, 0, 0, 0.0)
 
@@ -214,6 +267,7 @@
         body: Complete body.
         timeout_s: How long the caller waits; infinite if it did not say.
         key: Number of the key, ``NO_KEY`` without one.
+        api_keys: The API keys that it carries; secrets.
     """
 
     request_id: str
@@ -224,3 +278,13 @@
     body: bytes
     timeout_s: float
     key: int
+    api_keys: tuple[str, ...] = ()
+
+    def __repr__(self) -> str:
+        """Describes the request without its headers, query and API keys, which are secrets."""
+        path = self.target.partition("?")[0]
+        return (
+            f"CallerRequest(request_id={self.request_id!r}, method={self.method!r}, "
+            f"host_name={self.host_name!r}, path={path!r}, body_bytes={len(self.body)}, "
+            f"timeout_s={self.timeout_s!r}, key={self.key!r})"
+        )
--- a/greengagefall/gateway/outcomes.py
+++ b/greengagefall/gateway/outcomes.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from typing import Any, NamedTuple
+
 from greengagefall.protocol.gateway_messages import NotDispatched
 from greengagefall.protocol.refusal_reasons import RefusalTable
 
@@ -12,6 +14,27 @@
 _add = OUTCOMES.add
 
 NO_ROUTE = _add("no_route", 404, "No route of the configuration matches host and path.")
+UNREADABLE_ROUTE = _add(
+    "unreadable_route",
+    503,
+    "The route, or an entry that may hold it, could not be read in the configuration.",
+    retry_after_ms=1000,
+)
+UNKNOWN_API_KEY = _add(
+    "unknown_api_key", 401, "The API key is missing, repeated or of no workspace."
+)
+UNREADABLE_WORKSPACE = _add(
+    "unreadable_workspace",
+    503,
+    "The workspace of the API key could not be read in the configuration, or several list the key.",
+    retry_after_ms=1000,
+)
+UNREADABLE_SERVICE = _add(
+    "unreadable_service",
+    503,
+    "The service could not be read in the configuration.",
+    retry_after_ms=1000,
+)
 NO_KEY = _add("no_key", 400, "The service is keyed and the request has no key.")
 NO_ID = _add("no_request_id", 400, "The request has no id.")
 NO_CONFIG = _add(
@@ -83,6 +106,25 @@
 )
 
 
+class Refusal(NamedTuple):
+    """The reason why the caller gets no answer from a server.
+
+    Attributes:
+        reason: Reason code from ``OUTCOMES``.
+        retry_after_ms: Delay before the caller should retry; 0 for no hint.
+        inputs: On what the decision was based, for the log.
+    """
+
+    reason: str
+    retry_after_ms: int
+    inputs: tuple[tuple[str, Any], ...] = ()
+
+
+def refusal(reason: str, **inputs: Any) -> Refusal:
+    """Returns the refusal for a reason, with the retry hint of its row in the table."""
+    return Refusal(reason, OUTCOMES[reason].retry_after_ms, tuple(inputs.items()))
+
+
 def failure(
     reason: str, *, sent: bool = False, load_percent: int = 0, server_id: str = ""
 ) -> NotDispatched:
--- a/greengagefall/gateway/records.py
+++ b/greengagefall/gateway/records.py
@@ -9,6 +9,7 @@
 from greengagefall.gateway.view import HostRecord
 from greengagefall.ownership.model import HostIncarnation
 from greengagefall.platform import records as platform_records
+from greengagefall.platform.configuration import decode_routing_table
 from greengagefall.platform.exceptions import RecordError
 from greengagefall.platform.fields import (
     read_address,
@@ -86,7 +87,7 @@
         if key_value.key != platform_records.ROUTING_KEY:
             return
         try:
-            table = platform_records.decode_routing_table(key_value.value)
+            table = decode_routing_table(key_value.value)
         except RecordError as error:
             _reject(key_value.key, error)
             return
--- a/greengagefall/gateway/router.py
+++ b/greengagefall/gateway/router.py
@@ -9,9 +9,10 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from greengagefall.gateway import outcomes
-from greengagefall.gateway.model import NO_KEY
+from greengagefall.gateway.outcomes import Refusal
 from greengagefall.gateway.peers import UNREACHABLE
 from greengagefall.gateway.pool_choice import DispatcherLoads
+from greengagefall.gateway.request_checks import check_request
 from greengagefall.limits.retry_budget import RetryBudget
 from greengagefall.limits.stop_admission import StopAdmission
 from greengagefall.protocol.gateway_messages import Dispatch, Dispatched, NotDispatched
@@ -47,18 +48,6 @@
     body: bytes
 
 
-class Refusal(NamedTuple):
-    """The reason why the caller gets no answer from a server.
-
-    Attributes:
-        reason: Reason code from ``outcomes``.
-        retry_after_ms: Delay before the caller should retry; 0 for no hint.
-    """
-
-    reason: str
-    retry_after_ms: int
-
-
 class _Target(NamedTuple):
     """Where a request is sent; the server id is empty if the dispatcher chooses a server."""
 
@@ -113,31 +102,26 @@
         started_s = self._clock.now_s()
         table = self._view.routing_table
         if not table.version:
-            return self._refuse(outcomes.NO_CONFIG)
-        if not request.request_id:
-            return self._refuse(outcomes.NO_ID)
-        path = request.target.partition("?")[0]
-        route = table.find_route(request.host_name, path)
-        if route is None:
-            return self._refuse(outcomes.NO_ROUTE)
-        service = table.services.get(self._destination(route))
-        if service is None:
-            return self._refuse(outcomes.NO_SERVER)
-        if service.keyed and request.key == NO_KEY:
-            return self._refuse(outcomes.NO_KEY)
+            return outcomes.refusal(outcomes.NO_CONFIG)
+        admitted = check_request(table, request, self._random)
+        if isinstance(admitted, Refusal):
+            return self._with_state(admitted)
+        request, route, service, _workspace = admitted
         deadline_s = started_s + min(request.timeout_s, route.timeout_s)
         if not self._stop.accepts(deadline_s):
-            return self._refuse(outcomes.STOPPING)
+            return outcomes.refusal(outcomes.STOPPING)
+        # The quota of the workspace is to be taken here, after all checks that cost nothing. It is
+        # None on a public route and without workspaces.
         self._budget(service.name).on_first_attempt()
         return await self._attempt_until_final(request, route, service, started_s, deadline_s)
 
-    def _destination(self, route: Route) -> str:
-        """Picks one of the route's services at random, by weight."""
-        if len(route.destinations) == 1:
-            return route.destinations[0].service
-        names = [part.service for part in route.destinations]
-        weights = [part.weight for part in route.destinations]
-        return self._random.choices(names, weights)[0]
+    def _with_state(self, refusal: Refusal) -> Refusal:
+        """Adds the configuration in force and its age to what is logged of a refusal."""
+        state = (
+            ("configuration", self._view.routing_table.version),
+            ("store_lag_s", round(self._view.store_lag_s(), 3)),
+        )
+        return refusal._replace(inputs=(*refusal.inputs, *state))
 
     async def _attempt_until_final(
         self,
@@ -277,9 +261,6 @@
             self._budgets[service] = budget
         return budget
 
-    def _refuse(self, reason: str) -> Refusal:
-        return Refusal(reason, outcomes.OUTCOMES[reason].retry_after_ms)
-
     def _log(
         self,
         request: CallerRequest,
--- a/greengagefall/gateway/view.py
+++ b/greengagefall/gateway/view.py
@@ -151,6 +151,7 @@
             extra={"version": table.version, "before": self.routing_table.version},
         )
         count("configurations")
+        _report_unreadable(table)
         self.routing_table = table
         self.notify_listeners()
 
@@ -261,6 +262,16 @@
         return not entry.draining and entry.zone not in self.evacuated_since_s
 
 
+def _report_unreadable(table: RoutingTable) -> None:
+    """Logs and counts what could not be read of a configuration."""
+    for entry in table.unreadable.entries:
+        count("unreadable_entries", section=entry.section)
+        log.error(
+            "Entry of the configuration is unreadable; requests that need it are refused.",
+            extra={"version": table.version, **entry._asdict()},
+        )
+
+
 def _entry_fields(entry: ServerEntry) -> dict[str, object]:
     return {
         "server": entry.server_id,
--- /dev/null
+++ b/greengagefall/platform/configuration_routes.py
@@ -0,0 +1,106 @@
+"""Reads the listeners of the routing configuration: host names and their routes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from greengagefall.gateway.model import Destination, Route
+
+if TYPE_CHECKING:
+    from greengagefall.platform.entry_reader import EntryReader
+
+IDEMPOTENT_KINDS = ("safe", "download")
+KINDS = (*IDEMPOTENT_KINDS, "unsafe")
+DEFAULT_OBJECTIVE_S = 1.0
+
+
+class Listeners(NamedTuple):
+    """The routes of all listeners.
+
+    Attributes:
+        routes: Routes of each host name, longest prefix first.
+        incomplete_hosts: Host names that have routes without a readable prefix.
+        complete: Whether the host names of all listeners could be read.
+    """
+
+    routes: dict[str, tuple[Route, ...]]
+    incomplete_hosts: frozenset[str]
+    complete: bool
+
+
+class _Action(NamedTuple):
+    destinations: tuple[Destination, ...]
+    timeout_s: float
+    max_attempts: int
+
+
+UNREADABLE_ACTION = _Action((), 0.0, 1)
+
+
+def read_listeners(document: EntryReader) -> Listeners:
+    """Returns the routes of all listeners."""
+    rows = document.rows("listeners")
+    complete = rows.complete
+    routes: dict[str, list[Route]] = {}
+    incomplete_hosts: set[str] = set()
+    for listener in rows.readers:
+        # Callers' host names are compared in lower case.
+        host_name = listener.text("hostname").lower()
+        rules = listener.rows("routingRules")
+        read = [_read_route(host_name, rule) for rule in rules.readers]
+        if not host_name:
+            complete = False
+            continue
+        if not rules.complete or None in read:
+            incomplete_hosts.add(host_name)
+        routes.setdefault(host_name, []).extend(route for route in read if route is not None)
+    return Listeners(
+        {host_name: _longest_first(host_routes) for host_name, host_routes in routes.items()},
+        frozenset(incomplete_hosts),
+        complete,
+    )
+
+
+def _longest_first(routes: list[Route]) -> tuple[Route, ...]:
+    return tuple(sorted(routes, key=lambda route: -len(route.prefix)))
+
+
+def _read_route(host_name: str, rule: EntryReader) -> Route | None:
+    """Returns a route, None if its prefix is unreadable."""
+    match = rule.object("match")
+    prefix = match.text("prefix") if match else ""
+    action_reader = rule.object("action")
+    action = _read_action(action_reader) if action_reader else UNREADABLE_ACTION
+    route = Route(
+        name=rule.text("name") if "name" in rule else prefix,
+        host_name=host_name,
+        prefix=prefix,
+        destinations=action.destinations,
+        idempotent=rule.choice("kind", KINDS) in IDEMPOTENT_KINDS,
+        priority=int(rule.number("priority", 0)),
+        objective_s=rule.number("latencyGoalS", DEFAULT_OBJECTIVE_S),
+        timeout_s=action.timeout_s,
+        max_attempts=action.max_attempts,
+        public=rule.switch("public"),
+    )
+    return route._replace(readable=rule.readable) if prefix else None
+
+
+def _read_action(action: EntryReader) -> _Action:
+    return _Action(
+        _read_destinations(action),
+        action.number("timeoutS"),
+        max(1, int(action.number("attempts", 1))),
+    )
+
+
+def _read_destinations(action: EntryReader) -> tuple[Destination, ...]:
+    if "trafficSplit" not in action:
+        return (Destination(action.text("service"), 1.0),)
+    parts = action.rows("trafficSplit")
+    destinations = tuple(
+        Destination(part.text("service"), part.number("weight")) for part in parts.readers
+    )
+    if action.readable and not any(destination.weight for destination in destinations):
+        action.note("trafficSplit", [*destinations], "a service with a weight above 0")
+    return destinations
--- a/greengagefall/platform/fields.py
+++ b/greengagefall/platform/fields.py
@@ -1,7 +1,8 @@
 """Reads fields of JSON records that any writer of the store may have written.
 
 Each function returns a value that the rest of the program can compute with, encode and send, or
-raises ``RecordError``. Messages are short, whatever the record holds.
+raises ``RecordError``. Messages are short, whatever the record holds, and show no members of lists
+and objects, since these may be API keys at a wrong place.
 """
 
 from __future__ import annotations
@@ -11,7 +12,7 @@
 import reprlib
 from typing import Any
 
-from greengagefall.platform.exceptions import RecordError
+from greengagefall.platform.exceptions import FieldError, RecordError
 
 # Larger numbers can't be meant, and can't be computed with as floats.
 MAX_NUMBER = 1e12
@@ -19,52 +20,59 @@
 MAX_WHOLE_NUMBER = 2**53
 MAX_PORT = 65_535
 MAX_TEXT_CHARS = 1000
+# Longer integers are read as floats: converting them exactly takes long, or is refused for the
+# whole document.
+MAX_INTEGER_DIGITS = 40
 
 _short = reprlib.Repr()
 _short.maxstring = _short.maxother = 100
-_short.maxlevel = 3
 
 
 def shown(value: object) -> str:
-    """Returns a short description of any decoded value, however deeply nested, for messages."""
+    """Returns a short description of any decoded value, for messages."""
+    if isinstance(value, list):
+        return f"a list of {len(value)}"
+    if isinstance(value, dict):
+        return f"an object of {len(value)}"
     return _short.repr(value)
 
 
+def shown_without_text(value: object) -> str:
+    """Returns a short description of a value that may be a secret."""
+    return f"a text of {len(value)}" if isinstance(value, str) else shown(value)
+
+
 def read_object(key: str, value: bytes) -> dict[str, Any]:
     """Returns the JSON object in a record."""
+    fault = ""
+    fields = None
     try:
-        fields = json.loads(value)
+        fields = json.loads(value, parse_int=_parse_integer)
     except (ValueError, RecursionError) as error:
-        raise RecordError(f"{key}: value is not JSON: {shown(str(error))}") from error
+        fault = shown(str(error))
+    # Raised outside of the handler, since the caught error holds the whole record.
+    if fault:
+        raise RecordError(f"{key}: value is not JSON: {fault}")
     if not isinstance(fields, dict):
         raise RecordError(f"{key}: value is a JSON {type(fields).__name__}; expected an object")
     return fields
 
 
-def read_rows(key: str, fields: dict[str, Any], name: str) -> list[dict[str, Any]]:
-    """Returns a list of JSON objects, which may be missing."""
-    rows = fields.get(name, [])
-    if not isinstance(rows, list) or not all(isinstance(row, dict) for row in rows):
-        raise RecordError(f"{key}: {name} is malformed; expected a list of JSON objects")
-    return rows
-
-
 def read_text(key: str, fields: dict[str, Any], name: str) -> str:
     """Returns a text that is not empty and can be encoded."""
     value = fields.get(name)
-    if not isinstance(value, str) or not 0 < len(value) <= MAX_TEXT_CHARS or not _encodable(value):
-        raise RecordError(
-            f"{key}: {name} is {shown(value)}; expected up to {MAX_TEXT_CHARS} characters"
-        )
+    valid = isinstance(value, str) and 0 < len(value) <= MAX_TEXT_CHARS and is_encodable(value)
+    if not valid:
+        raise FieldError(key, name, shown(value), f"a text of up to {MAX_TEXT_CHARS} characters")
     return value
 
 
 def check_token(key: str, name: str, value: object) -> str:
     """Returns a text that can be sent in a header or a request line: ASCII without spaces."""
     if not isinstance(value, str) or not 0 < len(value) <= MAX_TEXT_CHARS:
-        raise RecordError(f"{key}: {name} is {shown(value)}; expected a text")
+        raise FieldError(key, name, shown(value), "a text")
     if not value.isascii() or not value.isprintable() or " " in value:
-        raise RecordError(f"{key}: {name} is {shown(value)}; expected ASCII without spaces")
+        raise FieldError(key, name, shown(value), "ASCII without spaces")
     return value
 
 
@@ -82,10 +90,10 @@
         return default
     value = fields.get(name)
     if isinstance(value, bool) or not isinstance(value, (int, float)):
-        raise RecordError(f"{key}: {name} is {shown(value)}; expected a number")
+        raise FieldError(key, name, shown(value), "a number")
     # Not a number compares as False, so it is refused, too.
     if not minimum <= value <= maximum:
-        raise RecordError(f"{key}: {name} is {shown(value)}; expected {minimum:g} to {maximum:g}")
+        raise FieldError(key, name, shown(value), f"{minimum:g} to {maximum:g}")
     return value
 
 
@@ -97,9 +105,9 @@
         return default
     value = fields.get(name)
     if isinstance(value, bool) or not isinstance(value, int):
-        raise RecordError(f"{key}: {name} is {shown(value)}; expected a whole number")
+        raise FieldError(key, name, shown(value), "a whole number")
     if not 0 <= value <= MAX_WHOLE_NUMBER:
-        raise RecordError(f"{key}: {name} is {shown(value)}; expected 0 to {MAX_WHOLE_NUMBER}")
+        raise FieldError(key, name, shown(value), f"0 to {MAX_WHOLE_NUMBER}")
     return value
 
 
@@ -110,16 +118,21 @@
     try:
         ipaddress.ip_address(host)
     except ValueError as error:
-        raise RecordError(f"{key}: {name} is {shown(value)}; expected IP:port") from error
+        raise FieldError(key, name, shown(value), "IP:port") from error
     valid = port.isascii() and port.isdecimal() and len(port) <= len(str(MAX_PORT))
     if not valid or not 0 < int(port) <= MAX_PORT:
-        raise RecordError(f"{key}: {name} is {shown(value)}; expected IP:port")
+        raise FieldError(key, name, shown(value), "IP:port")
     return value
 
 
-def _encodable(value: str) -> bool:
+def is_encodable(value: str) -> bool:
+    """Returns whether a text can be encoded as UTF-8."""
     try:
         value.encode()
     except UnicodeEncodeError:
         return False
     return True
+
+
+def _parse_integer(digits: str) -> float:
+    return int(digits) if len(digits) <= MAX_INTEGER_DIGITS else float(digits)
--- a/greengagefall/platform/requests.py
+++ b/greengagefall/platform/requests.py
@@ -28,6 +28,8 @@
 LOAD_HEADER = "Upstream-Load"
 NOT_EXECUTED_HEADER = "Not-Executed"
 RATE_LIMIT_HEADER = "Server-Limit"
+API_KEY_HEADER = "Api-Key"
+WORKSPACE_HEADER = "Tenant-Id"
 
 JSON_HEADERS = [["Content-Type", "application/json"]]
 HTTP_MISDIRECTED_REQUEST = 421
@@ -52,6 +54,8 @@
         "upgrade",
     }
 )
+# Headers that servers get only from this system if the configuration has workspaces.
+WORKSPACE_HEADERS = frozenset({"api-key", "tenant-id"})
 DROPPED_ANSWER_HEADERS = DROPPED_REQUEST_HEADERS - {"request-id"} | {
     "date",
     "server",
@@ -112,9 +116,26 @@
         body=request.body,
         timeout_s=_timeout_s(headers.get(DEADLINE_HEADER)),
         key=_key(headers.get(KEY_HEADER)),
+        api_keys=tuple(_utf8(value) for value in headers.get_list(API_KEY_HEADER)),
     )
 
 
+def with_workspace(headers: Iterable[list[str]], workspace: str) -> list[list[str]]:
+    """Returns the headers for a server without the API key and with the workspace.
+
+    Args:
+        headers: The caller's headers.
+        workspace: Name of the workspace, empty for none.
+    """
+    # Many servers take an underscore in the name of a header for a hyphen.
+    kept = [
+        [name, value]
+        for name, value in headers
+        if name.lower().replace("_", "-") not in WORKSPACE_HEADERS
+    ]
+    return [*kept, [WORKSPACE_HEADER, workspace]] if workspace else kept
+
+
 def server_request_headers(
     host_name: str,
     request_id: str,
@@ -208,6 +229,11 @@
         return math.inf
 
 
+def _utf8(value: str) -> str:
+    """Returns a header value, which was decoded as Latin-1, decoded as UTF-8."""
+    return value.encode("latin1").decode("utf-8", "surrogateescape")
+
+
 def _key(value: str | None) -> int:
     if value is None or not value.isdecimal():
         return NO_KEY
--- a/greengagefall/platform/store.py
+++ b/greengagefall/platform/store.py
@@ -68,6 +68,10 @@
     value: bytes
     mod_revision: int
 
+    def __repr__(self) -> str:
+        """Describes the key without its value, which may hold secrets."""
+        return f"KeyValue({self.key!r}, {len(self.value)} bytes, revision {self.mod_revision})"
+
 
 class WatchEvent(NamedTuple):
     """A change of a key; ``key_value.value`` is empty if the key was deleted."""
--- a/greengagefall/protocol/gateway_messages.py
+++ b/greengagefall/protocol/gateway_messages.py
@@ -291,3 +291,7 @@
     waited_ms: int
     reachable_ms: int
     restores: int = -1
+
+    def __repr__(self) -> str:
+        """Describes the reply without the values of keys, which may hold secrets."""
+        return f"StoreChanges({self.call_id}, {len(self.prefixes)} prefixes)"
--- a/greengagefall/utils/logs.py
+++ b/greengagefall/utils/logs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import re
 import sys
 
 from pythonjsonlogger.json import JsonFormatter
@@ -26,7 +27,9 @@
     "greengagefall.gateway": "gateway",
     "greengagefall.ownership": "ownership",
     "greengagefall.platform": "platform",
+    "greengagefall.workspaces": "workspaces",
 }
+QUOTE = re.compile("['\"]")
 
 
 class PrefixFilter(logging.Filter):
@@ -42,6 +45,24 @@
         return True
 
 
+class MalformedMessageFilter(logging.Filter):
+    """Removes quoted input from Tornado's log lines on malformed HTTP messages.
+
+    They quote the header at fault, which may hold an API key.
+    """
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Cuts the text of an error at its first quote, and keeps the record."""
+        if isinstance(record.args, tuple) and record.name.startswith("tornado"):
+            record.args = tuple(
+                QUOTE.split(str(value), maxsplit=1)[0].rstrip()
+                if isinstance(value, Exception)
+                else value
+                for value in record.args
+            )
+        return True
+
+
 def setup_logging(level: str, **static_fields: str) -> None:
     """Sends all logs to standard error as JSON lines.
 
@@ -66,6 +87,7 @@
     handler.setFormatter(
         JsonFormatter("{asctime}{levelname}{name}{message}", style="{", static_fields=static_fields)
     )
+    handler.addFilter(MalformedMessageFilter())
     handler.addFilter(PrefixFilter())
     root = logging.getLogger()
     root.handlers = [handler]
