--- a/greengagefall/standins/platform_server.py
+++ b/greengagefall/standins/platform_server.py
@@ -53,6 +53,7 @@
         server_id: Id of the server.
         crashed: Whether the server's process has ended; requests that it has received are lost.
         executed: Ids of the requests that it executed, in order of their start.
+        received_headers: Headers of each of these requests.
         grants: Fence and expiry, as a time of ``time.monotonic``, by granted key range.
         fences: First key, last key and fence of each accepted grant and release.
         refused_grants: Number of grants refused because the server had seen a higher fence.
@@ -91,6 +92,7 @@
         self.crashed = False
         self._former_ports: dict[int, float] = {}
         self.executed: list[str] = []
+        self.received_headers: list[list[tuple[str, str]]] = []
         self.grants: dict[tuple[int, int], tuple[int, float]] = {}
         self.fences: list[tuple[int, int, int]] = []
         self.refused_grants = 0
@@ -296,6 +298,7 @@
             await self._refuse_twice(request_id)
             return
         self.server.executed.append(request_id)
+        self.server.received_headers.append(list(headers.get_all()))
         if self.server.keyed:
             self.server.on_request(self.server, int(headers["Shard-Key"]))
         if self.server.rate_limit_per_s:
