Test that the dispatcher gets the workspace's priority and name

Guards against a router that checks the workspace and then sends the route's priority or the caller's headers.

--- a/greengagefall/tests/gateway_request_checks_tests.py
+++ b/greengagefall/tests/gateway_request_checks_tests.py
@@ -16,16 +16,19 @@
     PlatformSettings,
     Route,
     RoutingTable,
+    ServerEntry,
     Service,
 )
 from greengagefall.gateway.request_checks import AdmittedRequest, check_request
 from greengagefall.gateway.router import Answer, Refusal, Router
 from greengagefall.gateway.view import ClusterView
-from greengagefall.ownership.model import HostIncarnation
+from greengagefall.ownership.model import Assignment, DispatcherRecord, HostIncarnation
 from greengagefall.platform.requests import read_caller_request
+from greengagefall.protocol.gateway_messages import Dispatched
 from greengagefall.utils.clock import ManualClock
 from greengagefall.workspaces.directory import NO_WORKSPACES, Workspace, WorkspaceDirectory
 
+ME = HostIncarnation("me", 1)
 SECRET = "sk-7f3a91"
 ACME = Workspace("acme", priority=0, rate_per_s=5.0)
 PLAIN = Workspace("plain")
@@ -134,23 +137,41 @@
             self.assertEqual(self.headers("/", *keys, workspaces=NO_WORKSPACES), SPOOFED)
 
 
-class RevocationTests(unittest.IsolatedAsyncioTestCase):
-    """Guards against a key that stays valid because an earlier request was accepted with it."""
+class FakePeers:
+    """Answers each message and keeps the last one."""
 
+    async def call(self, host, message, timeout_s):
+        self.message = message
+        return Dispatched(0, 200, [], b"", 50)
+
+
+class RouterTests(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
-        self.clock = ManualClock(10.0)
+        clock = ManualClock(10.0)
         settings = PlatformSettings(
             "me", "x", "", "", "", "", 1.0, 1.0, 20.0, 1.0, OperatorLimits()
         )
-        self.view = ClusterView(settings, HostIncarnation("me", 1), self.clock)
-        self.router = Router(self.view, None, self.clock)
+        self.view = ClusterView(settings, ME, clock)
+        self.peers = FakePeers()
+        self.router = Router(self.view, self.peers, clock)
 
     async def reason(self, *keys):
         outcome = await self.router.route(request("/", *keys))
         self.assertNotIsInstance(outcome, Answer)
         return outcome.reason
 
+    async def test_the_dispatcher_gets_priority_and_workspace_but_no_key(self):
+        self.view.update_routing_table(table(1))
+        self.view.update_server(ServerEntry("p1", "pool", "", "x", 6, False, 0.0, 1))
+        self.view.update_assignment(Assignment(1, 1, {}, {"p1": DispatcherRecord(ME)}))
+        sent = request("/", SECRET, headers=SPOOFED)
+        self.assertIsInstance(await self.router.route(sent), Answer)
+        self.assertEqual(self.peers.message.priority, 0)
+        self.assertIn(["Tenant-Id", "acme"], self.peers.message.headers)
+        self.assertNotIn(SECRET, repr(self.peers.message))
+
     async def test_each_request_is_checked_against_the_newest_version(self):
+        # Guards against a key that stays valid since an earlier request was accepted with it.
         self.view.update_routing_table(table(1))
         # Accepted: it fails only since the test has no servers.
         self.assertEqual(await self.reason(SECRET), outcomes.NO_SERVER)
