--- a/greengagefall/tests/documentation_tests.py
+++ b/greengagefall/tests/documentation_tests.py
@@ -8,6 +8,7 @@
 
 from greengagefall.documentation.pages import DOCS_DIR, fill_tables, pages, table_names
 from greengagefall.documentation.tables import TABLES
+from greengagefall.gateway.outcomes import OUTCOMES
 from greengagefall.protocol.refusals import REFUSALS
 from greengagefall.routing import parse
 
@@ -46,6 +47,12 @@
         named = re.findall(r"^\| `(\w+)` \|", advice, re.MULTILINE)
         self.assertEqual(named, list(REFUSALS))
 
+    def test_reasons_of_the_gateway_with_advice_exist(self):
+        section = read("user-guide/refusals.md").partition("## Of the gateway")[2]
+        named = re.findall(r"^\| `(\w+)` \|", section.partition("## ")[0], re.MULTILINE)
+        self.assertTrue(named)
+        self.assertEqual(set(named) - OUTCOMES.keys(), set())
+
     def test_every_field_of_the_configuration_is_described(self):
         described = set(re.findall(r"^\| `(\w+)` \|", read("user-guide/configuration.md"), re.M))
         self.assertEqual(set(FIELDS) - described, set())
