Add greengagefallctl config check

Cause: a mistake in a configuration was found only after it was written, by the hosts' logs.

It sends nothing and shows no API keys. The decoder now also returns its entries with their places.

--- a/greengagefall/commands/ctl.py
+++ b/greengagefall/commands/ctl.py
@@ -17,7 +17,8 @@
 
 HELP = """Shows the state of greengagefall and changes its configuration.
 
-`status`, `slices` and `why` need --entry; all other commands need --store.
+`status`, `slices` and `why` need --entry, `config check` needs neither; all other commands need
+--store.
 """
 EPILOG = "Exit codes: " + "; ".join(f"{code} {text}" for code, text in MEANINGS.items()) + "."
 
--- a/greengagefall/commands/ctl_config.py
+++ b/greengagefall/commands/ctl_config.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from greengagefall.commands import exit_codes
+from greengagefall.commands.ctl_config_check import check
 from greengagefall.commands.ctl_session import CtlSession, fail
 from greengagefall.commands.output import print_json, print_rows
 from greengagefall.commands.removal_check import check_removals
@@ -48,6 +49,9 @@
     """Groups the commands for the configuration."""
 
 
+config.add_command(check)
+
+
 @config.command(help=SHOW_HELP)
 @click.option("--version", type=click.IntRange(min=1), help=VERSION_HELP)
 @click.pass_obj
--- a/greengagefall/platform/configuration_routes.py
+++ b/greengagefall/platform/configuration_routes.py
@@ -14,15 +14,31 @@
 DEFAULT_OBJECTIVE_S = 1.0
 
 
+class RouteEntry(NamedTuple):
+    """A route whose prefix could be read.
+
+    Attributes:
+        path: Its place in the document.
+        route: What it says.
+        attempts: Number of attempts as written; hosts make at least one.
+    """
+
+    path: str
+    route: Route
+    attempts: float
+
+
 class Listeners(NamedTuple):
     """The routes of all listeners.
 
     Attributes:
+        entries: All routes in the order of the document.
         routes: Routes of each host name, longest prefix first.
         incomplete_hosts: Host names that have routes without a readable prefix.
         complete: Whether the host names of all listeners could be read.
     """
 
+    entries: tuple[RouteEntry, ...]
     routes: dict[str, tuple[Route, ...]]
     incomplete_hosts: frozenset[str]
     complete: bool
@@ -31,16 +47,17 @@
 class _Action(NamedTuple):
     destinations: tuple[Destination, ...]
     timeout_s: float
-    max_attempts: int
+    attempts: float
 
 
-UNREADABLE_ACTION = _Action((), 0.0, 1)
+UNREADABLE_ACTION = _Action((), 0.0, 1.0)
 
 
 def read_listeners(document: EntryReader) -> Listeners:
     """Returns the routes of all listeners."""
     rows = document.rows("listeners")
     complete = rows.complete
+    entries: list[RouteEntry] = []
     routes: dict[str, list[Route]] = {}
     incomplete_hosts: set[str] = set()
     for listener in rows.readers:
@@ -53,8 +70,11 @@
             continue
         if not rules.complete or None in read:
             incomplete_hosts.add(host_name)
-        routes.setdefault(host_name, []).extend(route for route in read if route is not None)
+        readable = [entry for entry in read if entry is not None]
+        entries.extend(readable)
+        routes.setdefault(host_name, []).extend(entry.route for entry in readable)
     return Listeners(
+        tuple(entries),
         {host_name: _longest_first(host_routes) for host_name, host_routes in routes.items()},
         frozenset(incomplete_hosts),
         complete,
@@ -65,7 +85,7 @@
     return tuple(sorted(routes, key=lambda route: -len(route.prefix)))
 
 
-def _read_route(host_name: str, rule: EntryReader) -> Route | None:
+def _read_route(host_name: str, rule: EntryReader) -> RouteEntry | None:
     """Returns a route, None if its prefix is unreadable."""
     match = rule.object("match")
     prefix = match.text("prefix") if match else ""
@@ -80,17 +100,19 @@
         priority=int(rule.number("priority", 0)),
         objective_s=rule.number("latencyGoalS", DEFAULT_OBJECTIVE_S),
         timeout_s=action.timeout_s,
-        max_attempts=action.max_attempts,
+        max_attempts=max(1, int(action.attempts)),
         public=rule.switch("public"),
     )
-    return route._replace(readable=rule.readable) if prefix else None
+    if not prefix:
+        return None
+    return RouteEntry(rule.path, route._replace(readable=rule.readable), action.attempts)
 
 
 def _read_action(action: EntryReader) -> _Action:
     return _Action(
         _read_destinations(action),
         action.number("timeoutS"),
-        max(1, int(action.number("attempts", 1))),
+        action.number("attempts", 1),
     )
 
 
--- a/greengagefall/platform/configuration_services.py
+++ b/greengagefall/platform/configuration_services.py
@@ -11,15 +11,29 @@
     from greengagefall.platform.entry_reader import EntryReader
 
 
+class ServiceEntry(NamedTuple):
+    """A service whose name could be read.
+
+    Attributes:
+        path: Its place in the document.
+        name: Its name.
+    """
+
+    path: str
+    name: str
+
+
 class Services(NamedTuple):
     """The services of a configuration.
 
     Attributes:
+        entries: All services in the order of the document.
         services: Readable services by name.
         unreadable: Names of the services of which something else could not be read.
         complete: Whether the names of all services could be read.
     """
 
+    entries: tuple[ServiceEntry, ...]
     services: dict[str, Service]
     unreadable: frozenset[str]
     complete: bool
@@ -29,19 +43,22 @@
     """Returns all services."""
     rows = document.rows("clusters")
     complete = rows.complete
+    entries: list[ServiceEntry] = []
     services: dict[str, Service] = {}
     unreadable: set[str] = set()
     for row in rows.readers:
         service = _read_service(row)
         if not service.name:
             complete = False
-        elif not row.readable:
+            continue
+        entries.append(ServiceEntry(row.path, service.name))
+        if not row.readable:
             unreadable.add(service.name)
         else:
             services[service.name] = service
     for name in unreadable:
         services.pop(name, None)
-    return Services(services, frozenset(unreadable), complete)
+    return Services(tuple(entries), services, frozenset(unreadable), complete)
 
 
 def _read_service(row: EntryReader) -> Service:
--- a/greengagefall/platform/configuration_tenants.py
+++ b/greengagefall/platform/configuration_tenants.py
@@ -16,10 +16,43 @@
     from greengagefall.platform.entry_reader import EntryReader
 
 SECTION = "tenants"
+# Control characters in ASCII: all below a space, and the last one.
+SPACE = 0x20
+DELETE = 0x7F
 # Holds the keys whose workspace is unknown; no readable name is empty.
 UNKNOWN = Workspace("", readable=False)
 
 
+class WorkspaceEntry(NamedTuple):
+    """A workspace, without its keys.
+
+    Attributes:
+        path: Its place in the document.
+        workspace: What the entry says about it.
+        key_count: Number of its readable keys.
+        unsendable_keys: Places of keys that no header can carry unchanged.
+        keys_complete: Whether all its keys could be read.
+    """
+
+    path: str
+    workspace: Workspace
+    key_count: int
+    unsendable_keys: tuple[int, ...]
+    keys_complete: bool
+
+
+class Workspaces(NamedTuple):
+    """The workspaces of a configuration.
+
+    Attributes:
+        entries: All workspaces in the order of the document.
+        directory: Workspaces by key.
+    """
+
+    entries: tuple[WorkspaceEntry, ...]
+    directory: WorkspaceDirectory
+
+
 class _Tenant(NamedTuple):
     """An entry.
 
@@ -40,22 +73,38 @@
         return f"_Tenant({self.workspace!r}, keys={len(self.keys)})"
 
 
-def read_workspaces(document: EntryReader) -> WorkspaceDirectory:
+def read_workspaces(document: EntryReader) -> Workspaces:
     """Returns the workspaces and their keys."""
     if SECTION not in document:
-        return NO_WORKSPACES
+        return Workspaces((), NO_WORKSPACES)
     rows = document.hiding_texts().rows(SECTION)
     tenants = _without_ambiguous_names([_read_tenant(row) for row in rows.readers])
     names = _names_by_key(tenants)
     workspaces = [tenant.workspace for tenant in tenants if tenant.workspace.name]
     if UNKNOWN.name in names.values():
         workspaces.append(UNKNOWN)
-    return WorkspaceDirectory(
+    directory = WorkspaceDirectory(
         workspaces,
         names,
         required=True,
         complete=rows.complete and all(tenant.keys_complete for tenant in tenants),
     )
+    return Workspaces(tuple(_entry(tenant) for tenant in tenants), directory)
+
+
+def _entry(tenant: _Tenant) -> WorkspaceEntry:
+    unsendable = (
+        index
+        for index, key in tenant.keys.items()
+        if key.strip() != key or any(ord(char) < SPACE or ord(char) == DELETE for char in key)
+    )
+    return WorkspaceEntry(
+        tenant.reader.path,
+        tenant.workspace,
+        len(tenant.keys),
+        tuple(unsendable),
+        tenant.keys_complete,
+    )
 
 
 def _read_tenant(row: EntryReader) -> _Tenant:
