Serve workspaces of every priority under overload, and floods last

Change: the entry host sends some requests of each workspace as the most urgent ones, in proportion to what is served of all, and what exceeds twice the usual load of a workspace after all others. Queues and messages stay as they are.

--- a/greengagefall/gateway/router.py
+++ b/greengagefall/gateway/router.py
@@ -18,6 +18,7 @@
 from greengagefall.protocol.gateway_messages import Dispatch, Dispatched, NotDispatched
 from greengagefall.utils.metrics import count
 from greengagefall.utils.waiting import wait_until
+from greengagefall.workspaces.fair_priority import FairPriorities
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -96,6 +97,7 @@
         self._pools: dict[str, _Pool] = {}
         view.add_listener(self._pools.clear)
         self._random = random.Random()
+        self._priorities = FairPriorities(clock, self._random)
 
     async def route(self, request: CallerRequest) -> Answer | Refusal:
         """Returns a server's answer, or the refusal if there is none."""
@@ -106,14 +108,17 @@
         admitted = check_request(table, request, self._random)
         if isinstance(admitted, Refusal):
             return self._with_state(admitted)
-        request, route, service, _workspace = admitted
+        request, route, service, workspace = admitted
         deadline_s = started_s + min(request.timeout_s, route.timeout_s)
         if not self._stop.accepts(deadline_s):
             return outcomes.refusal(outcomes.STOPPING)
         # The quota of the workspace is to be taken here, after all checks that cost nothing. It is
         # None on a public route and without workspaces.
         self._budget(service.name).on_first_attempt()
-        return await self._attempt_until_final(request, route, service, started_s, deadline_s)
+        route = route._replace(priority=self._priorities.choose(route.priority, workspace))
+        outcome = await self._attempt_until_final(request, route, service, started_s, deadline_s)
+        self._priorities.record(workspace, isinstance(outcome, Answer))
+        return outcome
 
     def _with_state(self, refusal: Refusal) -> Refusal:
         """Adds the configuration in force and its age to what is logged of a refusal."""
--- a/greengagefall/tests/gateway_request_checks_tests.py
+++ b/greengagefall/tests/gateway_request_checks_tests.py
@@ -169,6 +169,20 @@
         self.assertEqual(self.peers.message.priority, 0)
         self.assertIn(["Tenant-Id", "acme"], self.peers.message.headers)
         self.assertNotIn(SECRET, repr(self.peers.message))
+        # Some requests of a workspace that is not urgent are sent as urgent ones.
+        priorities = set()
+        for _ in range(200):
+            await self.router.route(request("/", "p"))
+            priorities.add(self.peers.message.priority)
+        self.assertEqual(priorities, {0, 3})
+
+    async def test_a_host_that_serves_nothing_promotes_no_requests(self):
+        # Guards against a router that does not tell the priorities what became of requests.
+        self.view.update_routing_table(table(1))
+        for _ in range(300):
+            await self.reason("p")
+        chosen = {self.router._priorities.choose(3, PLAIN) for _ in range(300)}
+        self.assertEqual(chosen, {3})
 
     async def test_each_request_is_checked_against_the_newest_version(self):
         # Guards against a key that stays valid since an earlier request was accepted with it.
