--- a/greengagefall/gateway/router.py
+++ b/greengagefall/gateway/router.py
@@ -27,6 +27,7 @@
     from greengagefall.gateway.peers import Peers
     from greengagefall.gateway.view import ClusterView
     from greengagefall.utils.clock import Clock
+    from greengagefall.workspaces.directory import Workspace
 
 log = logging.getLogger(__name__)
 
@@ -115,11 +116,19 @@
         # The quota of the workspace is to be taken here, after all checks that cost nothing. It is
         # None on a public route and without workspaces.
         self._budget(service.name).on_first_attempt()
-        route = route._replace(priority=self._priorities.choose(route.priority, workspace))
+        route = self._with_fair_priority(route, workspace)
         outcome = await self._attempt_until_final(request, route, service, started_s, deadline_s)
         self._priorities.record(workspace, isinstance(outcome, Answer))
         return outcome
 
+    def _with_fair_priority(self, route: Route, workspace: Workspace | None) -> Route:
+        """Returns the route with the priority that is fair to the other workspaces."""
+        priority = self._priorities.choose(route.priority, workspace)
+        if priority != route.priority:
+            change = "raised" if priority < route.priority else "lowered"
+            count("priority_changes", change=change)
+        return route._replace(priority=priority)
+
     def _with_state(self, refusal: Refusal) -> Refusal:
         """Adds the configuration in force and its age to what is logged of a refusal."""
         state = (
@@ -157,7 +166,7 @@
                 and self._stop.fits(deadline_s)
                 and self._may_repeat(route, service, outcome, sends)
             )
-            self._log(request, service, outcome, attempts, retry)
+            self._log(request, route, service, outcome, attempts, retry)
             if not retry:
                 return Refusal(outcome.reason, outcome.retry_after_ms)
             await asyncio.sleep(REROUTE_PAUSE_S * (1 + self._random.random()))
@@ -269,6 +278,7 @@
     def _log(
         self,
         request: CallerRequest,
+        route: Route,
         service: Service,
         outcome: NotDispatched,
         attempts: int,
@@ -281,6 +291,7 @@
             extra={
                 "request_id": request.request_id,
                 "service": service.name,
+                "priority": route.priority,
                 "key": request.key,
                 "server": outcome.server_id,
                 "reason": outcome.reason,
