Require a key for dot segments on public routes

Cause: /public/../orders/1 matched the public prefix, so it needed no key, and a backend server that resolves dot segments would execute /orders/1.

Evidence: python -m unittest greengagefall.tests.gateway_request_checks_tests (16 tests OK; the new one failed before).

--- a/greengagefall/gateway/request_checks.py
+++ b/greengagefall/gateway/request_checks.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, NamedTuple
+from urllib.parse import unquote
 
 from greengagefall.gateway import outcomes
 from greengagefall.gateway.model import NO_KEY
@@ -21,6 +22,7 @@
     from greengagefall.workspaces.access import KeyCheck
     from greengagefall.workspaces.directory import Workspace
 
+DOT_SEGMENTS = frozenset({".", ".."})
 REFUSED_VERDICTS = {
     KeyVerdict.UNKNOWN: outcomes.UNKNOWN_API_KEY,
     KeyVerdict.UNREADABLE: outcomes.UNREADABLE_WORKSPACE,
@@ -56,7 +58,7 @@
     route = _find_route(table, request)
     if isinstance(route, Refusal):
         return route
-    check = check_api_keys(table.workspaces, request.api_keys, public=route.public)
+    check = check_api_keys(table.workspaces, request.api_keys, public=_is_public(route, request))
     if check.verdict in REFUSED_VERDICTS:
         return _refuse_key(route, request, check)
     if not request.request_id:
@@ -84,6 +86,18 @@
     return refusal(outcomes.NO_ROUTE)
 
 
+def _is_public(route: Route, request: CallerRequest) -> bool:
+    """Returns whether a request needs no key.
+
+    A path with dot segments needs one even on a public route: a server that resolves them would
+    execute a request for another route.
+    """
+    if not route.public:
+        return False
+    path = unquote(request.target.partition("?")[0])
+    return DOT_SEGMENTS.isdisjoint(path.replace("\\", "/").split("/"))
+
+
 def _refuse_key(route: Route, request: CallerRequest, check: KeyCheck) -> Refusal:
     return refusal(
         REFUSED_VERDICTS[check.verdict],
--- a/greengagefall/tests/gateway_request_checks_tests.py
+++ b/greengagefall/tests/gateway_request_checks_tests.py
@@ -100,6 +100,13 @@
         for keys in ((), ("x",), (SECRET,)):
             self.assertIsNone(check(request("/public/1", *keys)).workspace)
 
+    def test_a_path_that_may_lead_out_of_a_public_route_needs_a_key(self):
+        for path in ("/public/../keyed/1", "/public/%2E%2e/x", "/public/a/..%5Cx", "/public/./x"):
+            with self.subTest(path=path):
+                self.assertEqual(check(request(path)).reason, outcomes.UNKNOWN_API_KEY)
+                self.assertEqual(check(request(path, SECRET)).workspace, ACME)
+        self.assertIsNone(check(request("/public/a..b/?x=/../")).workspace)
+
     def test_priority_of_the_workspace_overrides_that_of_the_route(self):
         self.assertEqual(check(request("/", SECRET)).route.priority, 0)
         self.assertEqual(check(request("/", "p")).route.priority, 3)
