--- a/greengagefall/gateway/router.py
+++ b/greengagefall/gateway/router.py
@@ -9,14 +9,16 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from greengagefall.gateway import outcomes
-from greengagefall.gateway.model import NO_KEY
+from greengagefall.gateway.outcomes import Refusal
 from greengagefall.gateway.peers import UNREACHABLE
 from greengagefall.gateway.pool_choice import DispatcherLoads
+from greengagefall.gateway.request_checks import check_request
 from greengagefall.limits.retry_budget import RetryBudget
 from greengagefall.limits.stop_admission import StopAdmission
 from greengagefall.protocol.gateway_messages import Dispatch, Dispatched, NotDispatched
 from greengagefall.utils.metrics import count
 from greengagefall.utils.waiting import wait_until
+from greengagefall.workspaces.fair_priority import FairPriorities
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,6 +27,7 @@
     from greengagefall.gateway.peers import Peers
     from greengagefall.gateway.view import ClusterView
     from greengagefall.utils.clock import Clock
+    from greengagefall.workspaces.directory import Workspace
 
 log = logging.getLogger(__name__)
 
@@ -47,18 +50,6 @@
     body: bytes
 
 
-class Refusal(NamedTuple):
-    """The reason why the caller gets no answer from a server.
-
-    Attributes:
-        reason: Reason code from ``outcomes``.
-        retry_after_ms: Delay before the caller should retry; 0 for no hint.
-    """
-
-    reason: str
-    retry_after_ms: int
-
-
 class _Target(NamedTuple):
     """Where a request is sent; the server id is empty if the dispatcher chooses a server."""
 
@@ -107,37 +98,44 @@
         self._pools: dict[str, _Pool] = {}
         view.add_listener(self._pools.clear)
         self._random = random.Random()
+        self._priorities = FairPriorities(clock, self._random)
 
     async def route(self, request: CallerRequest) -> Answer | Refusal:
         """Returns a server's answer, or the refusal if there is none."""
         started_s = self._clock.now_s()
         table = self._view.routing_table
         if not table.version:
-            return self._refuse(outcomes.NO_CONFIG)
-        if not request.request_id:
-            return self._refuse(outcomes.NO_ID)
-        path = request.target.partition("?")[0]
-        route = table.find_route(request.host_name, path)
-        if route is None:
-            return self._refuse(outcomes.NO_ROUTE)
-        service = table.services.get(self._destination(route))
-        if service is None:
-            return self._refuse(outcomes.NO_SERVER)
-        if service.keyed and request.key == NO_KEY:
-            return self._refuse(outcomes.NO_KEY)
+            return outcomes.refusal(outcomes.NO_CONFIG)
+        admitted = check_request(table, request, self._random)
+        if isinstance(admitted, Refusal):
+            return self._with_state(admitted)
+        request, route, service, workspace = admitted
         deadline_s = started_s + min(request.timeout_s, route.timeout_s)
         if not self._stop.accepts(deadline_s):
-            return self._refuse(outcomes.STOPPING)
+            return outcomes.refusal(outcomes.STOPPING)
+        # The quota of the workspace is to be taken here, after all checks that cost nothing. It is
+        # None on a public route and without workspaces.
         self._budget(service.name).on_first_attempt()
-        return await self._attempt_until_final(request, route, service, started_s, deadline_s)
-
-    def _destination(self, route: Route) -> str:
-        """Picks one of the route's services at random, by weight."""
-        if len(route.destinations) == 1:
-            return route.destinations[0].service
-        names = [part.service for part in route.destinations]
-        weights = [part.weight for part in route.destinations]
-        return self._random.choices(names, weights)[0]
+        route = self._with_fair_priority(route, workspace)
+        outcome = await self._attempt_until_final(request, route, service, started_s, deadline_s)
+        self._priorities.record(workspace, isinstance(outcome, Answer))
+        return outcome
+
+    def _with_fair_priority(self, route: Route, workspace: Workspace | None) -> Route:
+        """Returns the route with the priority that is fair to the other workspaces."""
+        priority = self._priorities.choose(route.priority, workspace)
+        if priority != route.priority:
+            change = "raised" if priority < route.priority else "lowered"
+            count("priority_changes", change=change)
+        return route._replace(priority=priority)
+
+    def _with_state(self, refusal: Refusal) -> Refusal:
+        """Adds the configuration in force and its age to what is logged of a refusal."""
+        state = (
+            ("configuration", self._view.routing_table.version),
+            ("store_lag_s", round(self._view.store_lag_s(), 3)),
+        )
+        return refusal._replace(inputs=(*refusal.inputs, *state))
 
     async def _attempt_until_final(
         self,
@@ -175,7 +173,7 @@
                 and self._stop.fits(deadline_s)
                 and self._may_repeat(route, service, outcome, sends)
             )
-            self._log(request, service, outcome, attempts, retry)
+            self._log(request, route, service, outcome, attempts, retry)
             if not retry:
                 return self._final(request, outcome, unknown)
             await asyncio.sleep(REROUTE_PAUSE_S * (1 + self._random.random()))
@@ -309,12 +307,10 @@
             self._budgets[service] = budget
         return budget
 
-    def _refuse(self, reason: str) -> Refusal:
-        return Refusal(reason, outcomes.OUTCOMES[reason].retry_after_ms)
-
     def _log(
         self,
         request: CallerRequest,
+        route: Route,
         service: Service,
         outcome: NotDispatched,
         attempts: int,
@@ -327,6 +323,7 @@
             extra={
                 "request_id": request.request_id,
                 "service": service.name,
+                "priority": route.priority,
                 "key": request.key,
                 "server": outcome.server_id,
                 "reason": outcome.reason,
