Report the load of all servers of a pool instead of that of the chosen one

An entry host keeps requests for a service without keys in its zone while the dispatcher there reports a load below 85 %. The reported load was that of the server that executed the last request, mostly the fastest and busy one, so that requests went to other zones although most slots of the own zone were free.

--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -13,6 +13,7 @@
 from greengagefall.gateway.fence_notices import send_release
 from greengagefall.gateway.grants import ReleaseOutcome
 from greengagefall.gateway.model import NO_KEY
+from greengagefall.gateway.pool_choice import ServerLoad, mean_load_percent
 from greengagefall.gateway.server_channel import ServerChannel
 from greengagefall.gateway.server_knowledge import ServerKnowledge
 from greengagefall.limits.server_rate_limit import UNLIMITED
@@ -161,9 +162,12 @@
             self._key_counters.setdefault(request.service, KeyCounter()).add(request.key)
         self._submitted += 1
         try:
-            return await channel.submit(request, received_s)
+            outcome = await channel.submit(request, received_s)
         finally:
             self._submitted -= 1
+        if request.server_id:
+            return outcome
+        return outcome._replace(load_percent=self._pool_load_percent(request.service))
 
     async def release(self, order: ReleaseKeys) -> ReleaseOutcome | None:
         """Has a server release keys; None if this host cannot or the order is outdated.
@@ -306,19 +310,32 @@
             entry = self._view.servers.get(request.server_id)
             start_ms = entry.start_ms if entry else 0
             return self._channels.get(ServerIncarnation(request.server_id, start_ms))
+        return min(
+            self._pool_channels(request.service),
+            key=lambda channel: channel.expected_finish_s(request),
+            default=None,
+        )
+
+    def _pool_channels(self, service: str) -> list[ServerChannel]:
+        """Returns the channels to the usable servers of a service that this host dispatches.
+
+        Servers that do not answer are left out unless none answers.
+        """
         candidates = [
             channel
             for incarnation, channel in self._channels.items()
-            if channel.entry.service == request.service
+            if channel.entry.service == service
             and self._dispatches(incarnation)
             and not channel.admission_closed
             and self._view.is_usable(channel.entry)
         ]
-        alive = [channel for channel in candidates if channel.health.up]
-        return min(
-            alive or candidates,
-            key=lambda channel: channel.expected_finish_s(request),
-            default=None,
+        return [channel for channel in candidates if channel.health.up] or candidates
+
+    def _pool_load_percent(self, service: str) -> int:
+        """Returns the load of all usable servers of a service that this host dispatches."""
+        return mean_load_percent(
+            ServerLoad(channel.load_percent(), channel.queue.slots)
+            for channel in self._pool_channels(service)
         )
 
     def _refuse(self, request: Dispatch, reason: str) -> NotDispatched:
--- a/greengagefall/gateway/pool_choice.py
+++ b/greengagefall/gateway/pool_choice.py
@@ -11,7 +11,7 @@
 from greengagefall.protocol.gateway_messages import NotDispatched
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
 
     from greengagefall.protocol.gateway_messages import Dispatched
     from greengagefall.utils.clock import Clock
@@ -23,14 +23,40 @@
 # Load assumed for a dispatcher whose host is unreachable, and minimum load assumed for one that
 # refused a request.
 UNREACHABLE_PERCENT = 1000
+FULL_PERCENT = 100
 REFUSED_PERCENT = 200
 
 
+class ServerLoad(NamedTuple):
+    """Load of one server.
+
+    Attributes:
+        percent: Its requests in flight and queued, in percent of its slots.
+        slots: Requests that it executes at once.
+    """
+
+    percent: int
+    slots: int
+
+
 class _Load(NamedTuple):
     percent: int
     recorded_s: float
 
 
+def mean_load_percent(loads: Iterable[ServerLoad]) -> int:
+    """Returns the load of several servers together; that of a full one if there is none.
+
+    The server that executes a request is often the fastest one, which is busy while others are
+    idle. Its load alone would make hosts send their requests to another zone without need.
+    """
+    known = list(loads)
+    slots = sum(load.slots for load in known)
+    if not slots:
+        return FULL_PERCENT
+    return sum(load.percent * load.slots for load in known) // slots
+
+
 class DispatcherLoads:
     """Loads of dispatchers by service, as reported with their last replies."""
 
--- a/greengagefall/protocol/gateway_messages.py
+++ b/greengagefall/protocol/gateway_messages.py
@@ -60,7 +60,8 @@
         status: HTTP status.
         headers: Headers for the caller.
         body: Full body.
-        load_percent: Requests queued or in flight at the chosen server, in percent of its slots.
+        load_percent: Requests queued or in flight, in percent of the slots; at the chosen server,
+            for a service without keys at all of its servers that the host dispatches.
     """
 
     call_id: int
--- a/greengagefall/tests/gateway_router_tests.py
+++ b/greengagefall/tests/gateway_router_tests.py
@@ -18,7 +18,7 @@
     Service,
 )
 from greengagefall.gateway.peers import REPLY_LOST, UNREACHABLE
-from greengagefall.gateway.pool_choice import DispatcherLoads
+from greengagefall.gateway.pool_choice import DispatcherLoads, ServerLoad, mean_load_percent
 from greengagefall.gateway.router import Answer, Refusal, Router
 from greengagefall.gateway.view import ClusterView
 from greengagefall.ownership.model import (
@@ -224,3 +224,12 @@
 
     def test_no_host_is_chosen_without_servers(self):
         self.assertIsNone(DispatcherLoads(ManualClock()).choose("pool", {}, set()))
+
+    def test_a_busy_server_beside_idle_ones_sends_no_request_to_another_zone(self):
+        loads = DispatcherLoads(ManualClock())
+        percent = mean_load_percent([ServerLoad(125, 4), ServerLoad(0, 4), ServerLoad(25, 4)])
+        loads.record_reply("pool", "near", Dispatched(0, 200, [], b"", percent))
+        self.assertEqual(loads.choose("pool", {"near": 12, "far": 40}, {"near"}), "near")
+
+    def test_a_dispatcher_without_usable_servers_counts_as_full(self):
+        self.assertEqual(mean_load_percent([]), 100)
