--- a/greengagefall/tests/workspaces_fair_priority_tests.py
+++ b/greengagefall/tests/workspaces_fair_priority_tests.py
@@ -33,7 +33,7 @@
         self._priorities = FairPriorities(self._clock, self._random)
         self._queue = ServerQueue(SLOTS, self._clock)
         self._workspaces: dict[int, Workspace] = {}
-        self._ends_s: list[float] = []
+        self._running: list[tuple[float, QueuedDispatch]] = []
         self.offered: Counter[str] = Counter()
         self.served: Counter[str] = Counter()
 
@@ -80,13 +80,13 @@
             workspace = self._workspaces[item.ticket]
             self.served[workspace.name] += 1
             self._priorities.record(workspace, True)
-            self._ends_s.append(self._clock.now_s() + SERVICE_TIME_S)
+            self._running.append((self._clock.now_s() + SERVICE_TIME_S, item))
 
     def _end_requests(self) -> None:
         now_s = self._clock.now_s()
-        for end_s in [end_s for end_s in self._ends_s if end_s <= now_s]:
-            self._ends_s.remove(end_s)
-            self._queue.finish(SERVICE_TIME_S)
+        for end_s, item in [running for running in self._running if running[0] <= now_s]:
+            self._running.remove((end_s, item))
+            self._queue.finish(item, SERVICE_TIME_S)
 
 
 class FairPriorityTests(unittest.TestCase):
