Compute estimates once for each pass over a server's queue

Cause: each arrival, answer and timer estimated the service time of every queued and running request anew, also while all could start at once, and an arrival went over the queue twice. The choice among servers without keys did the same for each server.

Change: a pass computes each kind once, with what all kinds share; a queue whose requests can all start needs no estimates; an arrival checks the queue once; requests ahead are found by bisection.

--- a/greengagefall/gateway/slot_waiting.py
+++ b/greengagefall/gateway/slot_waiting.py
@@ -78,7 +78,8 @@
         queued = _QueuedRequest(item, request.key, outcome)
         self._queued_requests[item.ticket] = queued
         self._refuse(self._queue.offer(item))
-        self.process()
+        self._start()
+        self._schedule_check()
         try:
             return Admission(await queued.outcome, item)
         except asyncio.CancelledError:
@@ -123,13 +124,21 @@
 
     def process(self) -> None:
         """Admits requests while the queue allows it and refuses those that would be late."""
+        self._start()
+        self._refuse(self._queue.shed_late())
+        self._schedule_check()
+
+    def _start(self) -> None:
+        """Admits requests while the queue allows it."""
         while (item := self._queue.start_next()) is not None:
             queued = self._queued_requests.get(item.ticket)
             if queued is None:
                 self._queue.finish(item)
                 continue
             self._complete(queued, ADMITTED)
-        self._refuse(self._queue.shed_late())
+
+    def _schedule_check(self) -> None:
+        """Has the queue processed again after a while if requests still wait."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/greengagefall/limits/server_queue.py
+++ b/greengagefall/limits/server_queue.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import heapq
-from bisect import insort
+from bisect import bisect_left, insort
 from typing import TYPE_CHECKING, NamedTuple
 
 from greengagefall.limits.server_rate_limit import UNLIMITED
@@ -20,6 +20,7 @@
 from greengagefall.utils.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
+    from greengagefall.limits.work_estimate import ExpectedTimes
     from greengagefall.utils.clock import Clock
 
 SERVICE_TIME_WEIGHT = 0.1
@@ -54,8 +55,9 @@
     @property
     def useful_until_s(self) -> float:
         """Time by which the answer has to arrive to be worth a slot."""
-        late_s = max(0.0, self.deadline_s - self.objective_s)
-        return min(self.deadline_s, self.objective_s + USEFUL_LATE_SHARE * late_s)
+        if self.deadline_s <= self.objective_s:
+            return self.deadline_s
+        return self.objective_s + USEFUL_LATE_SHARE * (self.deadline_s - self.objective_s)
 
 
 class _Running(NamedTuple):
@@ -145,11 +147,15 @@
         Args:
             item: A request that is not queued; None for one behind all others.
         """
-        ahead = [one for one in self._queued if item is None or one < item]
-        free_s = self._slot_times_s()
-        for one in ahead:
-            heapq.heapreplace(free_s, free_s[0] + self.work.expected_s(one.kind))
-        return max(free_s[0], self.rate_wait_s(len(ahead)))
+        ahead = len(self._queued) if item is None else bisect_left(self._queued, item)
+        wait_s = self.rate_wait_s(ahead)
+        if self.in_flight + ahead < self.slots:
+            return wait_s
+        expected_s = self.work.expected_times()
+        free_s = self._slot_times_s(expected_s)
+        for one in self._queued[:ahead]:
+            heapq.heapreplace(free_s, free_s[0] + expected_s[one.kind])
+        return max(free_s[0], wait_s)
 
     def offer(self, item: QueuedDispatch) -> list[QueuedDispatch]:
         """Adds a request; returns the requests that are now refused, which may include it."""
@@ -159,14 +165,25 @@
     def shed_late(self) -> list[QueuedDispatch]:
         """Removes and returns the requests that cannot finish in time."""
         now_s = self._clock.now_s()
-        free_s = self._slot_times_s()
+        if not self._queued:
+            return []
+        rate_limited = bool(self._rate_limits())
+        # The common case, without estimates: all of them can start at once.
+        if not rate_limited and len(self._queued) <= self.slots - self.in_flight:
+            dropped = [item for item in self._queued if item.deadline_s <= now_s]
+            for item in dropped:
+                self._queued.remove(item)
+            return dropped
+        expected_s = self.work.expected_times()
+        free_s = self._slot_times_s(expected_s)
         kept: list[QueuedDispatch] = []
         dropped = []
         for item in self._queued:
-            start_s = max(free_s[0], self.rate_wait_s(len(kept)))
-            finish_s = start_s + self.work.expected_s(item.kind)
+            rate_wait_s = self.rate_wait_s(len(kept)) if rate_limited else 0.0
+            finish_s = max(free_s[0], rate_wait_s) + expected_s[item.kind]
             # Keep a request that could start at once, even if it is expected to finish late.
-            starts_now = self._starts_now(len(kept)) and item.deadline_s > now_s
+            slot_is_free = len(kept) + self.in_flight < self.slots
+            starts_now = slot_is_free and not rate_wait_s and item.deadline_s > now_s
             if starts_now or now_s + finish_s <= item.useful_until_s:
                 kept.append(item)
                 heapq.heapreplace(free_s, finish_s)
@@ -187,8 +204,9 @@
 
     def remove(self, item: QueuedDispatch) -> None:
         """Removes a request whose caller disconnected."""
-        if item in self._queued:
-            self._queued.remove(item)
+        index = bisect_left(self._queued, item)
+        if index < len(self._queued) and self._queued[index] == item:
+            del self._queued[index]
 
     def finish(
         self, item: QueuedDispatch, service_time_s: float | None = None, slowdown: float = 1.0
@@ -211,14 +229,13 @@
         """Returns the delay after which a request that was refused may be admitted."""
         return max(MIN_RETRY_AFTER_S, self.expected_wait_s(item))
 
-    def _slot_times_s(self) -> list[float]:
+    def _slot_times_s(self, expected_s: ExpectedTimes) -> list[float]:
         """Returns a heap of the times from now after which each slot is expected to be free."""
         now_s = self._clock.now_s()
         left_s = []
-        for running in self._running.values():
-            expected_s = self.work.expected_s(running.kind)
-            elapsed_s = now_s - running.started_s
-            left_s.append(max(expected_s - elapsed_s, OVERDUE_SHARE * expected_s))
+        for kind, started_s in self._running.values():
+            kind_s = expected_s[kind]
+            left_s.append(max(kind_s - (now_s - started_s), OVERDUE_SHARE * kind_s))
         left_s += [0.0] * (self.slots - len(left_s))
         left_s.sort()
         # Of a server whose slots became fewer, the last requests to end free the slots that remain.
@@ -228,7 +245,3 @@
         """Returns the rate limits that apply now."""
         cold_tokens = self._cold_tokens if self.cold else None
         return [limit for limit in (cold_tokens, self._named_tokens) if limit is not None]
-
-    def _starts_now(self, ahead: int) -> bool:
-        """Returns whether a request behind ``ahead`` others needs no other one to end first."""
-        return ahead + self.in_flight < self.slots and not self.rate_wait_s(ahead)
--- a/greengagefall/limits/work_estimate.py
+++ b/greengagefall/limits/work_estimate.py
@@ -46,30 +46,30 @@
         self._weight = 0.0
         self._added_s = clock.now_s()
 
-    def value(self, prior: float) -> float:
+    def value(self, prior: float, now_s: float) -> float:
         """Returns the mean of the samples and the prior."""
-        remaining = self._remaining()
+        remaining = self._remaining(now_s)
         weighted = prior * self._prior_weight + self._sum * remaining
         return weighted / (self._prior_weight + self._weight * remaining)
 
-    @property
-    def weight(self) -> float:
-        """Present weight of the samples."""
-        return self._weight * self._remaining()
+    def weight(self, now_s: float) -> float:
+        """Returns the present weight of the samples."""
+        return self._weight * self._remaining(now_s)
 
     def add(self, sample: float, weight: float = 1.0) -> None:
         """Adds a sample."""
-        remaining = self._remaining()
+        now_s = self._clock.now_s()
+        remaining = self._remaining(now_s)
         self._sum = self._sum * remaining + weight * sample
         self._weight = self._weight * remaining + weight
-        self._added_s = self._clock.now_s()
+        self._added_s = now_s
         if self._weight > self._max_weight:
             self._sum *= self._max_weight / self._weight
             self._weight = self._max_weight
 
-    def _remaining(self) -> float:
+    def _remaining(self, now_s: float) -> float:
         """Returns the share of the weight that is left after the time since the last sample."""
-        return math.exp(-(self._clock.now_s() - self._added_s) / self._age_s)
+        return math.exp((self._added_s - now_s) / self._age_s)
 
 
 class _Means:
@@ -80,15 +80,16 @@
         self._weights = weights
         self._means: dict[str, AgedMean] = {}
 
-    def value(self, kind: str, prior: float) -> float:
+    def value(self, kind: str, prior: float, now_s: float) -> float:
         mean = self._means.get(kind)
-        return prior if mean is None else mean.value(prior)
+        return prior if mean is None else mean.value(prior, now_s)
 
     def add(self, kind: str, sample: float, weight: float = 1.0) -> None:
         mean = self._means.get(kind)
         if mean is None:
             if len(self._means) >= MAX_KINDS:
-                del self._means[min(self._means, key=lambda one: self._means[one].weight)]
+                now_s = self._clock.now_s()
+                del self._means[min(self._means, key=lambda one: self._means[one].weight(now_s))]
             mean = self._means[kind] = AgedMean(self._clock, self._weights)
         mean.add(sample, weight)
 
@@ -108,19 +109,17 @@
         self._kinds = _Means(clock, KIND_WEIGHTS)
         self._pace = AgedMean(clock, SERVICE_WEIGHTS)
 
-    @property
-    def usual_pace(self) -> float:
-        """Mean pace of the servers, which a server without samples is assumed to have."""
-        return self._pace.value(1.0)
+    def usual_pace(self, now_s: float) -> float:
+        """Returns the mean pace of the servers, assumed of a server without samples."""
+        return self._pace.value(1.0, now_s)
 
-    @property
-    def mean_s(self) -> float:
-        """Work of a request of an unknown kind."""
-        return self._mean.value(self._initial_s)
+    def mean_s(self, now_s: float) -> float:
+        """Returns the work of a request of an unknown kind."""
+        return self._mean.value(self._initial_s, now_s)
 
-    def kind_s(self, kind: str) -> float:
-        """Returns the work of a kind, near the mean of all while it has few samples."""
-        return self._kinds.value(kind, self.mean_s)
+    def kind_s(self, kind: str, mean_s: float, now_s: float) -> float:
+        """Returns the work of a kind, near ``mean_s`` of all while it has few samples."""
+        return self._kinds.value(kind, mean_s, now_s)
 
     def add(self, kind: str, work_s: float, pace: float, weight: float) -> None:
         """Adds a sample.
@@ -144,28 +143,34 @@
     """
 
     def __init__(self, service: ServiceWork) -> None:
-        self._service = service
+        self.service = service
         self._clock = service.clock
         self._pace = AgedMean(self._clock, PACE_WEIGHTS)
         self._corrections = _Means(self._clock, CORRECTION_WEIGHTS)
         self._slowdown = 1.0
         self._slowdown_s = self._clock.now_s()
 
-    @property
-    def pace(self) -> float:
-        """Usual service time of this server relative to the servers of its service."""
-        return self._pace.value(self._service.usual_pace)
-
     @property
     def slowdown(self) -> float:
         """Present service time relative to the usual one; 1 if nothing recent is known."""
         age_s = self._clock.now_s() - self._slowdown_s
         return 1.0 + (self._slowdown - 1.0) * math.exp(-age_s / SLOWDOWN_AGE_S)
 
+    def pace(self, now_s: float) -> float:
+        """Returns the usual service time of this server relative to the others of its service."""
+        return self._pace.value(self.service.usual_pace(now_s), now_s)
+
+    def correction(self, kind: str, now_s: float) -> float:
+        """Returns the factor for a kind that is not explained by its work and the pace."""
+        return self._corrections.value(kind, 1.0, now_s)
+
     def expected_s(self, kind: str) -> float:
         """Returns the expected service time of a request that starts now."""
-        usual_s = self._service.kind_s(kind) * self.pace * self._corrections.value(kind, 1.0)
-        return max(MIN_SERVICE_TIME_S, usual_s * self.slowdown)
+        return self.expected_times()[kind]
+
+    def expected_times(self) -> ExpectedTimes:
+        """Returns the expected service times of requests that start now, by kind."""
+        return ExpectedTimes(self, self._clock.now_s())
 
     def on_executed(self, kind: str, duration_s: float, slowdown: float = 1.0) -> None:
         """Records a request that was executed to its end.
@@ -175,14 +180,43 @@
             duration_s: How long the server took.
             slowdown: The slowdown that the server reported with its answer.
         """
+        now_s = self._clock.now_s()
         self._slowdown = max(1.0 / MAX_SLOWDOWN, min(slowdown, MAX_SLOWDOWN))
-        self._slowdown_s = self._clock.now_s()
+        self._slowdown_s = now_s
         usual_s = max(MIN_SERVICE_TIME_S, duration_s) / self._slowdown
-        correction = self._corrections.value(kind, 1.0)
+        correction = self.correction(kind, now_s)
         # Each factor gets what the ones before it leave unexplained. The pace is the first, so that
         # a server that differs from the others does not change what they share.
-        self._pace.add(usual_s / (self._service.kind_s(kind) * correction))
-        weight = self._pace.weight / (self._pace.weight + PACE_KNOWN_SAMPLES)
-        pace = self.pace
-        self._service.add(kind, usual_s / (pace * correction), pace, weight)
-        self._corrections.add(kind, usual_s / (self._service.kind_s(kind) * self.pace))
+        self._pace.add(usual_s / (self._kind_s(kind, now_s) * correction))
+        known = self._pace.weight(now_s)
+        weight = known / (known + PACE_KNOWN_SAMPLES)
+        pace = self.pace(now_s)
+        self.service.add(kind, usual_s / (pace * correction), pace, weight)
+        self._corrections.add(kind, usual_s / (self._kind_s(kind, now_s) * self.pace(now_s)))
+
+    def _kind_s(self, kind: str, now_s: float) -> float:
+        return self.service.kind_s(kind, self.service.mean_s(now_s), now_s)
+
+
+class ExpectedTimes(dict[str, float]):
+    """Expected service times at one server by kind, each computed when it is first read.
+
+    For one pass over a queue; what all kinds share is computed once.
+
+    Args:
+        work: The work of the server.
+        now_s: Time for which they hold.
+    """
+
+    def __init__(self, work: ServerWork, now_s: float) -> None:
+        super().__init__()
+        self._work = work
+        self._now_s = now_s
+        self._mean_s = work.service.mean_s(now_s)
+        self._factor = work.pace(now_s) * work.slowdown
+
+    def __missing__(self, kind: str) -> float:
+        kind_s = self._work.service.kind_s(kind, self._mean_s, self._now_s)
+        usual_s = kind_s * self._work.correction(kind, self._now_s)
+        expected_s = self[kind] = max(MIN_SERVICE_TIME_S, usual_s * self._factor)
+        return expected_s
--- a/greengagefall/tests/limits_server_queue_tests.py
+++ b/greengagefall/tests/limits_server_queue_tests.py
@@ -15,6 +15,16 @@
 COLD_BOUND = 1.5 * COLD_RATE_PER_S + 5
 
 
+class CountingWork(ServerWork):
+    """Counts how often the estimate of a kind is computed."""
+
+    computed = 0
+
+    def correction(self, kind, now_s):
+        self.computed += 1
+        return super().correction(kind, now_s)
+
+
 class ServerQueueTests(unittest.TestCase):
     def setUp(self):
         self.clock = ManualClock(100.0)
@@ -100,6 +110,32 @@
         self.assertAlmostEqual(waits_s["short"], 0.25, delta=0.05)
         self.assertAlmostEqual(waits_s["long"], 1.15, delta=0.1)
 
+    def test_a_pass_over_the_queue_computes_each_estimate_once(self):
+        """Guards against a cost of each event that grows with all queued and running requests."""
+        work = CountingWork(ServiceWork(self.clock))
+        queue = ServerQueue(50, self.clock, work)
+        for number in range(80):
+            queue.offer(self.queued_request(remaining_s=9.0, kind=f"kind-{number % 3}"))
+            if number < 50:
+                queue.start_next()
+        for one_pass in (queue.shed_late, queue.expected_wait_s):
+            work.computed = 0
+            one_pass()
+            self.assertEqual(work.computed, 3)
+
+    def test_requests_that_can_all_start_need_no_estimate(self):
+        """Guards against estimates for each request at a server that is not busy."""
+        work = CountingWork(ServiceWork(self.clock))
+        queue = ServerQueue(3, self.clock, work)
+        queue.offer(self.queued_request())
+        queue.start_next()
+        queue.offer(self.queued_request())
+        queue.shed_late()
+        self.assertEqual(queue.expected_wait_s(), 0.0)
+        self.assertEqual(work.computed, 0)
+        expired = self.queued_request(remaining_s=0.0)
+        self.assertEqual(queue.offer(expired), [expired])
+
     def test_an_urgent_request_waits_for_its_equals_only(self):
         self.fill()
         for _ in range(4):
