Limit how much one answer raises the expected service times

Cause: one answer that took 30 s raised the estimates of all kinds on its server, that of a kind of 85 ms to 4.3 s, so that requests queued behind it were refused.

Change: a sample counts as at most five times what was expected. Work that becomes 20 times as long is still learned within 15 answers.

Evidence: python -m unittest greengagefall.tests.limits_work_estimate_tests (10 tests OK; the first new one failed before).

--- a/greengagefall/limits/work_estimate.py
+++ b/greengagefall/limits/work_estimate.py
@@ -26,6 +26,9 @@
 # A reported slowdown is believed for about this long.
 SLOWDOWN_AGE_S = 3.0
 MAX_SLOWDOWN = 20.0
+# A sample counts as at most this multiple of the expected time. One stalled answer would otherwise
+# raise the estimates of all kinds so far that the server's queue is refused.
+MAX_SAMPLE_FACTOR = 5.0
 # Kinds that are kept; the one with the fewest samples makes room for a new one.
 MAX_KINDS = 256
 
@@ -183,8 +186,10 @@
         now_s = self._clock.now_s()
         self._slowdown = max(1.0 / MAX_SLOWDOWN, min(slowdown, MAX_SLOWDOWN))
         self._slowdown_s = now_s
-        usual_s = max(MIN_SERVICE_TIME_S, duration_s) / self._slowdown
         correction = self.correction(kind, now_s)
+        expected_s = self._kind_s(kind, now_s) * self.pace(now_s) * correction
+        usual_s = max(MIN_SERVICE_TIME_S, duration_s) / self._slowdown
+        usual_s = min(usual_s, MAX_SAMPLE_FACTOR * expected_s)
         # Each factor gets what the ones before it leave unexplained. The pace is the first, so that
         # a server that differs from the others does not change what they share.
         self._pace.add(usual_s / (self._kind_s(kind, now_s) * correction))
--- a/greengagefall/tests/limits_work_estimate_tests.py
+++ b/greengagefall/tests/limits_work_estimate_tests.py
@@ -72,6 +72,21 @@
         self.play(server, 1)
         self.assert_near(server, "order", 1.0, 0.3)
 
+    def test_one_stalled_answer_raises_the_estimates_little(self):
+        """Guards against a queue that is refused since one answer took 30 s."""
+        server = ServerWork(self.service)
+        self.play(server, 100)
+        server.on_executed("search", 30.0)
+        for kind in KINDS_S:
+            self.assertLess(server.expected_s(kind), 3.0 * KINDS_S[kind])
+
+    def test_work_that_becomes_much_longer_is_learned_within_few_answers(self):
+        server = ServerWork(self.service)
+        self.play(server, 100)
+        self.play(server, 15, pace=20.0)
+        for kind in KINDS_S:
+            self.assertGreater(server.expected_s(kind), 10.0 * KINDS_S[kind])
+
     def test_a_reported_slowdown_is_not_believed_for_long(self):
         server = ServerWork(self.service)
         self.play(server, 100)
