Take unusable deadlines and keys of callers as absent

Cause: Shard-Key with more than 4,300 digits raised ValueError before a request had a handler for errors, so that it got no answer. Deadline-Ms: nan was refused as stopping by a host that was not, and -inf raised OverflowError when the time left was computed, which the caller gets as a 502 for a request that was never sent.

Change: numbers that are not finite, and keys of more than 20 digits, count as absent, like other malformed values.

--- a/greengagefall/platform/requests.py
+++ b/greengagefall/platform/requests.py
@@ -34,6 +34,9 @@
 # Values of the header that say the opposite of its name.
 NOT_EXECUTED_DENIALS = frozenset({"", "0", "false", "no"})
 
+# Python refuses to convert very long numbers.
+MAX_KEY_DIGITS = 20
+
 JSON_HEADERS = [["Content-Type", "application/json"]]
 HTTP_MISDIRECTED_REQUEST = 421
 MS_PER_S = 1000.0
@@ -242,9 +245,10 @@
 
 def _timeout_s(value: str | None) -> float:
     try:
-        return float(value) / MS_PER_S if value else math.inf
+        timeout_s = float(value) / MS_PER_S if value else math.inf
     except ValueError:
         return math.inf
+    return timeout_s if math.isfinite(timeout_s) else math.inf
 
 
 def _utf8(value: str) -> str:
@@ -253,7 +257,7 @@
 
 
 def _key(value: str | None) -> int:
-    if value is None or not value.isdecimal():
+    if value is None or not value.isdecimal() or len(value) > MAX_KEY_DIGITS:
         return NO_KEY
     key = int(value)
     return key if key <= LAST_KEY else NO_KEY
--- a/greengagefall/tests/platform_adapter_tests.py
+++ b/greengagefall/tests/platform_adapter_tests.py
@@ -178,8 +178,11 @@
         self.assertEqual(requests.read_max_rate_per_s(HTTPHeaders()), math.inf)
 
     def test_malformed_deadlines_and_keys_take_their_defaults(self):
-        self.assertEqual(requests._timeout_s("soon"), math.inf)
+        # Guards against an error while a request is read, after which it gets no answer, and
+        # against a deadline that cannot be computed with.
+        for value in ("soon", "nan", "inf", "-inf", "1e999"):
+            self.assertEqual(requests._timeout_s(value), math.inf, value)
         self.assertEqual(requests._timeout_s("1500"), 1.5)
-        for value in (None, "", "65536", "-1", "x"):
+        for value in (None, "", "65536", "-1", "x", "9" * 5000):
             self.assertEqual(requests._key(value), NO_KEY)
         self.assertEqual(requests._key("65535"), 65_535)
