Require a key for paths that become those of another route

Cause: with a public route / and a route /keyed/ that needs keys, /%6Beyed/1 and //keyed/1 matched the public one; a backend server that decodes the path or merges slashes would execute /keyed/1 without a key. /x/..;a/keyed/1 passed the check for dot segments, since some servers drop parameters of segments.

Change: a path that is not in normal form needs a key if its normal form leads to a route that is not public.

Evidence: python -m unittest greengagefall.tests.gateway_request_checks_tests (17 tests OK; the new one failed before in all five cases).

--- a/greengagefall/gateway/request_checks.py
+++ b/greengagefall/gateway/request_checks.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING, NamedTuple
 from urllib.parse import unquote
 
@@ -22,6 +23,7 @@
     from greengagefall.workspaces.access import KeyCheck
     from greengagefall.workspaces.directory import Workspace
 
+REPEATED_SLASHES = re.compile("/+")
 DOT_SEGMENTS = frozenset({".", ".."})
 REFUSED_VERDICTS = {
     KeyVerdict.UNKNOWN: outcomes.UNKNOWN_API_KEY,
@@ -58,7 +60,8 @@
     route = _find_route(table, request)
     if isinstance(route, Refusal):
         return route
-    check = check_api_keys(table.workspaces, request.api_keys, public=_is_public(route, request))
+    public = _is_public(table, route, request)
+    check = check_api_keys(table.workspaces, request.api_keys, public=public)
     if check.verdict in REFUSED_VERDICTS:
         return _refuse_key(route, request, check)
     if not request.request_id:
@@ -86,16 +89,28 @@
     return refusal(outcomes.NO_ROUTE)
 
 
-def _is_public(route: Route, request: CallerRequest) -> bool:
+def _is_public(table: RoutingTable, route: Route, request: CallerRequest) -> bool:
     """Returns whether a request needs no key.
 
-    A path with dot segments needs one even on a public route: a server that resolves them would
-    execute a request for another route.
+    A server that normalizes a path may execute the request for another route than the one that
+    matches the path as sent. Such a path needs a key even on a public route: one with dot segments,
+    and one that leads to a route with keys once it is decoded and empty segments are left out.
     """
     if not route.public:
         return False
-    path = unquote(request.target.partition("?")[0])
-    return DOT_SEGMENTS.isdisjoint(path.replace("\\", "/").split("/"))
+    path = request.target.partition("?")[0]
+    decoded = unquote(path).replace("\\", "/")
+    if any(segment.partition(";")[0] in DOT_SEGMENTS for segment in decoded.split("/")):
+        return False
+    normalized = REPEATED_SLASHES.sub("/", decoded)
+    if normalized == path:
+        return True
+    reached = (other for other in table.routes[request.host_name] if _begins(normalized, other))
+    return next(reached, route).public
+
+
+def _begins(normalized_path: str, route: Route) -> bool:
+    return normalized_path.startswith(unquote(route.prefix))
 
 
 def _refuse_key(route: Route, request: CallerRequest, check: KeyCheck) -> Refusal:
--- a/greengagefall/tests/gateway_request_checks_tests.py
+++ b/greengagefall/tests/gateway_request_checks_tests.py
@@ -107,6 +107,19 @@
                 self.assertEqual(check(request(path, SECRET)).workspace, ACME)
         self.assertIsNone(check(request("/public/a..b/?x=/../")).workspace)
 
+    def test_a_path_that_is_another_route_once_decoded_needs_a_key(self):
+        """Guards against /%6Beyed/, which a server takes for /keyed/, on a public route /."""
+        routes = (route("/keyed/"), route("/a%20b/", public=True), route("/", public=True))
+        open_table = table()._replace(routes={"h": routes})
+        for path in ("/%6Beyed/1", "//keyed/1", "/%2Fkeyed/1", "/\\keyed/1", "/x/..;a/keyed/1"):
+            with self.subTest(path=path):
+                refused = check_request(open_table, request(path), random.Random(1))
+                self.assertEqual(refused.reason, outcomes.UNKNOWN_API_KEY)
+        for path in ("/", "/a%20b/1", "/x%20y", "//x", "/keye%64", "/?/%6Beyed/"):
+            with self.subTest(path=path):
+                admitted = check_request(open_table, request(path), random.Random(1))
+                self.assertIsNone(admitted.workspace)
+
     def test_priority_of_the_workspace_overrides_that_of_the_route(self):
         self.assertEqual(check(request("/", SECRET)).route.priority, 0)
         self.assertEqual(check(request("/", "p")).route.priority, 3)
