Send requests in excess after those of every configured priority

Cause: 1000 was added to the priority of requests in excess, but configurations may have priorities of up to 1e12, whose requests would come after a flood.

Change: the addition is larger than any such priority.

Evidence: python -m unittest greengagefall.tests.workspaces_fair_priority_tests.FairPriorityTests.test_excess_of_an_urgent_workspace_comes_after_the_least_urgent_ones (failed before).

--- a/greengagefall/tests/workspaces_fair_priority_tests.py
+++ b/greengagefall/tests/workspaces_fair_priority_tests.py
@@ -7,6 +7,7 @@
 from collections import Counter
 
 from greengagefall.limits.server_queue import QueuedDispatch, ServerQueue
+from greengagefall.platform.fields import MAX_NUMBER
 from greengagefall.utils.clock import ManualClock
 from greengagefall.workspaces.directory import Workspace
 from greengagefall.workspaces.fair_priority import FairPriorities
@@ -130,6 +131,18 @@
             chosen.add(priorities.choose(3, new))
         self.assertLessEqual(chosen, {0, 3})
 
+    def test_excess_of_an_urgent_workspace_comes_after_the_least_urgent_ones(self):
+        # Guards against a flood that goes ahead of workspaces whose priority is a large number.
+        clock = ManualClock()
+        priorities = FairPriorities(clock, random.Random(1))
+        flooding = Workspace("flooding", 0)
+        for _ in range(90):
+            clock.advance(1.0)
+            priorities.choose(0, flooding)
+        chosen = {priorities.choose(0, flooding) for _ in range(1000)}
+        self.assertEqual(len(chosen), 2)
+        self.assertGreater(max(chosen), MAX_NUMBER)
+
     def test_requests_without_a_workspace_keep_the_priority_of_their_route(self):
         priorities = FairPriorities(ManualClock(), random.Random(1))
         self.assertEqual({priorities.choose(2, None) for _ in range(1000)}, {2})
--- a/greengagefall/workspaces/fair_priority.py
+++ b/greengagefall/workspaces/fair_priority.py
@@ -31,8 +31,9 @@
 # Multiple of the usual load from which requests are in excess, and the least recent requests.
 EXCESS_FACTOR = 2.0
 MIN_EXCESS_REQUESTS = 20.0
-# Added to the priority of requests in excess.
-EXCESS_PRIORITY = 1000
+# Added to the priority of requests in excess. Above all priorities that a configuration may have
+# (MAX_NUMBER of the platform's fields), and still exact as a float.
+EXCESS_PRIORITY = 10**13
 
 
 class _Load:
