Count requests whose callers gave up as not served

Cause: under overload many callers disconnect before they are refused; these requests counted neither as served nor as not served, so that too large a share of the requests was promoted.

Evidence: python -m unittest greengagefall.tests.gateway_request_checks_tests greengagefall.tests.gateway_router_tests (the new test failed before).

--- a/greengagefall/gateway/router.py
+++ b/greengagefall/gateway/router.py
@@ -117,8 +117,14 @@
         # None on a public route and without workspaces.
         self._budget(service.name).on_first_attempt()
         route = self._with_fair_priority(route, workspace)
-        outcome = await self._attempt_until_final(request, route, service, started_s, deadline_s)
-        self._priorities.record(workspace, isinstance(outcome, Answer))
+        outcome = None
+        try:
+            outcome = await self._attempt_until_final(
+                request, route, service, started_s, deadline_s
+            )
+        finally:
+            # Not served as well if the caller gave up.
+            self._priorities.record(workspace, isinstance(outcome, Answer))
         return outcome
 
     def _with_fair_priority(self, route: Route, workspace: Workspace | None) -> Route:
--- a/greengagefall/tests/gateway_request_checks_tests.py
+++ b/greengagefall/tests/gateway_request_checks_tests.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import random
 import unittest
+from unittest.mock import AsyncMock
 
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, RequestStartLine
 
@@ -204,6 +206,17 @@
         chosen = {self.router._priorities.choose(3, PLAIN) for _ in range(300)}
         self.assertEqual(chosen, {3})
 
+    async def test_a_request_whose_caller_gave_up_counts_as_not_served(self):
+        # Guards against an overload that looks like full service since callers leave first.
+        self.view.update_routing_table(table(1))
+        self.view.update_server(ServerEntry("p1", "pool", "", "x", 6, False, 0.0, 1))
+        self.view.update_assignment(Assignment(1, 1, {}, {"p1": DispatcherRecord(ME)}))
+        self.peers.call = AsyncMock(side_effect=asyncio.CancelledError)
+        for _ in range(5):
+            with self.assertRaises(asyncio.CancelledError):
+                await self.router.route(request("/", "p"))
+        self.assertEqual(self.router._priorities._served.value(), 0.0)
+
     async def test_each_request_is_checked_against_the_newest_version(self):
         # Guards against a key that stays valid since an earlier request was accepted with it.
         self.view.update_routing_table(table(1))
