Pair each reported slowdown with the answer that reports it

Cause: the channel kept the slowdown of its latest answer, and an answer's task read it one turn of the event loop later. Of two answers that arrived together, both counted with the slowdown of the second, so that the usual service time was learned wrongly by that factor.

Change: the slowdown is returned with the outcome. The headers of an answer are evaluated once instead of three times, and the method that sent, recorded and converted is split.

Evidence: python -m unittest greengagefall.tests.gateway_rate_limit_tests (10 tests OK; the new one failed before); dispatch_status_lines_tests, gateway_channel_close_tests and gateway_partial_answers_tests (13 tests OK).

--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from greengagefall.dispatch.connection_pool import HttpAnswer, HttpRequest
 from greengagefall.dispatch.exceptions import (
@@ -59,6 +59,18 @@
 NO_SLOWDOWN = 1.0
 
 
+class _Sent(NamedTuple):
+    """What became of a request that had a slot.
+
+    Attributes:
+        outcome: The outcome for its router.
+        slowdown: The slowdown that the server reported with its answer.
+    """
+
+    outcome: Dispatched | NotDispatched
+    slowdown: float = NO_SLOWDOWN
+
+
 class ServerChannel:
     """Queue, slots, connections and grants of one incarnation of a backend server.
 
@@ -107,7 +119,6 @@
             self._grants = GrantManager(self.incarnation, pool, self.health, clock, knowledge)
             pool.on_idle_close = self._grants.on_connection_lost
         self._waiting = SlotWaiting(self.queue)
-        self._slowdown = NO_SLOWDOWN
         self._probe_task: asyncio.Task | None = None
         self.update_entry(entry)
 
@@ -219,7 +230,7 @@
         send = asyncio.ensure_future(self._send(request, item.deadline_s))
         try:
             # A request that is not idempotent is not cancelled when its caller disconnects.
-            outcome = await (send if request.idempotent else asyncio.shield(send))
+            sent = await (send if request.idempotent else asyncio.shield(send))
         except asyncio.CancelledError:
             if request.idempotent:
                 self._waiting.finish(item)
@@ -230,24 +241,39 @@
             self._waiting.finish(item)
             raise
         duration_s = self._clock.now_s() - started_s
-        self._record_work(item, outcome, duration_s)
+        self._record_work(item, sent, duration_s)
         observe_ms("server_time_ms", duration_s * MS_PER_S, service=self._service.name)
-        return outcome
+        return sent.outcome
 
-    def _record_work(
-        self, item: QueuedDispatch, outcome: Dispatched | NotDispatched, duration_s: float
-    ) -> None:
+    def _record_work(self, item: QueuedDispatch, sent: _Sent, duration_s: float) -> None:
         """Frees a slot; an answer that reports no error shows how long the work takes."""
-        if not isinstance(outcome, Dispatched) or outcome.status >= SERVER_ERROR:
+        if not isinstance(sent.outcome, Dispatched) or sent.outcome.status >= SERVER_ERROR:
             self._waiting.finish(item)
             return
         error_s = abs(duration_s - self.queue.work.expected_s(item.kind))
         observe_ms("work_estimate_error_ms", error_s * MS_PER_S, service=self._service.name)
-        self._waiting.finish(item, duration_s, self._slowdown)
+        self._waiting.finish(item, duration_s, sent.slowdown)
 
-    async def _send(self, request: Dispatch, deadline_s: float) -> Dispatched | NotDispatched:
+    async def _send(self, request: Dispatch, deadline_s: float) -> _Sent:
+        """Sends a request and records what its answer shows of the server."""
         sent_s = self._clock.now_s()
-        remaining_s = deadline_s - sent_s
+        answer = await self._exchange(request, deadline_s)
+        if isinstance(answer, NotDispatched):
+            return _Sent(answer)
+        metadata = headers.read_answer_metadata(answer.status, answer.headers)
+        self.health.record_answer()
+        if metadata.signed or metadata.not_run:
+            rate_per_s = headers.read_max_rate_per_s(answer.headers)
+            self._set_rate_limit(rate_per_s, sent_s, "answer")
+        load = headers.read_load(answer.headers) if metadata.signed else None
+        outcome = self._convert_answer(request, answer, metadata)
+        if isinstance(outcome, Dispatched) and self._grants is not None:
+            self._grants.on_request_executed(request.key, sent_s)
+        return _Sent(outcome, NO_SLOWDOWN if load is None else load.slowdown_factor)
+
+    async def _exchange(self, request: Dispatch, deadline_s: float) -> HttpAnswer | NotDispatched:
+        """Returns the server's answer to a request, or why there is none."""
+        remaining_s = deadline_s - self._clock.now_s()
         if remaining_s <= 0:
             return self._refusal(request, outcomes.DEADLINE_PASSED)
         if not self._stop.fits(deadline_s):
@@ -278,7 +304,7 @@
             return answered_id == request.request_id
 
         try:
-            answer = await self._pool.exchange(
+            return await self._pool.exchange(
                 message, remaining_s + ANSWER_MARGIN_S, may_send, matches
             )
         except SendRefusedError:
@@ -300,26 +326,6 @@
             malformed = isinstance(error, AnswerMalformedError)
             reason = outcomes.BAD_ANSWER if malformed else outcomes.OUTCOME_UNKNOWN
             return self._refusal(request, reason, sent=True)
-        self.health.record_answer()
-        self._record_rate_limit(answer, sent_s)
-        self._record_slowdown(answer)
-        outcome = self._convert_answer(request, answer)
-        if isinstance(outcome, Dispatched) and self._grants is not None:
-            self._grants.on_request_executed(request.key, sent_s)
-        return outcome
-
-    def _record_rate_limit(self, answer: HttpAnswer, sent_s: float) -> None:
-        """Records the rate limit that an answer of the server names, or that it names none."""
-        metadata = headers.read_answer_metadata(answer.status, answer.headers)
-        if metadata.signed or metadata.not_run:
-            rate_per_s = headers.read_max_rate_per_s(answer.headers)
-            self._set_rate_limit(rate_per_s, sent_s, "answer")
-
-    def _record_slowdown(self, answer: HttpAnswer) -> None:
-        """Records the slowdown that an answer of the server reports."""
-        metadata = headers.read_answer_metadata(answer.status, answer.headers)
-        load = headers.read_load(answer.headers) if metadata.signed else None
-        self._slowdown = load.slowdown_factor if load is not None else NO_SLOWDOWN
 
     def _set_rate_limit(self, rate_per_s: float, sent_s: float, learned_from: str) -> None:
         before_per_s = self.rate_limit.rate_per_s
@@ -343,9 +349,10 @@
         if self._grants is not None:
             self._grants.on_connection_lost()
 
-    def _convert_answer(self, request: Dispatch, answer: HttpAnswer) -> Dispatched | NotDispatched:
+    def _convert_answer(
+        self, request: Dispatch, answer: HttpAnswer, metadata: headers.AnswerMetadata
+    ) -> Dispatched | NotDispatched:
         """Converts the server's HTTP answer to the outcome for the caller."""
-        metadata = headers.read_answer_metadata(answer.status, answer.headers)
         if metadata.misdirected and self._grants is not None:
             self._grants.on_key_not_held(request.key)
         if metadata.not_run:
--- a/greengagefall/tests/gateway_rate_limit_tests.py
+++ b/greengagefall/tests/gateway_rate_limit_tests.py
@@ -6,6 +6,7 @@
 import logging
 import unittest
 from typing import TYPE_CHECKING
+from unittest import mock
 
 from tornado.httputil import HTTPHeaders
 
@@ -48,6 +49,7 @@
         healthy: Whether the health check passes.
         health_checks: Number of health checks.
         load: Value of the header that reports the load, empty for none.
+        path_loads: Values of that header by path, where they differ.
         work_s: Service time by path.
     """
 
@@ -57,6 +59,7 @@
         self.limited_arrivals_s: list[float] = []
         self.first_named_s = float("inf")
         self.load = ""
+        self.path_loads: dict[str, str] = {}
         self.work_s: dict[str, float] = {}
         self.healthy = True
         self.health_checks = 0
@@ -79,8 +82,8 @@
             self.limited_arrivals_s.append(self._clock.now_s())
         await asyncio.sleep(self.work_s.get(request.path, SERVICE_TIME_S))
         fields = {"Request-Id": request_headers["Request-Id"], "Upstream-Signature": "signed"}
-        if self.load:
-            fields["Upstream-Load"] = self.load
+        if load := self.path_loads.get(request.path, self.load):
+            fields["Upstream-Load"] = load
         if self.limit:
             fields["Server-Limit"] = self.limit
             self.first_named_s = min(self.first_named_s, self._clock.now_s())
@@ -308,3 +311,26 @@
         self.server.load, self.server.work_s = "1,0,6,300", {"/k": 3 * SERVICE_TIME_S}
         self.loop.run_until_complete(self.send_one_by_one(channel, ["k"]))
         self.assertGreater(channel.queue.work.expected_s("k"), 2.5 * usual_s)
+
+    def test_a_slowdown_belongs_to_the_answer_that_reports_it(self):
+        """Guards against the slowdown of another answer that arrives in the same moment."""
+        channel = self.channel(POOLED)
+        self.server.path_loads = {"/slow": "2,0,6,400", "/usual": "2,0,6,100"}
+        recorded = []
+        finish = channel.queue.finish
+
+        def record(item, duration_s, slowdown):
+            recorded.append((item.kind, slowdown))
+            finish(item, duration_s, slowdown)
+
+        async def send_both() -> None:
+            requests = [
+                dispatch(number, POOLED)._replace(kind=kind, target=f"/{kind}")
+                for number, kind in enumerate(("slow", "usual"))
+            ]
+            now_s = self.clock.now_s()
+            await asyncio.gather(*(channel.submit(request, now_s) for request in requests))
+
+        with mock.patch.object(channel.queue, "finish", record):
+            self.loop.run_until_complete(send_both())
+        self.assertEqual(sorted(recorded), [("slow", 4.0), ("usual", 1.0)])
