Keep servers of an unreadable keyed service spread over dispatchers

Cause: a service whose entry is unreadable is not among the keyed services, so the coordinator placed servers that needed a new dispatcher as those of a pooled service: all of a zone on one host, where they stayed once it was readable.

Change: an unreadable service that has key ranges counts as keyed.

Evidence: python -m unittest greengagefall.tests.gateway_coordinator_tests greengagefall.tests.gateway_dispatch_planning_tests (9 tests OK; the new one failed before).

--- a/greengagefall/gateway/coordinator.py
+++ b/greengagefall/gateway/coordinator.py
@@ -217,9 +217,10 @@
             for ranges in assignment.key_ranges.values()
             for key_range in ranges
         }
-        keyed = {
-            service.name for service in self._view.routing_table.services.values() if service.keyed
-        }
+        table = self._view.routing_table
+        keyed = {service.name for service in table.services.values() if service.keyed}
+        # An unreadable service with key ranges stays spread over the dispatchers.
+        keyed |= {name for name in assignment.key_ranges if table.is_service_unreadable(name)}
         planned = plan_dispatchers(
             assignment.dispatchers,
             self._view.servers,
@@ -227,7 +228,7 @@
             hosts,
             self._view.host_incarnation,
             keyed,
-            self._view.routing_table.large_answer_services,
+            table.large_answer_services,
         )
         # Clearing former dispatchers alone does not justify a write.
         if planned == assignment.dispatchers:
--- a/greengagefall/tests/gateway_coordinator_tests.py
+++ b/greengagefall/tests/gateway_coordinator_tests.py
@@ -1,6 +1,6 @@
-"""Tests of how the coordinator handles delayed writes of a former coordinator.
+"""Tests of the coordinator: delayed writes of a former one, and unreadable services.
 
-Such a write can be stored after the coordinator has read the assignment. A host that already has
+A delayed write can be stored after the coordinator has read the assignment. A host that already has
 the newer version reports it in its heartbeat, and the coordinator must then read the store again.
 """
 
@@ -13,16 +13,21 @@
 from result import Ok
 
 from greengagefall.gateway.coordinator import Coordinator
-from greengagefall.gateway.view import ClusterView
+from greengagefall.gateway.model import RoutingTable, ServerEntry, UnreadableParts
+from greengagefall.gateway.view import ClusterView, HostRecord
 from greengagefall.ownership import rows
 from greengagefall.ownership.model import (
     EMPTY_ASSIGNMENT,
+    LAST_KEY,
     UNKNOWN_RESTORES,
+    Assignment,
     HostIncarnation,
+    KeyRange,
+    ServerIncarnation,
 )
 from greengagefall.platform.store import KeyValue
 from greengagefall.protocol.gateway_messages import HostBeat
-from greengagefall.utils.clock import SystemClock
+from greengagefall.utils.clock import ManualClock, SystemClock
 from greengagefall.utils.waiting import wait_until
 
 
@@ -67,5 +72,25 @@
         self.assertEqual(self.store.reads, 1)
 
 
+class UnreadableServiceTests(unittest.TestCase):
+    def test_servers_of_an_unreadable_keyed_service_stay_spread_over_dispatchers(self):
+        """Guards against one host that gets all of them, as for a service without keys."""
+        clock = ManualClock(1.0)
+        view = ClusterView(SimpleNamespace(), HostIncarnation("h0", 1), clock)
+        for number in range(4):
+            view.hosts[f"h{number}"] = HostRecord(f"h{number}", 1, "", "a", 1.0)
+        for number in range(6):
+            name = f"s{number}"
+            view.update_server(ServerEntry(name, "keyed", name, "a", 5, False, 0.0, 1))
+        unreadable = UnreadableParts(services=frozenset({"keyed"}))
+        table = RoutingTable(1, {}, {}, 0, 0, 0.0, unreadable=unreadable)
+        view.update_routing_table(table)
+        owned = KeyRange(0, LAST_KEY, ServerIncarnation("s0", 1), 1)
+        coordinator = Coordinator(StoredAssignment(), view, None, clock, lambda: 0.0)
+        planned = coordinator._plan_dispatching(Assignment(1, 1, {"keyed": (owned,)}, {}))
+        hosts = {dispatching.dispatcher.host for dispatching in planned.dispatchers.values()}
+        self.assertEqual(hosts, {"h1", "h2", "h3"})
+
+
 if __name__ == "__main__":
     unittest.main()
