Send the kind of a request only to hosts that can read it

Cause: since a request from one host to another names its kind as a 15th field, which is never empty. A host of an earlier version takes 14 fields and closes the link at a frame with more, so that during a roll-out each such request, and all others on the link, got 502.

Change: a host's record says that it reads kinds, as it says that it relays; requests to other hosts have an empty kind, which is left out of the frame.

Evidence: encode gave 15 fields with a kind and 14 without, and decode of accepts exactly 14 (read, not run between versions); python -m unittest greengagefall.tests.gateway_router_tests (18 tests OK; the new one failed before), gateway_odd_records_tests (11 tests OK).

--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -243,8 +243,9 @@
             self.settings.peer_address,
             self.settings.zone,
             self.settings.cpu_cores,
-            True,
-            self.settings.link_mbps,
+            relays=True,
+            link_mbps=self.settings.link_mbps,
+            reads_kinds=True,
         )
         key = HOST_PREFIX + record.host
         registered_after = UNKNOWN_RESTORES
--- a/greengagefall/gateway/records.py
+++ b/greengagefall/gateway/records.py
@@ -175,6 +175,7 @@
         read_number(key, fields, "weight", minimum=MIN_WEIGHT),
         fields.get("relays") is True,
         read_number(key, fields, "link_mbps", 0.0),
+        fields.get("reads_kinds") is True,
     )
 
 
--- a/greengagefall/gateway/router.py
+++ b/greengagefall/gateway/router.py
@@ -236,6 +236,7 @@
         deadline_s: float,
     ) -> Dispatched | NotDispatched:
         host, server_id = target
+        record = self._view.hosts.get(host)
         now_s = self._clock.now_s()
         message = Dispatch(
             0,
@@ -252,7 +253,7 @@
             max(1, int((started_s + route.objective_s - now_s) * MS_PER_S)),
             route.idempotent,
             route.priority,
-            route.name,
+            route.name if record is not None and record.reads_kinds else "",
         )
         reply = await self._peers.call(host, message, deadline_s - now_s + REPLY_MARGIN_S)
         if isinstance(reply, (Dispatched, NotDispatched)):
--- a/greengagefall/gateway/view.py
+++ b/greengagefall/gateway/view.py
@@ -46,6 +46,8 @@
         weight: Number of processor cores that it may use.
         relays: Whether it passes changes of the store on to hosts that ask for them.
         link_mbps: Bandwidth of its network link; 0 if unknown.
+        reads_kinds: Whether it can read requests that name their kind; hosts of earlier versions
+            take them as malformed and close the link.
     """
 
     host: str
@@ -55,6 +57,7 @@
     weight: float
     relays: bool = False
     link_mbps: float = 0.0
+    reads_kinds: bool = False
 
     @property
     def incarnation(self) -> HostIncarnation:
--- a/greengagefall/tests/gateway_odd_records_tests.py
+++ b/greengagefall/tests/gateway_odd_records_tests.py
@@ -32,7 +32,7 @@
 from greengagefall.standins.platform_store import PlatformStoreStandIn
 from greengagefall.utils.clock import SystemClock
 
-RECORD = HostRecord("edge-a", 17, "10.0.0.1:7660", "a", 1.5, True)
+RECORD = HostRecord("edge-a", 17, "10.0.0.1:7660", "a", 1.5, True, 20.0, reads_kinds=True)
 KEY = HOST_PREFIX + RECORD.host
 NESTED = b"[" * 100_000
 # Sound rows: last key, owner, fence and source; dispatcher.
--- a/greengagefall/tests/gateway_router_tests.py
+++ b/greengagefall/tests/gateway_router_tests.py
@@ -20,7 +20,7 @@
 from greengagefall.gateway.peers import REPLY_LOST, UNREACHABLE
 from greengagefall.gateway.pool_choice import DispatcherLoads
 from greengagefall.gateway.router import Answer, Refusal, Router
-from greengagefall.gateway.view import ClusterView
+from greengagefall.gateway.view import ClusterView, HostRecord
 from greengagefall.ownership.model import (
     LAST_KEY,
     Assignment,
@@ -104,7 +104,17 @@
         host, message = self.peers.calls[0]
         self.assertEqual((host, message.server_id, message.key), ("near", "s1", 7))
         self.assertEqual(message.remaining_ms, 2000)
-        self.assertEqual(message.kind, "/safe/")
+
+    async def test_the_kind_is_sent_only_to_hosts_that_can_read_it(self):
+        """Guards against a link that a host of an earlier version closes at each request."""
+        for reads_kinds, kind in ((True, "/safe/"), (False, "")):
+            record = HostRecord("near", 2, "", "x", 1.0, reads_kinds=reads_kinds)
+            self.view.hosts["near"] = record
+            await self.route_request("/safe/1")
+            self.assertEqual(self.peers.calls[0][1].kind, kind)
+        del self.view.hosts["near"]
+        await self.route_request("/safe/1")
+        self.assertEqual(self.peers.calls[0][1].kind, "")
 
     async def test_non_idempotent_request_is_not_retried_after_unknown_outcome(self):
         for reply in (
