Test mechanisms that no test needed

Still not needed by a test: the weight of samples of hardly known servers (PACE_KNOWN_SAMPLES), that hosts of unknown bandwidth are left out, and which of two unknown outcomes the router names.

--- a/greengagefall/tests/gateway_dispatch_planning_tests.py
+++ b/greengagefall/tests/gateway_dispatch_planning_tests.py
@@ -105,3 +105,14 @@
         hosts = hosts_of(12, 3)
         planned = plan_dispatchers({}, servers, [], hosts, COORDINATOR, KEYED, ["archive"])
         self.assertEqual(set(planned), set(servers))
+        # The strongest hosts then dispatch, as for other services.
+        self.assertEqual(planned, plan_dispatchers({}, servers, [], hosts, COORDINATOR, KEYED))
+
+    def test_servers_with_keys_are_spread_over_hosts_of_all_links(self):
+        """Guards against few fast hosts that dispatch all servers of a service with keys."""
+        hosts = [
+            host._replace(link_mbps=200.0 if int(host.incarnation.host[2:]) == 5 else 10.0)
+            for host in hosts_of(12, 3)
+        ]
+        planned = plan_dispatchers({}, servers_of(18), [], hosts, COORDINATOR, KEYED, KEYED)
+        self.assertGreater(len({record.dispatcher.host for record in planned.values()}), 6)
--- a/greengagefall/tests/gateway_rate_limit_tests.py
+++ b/greengagefall/tests/gateway_rate_limit_tests.py
@@ -11,10 +11,25 @@
 from tornado.httputil import HTTPHeaders
 
 from greengagefall.dispatch.connection_pool import HttpAnswer
-from greengagefall.gateway.model import NO_KEY, ServerEntry, Service
+from greengagefall.gateway.dispatchers import ChannelManager
+from greengagefall.gateway.model import (
+    NO_KEY,
+    OperatorLimits,
+    PlatformSettings,
+    RoutingTable,
+    ServerEntry,
+    Service,
+)
 from greengagefall.gateway.server_channel import ServerChannel
+from greengagefall.gateway.view import ClusterView
 from greengagefall.limits.server_queue import LIMITED_BURST_REQUESTS
-from greengagefall.ownership.model import LAST_KEY, KeyRange
+from greengagefall.ownership.model import (
+    LAST_KEY,
+    Assignment,
+    DispatcherRecord,
+    HostIncarnation,
+    KeyRange,
+)
 from greengagefall.protocol.gateway_messages import Dispatch, NotDispatched
 from greengagefall.tests.ownership_simulation import Simulation
 from greengagefall.tests.simulated_servers import SERVICE
@@ -50,6 +65,8 @@
         health_checks: Number of health checks.
         load: Value of the header that reports the load, empty for none.
         path_loads: Values of that header by path, where they differ.
+        status: Status of its answers.
+        signed: Whether it signs its answers.
         work_s: Service time by path.
     """
 
@@ -60,6 +77,8 @@
         self.first_named_s = float("inf")
         self.load = ""
         self.path_loads: dict[str, str] = {}
+        self.status = 200
+        self.signed = True
         self.work_s: dict[str, float] = {}
         self.healthy = True
         self.health_checks = 0
@@ -81,13 +100,15 @@
         if self._clock.now_s() >= self.first_named_s + NOTICE_S and self.limit:
             self.limited_arrivals_s.append(self._clock.now_s())
         await asyncio.sleep(self.work_s.get(request.path, SERVICE_TIME_S))
-        fields = {"Request-Id": request_headers["Request-Id"], "Upstream-Signature": "signed"}
+        fields = {"Request-Id": request_headers["Request-Id"]}
+        if self.signed:
+            fields["Upstream-Signature"] = "signed"
         if load := self.path_loads.get(request.path, self.load):
             fields["Upstream-Load"] = load
         if self.limit:
             fields["Server-Limit"] = self.limit
             self.first_named_s = min(self.first_named_s, self._clock.now_s())
-        return HttpAnswer(200, HTTPHeaders(fields), b"")
+        return HttpAnswer(self.status, HTTPHeaders(fields), b"")
 
     def most_in_window(self) -> int:
         """Returns the largest number of requests in a window while the limit was known."""
@@ -312,6 +333,45 @@
         self.loop.run_until_complete(self.send_one_by_one(channel, ["k"]))
         self.assertGreater(channel.queue.work.expected_s("k"), 2.5 * usual_s)
 
+    def test_answers_with_errors_of_the_server_are_no_samples(self):
+        """Guards against work that looks short since the server fails at once."""
+        channel = self.channel(POOLED)
+        self.loop.run_until_complete(self.send_one_by_one(channel, ["k"] * 20))
+        usual_s = channel.queue.work.expected_s("k")
+        self.server.status, self.server.work_s = 500, {"/k": 0.001}
+        self.loop.run_until_complete(self.send_one_by_one(channel, ["k"] * 20))
+        self.assertAlmostEqual(channel.queue.work.expected_s("k"), usual_s, delta=0.02)
+
+    def test_a_slowdown_in_an_unsigned_answer_is_ignored(self):
+        channel = self.channel(POOLED)
+        self.server.status, self.server.signed, self.server.load = 404, False, "1,0,6,900"
+        self.loop.run_until_complete(self.send_one_by_one(channel, ["k"]))
+        self.assertEqual(channel.queue.work.slowdown, 1.0)
+
+    def test_the_channels_of_a_service_share_what_they_learn(self):
+        """Guards against a new server whose work is unknown although others show it."""
+        me = HostIncarnation("me", 1)
+        settings = PlatformSettings("me", "a", "", "", "", "", 1, 1, 20, 1, OperatorLimits())
+        view = ClusterView(settings, me, self.clock)
+        view.update_routing_table(RoutingTable(1, {}, {POOLED.name: POOLED}, 0, 0, 0.0))
+        manager = ChannelManager(view, self.clock, lambda address: self.server)
+        names = ("s0", "s1")
+
+        async def open_and_send() -> list[ServerChannel]:
+            for name in names:
+                entry = ServerEntry(name, POOLED.name, "127.0.0.1:1", "a", 6, False, 0.0, 1)
+                view.update_server(entry)
+            dispatching = dict.fromkeys(names, DispatcherRecord(me))
+            view.update_assignment(Assignment(1, 1, {}, dispatching))
+            channels = list(manager._channels.values())
+            await self.send_one_by_one(channels[0], ["k"] * 40)
+            manager.close()
+            return channels
+
+        self.server.work_s = {"/k": 0.8}
+        _, other = self.loop.run_until_complete(open_and_send())
+        self.assertGreater(other.queue.work.expected_s("k"), 0.6)
+
     def test_a_slowdown_belongs_to_the_answer_that_reports_it(self):
         """Guards against the slowdown of another answer that arrives in the same moment."""
         channel = self.channel(POOLED)
--- a/greengagefall/tests/limits_work_estimate_tests.py
+++ b/greengagefall/tests/limits_work_estimate_tests.py
@@ -87,6 +87,28 @@
         for kind in KINDS_S:
             self.assertGreater(server.expected_s(kind), 10.0 * KINDS_S[kind])
 
+    def test_a_kind_that_is_slow_on_one_server_is_slow_only_there(self):
+        """Guards against one pace for kinds of which a server has, say, no warm data."""
+        usual, odd = ServerWork(self.service), ServerWork(self.service)
+        for _ in range(150):
+            self.play(usual, 2)
+            self.play(odd, 1, kinds=("search", "order"))
+            self.play(odd, 1, kinds=("report",), pace=3.0)
+        self.assert_near(usual, "report", 1.0, 0.3)
+        shares = [odd.expected_s(kind) / KINDS_S[kind] for kind in ("report", "order")]
+        self.assertGreater(shares[0], 1.5 * shares[1])
+
+    def test_an_absurd_slowdown_is_limited(self):
+        """Guards against a header that makes all work look endless, or free."""
+        server = ServerWork(self.service)
+        self.play(server, 100)
+        for reported, least, most in ((1e9, 5.0, 25.0), (1e-9, 0.01, 2.0)):
+            with self.subTest(reported=reported):
+                server.on_executed("order", KINDS_S["order"], reported)
+                share = server.expected_s("order") / KINDS_S["order"]
+                self.assertGreater(share, least)
+                self.assertLess(share, most)
+
     def test_a_reported_slowdown_is_not_believed_for_long(self):
         server = ServerWork(self.service)
         self.play(server, 100)
--- a/greengagefall/tests/platform_configuration_tests.py
+++ b/greengagefall/tests/platform_configuration_tests.py
@@ -20,6 +20,7 @@
 from greengagefall.platform.configuration import decode_routing_table
 from greengagefall.platform.exceptions import RecordError
 from greengagefall.platform.store import KeyValue
+from greengagefall.protocol.gateway_messages import StoreChanges
 from greengagefall.standins.platform_documents import HOST_NAME, cluster, routing, rule
 from greengagefall.utils.clock import ManualClock
 
@@ -128,6 +129,20 @@
                 self.check(path, raw, outcomes.UNREADABLE_ROUTE)
                 self.check(path, raw, outcomes.UNREADABLE_ROUTE, host_name="unknown.example")
 
+    def test_a_host_name_with_a_readable_listener_gets_404_beside_an_unreadable_one(self):
+        """Guards against a 503 that asks for retries of requests that no route will match."""
+        fields = document()
+        fields["listeners"][1]["routingRules"][0]["match"]["prefix"] = "/desk/"
+        table = decode_routing_table(with_value(("listeners", 0), "7", fields))
+        self.assertEqual(outcome(table, OTHER_HOST, "/elsewhere"), outcomes.NO_ROUTE)
+
+    def test_an_unreadable_entry_makes_the_other_entries_of_its_service_unusable(self):
+        fields = document()
+        fields["clusters"].append(cluster("benchline"))
+        table = decode_routing_table(with_value(("clusters", 0, "warmupS"), '"x"', fields))
+        self.assertEqual(outcome(table), outcomes.UNREADABLE_SERVICE)
+        self.assertNotIn("benchline", table.services)
+
     def test_a_section_that_is_no_list_counts_as_unreadable_entries(self):
         for raw in (*ODD_VALUES, "{}"):
             if raw.startswith("["):
@@ -262,6 +277,11 @@
         self.put(with_value(("version",), "7"))
         self.assertEqual(outcome(self.view.routing_table), "drafts")
 
+    def test_the_repr_of_changes_that_relays_pass_on_shows_no_key(self):
+        value = json.dumps(document()).encode()
+        changes = StoreChanges(1, [["op/", 5, True, [["op/config", value, 5]], []]], 0, 0, 0)
+        self.assertNotIn(SECRET, repr(changes))
+
     def test_no_log_line_error_or_repr_shows_a_key(self):
         # Keys at a wrong place, in the wrong type, and in a record that is no JSON.
         key = f'"{SECRET}"'
--- a/greengagefall/tests/workspaces_fair_priority_tests.py
+++ b/greengagefall/tests/workspaces_fair_priority_tests.py
@@ -131,6 +131,17 @@
             chosen.add(priorities.choose(3, new))
         self.assertLessEqual(chosen, {0, 3})
 
+    def test_a_steady_load_is_no_excess_however_large(self):
+        # Guards against a usual load that is not counted, so that every large load is a flood.
+        clock = ManualClock()
+        priorities = FairPriorities(clock, random.Random(1))
+        busy = Workspace("busy", 3)
+        chosen = set()
+        for _ in range(120 * 50):
+            clock.advance(0.02)
+            chosen.add(priorities.choose(3, busy))
+        self.assertEqual(chosen, {0, 3})
+
     def test_excess_of_an_urgent_workspace_comes_after_the_least_urgent_ones(self):
         # Guards against a flood that goes ahead of workspaces whose priority is a large number.
         clock = ManualClock()
