Share the setup of tests of one host's priorities

Evidence: python -m unittest greengagefall.tests.workspaces_fair_priority_tests (6 tests OK); three mutations of fair_priority.py still fail them.

--- a/greengagefall/tests/workspaces_fair_priority_tests.py
+++ b/greengagefall/tests/workspaces_fair_priority_tests.py
@@ -90,6 +90,22 @@
             self._queue.finish(item, SERVICE_TIME_S)
 
 
+class OneHost:
+    """The priorities that one host chooses at times that a test sets."""
+
+    def __init__(self) -> None:
+        self._clock = ManualClock()
+        self._priorities = FairPriorities(self._clock, random.Random(1))
+
+    def choose(self, workspace: Workspace, count: int, gap_s: float = 0.0) -> set[int]:
+        """Returns the priorities of some requests, each ``gap_s`` after the one before."""
+        chosen = set()
+        for _ in range(count):
+            self._clock.advance(gap_s)
+            chosen.add(self._priorities.choose(workspace.priority, workspace))
+        return chosen
+
+
 class FairPriorityTests(unittest.TestCase):
     def test_the_least_urgent_workspace_is_served_a_quarter_as_often_as_all(self):
         # By strict priority it would get nothing.
@@ -118,39 +134,24 @@
 
     def test_chance_and_unknown_workspaces_are_no_excess(self):
         # A host gets few requests of most workspaces, often several at once.
-        clock = ManualClock()
-        priorities = FairPriorities(clock, random.Random(1))
-        rare = Workspace("rare", 3)
+        host = OneHost()
+        rare, new = Workspace("rare", 3), Workspace("new", 3)
         chosen = set()
         for _ in range(40):
-            clock.advance(30.0)
-            chosen |= {priorities.choose(3, rare) for _ in range(10)}
-        new = Workspace("new", 3)
-        for _ in range(1000):
-            clock.advance(0.01)
-            chosen.add(priorities.choose(3, new))
+            chosen |= host.choose(rare, 1, gap_s=30.0) | host.choose(rare, 9)
+        chosen |= host.choose(new, 1000, gap_s=0.01)
         self.assertLessEqual(chosen, {0, 3})
 
     def test_a_steady_load_is_no_excess_however_large(self):
         # Guards against a usual load that is not counted, so that every large load is a flood.
-        clock = ManualClock()
-        priorities = FairPriorities(clock, random.Random(1))
-        busy = Workspace("busy", 3)
-        chosen = set()
-        for _ in range(120 * 50):
-            clock.advance(0.02)
-            chosen.add(priorities.choose(3, busy))
+        chosen = OneHost().choose(Workspace("busy", 3), 120 * 50, gap_s=0.02)
         self.assertEqual(chosen, {0, 3})
 
     def test_excess_of_an_urgent_workspace_comes_after_the_least_urgent_ones(self):
         # Guards against a flood that goes ahead of workspaces whose priority is a large number.
-        clock = ManualClock()
-        priorities = FairPriorities(clock, random.Random(1))
-        flooding = Workspace("flooding", 0)
-        for _ in range(90):
-            clock.advance(1.0)
-            priorities.choose(0, flooding)
-        chosen = {priorities.choose(0, flooding) for _ in range(1000)}
+        host, flooding = OneHost(), Workspace("flooding", 0)
+        host.choose(flooding, 90, gap_s=1.0)
+        chosen = host.choose(flooding, 1000)
         self.assertEqual(len(chosen), 2)
         self.assertGreater(max(chosen), MAX_NUMBER)
 
