Expect requests that hang to go on for a part of their time

Cause: a request that took longer than expected was assumed to need a quarter of the expected time still, however long it hung, so that a queue behind a server that hangs admitted requests with an expected wait of 50 ms.

Change: it is a quarter of the time that the request took already, if that is longer.

--- a/greengagefall/limits/server_queue.py
+++ b/greengagefall/limits/server_queue.py
@@ -24,7 +24,8 @@
     from greengagefall.utils.clock import Clock
 
 SERVICE_TIME_WEIGHT = 0.1
-# Share of the expected service time that a request is assumed to need when it took longer already.
+# Share of the expected service time, or of the time that it took already if that is longer, that a
+# request is assumed to need still. Behind requests that hang, the wait thus grows with their time.
 OVERDUE_SHARE = 0.25
 # Fraction of the time between objective and deadline in which an answer is still worth a slot.
 USEFUL_LATE_SHARE = 0.5
@@ -235,7 +236,8 @@
         left_s = []
         for kind, started_s in self._running.values():
             kind_s = expected_s[kind]
-            left_s.append(max(kind_s - (now_s - started_s), OVERDUE_SHARE * kind_s))
+            elapsed_s = now_s - started_s
+            left_s.append(max(kind_s - elapsed_s, OVERDUE_SHARE * max(kind_s, elapsed_s)))
         left_s += [0.0] * (self.slots - len(left_s))
         left_s.sort()
         # Of a server whose slots became fewer, the last requests to end free the slots that remain.
--- a/greengagefall/tests/limits_server_queue_tests.py
+++ b/greengagefall/tests/limits_server_queue_tests.py
@@ -111,10 +111,14 @@
         self.assertAlmostEqual(waits_s["long"], 1.15, delta=0.1)
 
     def test_a_request_that_takes_longer_than_expected_is_not_taken_as_ending_now(self):
-        """Guards against a wait of 0 behind requests that hang."""
+        """Guards against a queue that admits requests behind others that hang."""
         self.fill()
-        self.clock.advance(10 * SERVICE_TIME_S)
+        self.clock.advance(SERVICE_TIME_S)
         self.assertAlmostEqual(self.queue.expected_wait_s(), SERVICE_TIME_S / 4)
+        self.clock.advance(9 * SERVICE_TIME_S)
+        self.assertAlmostEqual(self.queue.expected_wait_s(), 10 * SERVICE_TIME_S / 4)
+        refused = self.queued_request(remaining_s=0.5, objective_s=0.3)
+        self.assertEqual(self.queue.offer(refused), [refused])
 
     def test_a_pass_over_the_queue_computes_each_estimate_once(self):
         """Guards against a cost of each event that grows with all queued and running requests."""
