--- a/greengagefall/gateway/router.py
+++ b/greengagefall/gateway/router.py
@@ -130,9 +130,10 @@
     def _with_fair_priority(self, route: Route, workspace: Workspace | None) -> Route:
         """Returns the route with the priority that is fair to the other workspaces."""
         priority = self._priorities.choose(route.priority, workspace)
-        if priority != route.priority:
-            change = "raised" if priority < route.priority else "lowered"
-            count("priority_changes", change=change)
+        if priority == route.priority:
+            return route
+        change = "raised" if priority < route.priority else "lowered"
+        count("priority_changes", change=change)
         return route._replace(priority=priority)
 
     def _with_state(self, refusal: Refusal) -> Refusal:
--- a/greengagefall/gateway/server_channel.py
+++ b/greengagefall/gateway/server_channel.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
 from greengagefall.dispatch.connection_pool import HttpAnswer, HttpRequest
@@ -278,34 +279,16 @@
             return self._refusal(request, outcomes.DEADLINE_PASSED)
         if not self._stop.fits(deadline_s):
             return self._refusal(request, outcomes.STOPPING)
-        message = HttpRequest(
-            request.method,
-            request.target,
-            headers.server_request_headers(
-                request.host_name,
-                request.request_id,
-                request.headers,
-                remaining_s,
-                self.incarnation.server_id,
-            ),
-            request.body,
-            request.request_id,
-        )
+        message = self._http_request(request, remaining_s)
 
         def may_send() -> bool:
             if self.admission_closed or not self._stop.fits(deadline_s):
                 return False
             return self._grants is None or self._grants.holds(request.key)
 
-        def matches(answer: HttpAnswer) -> bool:
-            answered_id = headers.read_answer_metadata(answer.status, answer.headers).request_id
-            if not answered_id:
-                return answer.first_on_connection
-            return answered_id == request.request_id
-
         try:
             return await self._pool.exchange(
-                message, remaining_s + ANSWER_MARGIN_S, may_send, matches
+                message, remaining_s + ANSWER_MARGIN_S, may_send, partial(_is_answer_to, request)
             )
         except SendRefusedError:
             fits = self._stop.fits(deadline_s)
@@ -327,6 +310,19 @@
             reason = outcomes.BAD_ANSWER if malformed else outcomes.OUTCOME_UNKNOWN
             return self._refusal(request, reason, sent=True)
 
+    def _http_request(self, request: Dispatch, remaining_s: float) -> HttpRequest:
+        """Returns a request as the server gets it."""
+        server_headers = headers.server_request_headers(
+            request.host_name,
+            request.request_id,
+            request.headers,
+            remaining_s,
+            self.incarnation.server_id,
+        )
+        return HttpRequest(
+            request.method, request.target, server_headers, request.body, request.request_id
+        )
+
     def _set_rate_limit(self, rate_per_s: float, sent_s: float, learned_from: str) -> None:
         before_per_s = self.rate_limit.rate_per_s
         if not self.rate_limit.on_answer(rate_per_s, sent_s):
@@ -419,3 +415,11 @@
                     "Backend server answers again; limiting it to its cold rate for now.",
                     extra={"server": self.incarnation.server_id},
                 )
+
+
+def _is_answer_to(request: Dispatch, answer: HttpAnswer) -> bool:
+    """Returns whether an answer belongs to a request, by its id if it has one."""
+    answered_id = headers.read_answer_metadata(answer.status, answer.headers).request_id
+    if not answered_id:
+        return answer.first_on_connection
+    return answered_id == request.request_id
