Keep the factors of expected service times from drifting apart

Cause: the pace of servers and the work of kinds were learned from each other without an anchor. Their product was right in use, but after some minutes without requests the pace had aged less than the work, and estimates were up to 34 times the work, enough to refuse any queue.

Change: the work is learned relative to the usual pace, which holds that near 1.

--- a/greengagefall/limits/work_estimate.py
+++ b/greengagefall/limits/work_estimate.py
@@ -196,7 +196,10 @@
         known = self._pace.weight(now_s)
         weight = known / (known + PACE_KNOWN_SAMPLES)
         pace = self.pace(now_s)
-        self.service.add(kind, usual_s / (pace * correction), pace, weight)
+        # Relative to the usual pace, which thus stays near 1. Otherwise pace and work drift apart:
+        # their product is right, but they age towards priors whose product is not.
+        relative_pace = pace / self.service.usual_pace(now_s)
+        self.service.add(kind, usual_s / (relative_pace * correction), pace, weight)
         self._corrections.add(kind, usual_s / (self._kind_s(kind, now_s) * self.pace(now_s)))
 
     def _kind_s(self, kind: str, now_s: float) -> float:
--- a/greengagefall/tests/limits_work_estimate_tests.py
+++ b/greengagefall/tests/limits_work_estimate_tests.py
@@ -123,6 +123,21 @@
         self.clock.advance(3600.0)
         self.assertAlmostEqual(server.expected_s("search"), INITIAL_SERVICE_TIME_S, delta=0.01)
 
+    def test_estimates_stay_sensible_while_they_age_after_long_use(self):
+        """Guards against factors that drift apart: their product is right until they age."""
+        servers = [(pace, ServerWork(self.service)) for pace in (0.5, 1.0, 1.0, 2.0)]
+        for _ in range(20_000):
+            self.clock.advance(0.05)
+            pace, server = self.rng.choice(servers)
+            kind = self.rng.choice(list(KINDS_S))
+            noise = self.rng.lognormvariate(-0.4, 0.9)
+            server.on_executed(kind, KINDS_S[kind] * pace * noise)
+        for _ in range(10):
+            self.clock.advance(60.0)
+            expected_s = ServerWork(self.service).expected_s("order")
+            self.assertGreater(expected_s, KINDS_S["order"] / 2)
+            self.assertLess(expected_s, KINDS_S["order"] * 2)
+
     def test_no_more_kinds_are_kept_than_the_limit(self):
         server = ServerWork(self.service)
         for number in range(2 * MAX_KINDS):
