--- a/greengagefall/gateway/router.py
+++ b/greengagefall/gateway/router.py
@@ -117,16 +117,23 @@
         # None on a public route and without workspaces.
         self._budget(service.name).on_first_attempt()
         route = self._with_fair_priority(route, workspace)
-        outcome = await self._attempt_until_final(request, route, service, started_s, deadline_s)
-        self._priorities.record(workspace, isinstance(outcome, Answer))
+        outcome = None
+        try:
+            outcome = await self._attempt_until_final(
+                request, route, service, started_s, deadline_s
+            )
+        finally:
+            # Not served as well if the caller gave up.
+            self._priorities.record(workspace, isinstance(outcome, Answer))
         return outcome
 
     def _with_fair_priority(self, route: Route, workspace: Workspace | None) -> Route:
         """Returns the route with the priority that is fair to the other workspaces."""
         priority = self._priorities.choose(route.priority, workspace)
-        if priority != route.priority:
-            change = "raised" if priority < route.priority else "lowered"
-            count("priority_changes", change=change)
+        if priority == route.priority:
+            return route
+        change = "raised" if priority < route.priority else "lowered"
+        count("priority_changes", change=change)
         return route._replace(priority=priority)
 
     def _with_state(self, refusal: Refusal) -> Refusal:
@@ -230,6 +237,7 @@
         deadline_s: float,
     ) -> Dispatched | NotDispatched:
         host, server_id = target
+        record = self._view.hosts.get(host)
         now_s = self._clock.now_s()
         message = Dispatch(
             0,
@@ -246,7 +254,7 @@
             max(1, int((started_s + route.objective_s - now_s) * MS_PER_S)),
             route.idempotent,
             route.priority,
-            route.name,
+            route.name if record is not None and record.reads_kinds else "",
         )
         reply = await self._peers.call(host, message, deadline_s - now_s + REPLY_MARGIN_S)
         if isinstance(reply, (Dispatched, NotDispatched)):
--- a/greengagefall/tests/gateway_request_checks_tests.py
+++ b/greengagefall/tests/gateway_request_checks_tests.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import random
 import unittest
+from unittest.mock import AsyncMock
 
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, RequestStartLine
 
@@ -107,6 +109,19 @@
                 self.assertEqual(check(request(path, SECRET)).workspace, ACME)
         self.assertIsNone(check(request("/public/a..b/?x=/../")).workspace)
 
+    def test_a_path_that_is_another_route_once_decoded_needs_a_key(self):
+        """Guards against /%6Beyed/, which a server takes for /keyed/, on a public route /."""
+        routes = (route("/keyed/"), route("/a%20b/", public=True), route("/", public=True))
+        open_table = table()._replace(routes={"h": routes})
+        for path in ("/%6Beyed/1", "//keyed/1", "/%2Fkeyed/1", "/\\keyed/1", "/x/..;a/keyed/1"):
+            with self.subTest(path=path):
+                refused = check_request(open_table, request(path), random.Random(1))
+                self.assertEqual(refused.reason, outcomes.UNKNOWN_API_KEY)
+        for path in ("/", "/a%20b/1", "/x%20y", "//x", "/keye%64", "/?/%6Beyed/"):
+            with self.subTest(path=path):
+                admitted = check_request(open_table, request(path), random.Random(1))
+                self.assertIsNone(admitted.workspace)
+
     def test_priority_of_the_workspace_overrides_that_of_the_route(self):
         self.assertEqual(check(request("/", SECRET)).route.priority, 0)
         self.assertEqual(check(request("/", "p")).route.priority, 3)
@@ -191,6 +206,17 @@
         chosen = {self.router._priorities.choose(3, PLAIN) for _ in range(300)}
         self.assertEqual(chosen, {3})
 
+    async def test_a_request_whose_caller_gave_up_counts_as_not_served(self):
+        # Guards against an overload that looks like full service since callers leave first.
+        self.view.update_routing_table(table(1))
+        self.view.update_server(ServerEntry("p1", "pool", "", "x", 6, False, 0.0, 1))
+        self.view.update_assignment(Assignment(1, 1, {}, {"p1": DispatcherRecord(ME)}))
+        self.peers.call = AsyncMock(side_effect=asyncio.CancelledError)
+        for _ in range(5):
+            with self.assertRaises(asyncio.CancelledError):
+                await self.router.route(request("/", "p"))
+        self.assertEqual(self.router._priorities._served.value(), 0.0)
+
     async def test_each_request_is_checked_against_the_newest_version(self):
         # Guards against a key that stays valid since an earlier request was accepted with it.
         self.view.update_routing_table(table(1))
--- a/greengagefall/tests/limits_work_estimate_tests.py
+++ b/greengagefall/tests/limits_work_estimate_tests.py
@@ -72,6 +72,43 @@
         self.play(server, 1)
         self.assert_near(server, "order", 1.0, 0.3)
 
+    def test_one_stalled_answer_raises_the_estimates_little(self):
+        """Guards against a queue that is refused since one answer took 30 s."""
+        server = ServerWork(self.service)
+        self.play(server, 100)
+        server.on_executed("search", 30.0)
+        for kind in KINDS_S:
+            self.assertLess(server.expected_s(kind), 3.0 * KINDS_S[kind])
+
+    def test_work_that_becomes_much_longer_is_learned_within_few_answers(self):
+        server = ServerWork(self.service)
+        self.play(server, 100)
+        self.play(server, 15, pace=20.0)
+        for kind in KINDS_S:
+            self.assertGreater(server.expected_s(kind), 10.0 * KINDS_S[kind])
+
+    def test_a_kind_that_is_slow_on_one_server_is_slow_only_there(self):
+        """Guards against one pace for kinds of which a server has, say, no warm data."""
+        usual, odd = ServerWork(self.service), ServerWork(self.service)
+        for _ in range(150):
+            self.play(usual, 2)
+            self.play(odd, 1, kinds=("search", "order"))
+            self.play(odd, 1, kinds=("report",), pace=3.0)
+        self.assert_near(usual, "report", 1.0, 0.3)
+        shares = [odd.expected_s(kind) / KINDS_S[kind] for kind in ("report", "order")]
+        self.assertGreater(shares[0], 1.5 * shares[1])
+
+    def test_an_absurd_slowdown_is_limited(self):
+        """Guards against a header that makes all work look endless, or free."""
+        server = ServerWork(self.service)
+        self.play(server, 100)
+        for reported, least, most in ((1e9, 5.0, 25.0), (1e-9, 0.01, 2.0)):
+            with self.subTest(reported=reported):
+                server.on_executed("order", KINDS_S["order"], reported)
+                share = server.expected_s("order") / KINDS_S["order"]
+                self.assertGreater(share, least)
+                self.assertLess(share, most)
+
     def test_a_reported_slowdown_is_not_believed_for_long(self):
         server = ServerWork(self.service)
         self.play(server, 100)
@@ -86,6 +123,21 @@
         self.clock.advance(3600.0)
         self.assertAlmostEqual(server.expected_s("search"), INITIAL_SERVICE_TIME_S, delta=0.01)
 
+    def test_estimates_stay_sensible_while_they_age_after_long_use(self):
+        """Guards against factors that drift apart: their product is right until they age."""
+        servers = [(pace, ServerWork(self.service)) for pace in (0.5, 1.0, 1.0, 2.0)]
+        for _ in range(20_000):
+            self.clock.advance(0.05)
+            pace, server = self.rng.choice(servers)
+            kind = self.rng.choice(list(KINDS_S))
+            noise = self.rng.lognormvariate(-0.4, 0.9)
+            server.on_executed(kind, KINDS_S[kind] * pace * noise)
+        for _ in range(10):
+            self.clock.advance(60.0)
+            expected_s = ServerWork(self.service).expected_s("order")
+            self.assertGreater(expected_s, KINDS_S["order"] / 2)
+            self.assertLess(expected_s, KINDS_S["order"] * 2)
+
     def test_no_more_kinds_are_kept_than_the_limit(self):
         server = ServerWork(self.service)
         for number in range(2 * MAX_KINDS):
--- a/greengagefall/tests/workspaces_fair_priority_tests.py
+++ b/greengagefall/tests/workspaces_fair_priority_tests.py
@@ -7,6 +7,7 @@
 from collections import Counter
 
 from greengagefall.limits.server_queue import QueuedDispatch, ServerQueue
+from greengagefall.platform.fields import MAX_NUMBER
 from greengagefall.utils.clock import ManualClock
 from greengagefall.workspaces.directory import Workspace
 from greengagefall.workspaces.fair_priority import FairPriorities
@@ -33,7 +34,7 @@
         self._priorities = FairPriorities(self._clock, self._random)
         self._queue = ServerQueue(SLOTS, self._clock)
         self._workspaces: dict[int, Workspace] = {}
-        self._ends_s: list[float] = []
+        self._running: list[tuple[float, QueuedDispatch]] = []
         self.offered: Counter[str] = Counter()
         self.served: Counter[str] = Counter()
 
@@ -80,13 +81,29 @@
             workspace = self._workspaces[item.ticket]
             self.served[workspace.name] += 1
             self._priorities.record(workspace, True)
-            self._ends_s.append(self._clock.now_s() + SERVICE_TIME_S)
+            self._running.append((self._clock.now_s() + SERVICE_TIME_S, item))
 
     def _end_requests(self) -> None:
         now_s = self._clock.now_s()
-        for end_s in [end_s for end_s in self._ends_s if end_s <= now_s]:
-            self._ends_s.remove(end_s)
-            self._queue.finish(SERVICE_TIME_S)
+        for end_s, item in [running for running in self._running if running[0] <= now_s]:
+            self._running.remove((end_s, item))
+            self._queue.finish(item, SERVICE_TIME_S)
+
+
+class OneHost:
+    """The priorities that one host chooses at times that a test sets."""
+
+    def __init__(self) -> None:
+        self._clock = ManualClock()
+        self._priorities = FairPriorities(self._clock, random.Random(1))
+
+    def choose(self, workspace: Workspace, count: int, gap_s: float = 0.0) -> set[int]:
+        """Returns the priorities of some requests, each ``gap_s`` after the one before."""
+        chosen = set()
+        for _ in range(count):
+            self._clock.advance(gap_s)
+            chosen.add(self._priorities.choose(workspace.priority, workspace))
+        return chosen
 
 
 class FairPriorityTests(unittest.TestCase):
@@ -117,19 +134,27 @@
 
     def test_chance_and_unknown_workspaces_are_no_excess(self):
         # A host gets few requests of most workspaces, often several at once.
-        clock = ManualClock()
-        priorities = FairPriorities(clock, random.Random(1))
-        rare = Workspace("rare", 3)
+        host = OneHost()
+        rare, new = Workspace("rare", 3), Workspace("new", 3)
         chosen = set()
         for _ in range(40):
-            clock.advance(30.0)
-            chosen |= {priorities.choose(3, rare) for _ in range(10)}
-        new = Workspace("new", 3)
-        for _ in range(1000):
-            clock.advance(0.01)
-            chosen.add(priorities.choose(3, new))
+            chosen |= host.choose(rare, 1, gap_s=30.0) | host.choose(rare, 9)
+        chosen |= host.choose(new, 1000, gap_s=0.01)
         self.assertLessEqual(chosen, {0, 3})
 
+    def test_a_steady_load_is_no_excess_however_large(self):
+        # Guards against a usual load that is not counted, so that every large load is a flood.
+        chosen = OneHost().choose(Workspace("busy", 3), 120 * 50, gap_s=0.02)
+        self.assertEqual(chosen, {0, 3})
+
+    def test_excess_of_an_urgent_workspace_comes_after_the_least_urgent_ones(self):
+        # Guards against a flood that goes ahead of workspaces whose priority is a large number.
+        host, flooding = OneHost(), Workspace("flooding", 0)
+        host.choose(flooding, 90, gap_s=1.0)
+        chosen = host.choose(flooding, 1000)
+        self.assertEqual(len(chosen), 2)
+        self.assertGreater(max(chosen), MAX_NUMBER)
+
     def test_requests_without_a_workspace_keep_the_priority_of_their_route(self):
         priorities = FairPriorities(ManualClock(), random.Random(1))
         self.assertEqual({priorities.choose(2, None) for _ in range(1000)}, {2})
