Split large messages between hosts into fragments

Cause: a message was one frame of at most 4 MiB, and control messages waited behind up to 8 MB of answers in the write buffer of the same connection.

Change: a message larger than 32 KiB is sent in fragments, in turn with others and only while the write buffer is nearly empty; bodies wait for it, control messages do not. The receiver puts the fragments together within a budget of memory. A call whose last part is not written fails with PeerUnreachableError, since the peer cannot have handled it. Version 2 of the protocol; peers of version 1 still get one frame for each message. Bodies are no longer copied to be joined with HTTP headers, so that one answer may use a quarter of the host's memory instead of an eighth.

A request that is cancelled before its task starts returns its slot now.

test_too_large_message_is_not_sent expected FrameError for 4 MiB, which can be sent now. Its replacement checks that a message beyond the peer's memory is refused without being handled.

--- a/greengagefall/dispatch/connection_pool.py
+++ b/greengagefall/dispatch/connection_pool.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import io
 import ipaddress
 import logging
 import socket
@@ -29,6 +30,7 @@
     NotSentError,
     SendRefusedError,
 )
+from greengagefall.utils.http_writing import write_message
 from greengagefall.utils.sockets import enable_tcp_keepalive, reset_on_close
 
 if TYPE_CHECKING:
@@ -99,7 +101,8 @@
         self._limit_bytes = limit_bytes
         self._memory = memory
         self._close = close
-        self._chunks: list[bytes] = []
+        # Hands its content over without a copy.
+        self._content = io.BytesIO()
         self._size_bytes = 0
         self.status = 0
         self.headers = HTTPHeaders()
@@ -119,7 +122,7 @@
         if self._size_bytes > self._limit_bytes:
             self.give_up()
             return
-        self._chunks.append(chunk)
+        self._content.write(chunk)
         self._memory.add(self, len(chunk))
 
     def finish(self) -> None:
@@ -129,7 +132,7 @@
     def give_up(self) -> None:
         """Drops what was read and closes the connection; the answer counts as too large."""
         self.too_large = True
-        self._chunks.clear()
+        self._content = io.BytesIO()
         self._memory.remove(self)
         self._close()
 
@@ -139,7 +142,7 @@
 
     def body(self) -> bytes:
         """Returns the complete body."""
-        return b"".join(self._chunks)
+        return self._content.getvalue()
 
 
 class _AddressResolver(Resolver):
@@ -261,7 +264,7 @@
             headers["Content-Length"] = str(len(request.body))
         start_line = RequestStartLine(request.method, request.path, "")
         try:
-            connection.write_headers(start_line, headers, request.body or None)
+            write_message(connection, start_line, headers, request.body or None)
             connection.finish()
         except StreamClosedError as error:
             raise NotSentError(
--- a/greengagefall/entry/host.py
+++ b/greengagefall/entry/host.py
@@ -24,6 +24,7 @@
 from greengagefall.entry.pools import Pools
 from greengagefall.entry.targets import TargetResolver
 from greengagefall.entry.transport import ForwardTransport
+from greengagefall.protocol.memory_budget import MemoryBudget
 from greengagefall.protocol.messages import PROTOCOL_VERSION, Documents, Hello
 from greengagefall.protocol.server import PeerServer
 from greengagefall.utils.clock import SystemClock
@@ -66,7 +67,8 @@
         )
         self.witness = Witness(settings.host, incarnation, clock, lease_s)
         self.candidate = Candidate(self.witness, clock, random.Random(), RightTiming(lease_s))
-        self.peers = PeerLinks(hello, self._on_peer_message)
+        link_budget = MemoryBudget()
+        self.peers = PeerLinks(hello, self._on_peer_message, link_budget)
         self.dispatcher_table = DispatcherTable(
             self.state, self.candidate, clock, self._push_status
         )
@@ -90,7 +92,9 @@
             self.coordinator_tracker,
             lambda: self.stopping,
         )
-        self.peer_server = PeerServer(settings.peer_listen, hello, self.peer_handler.handle)
+        self.peer_server = PeerServer(
+            settings.peer_listen, hello, self.peer_handler.handle, budget=link_budget
+        )
         admin = Admin(
             self.state,
             self.dispatcher_table,
--- a/greengagefall/entry/peer_table.py
+++ b/greengagefall/entry/peer_table.py
@@ -8,12 +8,14 @@
 
 from greengagefall.protocol.exceptions import PeerUnreachableError
 from greengagefall.protocol.link import PeerLink
+from greengagefall.protocol.memory_budget import MemoryBudget
 from greengagefall.utils.waiting import wait_until
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from greengagefall.coordination.model import Member
+    from greengagefall.protocol.memory_budget import Budget
     from greengagefall.protocol.messages import Hello
 
 log = logging.getLogger(__name__)
@@ -27,10 +29,14 @@
     Args:
         hello: First message that is sent to each peer.
         on_message: Called with each pushed message.
+        budget: Memory for large replies on all links.
     """
 
-    def __init__(self, hello: Hello, on_message: Callable[[Any], None]) -> None:
+    def __init__(
+        self, hello: Hello, on_message: Callable[[Any], None], budget: Budget | None = None
+    ) -> None:
         self._hello = hello
+        self._budget = budget or MemoryBudget()
         self._on_message = on_message
         self._links: dict[str, PeerLink] = {}
         self._opened_at_s: dict[str, float] = {}
@@ -74,8 +80,10 @@
 
         Raises:
             FrameError: The message is too large; nothing was sent.
-            PeerUnreachableError: Nothing was sent.
-            PeerLostError: The connection ended after the message was written.
+            PeerUnreachableError: The message was not sent completely, or the peer has no memory
+                for it; the peer has not handled it and never will.
+            PeerLostError: The connection ended after the message was written, or the reply cannot
+                be put together.
             PeerTimeoutError: No reply came in time.
         """
         link = await self._link(host)
@@ -91,7 +99,9 @@
         member = self._members.get(host)
         if member is None:
             raise PeerUnreachableError(f"host {host} is in no members record; the call is not sent")
-        link = PeerLink(member.address, self._hello, on_message=self._on_message)
+        link = PeerLink(
+            member.address, self._hello, on_message=self._on_message, budget=self._budget
+        )
         self._links[host] = link
         self._opened_at_s[host] = asyncio.get_running_loop().time()
         await link.start()
--- a/greengagefall/gateway/caller_http.py
+++ b/greengagefall/gateway/caller_http.py
@@ -15,6 +15,7 @@
 from greengagefall.gateway.caller_connections import CallerConnections
 from greengagefall.gateway.router import Answer, Refusal
 from greengagefall.platform import requests as headers
+from greengagefall.utils.http_writing import write_message
 from greengagefall.utils.metrics import count, observe_ms
 from greengagefall.utils.supervision import log_failure
 from greengagefall.utils.waiting import wait_until
@@ -186,7 +187,7 @@
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
         chunk = None if request.method == "HEAD" or status in BODILESS else body
         try:
-            request.connection.write_headers(line, own_headers, chunk)
+            write_message(request.connection, line, own_headers, chunk)
             request.connection.finish()
         except StreamClosedError:
             count("answers_undeliverable")
--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -50,10 +50,10 @@
 RESTART_DETECTION_HEARTBEATS = 1.3
 # The store has dropped the entry of a server after this many heartbeat intervals of silence.
 ENTRY_EXPIRY_HEARTBEATS = 3.3
-# Memory for the unfinished answers of all servers, and for one of them, as shares of the host's. An
-# answer is copied on its way to the caller.
+# Memory for the unfinished answers of all servers, and for one of them, as shares of the host's.
+# A large answer is not copied on its way to the caller, and its copy on another host counts there.
 UNFINISHED_ANSWERS_SHARE = 1 / 4
-ANSWER_SHARE = 1 / 8
+ANSWER_SHARE = 1 / 4
 
 
 def _pool_opener(memory_bytes: int) -> Callable[[str], ConnectionPool]:
--- a/greengagefall/gateway/outcomes.py
+++ b/greengagefall/gateway/outcomes.py
@@ -26,6 +26,12 @@
 DISPATCHER_UNREACHABLE = _add(
     "dispatcher_unreachable", 503, "No connection to the dispatcher's host.", retry_after_ms=400
 )
+NO_PEER_MEMORY = _add(
+    "no_peer_memory",
+    503,
+    "The dispatcher's host has no memory for the body now.",
+    retry_after_ms=400,
+)
 NOT_OWNER = _add(
     "not_owner",
     503,
--- a/greengagefall/gateway/peers.py
+++ b/greengagefall/gateway/peers.py
@@ -6,8 +6,14 @@
 from typing import TYPE_CHECKING, Any
 
 from greengagefall.entry.peer_table import PeerLinks
-from greengagefall.protocol.exceptions import PeerLostError, PeerTimeoutError, ProtocolError
+from greengagefall.protocol.exceptions import (
+    PeerLostError,
+    PeerMemoryError,
+    PeerTimeoutError,
+    ProtocolError,
+)
 from greengagefall.protocol.gateway_messages import Dispatch
+from greengagefall.protocol.memory_budget import MemoryBudget
 from greengagefall.protocol.messages import PROTOCOL_VERSION, Failure, Hello
 from greengagefall.protocol.server import PeerServer
 from greengagefall.utils.metrics import count
@@ -16,12 +22,16 @@
     from collections.abc import Awaitable, Callable
 
     from greengagefall.gateway.view import ClusterView, HostRecord
+    from greengagefall.protocol.memory_budget import Budget
 
 log = logging.getLogger(__name__)
 
 ROLE = "gateway"
 UNREACHABLE = Failure(0, "unreachable")
 REPLY_LOST = Failure(0, "lost")
+NO_PEER_MEMORY = Failure(0, "no_peer_memory")
+# Memory for large messages of all links, as a share of the host's.
+LINK_MEMORY_SHARE = 1 / 4
 
 
 class Peers:
@@ -30,10 +40,14 @@
     Args:
         view: The cluster view of this host.
         handler: Handles messages; returns the reply, None, or a coroutine for the reply.
+        budget: Memory for large messages; by default ``LINK_MEMORY_SHARE`` of the host's.
     """
 
     def __init__(
-        self, view: ClusterView, handler: Callable[[Hello, Any], Awaitable[Any] | Any]
+        self,
+        view: ClusterView,
+        handler: Callable[[Hello, Any], Awaitable[Any] | Any],
+        budget: Budget | None = None,
     ) -> None:
         self._view = view
         self._handler = handler
@@ -47,8 +61,9 @@
             settings.peer_address,
             settings.caller_address,
         )
-        self._server = PeerServer(settings.peer_address, self._hello, handler)
-        self._links = PeerLinks(self._hello, self._ignore_message)
+        budget = budget or MemoryBudget(int(LINK_MEMORY_SHARE * settings.memory_bytes))
+        self._server = PeerServer(settings.peer_address, self._hello, handler, budget=budget)
+        self._links = PeerLinks(self._hello, self._ignore_message, budget)
         self._known_hosts: dict[str, HostRecord] = {}
         view.add_listener(self._update_links)
 
@@ -64,8 +79,8 @@
     async def call(self, host: str, message: Any, timeout_s: float) -> Any:
         """Sends a message to a host; returns its reply, or a ``Failure`` if there is none.
 
-        ``UNREACHABLE`` means that the message was not sent, ``REPLY_LOST`` that the host may have
-        handled it.
+        ``UNREACHABLE`` means that the message was not sent, ``NO_PEER_MEMORY`` that the host
+        dropped it before it was complete, and ``REPLY_LOST`` that the host may have handled it.
         """
         if host == self._view.host_incarnation.host:
             reply = self._handler(self._hello, message)
@@ -75,6 +90,9 @@
         except (PeerLostError, PeerTimeoutError) as error:
             self._report_failure(host, message, error)
             return REPLY_LOST
+        except PeerMemoryError as error:
+            self._report_failure(host, message, error)
+            return NO_PEER_MEMORY
         except ProtocolError as error:
             self._report_failure(host, message, error)
             return UNREACHABLE
--- a/greengagefall/gateway/router.py
+++ b/greengagefall/gateway/router.py
@@ -10,7 +10,7 @@
 
 from greengagefall.gateway import outcomes
 from greengagefall.gateway.model import NO_KEY
-from greengagefall.gateway.peers import UNREACHABLE
+from greengagefall.gateway.peers import NO_PEER_MEMORY, UNREACHABLE
 from greengagefall.gateway.pool_choice import DispatcherLoads
 from greengagefall.limits.retry_budget import RetryBudget
 from greengagefall.limits.stop_admission import StopAdmission
@@ -226,6 +226,8 @@
         if reply is UNREACHABLE:
             self._dispatcher_loads.record_unreachable(service.name, host)
             return outcomes.failure(outcomes.DISPATCHER_UNREACHABLE)
+        if reply is NO_PEER_MEMORY:
+            return outcomes.failure(outcomes.NO_PEER_MEMORY)
         return outcomes.failure(outcomes.OUTCOME_UNKNOWN, sent=True)
 
     def _moved(self, request: CallerRequest, service: Service, before: _Target) -> bool:
--- a/greengagefall/protocol/codec.py
+++ b/greengagefall/protocol/codec.py
@@ -27,16 +27,20 @@
     return cbor2.dumps([MESSAGE_KINDS[type(message)], *fields])
 
 
-def decode(frame: bytes | str) -> Any:
+def decode(frame: bytes | str, limit_bytes: int = MAX_FRAME_BYTES) -> Any:
     """Returns the message in a frame.
 
+    Args:
+        frame: The frame.
+        limit_bytes: Largest size of the frame; larger if it was put together from fragments.
+
     Raises:
         FrameError: The frame is text, too large, not CBOR, or not a known message.
     """
     if isinstance(frame, str):
         raise FrameError("received a text frame; expected binary CBOR")
-    if len(frame) > MAX_FRAME_BYTES:
-        raise FrameError(f"frame has {len(frame)} bytes; expected at most {MAX_FRAME_BYTES}")
+    if len(frame) > limit_bytes:
+        raise FrameError(f"frame has {len(frame)} bytes; expected at most {limit_bytes}")
     try:
         fields = cbor2.loads(frame)
     except (cbor2.CBORDecodeError, ValueError, OverflowError, RecursionError) as error:
--- a/greengagefall/protocol/frames.py
+++ b/greengagefall/protocol/frames.py
@@ -10,13 +10,16 @@
 
 from greengagefall.protocol.codec import MAX_FRAME_BYTES, decode, encode
 from greengagefall.protocol.exceptions import FrameError, PeerUnreachableError, VersionError
-from greengagefall.protocol.messages import PROTOCOL_VERSION, Hello
+from greengagefall.protocol.messages import OLDER_VERSIONS, PROTOCOL_VERSION, Hello
+from greengagefall.protocol.send_queue import WINDOW_BYTES
 from greengagefall.utils.sockets import enable_tcp_keepalive
 
 if TYPE_CHECKING:
     from websockets.asyncio.connection import Connection
 
 MAX_WRITE_BUFFER_BYTES = 2 * MAX_FRAME_BYTES
+# Bytes that the operating system holds unsent; more of them would delay control messages.
+MAX_UNSENT_SOCKET_BYTES = 64 * 1024
 MAX_QUEUED_FRAMES = 256
 CLOSE_TIMEOUT_S = 0.2
 
@@ -33,18 +36,29 @@
     "max_queue": MAX_QUEUED_FRAMES,
     "ping_interval": None,
     "close_timeout": CLOSE_TIMEOUT_S,
+    "write_limit": (WINDOW_BYTES, WINDOW_BYTES // 4),
     "logger": websockets_log,
 }
 
 
-def write_message(connection: Connection, message: tuple) -> None:
-    """Writes one message without waiting for the peer.
+def write_message(connection: Connection, message: tuple) -> int:
+    """Writes one message without waiting for the peer; returns the size of its frame.
 
     Raises:
         FrameError: The message is larger than ``MAX_FRAME_BYTES``; nothing was sent.
         PeerUnreachableError: The connection is not open, or the peer does not read;
             nothing was sent.
     """
+    check_writable(connection)
+    return write_frame(connection, encode(message))
+
+
+def check_writable(connection: Connection) -> None:
+    """Checks that a frame can be written now.
+
+    Raises:
+        PeerUnreachableError: The connection is not open, or the peer does not read.
+    """
     if connection.protocol.state is not State.OPEN or connection.transport.is_closing():
         raise PeerUnreachableError("the connection is not open; nothing was sent")
     if connection.transport.get_write_buffer_size() > MAX_WRITE_BUFFER_BYTES:
@@ -52,11 +66,19 @@
             f"overloaded: the write buffer holds over {MAX_WRITE_BUFFER_BYTES} bytes; "
             "nothing was sent"
         )
-    frame = encode(message)
+
+
+def write_frame(connection: Connection, frame: bytes) -> int:
+    """Writes a frame to an open connection; returns its size.
+
+    Raises:
+        FrameError: The frame is larger than ``MAX_FRAME_BYTES``; nothing was sent.
+    """
     if len(frame) > MAX_FRAME_BYTES:
         raise FrameError(f"frame has {len(frame)} bytes; expected at most {MAX_FRAME_BYTES}")
     connection.protocol.send_binary(frame)
     connection.send_data()
+    return len(frame)
 
 
 def read_call_id(message: Any) -> int:
@@ -76,12 +98,12 @@
 
     Raises:
         FrameError: The first message is not a valid hello.
-        VersionError: The peer uses another protocol version.
+        VersionError: This process does not speak the peer's protocol version.
     """
     message = decode(await connection.recv())
     if not isinstance(message, Hello):
         raise FrameError(f"the first message is {type(message).__name__}; expected Hello")
-    if message.version != PROTOCOL_VERSION:
+    if message.version != PROTOCOL_VERSION and message.version not in OLDER_VERSIONS:
         raise VersionError(f"protocol version is {message.version!r}; expected {PROTOCOL_VERSION}")
     if not all(isinstance(field, str) for field in message[1:]):
         raise FrameError("a field of the hello is not a string; expected strings after the version")
@@ -94,4 +116,6 @@
     if sock is None:
         return
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    if hasattr(socket, "TCP_NOTSENT_LOWAT"):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_SOCKET_BYTES)
     enable_tcp_keepalive(sock, KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S, KEEPALIVE_PROBES)
--- a/greengagefall/protocol/link.py
+++ b/greengagefall/protocol/link.py
@@ -13,13 +13,17 @@
 
 from greengagefall.limits.backoff import full_jitter
 from greengagefall.protocol import faults
+from greengagefall.protocol.channel import FRAGMENT_TYPES, MessageChannel
 from greengagefall.protocol.codec import decode
 from greengagefall.protocol.exceptions import (
+    AssemblyError,
     FrameError,
     PeerLostError,
+    PeerMemoryError,
     PeerTimeoutError,
     PeerUnreachableError,
     ProtocolError,
+    ReplyLostError,
     VersionError,
 )
 from greengagefall.protocol.frames import (
@@ -30,7 +34,16 @@
     write_message,
 )
 from greengagefall.protocol.gateway_messages import Dispatch
-from greengagefall.protocol.messages import Cancel, Forward, Hello
+from greengagefall.protocol.memory_budget import MemoryBudget
+from greengagefall.protocol.messages import (
+    OLDER_VERSIONS,
+    PROTOCOL_VERSION,
+    Cancel,
+    Failure,
+    Forward,
+    Hello,
+)
+from greengagefall.protocol.server import FAILURE_NOT_ASSEMBLED, FAILURE_REPLY_MEMORY
 from greengagefall.utils.metrics import count
 from greengagefall.utils.sockets import reset_on_close
 from greengagefall.utils.supervision import start_supervised
@@ -40,6 +53,8 @@
 
     from websockets.asyncio.client import ClientConnection
 
+    from greengagefall.protocol.memory_budget import Budget
+
 log = logging.getLogger(__name__)
 
 MAX_OUTSTANDING_CALLS = 4096
@@ -71,6 +86,7 @@
         on_connect: Callable[[Hello], None] | None = None,
         on_disconnect: Callable[[Hello], None] | None = None,
         connect_timeout_s: float = 1.0,
+        budget: Budget | None = None,
     ) -> None:
         """Prepares the link; ``start`` connects it.
 
@@ -81,6 +97,8 @@
             on_connect: Called with the peer's hello after each connection.
             on_disconnect: Called with the peer's hello after each disconnection.
             connect_timeout_s: Timeout for connecting, and again for the exchange of hellos.
+            budget: Memory for large replies until they are complete; by default
+                ``DEFAULT_BUDGET_BYTES``.
         """
         self.address = address
         self.peer: Hello | None = None
@@ -91,7 +109,11 @@
         self._on_connect = on_connect
         self._on_disconnect = on_disconnect
         self._connect_timeout_s = connect_timeout_s
+        self._budget = budget or MemoryBudget()
         self._connection: ClientConnection | None = None
+        self._channel: MessageChannel | None = None
+        # Version of the next hello: an older peer accepts only its own.
+        self._version = hello.version
         self._outstanding: dict[int, asyncio.Future] = {}
         self._call_ids = itertools.count(1)
         self._rng = random.Random()
@@ -150,19 +172,21 @@
 
         Raises:
             FrameError: The message is too large; nothing was sent.
-            PeerUnreachableError: Nothing was sent.
-            PeerLostError: The connection ended after the message was written.
+            PeerUnreachableError: The message was not sent completely, or the peer has no memory
+                for it; the peer has not handled it and never will.
+            PeerLostError: The connection ended after the message was written, or the reply cannot
+                be put together.
             PeerTimeoutError: The message was written and no reply arrived within the timeout.
         """
-        connection = self._connection
-        if connection is None:
+        channel = self._channel
+        if channel is None:
             raise PeerUnreachableError(f"peer {self.address} is not connected; nothing was sent")
         if len(self._outstanding) >= MAX_OUTSTANDING_CALLS:
             raise PeerUnreachableError(
                 f"overloaded: peer {self.address} has {MAX_OUTSTANDING_CALLS} outstanding calls"
             )
         call_id = call_id or next(self._call_ids)
-        self._write(connection, message._replace(call_id=call_id))
+        channel.write(message._replace(call_id=call_id))
         loop = asyncio.get_running_loop()
         reply_future = self._outstanding[call_id] = loop.create_future()
         timer = loop.call_later(timeout_s, self._expire, call_id)
@@ -170,12 +194,13 @@
         try:
             return await reply_future
         except asyncio.CancelledError:
-            if isinstance(message, (Forward, Dispatch)):
+            if isinstance(message, (Forward, Dispatch)) and not channel.withdraw(call_id):
                 self.send(Cancel(call_id))
             raise
         finally:
             timer.cancel()
             self._outstanding.pop(call_id, None)
+            channel.withdraw(call_id)
 
     def send(self, message: Any) -> bool:
         """Writes a message without a reply.
@@ -183,10 +208,10 @@
         Returns:
             Whether it was handed to an open connection.
         """
-        if self._connection is None:
+        if self._channel is None:
             return False
         try:
-            self._write(self._connection, message)
+            self._channel.write(message)
         except PeerUnreachableError:
             return False
         return True
@@ -196,13 +221,12 @@
         reply_future = self._outstanding.get(call_id)
         if reply_future is None or reply_future.done():
             return
-        reply_future.set_exception(PeerTimeoutError(f"call to {self.address} was cancelled"))
-        self.send(Cancel(call_id))
-
-    def _write(self, connection: ClientConnection, message: Any) -> None:
-        if self._drops_outbound():
+        text = f"call to {self.address} was cancelled"
+        if self._channel is not None and self._channel.withdraw(call_id):
+            reply_future.set_exception(PeerUnreachableError(f"{text} before it was sent"))
             return
-        write_message(connection, message)
+        reply_future.set_exception(PeerTimeoutError(text))
+        self.send(Cancel(call_id))
 
     def _drops_outbound(self) -> bool:
         host = self.peer.host if self.peer else ""
@@ -236,10 +260,15 @@
         reply_future = self._outstanding.get(call_id)
         if reply_future is None or reply_future.done():
             return
+        count("peer_call_timeouts")
+        if self._channel is not None and self._channel.withdraw(call_id):
+            reply_future.set_exception(
+                PeerUnreachableError(f"call to {self.address} was not sent within the timeout")
+            )
+            return
         reply_future.set_exception(
             PeerTimeoutError(f"no reply from {self.address} within the timeout")
         )
-        count("peer_call_timeouts")
         self._start_probe()
 
     async def _probe(self, connection: ClientConnection) -> None:
@@ -311,8 +340,9 @@
         peer = None
         try:
             async with asyncio.timeout(self._connect_timeout_s):
-                write_message(connection, self._hello)
+                write_message(connection, self._hello._replace(version=self._version))
                 hello = await read_hello(connection)
+            self._agree_on_version(hello)
             if faults.drops_outbound(hello.host) or faults.drops_inbound(hello.host):
                 raise PeerUnreachableError(f"peer {hello.host} is cut by a fault switch")
             peer = hello
@@ -322,10 +352,31 @@
             self._on_disconnected(peer)
             await self._close_connection(connection)
 
+    def _agree_on_version(self, hello: Hello) -> None:
+        """Checks that both sides named the same version.
+
+        After a connection the next one starts with this process's own version again, since the
+        peer may have been upgraded meanwhile.
+
+        Raises:
+            VersionError: The peer uses another version. The next connection uses it, if this
+                process speaks it.
+        """
+        tried = self._version
+        self._version = self._hello.version
+        if hello.version == tried:
+            return
+        if hello.version in OLDER_VERSIONS and tried == PROTOCOL_VERSION:
+            self._version = hello.version
+        raise VersionError(f"protocol version is {hello.version!r}; expected {tried}")
+
     def _on_connected(self, connection: ClientConnection, peer: Hello) -> None:
         set_socket_options(connection)
         self.peer = peer
         self._connection = connection
+        self._channel = MessageChannel(
+            connection, peer.host, peer.version, self._budget, self._drops_outbound
+        )
         self.ever_connected = True
         log.debug("Connected to %s at %s.", peer.host, self.address)
         count("peer_connections")
@@ -333,13 +384,23 @@
             self._on_connect(peer)
 
     def _on_disconnected(self, peer: Hello | None) -> None:
+        channel = self._channel
         self._connection = None
+        self._channel = None
         self.peer = None
-        for reply_future in list(self._outstanding.values()):
-            if not reply_future.done():
+        for call_id, reply_future in list(self._outstanding.items()):
+            if reply_future.done():
+                continue
+            if channel is not None and channel.is_incomplete(call_id):
                 reply_future.set_exception(
-                    PeerLostError(f"connection to {self.address} ended before the reply")
+                    PeerUnreachableError(f"connection to {self.address} ended before the call")
                 )
+                continue
+            reply_future.set_exception(
+                PeerLostError(f"connection to {self.address} ended before the reply")
+            )
+        if channel is not None:
+            channel.close()
         if peer is not None and self._on_disconnect is not None:
             self._on_disconnect(peer)
 
@@ -358,17 +419,52 @@
             if self._drops_inbound():
                 continue
             self._received_at_s = asyncio.get_running_loop().time()
-            self._receive(decode(frame))
+            message = decode(frame)
+            if isinstance(message, FRAGMENT_TYPES):
+                self._receive_part(message)
+                continue
+            self._receive(message)
+
+    def _receive_part(self, part: Any) -> None:
+        call_id = read_call_id(part)
+        channel = self._channel
+        if call_id and call_id not in self._outstanding:
+            # The call has ended, and the peer was told if its reply had arrived in part.
+            return
+        try:
+            assembled = channel.assemble(part)
+        except AssemblyError as error:
+            self._fail_reply(error.call_id, str(error))
+            return
+        if assembled is not None:
+            self._budget.release(assembled.reserved_bytes)
+            self._receive(assembled.message)
+
+    def _fail_reply(self, call_id: int, text: str) -> None:
+        reply_future = self._outstanding.get(call_id)
+        if reply_future is not None and not reply_future.done():
+            reply_future.set_exception(ReplyLostError(text))
+            self.send(Cancel(call_id))
 
     def _receive(self, message: Any) -> None:
         call_id = read_call_id(message)
         reply_future = self._outstanding.get(call_id)
         if reply_future is not None:
             if not reply_future.done():
-                reply_future.set_result(message)
+                self._finish(reply_future, message)
             return
         if call_id:
             count("peer_late_replies")
             return
         if self._on_message is not None:
             self._on_message(message)
+
+    def _finish(self, reply_future: asyncio.Future, message: Any) -> None:
+        if not isinstance(message, Failure):
+            reply_future.set_result(message)
+        elif message.reason == FAILURE_NOT_ASSEMBLED:
+            reply_future.set_exception(PeerMemoryError(f"{self.address} dropped the message"))
+        elif message.reason == FAILURE_REPLY_MEMORY:
+            reply_future.set_exception(ReplyLostError(f"{self.address} has no memory to reply"))
+        else:
+            reply_future.set_result(message)
--- a/greengagefall/protocol/messages.py
+++ b/greengagefall/protocol/messages.py
@@ -8,7 +8,11 @@
 
 from typing import Any, NamedTuple, TypeVar
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
+# Older versions that this process still speaks to a peer, for rolling upgrades. Version 1 has no
+# fragments: each message is one frame.
+OLDER_VERSIONS = frozenset({1})
+FIRST_VERSION_WITH_FRAGMENTS = 2
 
 MessageType = TypeVar("MessageType", bound=type)
 
@@ -351,3 +355,41 @@
 
     call_id: int
     reason: str
+
+
+@message("fragment")
+class Fragment(NamedTuple):
+    """A part of the payload of a large message.
+
+    The payload is the message's body, or its whole frame if it has no body.
+
+    Attributes:
+        call_id: Id of the call that the message belongs to.
+        message_id: Number of the message among the sender's fragmented ones on this connection.
+        kind: Kind of the message on the wire.
+        payload_bytes: Size of the whole payload.
+        offset: Position of ``data`` in the payload.
+        data: The part.
+    """
+
+    call_id: int
+    message_id: int
+    kind: str
+    payload_bytes: int
+    offset: int
+    data: bytes
+
+
+@message("fragments_end")
+class FragmentsEnd(NamedTuple):
+    """Ends a fragmented message.
+
+    Attributes:
+        call_id: Same as in its fragments.
+        message_id: Same as in its fragments.
+        frame: Frame of the message with an empty body; empty if the payload is the whole frame.
+    """
+
+    call_id: int
+    message_id: int
+    frame: bytes
--- a/greengagefall/protocol/server.py
+++ b/greengagefall/protocol/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from websockets.asyncio.server import serve
@@ -11,11 +12,14 @@
 from websockets.frames import CloseCode
 
 from greengagefall.protocol import faults
+from greengagefall.protocol.channel import FRAGMENT_TYPES, MessageChannel
 from greengagefall.protocol.codec import decode
 from greengagefall.protocol.exceptions import (
+    AssemblyError,
     FrameError,
     PeerUnreachableError,
     ProtocolError,
+    SendMemoryError,
     VersionError,
 )
 from greengagefall.protocol.frames import (
@@ -25,7 +29,8 @@
     set_socket_options,
     write_message,
 )
-from greengagefall.protocol.messages import Cancel, Failure, Hello
+from greengagefall.protocol.memory_budget import MemoryBudget
+from greengagefall.protocol.messages import OLDER_VERSIONS, Cancel, Failure, Hello
 from greengagefall.utils.metrics import count
 
 if TYPE_CHECKING:
@@ -33,26 +38,33 @@
 
     from websockets.asyncio.server import Server, ServerConnection
 
+    from greengagefall.protocol.memory_budget import Budget
+
 log = logging.getLogger(__name__)
 
 HELLO_TIMEOUT_S = 2.0
 MAX_CONCURRENT_REQUESTS = 1024
 FAILURE_INTERNAL = "internal_error"
+# The message was not put together; the handler has not seen it.
+FAILURE_NOT_ASSEMBLED = "not_assembled"
+# The handler's reply could not be kept until it is sent.
+FAILURE_REPLY_MEMORY = "reply_memory"
 
 
 class _PeerConnection:
     """One connection and the requests in progress on it."""
 
-    def __init__(self, connection: ServerConnection, hello: Hello) -> None:
+    def __init__(self, connection: ServerConnection, hello: Hello, budget: Budget) -> None:
         self.connection = connection
         self.hello = hello
         self.requests: dict[int, asyncio.Task] = {}
         self.slots = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
+        self.channel = MessageChannel(
+            connection, hello.host, hello.version, budget, self._drops_outbound
+        )
 
-    def write(self, message: Any) -> None:
-        if faults.drops_outbound(self.hello.host, self.hello.address):
-            return
-        write_message(self.connection, message)
+    def _drops_outbound(self) -> bool:
+        return faults.drops_outbound(self.hello.host, self.hello.address)
 
 
 class PeerServer:
@@ -70,6 +82,7 @@
         *,
         on_connect: Callable[[Hello], None] | None = None,
         on_disconnect: Callable[[Hello], None] | None = None,
+        budget: Budget | None = None,
     ) -> None:
         """Prepares the server; ``start`` opens its port.
 
@@ -80,12 +93,15 @@
                 None, or a coroutine that returns one, which is run in its own task.
             on_connect: Called with the hello of a peer that connected.
             on_disconnect: Called with the hello of a peer that disconnected.
+            budget: Memory for large requests until they are handled, and for large replies until
+                they are sent; by default ``DEFAULT_BUDGET_BYTES``.
         """
         self._listen = listen
         self._hello = hello
         self._handler = handler
         self._on_connect = on_connect
         self._on_disconnect = on_disconnect
+        self._budget = budget or MemoryBudget()
         self._server: Server | None = None
         self._connections: dict[ServerConnection, _PeerConnection] = {}
         self.address = listen
@@ -140,7 +156,7 @@
             if peer.hello.host != host or peer.hello.role != role:
                 continue
             try:
-                peer.write(message)
+                peer.channel.write(message)
                 sent = True
             except PeerUnreachableError:
                 continue
@@ -168,11 +184,18 @@
     async def _exchange_hellos(self, connection: ServerConnection) -> _PeerConnection:
         set_socket_options(connection)
         async with asyncio.timeout(HELLO_TIMEOUT_S):
-            write_message(connection, self._hello)
-            hello = await read_hello(connection)
+            try:
+                hello = await read_hello(connection)
+            except VersionError:
+                # A newer peer may speak this version after it has seen it.
+                write_message(connection, self._hello)
+                raise
         if faults.drops_inbound(hello.host, hello.address):
             raise PeerUnreachableError(f"peer {hello.host} is cut by a fault switch")
-        return _PeerConnection(connection, hello)
+        # An older peer accepts only its own version.
+        version = hello.version if hello.version in OLDER_VERSIONS else self._hello.version
+        write_message(connection, self._hello._replace(version=version))
+        return _PeerConnection(connection, hello, self._budget)
 
     async def _serve_peer(self, peer: _PeerConnection) -> None:
         self._connections[peer.connection] = peer
@@ -182,6 +205,7 @@
             await self._read(peer)
         finally:
             del self._connections[peer.connection]
+            peer.channel.close()
             if self._on_disconnect is not None:
                 self._on_disconnect(peer.hello)
 
@@ -196,31 +220,62 @@
             if faults.drops_inbound(peer.hello.host, peer.hello.address):
                 continue
             message = decode(frame)
+            if isinstance(message, FRAGMENT_TYPES):
+                await self._receive_part(peer, message, read_call_id(message))
+                continue
             await self._dispatch(peer, message, read_call_id(message))
 
-    async def _dispatch(self, peer: _PeerConnection, message: Any, call_id: int) -> None:
+    async def _receive_part(self, peer: _PeerConnection, part: Any, call_id: int) -> None:
+        try:
+            assembled = peer.channel.assemble(part)
+        except AssemblyError as error:
+            self._reply(peer, error.call_id, Failure(0, FAILURE_NOT_ASSEMBLED))
+            return
+        if assembled is not None:
+            await self._dispatch(peer, assembled.message, call_id, assembled.reserved_bytes)
+
+    async def _dispatch(
+        self, peer: _PeerConnection, message: Any, call_id: int, reserved_bytes: int = 0
+    ) -> None:
         if isinstance(message, Cancel):
+            self._budget.release(reserved_bytes)
             self._cancel(peer, call_id)
             return
         await peer.slots.acquire()
         try:
             reply = self._handler(peer.hello, message)
         except Exception as error:
-            peer.slots.release()
+            self._release(peer, reserved_bytes)
             self._reply(peer, call_id, self._failure(message, error))
             return
         if not asyncio.iscoroutine(reply):
-            peer.slots.release()
+            self._release(peer, reserved_bytes)
             self._reply(peer, call_id, reply)
             return
         task = asyncio.create_task(self._handle_request(peer, message, call_id, reply))
-        peer.requests[call_id or -id(task)] = task
+        key = call_id or -id(task)
+        peer.requests[key] = task
+        # A task that is cancelled before it starts does not reach its own ``finally``.
+        task.add_done_callback(partial(self._on_request_done, peer, key, reserved_bytes))
 
     def _cancel(self, peer: _PeerConnection, call_id: int) -> None:
+        peer.channel.drop(call_id)
         task = peer.requests.get(call_id)
         if task is not None:
             task.cancel()
 
+    def _on_request_done(
+        self, peer: _PeerConnection, key: int, reserved_bytes: int, task: asyncio.Task
+    ) -> None:
+        self._release(peer, reserved_bytes)
+        if peer.requests.get(key) is task:
+            del peer.requests[key]
+
+    def _release(self, peer: _PeerConnection, reserved_bytes: int) -> None:
+        peer.slots.release()
+        if reserved_bytes:
+            self._budget.release(reserved_bytes)
+
     async def _handle_request(
         self, peer: _PeerConnection, message: Any, call_id: int, reply: Awaitable[Any]
     ) -> None:
@@ -228,9 +283,6 @@
             self._reply(peer, call_id, await reply)
         except Exception as error:
             self._reply(peer, call_id, self._failure(message, error))
-        finally:
-            peer.slots.release()
-            peer.requests.pop(call_id or -id(asyncio.current_task()), None)
 
     def _failure(self, message: Any, error: Exception) -> Failure:
         log.error(
@@ -245,7 +297,25 @@
         if reply is None or not call_id:
             return
         try:
-            peer.write(reply._replace(call_id=call_id))
+            peer.channel.write(reply._replace(call_id=call_id), reserve=True)
+        except SendMemoryError as error:
+            self._report_reply_memory(peer, call_id, reply, error)
+            self._reply(peer, call_id, Failure(0, FAILURE_REPLY_MEMORY))
         except PeerUnreachableError:
             count("peer_replies_dropped")
             peer.connection.transport.abort()
+
+    def _report_reply_memory(
+        self, peer: _PeerConnection, call_id: int, reply: Any, error: SendMemoryError
+    ) -> None:
+        kind = type(reply).__name__
+        count("peer_message_failures", kind=kind, reason=FAILURE_REPLY_MEMORY)
+        log.info(
+            "Reply is too large for the memory; the caller gets a failure.",
+            extra={
+                "peer": peer.hello.host,
+                "kind": kind,
+                "call_id": call_id,
+                "error": str(error),
+            },
+        )
