Count bytes between hosts and end requests at less cost

Change: counters with fixed labels, no done callback for each request, and messages whose fields have no defaults are encoded directly. A request that is cancelled before it starts returns its slot.

--- a/greengagefall/protocol/assembly.py
+++ b/greengagefall/protocol/assembly.py
@@ -74,6 +74,9 @@
     def __len__(self) -> int:
         return len(self._assemblies)
 
+    def __bool__(self) -> bool:
+        return bool(self._assemblies)
+
     def add(self, fragment: Fragment, now_s: float) -> bool:
         """Adds a fragment; returns False if its message failed before or was dropped.
 
--- a/greengagefall/protocol/channel.py
+++ b/greengagefall/protocol/channel.py
@@ -18,7 +18,7 @@
     FragmentsEnd,
 )
 from greengagefall.protocol.send_queue import FRAGMENT_BYTES, SendQueue
-from greengagefall.utils.metrics import count, observe_ms
+from greengagefall.utils.metrics import Counter, count, observe_ms
 from greengagefall.utils.supervision import log_failure
 
 if TYPE_CHECKING:
@@ -37,6 +37,10 @@
 # Pieces that are written before other tasks run.
 MAX_PIECES_AT_ONCE = 8
 FRAGMENT_TYPES = (Fragment, FragmentsEnd)
+PEER_BYTES = {
+    message_type.__name__: Counter("peer_bytes", kind=message_type.__name__)
+    for message_type in MESSAGE_TYPES.values()
+}
 
 
 class MessageChannel:
@@ -92,20 +96,18 @@
         """
         if self._drops_outbound():
             return
-        connection = self.connection
-        check_writable(connection)
+        buffered_bytes = check_writable(self.connection)
         body = getattr(message, "body", None)
-        buffered_bytes = connection.transport.get_write_buffer_size()
-        if self._may_split and self._queue.must_wait(body, buffered_bytes):
+        if body is not None and self._may_split and self._queue.must_wait(body, buffered_bytes):
             self._queue.add(message, self._loop.time(), reserve=reserve)
             self._start_pump()
             return
         frame = encode(message)
-        if body is None and self._may_split and len(frame) > FRAGMENT_BYTES:
+        if len(frame) > FRAGMENT_BYTES and body is None and self._may_split:
             self._queue.add_control(message, frame, self._loop.time())
             self._start_pump()
             return
-        count("peer_bytes", write_frame(connection, frame), kind=type(message).__name__)
+        PEER_BYTES[type(message).__name__].add(write_frame(self.connection, frame))
 
     def is_incomplete(self, call_id: int) -> bool:
         """Returns whether a message of a call is not completely written.
@@ -227,7 +229,7 @@
             return
         if not self._drops_outbound():
             size_bytes = write_frame(self.connection, encode(written.message))
-            count("peer_bytes", size_bytes, kind=written.kind)
+            PEER_BYTES[written.kind].add(size_bytes)
         if isinstance(written.message, Fragment):
             count("peer_fragments", kind=written.kind)
         if written.waited_s is not None:
--- a/greengagefall/protocol/codec.py
+++ b/greengagefall/protocol/codec.py
@@ -18,7 +18,9 @@
 
 def encode(message: tuple) -> bytes:
     """Returns the frame for a registered message."""
-    defaults = type(message)._field_defaults
+    defaults = message._field_defaults
+    if not defaults:
+        return cbor2.dumps([MESSAGE_KINDS[type(message)], *message])
     fields = list(message)
     for name in reversed(message._fields):
         if name not in defaults or fields[-1] != defaults[name]:
--- a/greengagefall/protocol/frames.py
+++ b/greengagefall/protocol/frames.py
@@ -55,19 +55,22 @@
     return write_frame(connection, encode(message))
 
 
-def check_writable(connection: Connection) -> None:
-    """Checks that a frame can be written now.
+def check_writable(connection: Connection) -> int:
+    """Checks that a frame can be written now; returns the size of the write buffer.
 
     Raises:
         PeerUnreachableError: The connection is not open, or the peer does not read.
     """
-    if connection.protocol.state is not State.OPEN or connection.transport.is_closing():
+    transport = connection.transport
+    if connection.protocol.state is not State.OPEN or transport.is_closing():
         raise PeerUnreachableError("the connection is not open; nothing was sent")
-    if connection.transport.get_write_buffer_size() > MAX_WRITE_BUFFER_BYTES:
+    buffered_bytes = transport.get_write_buffer_size()
+    if buffered_bytes > MAX_WRITE_BUFFER_BYTES:
         raise PeerUnreachableError(
             f"overloaded: the write buffer holds over {MAX_WRITE_BUFFER_BYTES} bytes; "
             "nothing was sent"
         )
+    return buffered_bytes
 
 
 def write_frame(connection: Connection, frame: bytes) -> int:
--- a/greengagefall/protocol/send_queue.py
+++ b/greengagefall/protocol/send_queue.py
@@ -78,16 +78,14 @@
     def __len__(self) -> int:
         return len(self._control) + len(self._bodies)
 
-    def must_wait(self, body: bytes | None, buffered_bytes: int) -> bool:
-        """Returns whether a message has to wait, by its body and the size of the write buffer.
+    def __bool__(self) -> bool:
+        return bool(self._bodies or self._control)
 
-        A control message has no body and is never large when this is asked.
-        """
-        if body is None:
-            return False
-        if len(body) > FRAGMENT_BYTES:
+    def must_wait(self, body: bytes, buffered_bytes: int) -> bool:
+        """Returns whether a body has to wait, by its size and that of the write buffer."""
+        if len(body) > FRAGMENT_BYTES or buffered_bytes > WINDOW_BYTES:
             return True
-        return buffered_bytes > WINDOW_BYTES or bool(self._bodies)
+        return bool(self._bodies)
 
     def add(self, message: Any, now_s: float, *, reserve: bool = False) -> None:
         """Adds a message with a body.
--- a/greengagefall/protocol/server.py
+++ b/greengagefall/protocol/server.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from websockets.asyncio.server import serve
@@ -59,7 +58,7 @@
     def __init__(self, connection: ServerConnection, hello: Hello, budget: Budget) -> None:
         self.connection = connection
         self.hello = hello
-        self.requests: dict[int, asyncio.Task] = {}
+        self.requests: dict[int, _Request] = {}
         self.slots = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
         self.channel = MessageChannel(
             connection, hello.host, hello.version, budget, self._drops_outbound
@@ -76,14 +75,18 @@
         kind: Type name of the message.
         call_id: Id of the call.
         reserved_bytes: Memory that is reserved for the message.
+        task: Task that handles it.
+        started: Whether the task has begun.
     """
 
-    __slots__ = ("call_id", "kind", "reserved_bytes")
+    __slots__ = ("call_id", "kind", "reserved_bytes", "started", "task")
 
     def __init__(self, kind: str, call_id: int, reserved_bytes: int) -> None:
         self.kind = kind
         self.call_id = call_id
         self.reserved_bytes = reserved_bytes
+        self.task: asyncio.Task | None = None
+        self.started = False
 
 
 class PeerServer:
@@ -142,7 +145,7 @@
             return
         tasks = []
         for peer in self._connections.values():
-            tasks.extend(peer.requests.values())
+            tasks.extend(request.task for request in peer.requests.values())
         for task in tasks:
             task.cancel()
         self._server.close()
@@ -280,22 +283,23 @@
             return
         request = _Request(type(message).__name__, call_id, reserved_bytes)
         task = asyncio.create_task(self._handle_request(peer, request, reply))
-        key = call_id or -id(task)
-        peer.requests[key] = task
-        # A task that is cancelled before it starts does not reach its own ``finally``.
-        task.add_done_callback(partial(self._on_request_done, peer, key, request))
+        request.task = task
+        peer.requests[call_id or -id(task)] = request
 
     def _cancel(self, peer: _PeerConnection, call_id: int) -> None:
         peer.channel.drop(call_id)
-        task = peer.requests.get(call_id)
-        if task is not None:
-            task.cancel()
+        request = peer.requests.get(call_id)
+        if request is None:
+            return
+        request.task.cancel()
+        if not request.started:
+            # The task ends without reaching its ``finally``.
+            self._end_request(peer, request)
 
-    def _on_request_done(
-        self, peer: _PeerConnection, key: int, request: _Request, task: asyncio.Task
-    ) -> None:
+    def _end_request(self, peer: _PeerConnection, request: _Request) -> None:
         self._release(peer, request.reserved_bytes)
-        if peer.requests.get(key) is task:
+        key = request.call_id or -id(request.task)
+        if peer.requests.get(key) is request:
             del peer.requests[key]
 
     def _release(self, peer: _PeerConnection, reserved_bytes: int) -> None:
@@ -306,6 +310,7 @@
     async def _handle_request(
         self, peer: _PeerConnection, request: _Request, reply: Awaitable[Any]
     ) -> None:
+        request.started = True
         try:
             handled = await reply
             if request.reserved_bytes:
@@ -315,6 +320,8 @@
             self._reply(peer, request.call_id, handled)
         except Exception as error:
             self._reply(peer, request.call_id, self._failure(request.kind, error))
+        finally:
+            self._end_request(peer, request)
 
     def _failure(self, kind: str, error: Exception) -> Failure:
         log.error(
--- a/greengagefall/tests/link_large_messages_tests.py
+++ b/greengagefall/tests/link_large_messages_tests.py
@@ -10,7 +10,7 @@
 
 from websockets.asyncio.client import connect
 
-from greengagefall.protocol import channel, codec, link
+from greengagefall.protocol import channel, codec, link, server
 from greengagefall.protocol.exceptions import (
     FrameError,
     PeerLostError,
@@ -230,6 +230,20 @@
         self.assertEqual(self.handled, [])
         self.assert_no_memory_is_held()
 
+    async def test_requests_cancelled_before_they_start_return_their_slots(self):
+        # Guards against a connection that is not read any more once all slots are lost.
+        with mock.patch.object(server, "MAX_CONCURRENT_REQUESTS", 2):
+            raw = await self.connect_raw()
+        frames = []
+        for call_id in range(1, 6):
+            frames.append(codec.encode(forward("r")._replace(call_id=call_id)))
+            frames.append(codec.encode(Cancel(call_id)))
+        for frame in frames:
+            raw.protocol.send_binary(frame)
+        raw.send_data()
+        await raw.send(codec.encode(heartbeat()._replace(call_id=9)))
+        await self.read_until(raw, lambda one: isinstance(one, HeartbeatReply))
+
     async def test_an_ended_connection_drops_its_incomplete_messages(self):
         raw = await self.connect_raw()
         await raw.send(codec.encode(Fragment(1, 1, "forward", 10, 0, b"12345")))
--- a/greengagefall/utils/metrics.py
+++ b/greengagefall/utils/metrics.py
@@ -9,7 +9,8 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 if TYPE_CHECKING:
-    from opentelemetry.sdk.metrics import Counter, Histogram, Meter
+    from opentelemetry.sdk.metrics import Counter as SdkCounter
+    from opentelemetry.sdk.metrics import Histogram, Meter
     from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 
 METER_NAME = "greengagefall"
@@ -24,7 +25,7 @@
 
     meter: Meter
     reader: InMemoryMetricReader
-    counters: dict[str, Counter]
+    counters: dict[str, SdkCounter]
     histograms: dict[str, Histogram]
 
 
@@ -78,6 +79,20 @@
     _collected.counts[key] = _collected.counts.get(key, 0) + amount
 
 
+class Counter:
+    """A counter with fixed labels, for places where ``count`` would be too expensive."""
+
+    __slots__ = ("_key",)
+
+    def __init__(self, name: str, **labels: str) -> None:
+        self._key = (name, tuple(labels.items()))
+
+    def add(self, amount: int) -> None:
+        """Adds to the counter."""
+        counts = _collected.counts
+        counts[self._key] = counts.get(self._key, 0) + amount
+
+
 def observe_ms(name: str, value_ms: float, **labels: str) -> None:
     """Records a duration in milliseconds in the histogram ``name``."""
     _collected.durations.append((name, tuple(labels.items()), value_ms))
