--- a/greengagefall/protocol/channel.py
+++ b/greengagefall/protocol/channel.py
@@ -37,10 +37,17 @@
 # Pieces that are written before other tasks run.
 MAX_PIECES_AT_ONCE = 8
 FRAGMENT_TYPES = (Fragment, FragmentsEnd)
-PEER_BYTES = {
-    message_type.__name__: Counter("peer_bytes", kind=message_type.__name__)
-    for message_type in MESSAGE_TYPES.values()
-}
+
+
+class _PeerBytes(dict[str, Counter]):
+    """Counters by type name; message types may be registered at any time."""
+
+    def __missing__(self, kind: str) -> Counter:
+        counter = self[kind] = Counter("peer_bytes", kind=kind)
+        return counter
+
+
+PEER_BYTES = _PeerBytes()
 
 
 class MessageChannel:
@@ -86,13 +93,13 @@
 
         Args:
             message: The message.
-            reserve: Whether nothing else accounts for the memory of a large body.
+            reserve: Whether nothing else accounts for the memory of a body that waits.
 
         Raises:
             FrameError: The message is too large for the peer's version; nothing was sent.
             PeerUnreachableError: The connection is not open, or the peer does not read;
                 nothing was sent.
-            SendMemoryError: There is no memory to keep a large message; nothing was sent.
+            SendMemoryError: There is no memory to keep a body that waits; nothing was sent.
         """
         if self._drops_outbound():
             return
@@ -181,6 +188,8 @@
             self._silence_timer = self._loop.call_later(MAX_SILENCE_S, self._drop_silent)
 
     def _write_cancel(self, call_id: int) -> None:
+        if self._drops_outbound():
+            return
         try:
             write_message(self.connection, Cancel(call_id))
         except PeerUnreachableError:
--- a/greengagefall/protocol/send_queue.py
+++ b/greengagefall/protocol/send_queue.py
@@ -63,7 +63,7 @@
     """Messages that wait to be written to one connection.
 
     Args:
-        budget: Memory for large messages that nothing else accounts for.
+        budget: Memory for waiting bodies that nothing else accounts for.
     """
 
     def __init__(self, budget: Budget) -> None:
@@ -101,15 +101,16 @@
         """
         waiting = _Waiting(message, now_s)
         size_bytes = len(message.body)
-        if size_bytes > FRAGMENT_BYTES:
-            if reserve and not self._budget.reserve(size_bytes):
-                raise SendMemoryError(f"no memory to keep {size_bytes} bytes until they are sent")
-            waiting.reserved_bytes = size_bytes if reserve else 0
-            self._split(waiting, message.body)
-        elif self._waiting_bytes + size_bytes > MAX_WAITING_BYTES:
+        is_large = size_bytes > FRAGMENT_BYTES
+        if not is_large and self._waiting_bytes + size_bytes > MAX_WAITING_BYTES:
             raise PeerUnreachableError(
                 f"overloaded: {self._waiting_bytes} bytes wait for the connection; nothing was sent"
             )
+        if reserve and not self._budget.reserve(size_bytes):
+            raise SendMemoryError(f"no memory to keep {size_bytes} bytes until they are sent")
+        waiting.reserved_bytes = size_bytes if reserve else 0
+        if is_large:
+            self._split(waiting, message.body)
         else:
             self._waiting_bytes += size_bytes
         self._append(self._bodies, waiting)
--- a/greengagefall/tests/gateway_lost_links_tests.py
+++ b/greengagefall/tests/gateway_lost_links_tests.py
@@ -6,6 +6,7 @@
 import unittest
 from types import SimpleNamespace
 
+from greengagefall.gateway.model import DEFAULT_MEMORY_BYTES
 from greengagefall.gateway.peers import Peers
 from greengagefall.gateway.view import ClusterView, HostRecord
 from greengagefall.ownership.model import HostIncarnation
@@ -24,7 +25,11 @@
 
 def peers_of(host: str) -> Peers:
     settings = SimpleNamespace(
-        host=host, zone="x", peer_address=LOCAL_ADDRESS, caller_address=LOCAL_ADDRESS
+        host=host,
+        zone="x",
+        peer_address=LOCAL_ADDRESS,
+        caller_address=LOCAL_ADDRESS,
+        memory_bytes=DEFAULT_MEMORY_BYTES,
     )
     return Peers(ClusterView(settings, HostIncarnation(host, 1), SystemClock()), handle)
 
--- a/greengagefall/tests/protocol_send_queue_tests.py
+++ b/greengagefall/tests/protocol_send_queue_tests.py
@@ -100,6 +100,9 @@
         self.queue.add(answer(1, 6 * FRAGMENT_BYTES), 0.0, reserve=True)
         with self.assertRaises(SendMemoryError):
             self.queue.add(answer(2, 6 * FRAGMENT_BYTES), 0.0, reserve=True)
+        self.queue.add(answer(4, FRAGMENT_BYTES), 0.0, reserve=True)
+        self.assertEqual(self.budget.reserved_bytes, 7 * FRAGMENT_BYTES)
+        self.queue.drop(4)
         size_bytes = FRAGMENT_BYTES // 2
         for number in range(MAX_WAITING_BYTES // size_bytes):
             self.queue.add(answer(10 + number, size_bytes), 0.0)
