Return the slots of requests that a closing server cancels before they start

Cause: such a request keeps its slot, and a connection that waits for one would hold the close up.

Change: close cancels requests as a Cancel does.

Evidence: python -m unittest of link_large_messages, link, gateway_lost_links, documentation, protocol_send_queue, protocol_assembly and gateway_large_messages tests: 60 pass.

--- a/greengagefall/protocol/server.py
+++ b/greengagefall/protocol/server.py
@@ -145,9 +145,9 @@
             return
         tasks = []
         for peer in self._connections.values():
-            tasks.extend(request.task for request in peer.requests.values())
-        for task in tasks:
-            task.cancel()
+            for request in list(peer.requests.values()):
+                tasks.append(request.task)
+                self._cancel_request(peer, request)
         self._server.close()
         await asyncio.gather(*tasks, return_exceptions=True)
         try:
@@ -289,8 +289,10 @@
     def _cancel(self, peer: _PeerConnection, call_id: int) -> None:
         peer.channel.drop(call_id)
         request = peer.requests.get(call_id)
-        if request is None:
-            return
+        if request is not None:
+            self._cancel_request(peer, request)
+
+    def _cancel_request(self, peer: _PeerConnection, request: _Request) -> None:
         request.task.cancel()
         if not request.started:
             # The task ends without reaching its ``finally``.
