--- a/greengagefall/protocol/codec.py
+++ b/greengagefall/protocol/codec.py
@@ -18,7 +18,9 @@
 
 def encode(message: tuple) -> bytes:
     """Returns the frame for a registered message."""
-    defaults = type(message)._field_defaults
+    defaults = message._field_defaults
+    if not defaults:
+        return cbor2.dumps([MESSAGE_KINDS[type(message)], *message])
     fields = list(message)
     for name in reversed(message._fields):
         if name not in defaults or fields[-1] != defaults[name]:
@@ -27,16 +29,20 @@
     return cbor2.dumps([MESSAGE_KINDS[type(message)], *fields])
 
 
-def decode(frame: bytes | str) -> Any:
+def decode(frame: bytes | str, limit_bytes: int = MAX_FRAME_BYTES) -> Any:
     """Returns the message in a frame.
 
+    Args:
+        frame: The frame.
+        limit_bytes: Largest size of the frame; larger if it was put together from fragments.
+
     Raises:
         FrameError: The frame is text, too large, not CBOR, or not a known message.
     """
     if isinstance(frame, str):
         raise FrameError("received a text frame; expected binary CBOR")
-    if len(frame) > MAX_FRAME_BYTES:
-        raise FrameError(f"frame has {len(frame)} bytes; expected at most {MAX_FRAME_BYTES}")
+    if len(frame) > limit_bytes:
+        raise FrameError(f"frame has {len(frame)} bytes; expected at most {limit_bytes}")
     try:
         fields = cbor2.loads(frame)
     except (cbor2.CBORDecodeError, ValueError, OverflowError, RecursionError) as error:
