Count requests of workspaces over all hosts under leased limiter roles

Cause: a static share for each host rejects most requests of a workspace that sends less than one request a second through each host, and a count on each host exceeds the quota when hosts are partitioned.

Change: the coordinator leases the limiter role of each workspace to a host in its replies to heartbeats; entry hosts ask that host for permits, and the fallback host of their zone while it does not answer.

--- a/greengagefall/gateway/beats.py
+++ b/greengagefall/gateway/beats.py
@@ -23,6 +23,7 @@
     from greengagefall.gateway.view import ClusterView
     from greengagefall.ownership.model import HostIncarnation
     from greengagefall.platform.store import PlatformStore
+    from greengagefall.quotas.host_quotas import HostQuotas
     from greengagefall.utils.clock import Clock
 
 log = logging.getLogger(__name__)
@@ -47,6 +48,7 @@
         channels: Channels to the servers of this host; they provide server states and key counts.
         store: The store.
         clock: Clock that counts suspended time.
+        quotas: Limiter roles of this host; None if it takes none.
     """
 
     def __init__(
@@ -56,7 +58,9 @@
         channels: ChannelManager,
         store: PlatformStore,
         clock: Clock,
+        quotas: HostQuotas | None = None,
     ) -> None:
+        self._quotas = quotas
         self._view = view
         self._peers = peers
         self._channels = channels
@@ -103,9 +107,13 @@
                 self._channels.suspect_fences(),
                 int(self._view.assignment_age_s() * MS_PER_S),
             )
+            if self._quotas is not None:
+                message = self._quotas.add_roles(sent_s, message)
             reply = await self._peers.call(coordinator.host, message, HEARTBEAT_TIMEOUT_S)
             if isinstance(reply, BeatReply):
                 self._last_answered_s = sent_s
+                if self._quotas is not None:
+                    self._quotas.on_reply(sent_s, reply)
                 self._view.confirm_assignment(
                     reply.assignment_version, sent_s - reply.verified_age_ms / MS_PER_S
                 )
--- a/greengagefall/gateway/coordinator.py
+++ b/greengagefall/gateway/coordinator.py
@@ -25,6 +25,8 @@
     HostIncarnation,
 )
 from greengagefall.protocol.gateway_messages import BeatReply, HostBeat
+from greengagefall.quotas.limited import LimitedWorkspaces
+from greengagefall.quotas.role_planner import RolePlanner
 from greengagefall.utils.metrics import count
 from greengagefall.utils.supervision import start_supervised
 
@@ -79,6 +81,7 @@
         self._reported_version = 0
         self._started_s = clock.now_s()
         self._reports = HostReports(clock)
+        self._limiter_roles = RolePlanner(view, LimitedWorkspaces(view), clock, verified_age_s)
         self._recovery = AssignmentRecovery(self._reports, peers, clock)
         self._move_planner = MovePlanner(self._reports, clock)
         self._publisher = AssignmentPublisher(peers, self._reports, clock)
@@ -102,6 +105,9 @@
 
     def on_heartbeat(self, heartbeat: HostBeat) -> BeatReply:
         """Records a heartbeat of a host and returns the reply."""
+        return self._limiter_roles.add_roles(heartbeat, self._assignment_reply(heartbeat))
+
+    def _assignment_reply(self, heartbeat: HostBeat) -> BeatReply:
         if self._reports.record_heartbeat(heartbeat):
             self._step_needed.set()
         sender = HostIncarnation(heartbeat.host, heartbeat.start_ms)
--- a/greengagefall/gateway/handlers.py
+++ b/greengagefall/gateway/handlers.py
@@ -20,10 +20,13 @@
     HostBeat,
     KeysGranted,
     KeysReleased,
+    QuotaGranted,
+    QuotaPermits,
     ReleaseKeys,
     StorePoll,
 )
 from greengagefall.protocol.messages import Failure, Hello
+from greengagefall.quotas.host_quotas import NOT_COUNTING
 from greengagefall.utils.registry import Registry
 
 if TYPE_CHECKING:
@@ -31,6 +34,7 @@
     from greengagefall.gateway.dispatchers import ChannelManager
     from greengagefall.gateway.relaying import StoreRelay
     from greengagefall.gateway.view import ClusterView
+    from greengagefall.quotas.host_quotas import HostQuotas
 
 log = logging.getLogger(__name__)
 
@@ -53,6 +57,7 @@
     Attributes:
         coordinator: The coordinator while this host is elected, else None.
         relay: Passes changes of the store on; None if this host does not.
+        quotas: Counts requests of workspaces; None if this host does not.
     """
 
     def __init__(self, view: ClusterView, channels: ChannelManager) -> None:
@@ -60,6 +65,7 @@
         self._channels = channels
         self.coordinator: Coordinator | None = None
         self.relay: StoreRelay | None = None
+        self.quotas: HostQuotas | None = None
 
     def handle(self, peer: Hello, message: Any) -> Any:
         """Returns the reply to a message, or a coroutine for it."""
@@ -130,3 +136,10 @@
     async def on_grant(self, message: GrantKeys) -> KeysGranted:
         """Grants keys that no other server holds."""
         return KeysGranted(0, await self._channels.grant(message))
+
+    @HANDLERS.register(QuotaPermits.__name__)
+    def on_quota_permits(self, message: QuotaPermits) -> QuotaGranted:
+        """Grants permits for requests of a workspace."""
+        if self.quotas is None:
+            return NOT_COUNTING
+        return self.quotas.on_permits(message)
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -38,6 +38,7 @@
 from greengagefall.ownership.model import UNKNOWN_RESTORES, HostIncarnation
 from greengagefall.platform import records as platform_records
 from greengagefall.platform.store import PlatformStore, Put
+from greengagefall.quotas.host_quotas import HostQuotas
 from greengagefall.utils.clock import SystemClock
 from greengagefall.utils.supervision import start_supervised
 
@@ -74,6 +75,8 @@
         self._channels = ChannelManager(self.view, clock, stop=self._stop)
         self._handlers = PeerHandlers(self.view, self._channels)
         self._peers = Peers(self.view, self._handlers.handle)
+        self._quotas = HostQuotas(self.view, self._peers.call, clock)
+        self._handlers.quotas = self._quotas
         self._channels.is_listed = EntryCheck(self._store).lists
         ask_others = PeerNotices(self.view, self._peers).ask
         self._channels.ask_others = ask_others
@@ -81,10 +84,15 @@
             self.view, clock, self._channels.open_pool, self._peers.is_lost, ask_others
         )
         self._heartbeats = HeartbeatSender(
-            self.view, self._peers, self._channels, self._store, clock
+            self.view, self._peers, self._channels, self._store, clock, self._quotas
         )
         self._router = Router(
-            self.view, self._peers, clock, self._heartbeats.request_update, self._stop
+            self.view,
+            self._peers,
+            clock,
+            self._heartbeats.request_update,
+            self._stop,
+            self._quotas.gate,
         )
         self._callers = CallerServer(settings.caller_address, self._router, clock)
         ip = settings.readiness_address.rpartition(":")[0]
@@ -116,6 +124,7 @@
         self._follower.start()
         self._store_probe.start()
         self._channels.start()
+        self._quotas.start()
         self._stand_in.start()
         self._heartbeats.start()
         self._election.start()
@@ -134,6 +143,7 @@
         self._callers.closing_connections = True
         self._election.stopping = True
         self._heartbeats.stopping = True
+        self._quotas.return_roles()
         log.info("Stopping.")
         times = self._stop.begin(self.view.settings.limits.grace_period_s)
         await self._election.close()
@@ -151,6 +161,7 @@
         await self._status.close()
         self._heartbeats.close()
         self._channels.close()
+        self._quotas.close()
         self._stand_in.close()
         self._follower.close()
         self._store_probe.close()
--- a/greengagefall/gateway/outcomes.py
+++ b/greengagefall/gateway/outcomes.py
@@ -81,6 +81,13 @@
     "The answer was malformed, unsigned or of another request; it may have been executed.",
     not_run=False,
 )
+OVER_QUOTA = _add("over_quota", 429, "The workspace has used up its quota.")
+QUOTA_UNAVAILABLE = _add(
+    "quota_unavailable",
+    503,
+    "No host that counts the workspace's requests answers.",
+    retry_after_ms=300,
+)
 
 
 def failure(
--- a/greengagefall/gateway/router.py
+++ b/greengagefall/gateway/router.py
@@ -12,6 +12,7 @@
 from greengagefall.gateway.model import NO_KEY
 from greengagefall.gateway.peers import UNREACHABLE
 from greengagefall.gateway.pool_choice import DispatcherLoads
+from greengagefall.gateway.quota_check import check_quota, find_workspace
 from greengagefall.limits.retry_budget import RetryBudget
 from greengagefall.limits.stop_admission import StopAdmission
 from greengagefall.protocol.gateway_messages import Dispatch, Dispatched, NotDispatched
@@ -24,7 +25,9 @@
     from greengagefall.gateway.model import CallerRequest, Route, Service
     from greengagefall.gateway.peers import Peers
     from greengagefall.gateway.view import ClusterView
+    from greengagefall.quotas.gate import QuotaGate
     from greengagefall.utils.clock import Clock
+    from greengagefall.workspaces.directory import Workspace
 
 log = logging.getLogger(__name__)
 
@@ -87,6 +90,7 @@
         clock: Clock that counts suspended time.
         request_update: Called when a dispatcher has a newer assignment than this host.
         stop: Which requests are taken while this host stops; by default it never stops.
+        quota_gate: Permits for requests of workspaces with a limit; None if nothing is limited.
     """
 
     def __init__(
@@ -96,12 +100,14 @@
         clock: Clock,
         request_update: Callable[[], None] = lambda: None,
         stop: StopAdmission | None = None,
+        quota_gate: QuotaGate | None = None,
     ) -> None:
         self._view = view
         self._peers = peers
         self._clock = clock
         self._request_update = request_update
         self._stop = stop or StopAdmission(clock)
+        self._quota_gate = quota_gate
         self._dispatcher_loads = DispatcherLoads(clock)
         self._budgets: dict[str, RetryBudget] = {}
         self._pools: dict[str, _Pool] = {}
@@ -128,8 +134,16 @@
         deadline_s = started_s + min(request.timeout_s, route.timeout_s)
         if not self._stop.accepts(deadline_s):
             return self._refuse(outcomes.STOPPING)
+        workspace = find_workspace(table, route, request)
+        over = await check_quota(
+            self._quota_gate, workspace, request, deadline_s - self._clock.now_s()
+        )
+        if over is not None:
+            return Refusal(over.reason, over.retry_after_ms)
         self._budget(service.name).on_first_attempt()
-        return await self._attempt_until_final(request, route, service, started_s, deadline_s)
+        return await self._attempt_until_final(
+            request, route, service, started_s, deadline_s, workspace
+        )
 
     def _destination(self, route: Route) -> str:
         """Picks one of the route's services at random, by weight."""
@@ -146,6 +160,7 @@
         service: Service,
         started_s: float,
         deadline_s: float,
+        workspace: Workspace | None = None,
     ) -> Answer | Refusal:
         sends = 0
         attempts = 0
@@ -167,6 +182,7 @@
                 and remaining_s > REROUTE_PAUSE_S
                 and self._stop.fits(deadline_s)
                 and self._may_repeat(route, service, outcome, sends)
+                and await self._has_permit(request, workspace, outcome, remaining_s)
             )
             self._log(request, service, outcome, attempts, retry)
             if not retry:
@@ -191,6 +207,18 @@
             return True
         return sends < route.max_attempts and self._budget(service.name).try_spend()
 
+    async def _has_permit(
+        self,
+        request: CallerRequest,
+        workspace: Workspace | None,
+        outcome: NotDispatched,
+        timeout_s: float,
+    ) -> bool:
+        """Returns whether the quota allows another attempt; one that may have run used a permit."""
+        if outcome.not_run:
+            return True
+        return await check_quota(self._quota_gate, workspace, request, timeout_s) is None
+
     async def _send(
         self,
         request: CallerRequest,
--- a/greengagefall/protocol/gateway_messages.py
+++ b/greengagefall/protocol/gateway_messages.py
@@ -110,6 +110,10 @@
             time of the incarnation that owns its keys, and the highest fencing token that has to be
             replaced before they are granted again.
         assignment_age_ms: How long ago the assignment that it has was last known to be the newest.
+        quota_token: The coordinator's ``BeatReply.quota_token``, as proof that this heartbeat was
+            sent after that reply; empty if no workspace has a limit.
+        quota_version: Version of the limiters that it has by that coordinator.
+        quota_roles: Workspaces of which it is the limiter.
     """
 
     call_id: int
@@ -122,6 +126,9 @@
     rate_limits: Sequence[list[Any]] = ()
     suspect_fences: Sequence[list[Any]] = ()
     assignment_age_ms: int = 0
+    quota_token: str = ""
+    quota_version: int = 0
+    quota_roles: Sequence[str] = ()
 
 
 @message("hr")
@@ -132,11 +139,58 @@
         call_id: Id of the ``HostBeat``.
         assignment_version: Version of the newest assignment.
         verified_age_ms: Time since the coordinator last verified that it is the only one.
+        quota_token: Identifies this coordinator; empty while it grants no limiter roles.
+        quota_version: Version of ``quota_limiters``.
+        quota_roles: Workspaces for which the host gets a lease as limiter, new or renewed.
+        quota_lease_ms: Duration of these leases from the sending of the heartbeat.
+        quota_limiters: Workspaces by the host that is their limiter; None if the host has this
+            version.
     """
 
     call_id: int
     assignment_version: int
     verified_age_ms: int
+    quota_token: str = ""
+    quota_version: int = 0
+    quota_roles: Sequence[str] = ()
+    quota_lease_ms: int = 0
+    quota_limiters: dict[str, list[str]] | None = None
+
+
+@message("qp")
+class QuotaPermits(NamedTuple):
+    """Asks for permits to pass requests of a workspace on; the reply is a ``QuotaGranted``.
+
+    Attributes:
+        call_id: Id of the call on this connection.
+        workspace: Name of the workspace.
+        needed: Requests that wait for a permit.
+        expected: Permits for requests that are expected soon.
+        fallback: Whether the host is asked as the fallback host of the zone.
+    """
+
+    call_id: int
+    workspace: str
+    needed: int
+    expected: int
+    fallback: bool
+
+
+@message("qg")
+class QuotaGranted(NamedTuple):
+    """Grants permits.
+
+    Attributes:
+        call_id: Id of the ``QuotaPermits``.
+        responsible: Whether the host counts for the workspace.
+        granted: Number of permits.
+        retry_after_ms: Time until another permit may be available; 0 if all needed were granted.
+    """
+
+    call_id: int
+    responsible: bool
+    granted: int
+    retry_after_ms: int
 
 
 @message("as")
--- /dev/null
+++ b/greengagefall/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of workspaces over all entry hosts."""
--- a/greengagefall/utils/logs.py
+++ b/greengagefall/utils/logs.py
@@ -26,6 +26,7 @@
     "greengagefall.gateway": "gateway",
     "greengagefall.ownership": "ownership",
     "greengagefall.platform": "platform",
+    "greengagefall.quotas": "quotas",
 }
 
 
