--- a/greengagefall/quotas/gate.py
+++ b/greengagefall/quotas/gate.py
@@ -26,8 +26,8 @@
 MS_PER_S = 1000.0
 LIMITER_TIMEOUT_S = 0.25
 FALLBACK_TIMEOUT_S = 0.15
-# After a limiter did not answer, requests go to the fallback host for this long.
-SILENT_LIMITER_PAUSE_S = 0.5
+# A host that did not answer is not asked for this long.
+SILENT_HOST_PAUSE_S = 0.5
 # After the fallback host granted nothing, requests are refused without a call for this long.
 UNAVAILABLE_PAUSE_S = 0.2
 # Permits for the requests that are expected in this time are asked for with those that wait.
@@ -99,7 +99,6 @@
         demand: Its rate of requests.
         exhausted_until_s: Time until which the limiter has no permits.
         unavailable_until_s: Time until which the fallback host is not asked again.
-        silent_until_s: Time until which the limiter is not asked again.
         task: Asks for permits; None while no request waits.
     """
 
@@ -110,8 +109,6 @@
         self.demand = _Demand()
         self.exhausted_until_s = -math.inf
         self.unavailable_until_s = -math.inf
-        self.silent_until_s = -math.inf
-        self.silent_limiter: str | None = None
         self.task: asyncio.Task[None] | None = None
 
 
@@ -137,6 +134,7 @@
         self._fallback_of = fallback_of
         self._clock = clock
         self._states: dict[str, _State] = {}
+        self._silent_until_s: dict[str, float] = {}
 
     def close(self) -> None:
         """Ends all calls for permits; requests that wait for them are refused."""
@@ -220,19 +218,13 @@
         """Asks the limiter, or the fallback host if there is no answer; None without either."""
         name = state.workspace.name
         limiter = self._limiter_of(name)
-        now_s = self._clock.now_s()
-        silent = limiter == state.silent_limiter and now_s < state.silent_until_s
-        if limiter is not None and not silent:
-            message = QuotaPermits(0, name, needed, state.demand.expected(now_s), fallback=False)
+        if limiter is not None:
+            expected = state.demand.expected(self._clock.now_s())
+            message = QuotaPermits(0, name, needed, expected, fallback=False)
             reply = await self._call_one(limiter, message, LIMITER_TIMEOUT_S, "limiter")
             if reply is not None:
                 return reply
-            state.silent_limiter = limiter
-            state.silent_until_s = self._clock.now_s() + SILENT_LIMITER_PAUSE_S
-            log.info(
-                "Limiter of a workspace does not answer; asking the zone's fallback host.",
-                extra={"workspace": name, "limiter": limiter, "waiting": needed},
-            )
+        count("quota_fallbacks")
         fallback = self._fallback_of(name)
         if fallback is None:
             return None
@@ -242,9 +234,19 @@
     async def _call_one(
         self, host: str, message: QuotaPermits, timeout_s: float, source: str
     ) -> _Reply | None:
+        """Asks a host; returns None if it does not answer in time or is not responsible."""
         sent_s = self._clock.now_s()
+        if sent_s < self._silent_until_s.get(host, -math.inf):
+            return None
         reply = await self._call(host, message, timeout_s)
-        if not isinstance(reply, QuotaGranted) or not reply.responsible:
+        if not isinstance(reply, QuotaGranted):
+            self._silent_until_s[host] = self._clock.now_s() + SILENT_HOST_PAUSE_S
+            log.info(
+                "Host that counts for a workspace does not answer.",
+                extra={"workspace": message.workspace, "peer": host, "source": source},
+            )
+            return None
+        if not reply.responsible:
             return None
         if self._clock.now_s() >= sent_s + PERMIT_VALIDITY_S:
             count("quota_permits_expired", reply.granted)
--- a/greengagefall/quotas/host_quotas.py
+++ b/greengagefall/quotas/host_quotas.py
@@ -64,6 +64,10 @@
         """Gives up the limiter roles before the heartbeat that announces the stop."""
         self._limiter.return_all()
 
+    def limiters(self) -> dict[str, str]:
+        """Returns the limiter of each workspace that this host knows of."""
+        return dict(self._limiters)
+
     def add_roles(self, sent_s: float, beat: HostBeat) -> HostBeat:
         """Returns a heartbeat with the limiter roles of this host added."""
         if not self._limited.current():
--- /dev/null
+++ b/greengagefall/tests/quotas_gate_tests.py
@@ -0,0 +1,122 @@
+"""Tests of the entry host's gate: cost, memory, fallback and validity of permits."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from greengagefall.gateway import outcomes
+from greengagefall.gateway.peers import UNREACHABLE
+from greengagefall.protocol.gateway_messages import QuotaGranted
+from greengagefall.quotas.arithmetic import PERMIT_VALIDITY_S
+from greengagefall.quotas.gate import UNLIMITED, QuotaGate
+from greengagefall.utils.clock import ManualClock
+from greengagefall.workspaces.directory import Workspace
+
+WORKSPACE = Workspace("w", rate_per_s=10.0, burst=5.0)
+TIMEOUT_S = 1.0
+
+
+class GateTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = ManualClock(100.0)
+        self.calls = []
+        self.replies = {}
+        self.delay_s = 0.0
+        self.gate = QuotaGate(self.call, lambda _: "limiter", lambda _: "fallback", self.clock)
+
+    async def call(self, host, message, timeout_s):
+        self.calls.append((host, message.needed, message.expected))
+        await asyncio.sleep(0)
+        self.clock.advance(self.delay_s)
+        granted = self.replies[host]
+        if granted is None:
+            return UNREACHABLE
+        granted = min(granted, message.needed + message.expected)
+        retry_after_ms = 0 if granted >= message.needed else 700
+        return QuotaGranted(0, True, granted, retry_after_ms)
+
+    async def take(self, count=1, workspace=WORKSPACE):
+        return await asyncio.gather(*(self.gate.take(workspace, TIMEOUT_S) for _ in range(count)))
+
+    async def test_workspace_without_limit_costs_no_call(self):
+        """Guards against work for requests that no quota limits."""
+        self.assertEqual(await self.take(1, Workspace("free")), [UNLIMITED])
+        self.assertEqual(await self.take(1, None), [UNLIMITED])
+        self.assertEqual(self.calls, [])
+
+    async def test_requests_that_wait_share_one_call(self):
+        """Guards against one call per request while another is under way."""
+        self.replies["limiter"] = 100
+        decisions = await self.take(8)
+        self.assertTrue(all(decision.granted for decision in decisions))
+        self.assertEqual([needed for _, needed, _ in self.calls], [8])
+
+    async def test_exhausted_quota_is_remembered_until_the_named_time(self):
+        """Guards against a call for each request over the quota, and against refusing longer."""
+        self.replies["limiter"] = 0
+        (first,) = await self.take()
+        self.clock.advance(0.69)
+        (second,) = await self.take()
+        self.assertEqual((first.reason, second.reason), (outcomes.OVER_QUOTA,) * 2)
+        self.assertEqual(len(self.calls), 1)
+        self.clock.advance(0.02)
+        self.replies["limiter"] = 1
+        self.assertTrue((await self.take())[0].granted)
+
+    async def test_raised_limit_ends_the_memory_of_an_exhausted_quota(self):
+        """Guards against refusals by a limit that is no longer in force."""
+        self.replies["limiter"] = 0
+        await self.take()
+        self.replies["limiter"] = 1
+        (decision,) = await self.take(1, WORKSPACE._replace(rate_per_s=50.0))
+        self.assertTrue(decision.granted)
+
+    async def test_fallback_is_asked_while_the_limiter_does_not_answer(self):
+        """Guards against refusals while only the limiter is unreachable, and repeated waits."""
+        self.replies.update(limiter=None, fallback=1)
+        self.assertEqual((await self.take())[0].source, "fallback")
+        self.assertEqual((await self.take())[0].source, "fallback")
+        self.assertEqual([host for host, _, _ in self.calls], ["limiter", "fallback", "fallback"])
+
+    async def test_refused_with_503_if_nobody_answers(self):
+        """Guards against passing requests on without a permit."""
+        self.replies.update(limiter=None, fallback=None)
+        (decision,) = await self.take()
+        self.assertEqual(decision.reason, outcomes.QUOTA_UNAVAILABLE)
+        self.assertGreater(decision.retry_after_ms, 0)
+
+    async def test_reply_after_the_validity_grants_nothing(self):
+        """Guards against permits that pass in a later window than the one that they count in."""
+        self.replies.update(limiter=1, fallback=None)
+        self.delay_s = PERMIT_VALIDITY_S
+        self.assertFalse((await self.take())[0].granted)
+
+    async def test_permit_is_checked_again_when_the_request_resumes(self):
+        """Guards against a process that is suspended between the reply and the use."""
+        self.replies["limiter"] = 1
+        distribute = self.gate._distribute
+
+        def distribute_and_suspend(*arguments):
+            distribute(*arguments)
+            self.clock.advance(PERMIT_VALIDITY_S)
+
+        self.gate._distribute = distribute_and_suspend
+        self.assertFalse((await self.take())[0].granted)
+
+    async def test_unused_permits_expire(self):
+        """Guards against a stock that outlasts the window."""
+        self.replies["limiter"] = 100
+        for _ in range(10):
+            await self.take()
+        self.assertGreater(sum(expected for _, _, expected in self.calls), 0)
+        calls = len(self.calls)
+        self.clock.advance(PERMIT_VALIDITY_S)
+        await self.take()
+        self.assertEqual(len(self.calls), calls + 1)
+
+    async def test_failed_call_refuses_the_requests_that_wait(self):
+        """Guards against requests that wait until their deadline after an error."""
+        with self.assertLogs("greengagefall", "ERROR"):
+            (decision,) = await self.take()  # No reply is scripted: the call raises an error.
+        self.assertEqual(decision.reason, outcomes.QUOTA_UNAVAILABLE)
