--- a/greengagefall/quotas/permit_bucket.py
+++ b/greengagefall/quotas/permit_bucket.py
@@ -45,12 +45,11 @@
         self._refilled_s = clock.now_s()
 
     def set_shape(self, shape: BucketShape) -> None:
-        """Applies a changed limit; tokens above the new capacity are dropped."""
+        """Applies a changed limit; the next ``take`` drops tokens above the new capacity."""
         if shape == self._shape:
             return
         self._refill()
         self._shape = shape
-        self._tokens = min(self._tokens, shape.capacity)
 
     def take(self, needed: int, expected: int) -> Grant:
         """Takes tokens for requests that wait and, if enough are left, for expected ones."""
--- a/greengagefall/quotas/role_planner.py
+++ b/greengagefall/quotas/role_planner.py
@@ -33,9 +33,10 @@
 log = logging.getLogger(__name__)
 
 MS_PER_S = 1000.0
-# Covers the time without a coordinator after one was killed: 2 s until its record expires, the
-# election, the wait of the next coordinator, and two heartbeats.
-LIMITER_LEASE_S = 4.0
+# Covers the time without a coordinator after one was killed: 2 s until its record expires, up to
+# 1 s for the election, the wait of the next coordinator, and three heartbeats. At 4 s some leases
+# ended before they were reported, and their roles waited for ROLE_VALIDITY_S.
+LIMITER_LEASE_S = 5.0
 # A host without a heartbeat for this long gets no new roles.
 HOST_TIMEOUT_S = 1.4
 # A coordinator renews its record every 0.5 s.
@@ -181,6 +182,8 @@
         if not may_move:
             return [name for name in held if name in beat.quota_roles]
         eligible = self._eligible(now_s)
+        if beat.host not in eligible:
+            return []
         even_share = math.ceil(len(limited) / max(1, len(eligible)))
         if len(held) <= SURPLUS_RATIO * even_share:
             return held
@@ -217,11 +220,18 @@
         return self._all_reported
 
     def _eligible(self, now_s: float) -> list[str]:
-        return [
+        """Returns the hosts that may be limiters.
+
+        The coordinator's host is one only if it is alone: its roles would be lost together with the
+        coordinator, and be free only after the wait of the next one.
+        """
+        current = [
             name
             for name, host in self._hosts.items()
             if host.reported and not host.stopping and now_s - host.received_s < HOST_TIMEOUT_S
         ]
+        own = self._view.host_incarnation.host
+        return [name for name in current if name != own] or current
 
     def _set_holder(self, name: str, beat: HostBeat, until_s: float) -> None:
         before = self._holders.get(name)
--- a/greengagefall/tests/quotas_exploration_tests.py
+++ b/greengagefall/tests/quotas_exploration_tests.py
@@ -16,7 +16,7 @@
 from greengagefall.quotas import fallback, gate
 from greengagefall.quotas.limiter import LimiterRole
 from greengagefall.quotas.permit_bucket import PermitBucket
-from greengagefall.quotas.role_planner import RolePlanner
+from greengagefall.quotas.role_planner import LIMITER_LEASE_S, RolePlanner
 from greengagefall.tests.virtual_time import LoopClock, run_in_virtual_time
 from greengagefall.workspaces.directory import Workspace
 
@@ -169,9 +169,9 @@
         host = self._any_up()
         if host is not None:
             host.resumed.clear()
-            self.loop.call_later(3.5, self.model.cut_zones.add, host.zone)
-            self.loop.call_later(4.5, host.resumed.set)
-            self.loop.call_later(9.0, self.model.cut_zones.discard, host.zone)
+            self.loop.call_later(LIMITER_LEASE_S - 0.5, self.model.cut_zones.add, host.zone)
+            self.loop.call_later(LIMITER_LEASE_S + 0.5, host.resumed.set)
+            self.loop.call_later(2 * LIMITER_LEASE_S, self.model.cut_zones.discard, host.zone)
 
     def fault_slow_links(self) -> None:
         self.model.slow_s = self.rng.choice((0.0, 0.1, 0.1, 0.25))
--- a/greengagefall/tests/quotas_gate_tests.py
+++ b/greengagefall/tests/quotas_gate_tests.py
@@ -3,18 +3,33 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import unittest
+from unittest import mock
 
 from greengagefall.gateway import outcomes
+from greengagefall.gateway import router as router_module
+from greengagefall.gateway.model import (
+    NO_KEY,
+    CallerRequest,
+    Destination,
+    OperatorLimits,
+    Route,
+    RoutingTable,
+    Service,
+)
 from greengagefall.gateway.peers import UNREACHABLE
-from greengagefall.protocol.gateway_messages import QuotaGranted
+from greengagefall.gateway.router import Router
+from greengagefall.protocol.gateway_messages import Dispatched, QuotaGranted
 from greengagefall.quotas.arithmetic import PERMIT_VALIDITY_S
-from greengagefall.quotas.gate import UNLIMITED, QuotaGate
+from greengagefall.quotas.gate import UNLIMITED, QuotaDecision, QuotaGate
 from greengagefall.utils.clock import ManualClock
 from greengagefall.workspaces.directory import Workspace
 
 WORKSPACE = Workspace("w", rate_per_s=10.0, burst=5.0)
 TIMEOUT_S = 1.0
+POOL = Service("pool", "/", 8, 0.0, 0.0, False, 0.0)
+ROUTE = Route("r", "h", "/", (Destination("pool", 1.0),), True, 1, 0.5, 2.0, 2)
 
 
 class GateTests(unittest.IsolatedAsyncioTestCase):
@@ -107,9 +122,9 @@
     async def test_unused_permits_expire(self):
         """Guards against a stock that outlasts the window."""
         self.replies["limiter"] = 100
-        for _ in range(10):
+        await self.take()
+        while not self.gate._states["w"].stock:
             await self.take()
-        self.assertGreater(sum(expected for _, _, expected in self.calls), 0)
         calls = len(self.calls)
         self.clock.advance(PERMIT_VALIDITY_S)
         await self.take()
@@ -120,3 +135,39 @@
         with self.assertLogs("greengagefall", "ERROR"):
             (decision,) = await self.take()  # No reply is scripted: the call raises an error.
         self.assertEqual(decision.reason, outcomes.QUOTA_UNAVAILABLE)
+        self.assertEqual(decision.source, "none")
+
+
+class RepeatedSendTests(unittest.IsolatedAsyncioTestCase):
+    async def repeat(self, outcome, granted):
+        """Returns the permits and sends of a request whose first attempt had an outcome."""
+        table = RoutingTable(1, {"h": (ROUTE,)}, {"pool": POOL}, 0, 0, 0.0)
+        view = mock.Mock(routing_table=table)
+        view.settings.limits = OperatorLimits()
+        view.hosts = {}
+        gate = mock.Mock(take=mock.AsyncMock(side_effect=granted))
+        router = Router(view, None, ManualClock(100.0), quota_gate=gate)
+        answer = Dispatched(0, 200, [], b"", 0)
+        router._target = mock.Mock(return_value=("host", ""))
+        router._send = mock.AsyncMock(side_effect=[outcome, answer])
+        request = CallerRequest("id", "GET", "h", "/", [], b"", math.inf, NO_KEY)
+        with mock.patch.object(router_module, "find_workspace", lambda *_: WORKSPACE):
+            await router.route(request)
+        return gate.take.await_count, router._send.await_count
+
+    async def test_send_after_one_that_may_have_run_takes_another_permit(self):
+        """Guards against two arrivals at servers that count as one."""
+        lost = outcomes.failure(outcomes.OUTCOME_UNKNOWN, sent=True)
+        granted, refused = UNLIMITED, QuotaDecision(False, outcomes.OVER_QUOTA)
+        self.assertEqual(await self.repeat(lost, [granted, granted]), (2, 2))
+        self.assertEqual(await self.repeat(lost, [granted, refused]), (2, 1))
+
+    async def test_send_after_one_that_did_not_run_takes_none(self):
+        """Guards against a permit, and a call, for each attempt that reached no server."""
+        refused = outcomes.failure(outcomes.SERVER_REFUSED, sent=True)
+        self.assertEqual(await self.repeat(refused, [UNLIMITED]), (1, 2))
+
+    async def test_request_over_the_quota_is_not_sent(self):
+        """Guards against a refusal with 429 whose request is executed."""
+        over = QuotaDecision(False, outcomes.OVER_QUOTA)
+        self.assertEqual(await self.repeat(None, [over]), (1, 0))
--- a/greengagefall/tests/quotas_roles_tests.py
+++ b/greengagefall/tests/quotas_roles_tests.py
@@ -100,6 +100,16 @@
         self.assertEqual(self.beat(other, token).quota_roles, ("w",))
         self.assertEqual(self.beat(holder, token, ("w",)).quota_roles, ())
 
+    def test_coordinators_host_passes_its_roles_on(self):
+        """Guards against roles that are lost together with the coordinator."""
+        self.clock.advance(role_planner.MOVE_VALIDITY_S + 0.1)
+        token = self.beat("h0").quota_token
+        self.assertEqual(self.beat("h0", token, ("w",)).quota_roles, ("w",))
+        self.beat("h1", token)
+        self.assertEqual(self.beat("h0", token, ("w",)).quota_roles, ())
+        self.clock.advance(LEASE_S + 0.1)
+        self.assertEqual(self.beat("h1", token).quota_roles, ("w",))
+
     def test_returned_role_and_ended_process_are_replaced_at_once(self):
         """Guards against a workspace without limiter for a lease after a stop or restart."""
         holder, other, token = self.settle()
@@ -126,6 +136,7 @@
         """Guards against a cost for deployments without quotas."""
         view = make_view(self.clock, (Workspace("free"),))
         quotas = HostQuotas(view, None, self.clock)
+        quotas.on_reply(99.0, REPLY._replace(quota_token="of an earlier configuration"))
         beat = HostBeat(0, "h0", 1, 1, False, [], [])
         self.assertEqual(encode(quotas.add_roles(100.0, beat)), encode(beat))
         planner = RolePlanner(view, LimitedWorkspaces(view), self.clock, lambda: 0.0)
