Renew an adopted limiter role once before it is passed on; close quotas twice

A host that is killed and then closed failed on the second removal of its listener (8 errors in gateway_end_to_end_tests and gateway_stop_tests).

Evidence: quotas_gate_tests and quotas_roles_tests (28) pass, as do the 77 of gateway_end_to_end, stop, coordinator, beats, router, publishing, assignment_recovery and codec tests.

--- a/greengagefall/quotas/host_quotas.py
+++ b/greengagefall/quotas/host_quotas.py
@@ -47,17 +47,21 @@
         self._limiters: dict[str, str] = {}
         self._token = ""
         self._version = 0
+        self._started = False
         self._known: tuple[Any, Any] = ({}, {})
         self.gate = QuotaGate(call, self._limiters.get, self._fallback.host_for, clock)
 
     def start(self) -> None:
         """Follows changes of hosts and configuration."""
+        self._started = True
         self._view.add_listener(self._on_change)
         self._on_change()
 
     def close(self) -> None:
         """Stops following changes and ends the calls of the gate."""
-        self._view.remove_listener(self._on_change)
+        if self._started:
+            self._started = False
+            self._view.remove_listener(self._on_change)
         self.gate.close()
 
     def return_roles(self) -> None:
--- a/greengagefall/quotas/role_planner.py
+++ b/greengagefall/quotas/role_planner.py
@@ -66,11 +66,19 @@
 
 
 class _Holder(NamedTuple):
-    """The host whose lease on a role is valid until a time on this host's clock."""
+    """The host that holds a role.
+
+    Attributes:
+        host: Its name.
+        start_ms: Start time of its incarnation.
+        until_s: Latest end of its lease on this host's clock.
+        adopted: Whether the lease is that of a former coordinator, so that it may end earlier.
+    """
 
     host: str
     start_ms: int
     until_s: float
+    adopted: bool
 
 
 class RolePlanner:
@@ -163,7 +171,8 @@
         for name in beat.quota_roles:
             holder = self._holders.get(name)
             if holder is None:
-                self._set_holder(name, beat, now_s + LIMITER_LEASE_S + MARGIN_S)
+                until_s = now_s + LIMITER_LEASE_S + MARGIN_S
+                self._set_holder(name, beat, until_s, adopted=True)
             elif holder.until_s > now_s and not _is_of(holder, beat):
                 count("quota_conflicts")
                 log.error(
@@ -183,7 +192,8 @@
             return [name for name in held if name in beat.quota_roles]
         eligible = self._eligible(now_s)
         if beat.host not in eligible:
-            return []
+            # Renewed once, so that the role is free when the lease ends.
+            return [name for name in held if self._holders[name].adopted]
         even_share = math.ceil(len(limited) / max(1, len(eligible)))
         if len(held) <= SURPLUS_RATIO * even_share:
             return held
@@ -233,9 +243,11 @@
         own = self._view.host_incarnation.host
         return [name for name in current if name != own] or current
 
-    def _set_holder(self, name: str, beat: HostBeat, until_s: float) -> None:
+    def _set_holder(
+        self, name: str, beat: HostBeat, until_s: float, *, adopted: bool = False
+    ) -> None:
         before = self._holders.get(name)
-        self._holders[name] = _Holder(beat.host, beat.start_ms, until_s)
+        self._holders[name] = _Holder(beat.host, beat.start_ms, until_s, adopted)
         if before is not None and before.host == beat.host:
             return
         self._version += 1
--- a/greengagefall/tests/quotas_roles_tests.py
+++ b/greengagefall/tests/quotas_roles_tests.py
@@ -110,6 +110,14 @@
         self.clock.advance(LEASE_S + 0.1)
         self.assertEqual(self.beat("h1", token).quota_roles, ("w",))
 
+    def test_adopted_role_is_renewed_once_before_it_is_passed_on(self):
+        """Guards against a gap from the end of the former lease to its latest possible end."""
+        self.clock.advance(role_planner.MOVE_VALIDITY_S + 0.1)
+        token = self.beat("h1").quota_token
+        self.beat("h1", token)
+        self.assertEqual(self.beat("h0", token, ("w",)).quota_roles, ("w",))
+        self.assertEqual(self.beat("h0", token, ("w",)).quota_roles, ())
+
     def test_returned_role_and_ended_process_are_replaced_at_once(self):
         """Guards against a workspace without limiter for a lease after a stop or restart."""
         holder, other, token = self.settle()
