Apply changed operator limits to quotas while the host runs

Cause: limiter and fallback host kept the limits of their start, while settings are read again when the file changes.

Evidence: quotas_gate_tests and quotas_roles_tests (29) pass; the new test fails with the limits captured at the start.

--- a/greengagefall/quotas/fallback.py
+++ b/greengagefall/quotas/fallback.py
@@ -11,7 +11,7 @@
 from greengagefall.utils.hashing import hash64
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from greengagefall.gateway.model import OperatorLimits
     from greengagefall.gateway.view import HostRecord
@@ -35,11 +35,13 @@
     Args:
         host: Name of this host.
         zone: Its zone.
-        limits: Limits of the operators.
+        limits: Returns the limits of the operators, which may change.
         clock: Clock that counts suspended time.
     """
 
-    def __init__(self, host: str, zone: str, limits: OperatorLimits, clock: Clock) -> None:
+    def __init__(
+        self, host: str, zone: str, limits: Callable[[], OperatorLimits], clock: Clock
+    ) -> None:
         self._host = host
         self._zone = zone
         self._limits = limits
@@ -77,13 +79,13 @@
         """Grants permits; None if this host is not the fallback host of its zone."""
         since_s = self._since_s.get(workspace.name, math.inf)
         now_s = self._clock.now_s()
-        window_s = grant_window_s(self._limits)
+        window_s = grant_window_s(self._limits())
         if now_s < since_s + window_s:
             return None
         granted_s = self._granted_s.setdefault(workspace.name, deque())
         while granted_s and granted_s[0] <= now_s - window_s:
             granted_s.popleft()
-        most = fallback_permits(workspace, self._limits, self._zones)
+        most = fallback_permits(workspace, self._limits(), self._zones)
         granted = max(0, min(needed, most - len(granted_s)))
         granted_s.extend([now_s] * granted)
         if granted == needed:
--- a/greengagefall/quotas/host_quotas.py
+++ b/greengagefall/quotas/host_quotas.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from greengagefall.gateway.model import OperatorLimits
     from greengagefall.gateway.view import ClusterView
     from greengagefall.protocol.gateway_messages import BeatReply, HostBeat, QuotaPermits
     from greengagefall.utils.clock import Clock
@@ -42,8 +43,8 @@
         settings = view.settings
         self._view = view
         self._limited = LimitedWorkspaces(view)
-        self._limiter = LimiterRole(settings.limits, clock)
-        self._fallback = ZoneFallback(settings.host, settings.zone, settings.limits, clock)
+        self._limiter = LimiterRole(self._operator_limits, clock)
+        self._fallback = ZoneFallback(settings.host, settings.zone, self._operator_limits, clock)
         self._limiters: dict[str, str] = {}
         self._token = ""
         self._version = 0
@@ -112,6 +113,9 @@
         count("quota_permits", grant.granted, role=role)
         return QuotaGranted(0, True, grant.granted, grant.retry_after_ms)
 
+    def _operator_limits(self) -> OperatorLimits:
+        return self._view.settings.limits
+
     def _on_change(self) -> None:
         """Chooses the fallback hosts again if hosts or limited workspaces changed."""
         limited = self._limited.current()
--- a/greengagefall/quotas/limiter.py
+++ b/greengagefall/quotas/limiter.py
@@ -10,7 +10,7 @@
 from greengagefall.utils.metrics import count
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from greengagefall.gateway.model import OperatorLimits
     from greengagefall.utils.clock import Clock
@@ -37,11 +37,11 @@
     """The workspaces for which this host is the limiter.
 
     Args:
-        limits: Limits of the operators.
+        limits: Returns the limits of the operators, which may change.
         clock: Clock that counts suspended time.
     """
 
-    def __init__(self, limits: OperatorLimits, clock: Clock) -> None:
+    def __init__(self, limits: Callable[[], OperatorLimits], clock: Clock) -> None:
         self._limits = limits
         self._clock = clock
         self._roles: dict[str, _Role] = {}
@@ -81,7 +81,7 @@
             if role is not None:
                 self._roles[name] = role._replace(until_s=max(role.until_s, until_s))
             elif name in workspaces:
-                shape = limiter_shape(workspaces[name], self._limits)
+                shape = limiter_shape(workspaces[name], self._limits())
                 self._roles[name] = _Role(until_s, PermitBucket(shape, self._clock))
                 log.info("Became limiter of a workspace.", extra={"workspace": name})
                 count("quota_roles", change="taken")
@@ -99,7 +99,7 @@
         role = self._roles.get(workspace.name)
         if role is None or self._clock.now_s() >= role.until_s:
             return None
-        role.bucket.set_shape(limiter_shape(workspace, self._limits))
+        role.bucket.set_shape(limiter_shape(workspace, self._limits()))
         return role.bucket.take(needed, expected)
 
     def _drop_expired(self) -> None:
--- a/greengagefall/tests/quotas_roles_tests.py
+++ b/greengagefall/tests/quotas_roles_tests.py
@@ -155,7 +155,8 @@
 class LimiterTests(unittest.TestCase):
     def setUp(self):
         self.clock = ManualClock(100.0)
-        self.limiter = LimiterRole(LIMITS, self.clock)
+        self.limits = LIMITS
+        self.limiter = LimiterRole(lambda: self.limits, self.clock)
 
     def renew(self, delay_s=0.0):
         sent_s = self.clock.now_s()
@@ -189,6 +190,14 @@
         shape = arithmetic.limiter_shape(lowered, LIMITS)
         self.assertLessEqual(self.limiter.grant(lowered, 100, 0).granted, shape.capacity)
 
+    def test_changed_limits_of_the_operators_apply_to_a_held_role(self):
+        """Guards against a tolerance that operators lowered while the host runs."""
+        self.renew()
+        self.clock.advance(LEASE_S - 0.1)
+        self.limits = LIMITS._replace(quota_overage_ratio=0.0, quota_extra_requests=0.0)
+        shape = arithmetic.limiter_shape(W, self.limits)
+        self.assertLessEqual(self.limiter.grant(W, 100, 0).granted, shape.capacity)
+
     def test_reply_to_an_earlier_heartbeat_or_after_the_return_is_ignored(self):
         """Guards against a role that a later heartbeat reported as not held."""
         self.limiter.begin_heartbeat(99.0)
@@ -216,7 +225,7 @@
     def test_new_fallback_host_waits_one_window_and_keeps_its_share(self):
         """Guards against a share for each restart of a host or each change of the hosts."""
         clock = ManualClock(100.0)
-        fallback = ZoneFallback("h0", "a", LIMITS, clock)
+        fallback = ZoneFallback("h0", "a", lambda: LIMITS, clock)
         fallback.update(["w"], {"h0": record("h0"), "other": record("other", "b")})
         window_s = arithmetic.grant_window_s(LIMITS)
         clock.advance(window_s - 0.1)
