Forget workspaces without a limit at the gate

Cause: the gate kept the state of each workspace that ever had a limit.

Evidence: quotas_gate_tests and quotas_roles_tests (29) pass; the new check needs the call of keep.

--- a/greengagefall/quotas/gate.py
+++ b/greengagefall/quotas/gate.py
@@ -16,7 +16,7 @@
 from greengagefall.utils.supervision import log_failure
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Container
 
     from greengagefall.utils.clock import Clock
     from greengagefall.workspaces.directory import Workspace
@@ -142,6 +142,14 @@
             if state.task is not None:
                 state.task.cancel()
 
+    def keep(self, names: Container[str]) -> None:
+        """Forgets workspaces that no longer have a limit, unless requests wait for permits."""
+        self._states = {
+            name: state
+            for name, state in self._states.items()
+            if name in names or state.task is not None
+        }
+
     async def take(self, workspace: Workspace | None, timeout_s: float) -> QuotaDecision:
         """Takes a permit for one sending of a request; decides at once where no call is needed.
 
--- a/greengagefall/quotas/host_quotas.py
+++ b/greengagefall/quotas/host_quotas.py
@@ -123,5 +123,5 @@
         if (limited, hosts) == self._known:
             return
         self._known = (dict(limited), dict(hosts))
-        if limited:
-            self._fallback.update(limited, hosts)
+        self._fallback.update(limited, hosts)
+        self.gate.keep(limited)
--- a/greengagefall/tests/quotas_roles_tests.py
+++ b/greengagefall/tests/quotas_roles_tests.py
@@ -4,6 +4,7 @@
 
 import logging
 import unittest
+from unittest import mock
 
 from greengagefall.gateway.model import EMPTY_ROUTING_TABLE, OperatorLimits, PlatformSettings
 from greengagefall.gateway.view import ClusterView, HostRecord
@@ -141,12 +142,15 @@
         self.assertEqual(self.beat(other, token, ("w",)), REPLY)
 
     def test_configuration_without_limits_adds_no_bytes(self):
-        """Guards against a cost for deployments without quotas."""
+        """Guards against a cost for deployments without quotas, or once they have no more."""
         view = make_view(self.clock, (Workspace("free"),))
         quotas = HostQuotas(view, None, self.clock)
         quotas.on_reply(99.0, REPLY._replace(quota_token="of an earlier configuration"))
         beat = HostBeat(0, "h0", 1, 1, False, [], [])
         self.assertEqual(encode(quotas.add_roles(100.0, beat)), encode(beat))
+        quotas.gate._states["former"] = mock.Mock(task=None)
+        quotas.start()
+        self.assertEqual(quotas.gate._states, {})
         planner = RolePlanner(view, LimitedWorkspaces(view), self.clock, lambda: 0.0)
         self.clock.advance(100.0)
         self.assertEqual(encode(planner.add_roles(beat, REPLY)), encode(REPLY))
