--- a/greengagefall/gateway/router.py
+++ b/greengagefall/gateway/router.py
@@ -12,6 +12,7 @@
 from greengagefall.gateway.outcomes import Refusal
 from greengagefall.gateway.peers import NO_PEER_MEMORY, UNREACHABLE
 from greengagefall.gateway.pool_choice import DispatcherLoads
+from greengagefall.gateway.quota_check import check_quota
 from greengagefall.gateway.request_checks import check_request
 from greengagefall.limits.retry_budget import RetryBudget
 from greengagefall.limits.stop_admission import StopAdmission
@@ -26,6 +27,7 @@
     from greengagefall.gateway.model import CallerRequest, Route, Service
     from greengagefall.gateway.peers import Peers
     from greengagefall.gateway.view import ClusterView
+    from greengagefall.quotas.gate import QuotaGate
     from greengagefall.utils.clock import Clock
     from greengagefall.workspaces.directory import Workspace
 
@@ -78,6 +80,7 @@
         clock: Clock that counts suspended time.
         request_update: Called when a dispatcher has a newer assignment than this host.
         stop: Which requests are taken while this host stops; by default it never stops.
+        quota_gate: Permits for requests of workspaces with a limit; None if nothing is limited.
     """
 
     def __init__(
@@ -87,12 +90,14 @@
         clock: Clock,
         request_update: Callable[[], None] = lambda: None,
         stop: StopAdmission | None = None,
+        quota_gate: QuotaGate | None = None,
     ) -> None:
         self._view = view
         self._peers = peers
         self._clock = clock
         self._request_update = request_update
         self._stop = stop or StopAdmission(clock)
+        self._quota_gate = quota_gate
         self._dispatcher_loads = DispatcherLoads(clock)
         self._budgets: dict[str, RetryBudget] = {}
         self._pools: dict[str, _Pool] = {}
@@ -113,14 +118,17 @@
         deadline_s = started_s + min(request.timeout_s, route.timeout_s)
         if not self._stop.accepts(deadline_s):
             return outcomes.refusal(outcomes.STOPPING)
-        # The quota of the workspace is to be taken here, after all checks that cost nothing. It is
-        # None on a public route and without workspaces.
+        over = await check_quota(
+            self._quota_gate, workspace, request, deadline_s - self._clock.now_s()
+        )
+        if over is not None:
+            return Refusal(over.reason, over.retry_after_ms)
         self._budget(service.name).on_first_attempt()
         route = self._with_fair_priority(route, workspace)
         outcome = None
         try:
             outcome = await self._attempt_until_final(
-                request, route, service, started_s, deadline_s
+                request, route, service, started_s, deadline_s, workspace
             )
         finally:
             # Not served as well if the caller gave up.
@@ -151,6 +159,7 @@
         service: Service,
         started_s: float,
         deadline_s: float,
+        workspace: Workspace | None = None,
     ) -> Answer | Refusal:
         """Makes attempts until one is answered or no other one is allowed.
 
@@ -179,6 +188,7 @@
                 and remaining_s > REROUTE_PAUSE_S
                 and self._stop.fits(deadline_s)
                 and self._may_repeat(route, service, outcome, sends)
+                and await self._has_permit(request, workspace, outcome, remaining_s)
             )
             self._log(request, route, service, outcome, attempts, retry)
             if not retry:
@@ -227,6 +237,18 @@
             return True
         return sends < route.max_attempts and self._budget(service.name).try_spend()
 
+    async def _has_permit(
+        self,
+        request: CallerRequest,
+        workspace: Workspace | None,
+        outcome: NotDispatched,
+        timeout_s: float,
+    ) -> bool:
+        """Returns whether the quota allows another attempt; one that may have run used a permit."""
+        if outcome.not_run:
+            return True
+        return await check_quota(self._quota_gate, workspace, request, timeout_s) is None
+
     async def _send(
         self,
         request: CallerRequest,
--- a/greengagefall/utils/logs.py
+++ b/greengagefall/utils/logs.py
@@ -27,6 +27,7 @@
     "greengagefall.gateway": "gateway",
     "greengagefall.ownership": "ownership",
     "greengagefall.platform": "platform",
+    "greengagefall.quotas": "quotas",
     "greengagefall.workspaces": "workspaces",
 }
 QUOTE = re.compile("['\"]")
