Bound the memory and the descriptors that clients hold

CallerConnections reads bodies piece by piece into the account, refuses what does not fit before it is passed on (503 memory_full, 408 body_timeout, 413, 431), counts answers until they are written, and accepts connections itself, pausing when there is no room. Bodies from other hosts and unfinished answers of servers use the same account. Large bodies and answers are written without a copy. The stand-in server accepts bodies of 80 MiB, for a test of the largest one.

--- a/greengagefall/dispatch/connection_pool.py
+++ b/greengagefall/dispatch/connection_pool.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import io
 import ipaddress
 import logging
 import socket
@@ -41,6 +42,7 @@
 
 CONNECT_TIMEOUT_S = 0.5
 MAX_HEADER_BYTES = 65_536
+SEPARATE_BODY_BYTES = 65_536
 MAX_IDLE_S = 20.0
 # The pool uses only this fraction of the idle time in the Keep-Alive header of a server, because
 # the server may close the connection slightly earlier than announced.
@@ -99,7 +101,8 @@
         self._limit_bytes = limit_bytes
         self._memory = memory
         self._close = close
-        self._chunks: list[bytes] = []
+        # Its value is returned without another copy, unlike that of a list of chunks.
+        self._body = io.BytesIO()
         self._size_bytes = 0
         self.status = 0
         self.headers = HTTPHeaders()
@@ -119,8 +122,9 @@
         if self._size_bytes > self._limit_bytes:
             self.give_up()
             return
-        self._chunks.append(chunk)
         self._memory.add(self, len(chunk))
+        if not self.too_large:
+            self._body.write(chunk)
 
     def finish(self) -> None:
         """Marks the answer as complete unless it is too large."""
@@ -129,7 +133,7 @@
     def give_up(self) -> None:
         """Drops what was read and closes the connection; the answer counts as too large."""
         self.too_large = True
-        self._chunks.clear()
+        self._body = io.BytesIO()
         self._memory.remove(self)
         self._close()
 
@@ -139,7 +143,7 @@
 
     def body(self) -> bytes:
         """Returns the complete body."""
-        return b"".join(self._chunks)
+        return self._body.getvalue()
 
 
 class _AddressResolver(Resolver):
@@ -260,8 +264,14 @@
         if request.body or request.method not in BODILESS_METHODS:
             headers["Content-Length"] = str(len(request.body))
         start_line = RequestStartLine(request.method, request.path, "")
+        # A large body is written without another copy that would have the head in front of it.
+        separate = len(request.body) > SEPARATE_BODY_BYTES
         try:
-            connection.write_headers(start_line, headers, request.body or None)
+            if separate:
+                connection.write_headers(start_line, headers)
+                connection.write(request.body)
+            else:
+                connection.write_headers(start_line, headers, request.body or None)
             connection.finish()
         except StreamClosedError as error:
             raise NotSentError(
--- a/greengagefall/gateway/caller_http.py
+++ b/greengagefall/gateway/caller_http.py
@@ -20,19 +20,21 @@
 from greengagefall.utils.waiting import wait_until
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from tornado.httputil import HTTPServerRequest
 
+    from greengagefall.gateway.caller_body import RequestReader
     from greengagefall.gateway.model import CallerRequest
     from greengagefall.gateway.router import Router
+    from greengagefall.memory.client_limits import ClientLimits
+    from greengagefall.memory.host_memory import HostMemory
     from greengagefall.utils.clock import Clock
 
 log = logging.getLogger(__name__)
 
-MAX_HEADER_BYTES = 256 * 1024
-MAX_BODY_BYTES = 128 * 1024 * 1024
-# Longer than any configuration asks for, so that a connection still in use is never closed.
-IDLE_TIMEOUT_S = 3600.0
-BODY_TIMEOUT_S = 60.0
+# Larger answers are written without a copy that would have the head in front of them.
+SEPARATE_BODY_BYTES = 65_536
 MS_PER_S = 1000.0
 # Retry-After is extended by a random share of up to this much, so that callers that were refused at
 # the same time do not retry at the same time.
@@ -47,32 +49,34 @@
         address: ``IP:port`` to listen on.
         router: Routes requests to servers.
         clock: Clock that counts suspended time.
+        memory: What decides on the memory of callers.
+        read_limits: Returns the limits of the configuration in force, None without one.
 
     Attributes:
         closing_connections: Whether answers ask callers to close the connection.
     """
 
-    def __init__(self, address: str, router: Router, clock: Clock) -> None:
-        self._address = address
+    def __init__(
+        self,
+        address: str,
+        router: Router,
+        clock: Clock,
+        memory: HostMemory,
+        read_limits: Callable[[], ClientLimits | None],
+    ) -> None:
         self._router = router
         self._clock = clock
         self._random = random.Random()
         self._tasks: set[asyncio.Task] = set()
         self._routing: set[asyncio.Future] = set()
         self._ended = False
-        self._server = CallerConnections(
-            self._on_request,
-            max_header_size=MAX_HEADER_BYTES,
-            max_body_size=MAX_BODY_BYTES,
-            idle_connection_timeout=IDLE_TIMEOUT_S,
-            body_timeout=BODY_TIMEOUT_S,
-        )
+        self._decisions = memory.decisions
+        self._server = CallerConnections(address, self, memory, clock, read_limits)
         self.closing_connections = False
 
     def start(self) -> None:
         """Opens the port."""
-        host, _, port = self._address.rpartition(":")
-        self._server.listen(int(port), address=host, backlog=1024)
+        self._server.start_serving()
 
     async def drain(self, timeout_s: float) -> bool:
         """Waits until no request is read, in progress or written; returns if that was in time."""
@@ -89,12 +93,32 @@
         self._server.stop()
         await self._server.close_all_connections()
 
-    def _on_request(self, request: HTTPServerRequest) -> None:
-        task = asyncio.create_task(self._serve(request), name="serve")
+    def on_request(self, reader: RequestReader) -> None:
+        """Serves a complete request."""
+        self._server.serve_body(reader)
+        task = asyncio.create_task(self._serve_and_free(reader), name="serve")
         self._tasks.add(task)
         task.add_done_callback(log_failure)
         task.add_done_callback(self._tasks.discard)
 
+    def on_refusal(self, reader: RequestReader, reason: str) -> None:
+        """Writes the refusal of a request that was not passed on; the reader finishes it."""
+        request = reader.request
+        retry_after_ms = outcomes.OUTCOMES[reason].retry_after_ms
+        self._decisions.record("refused", reason, connections=self._server.connections)
+        self._server.close_after_answer(request.connection)
+        caller_request = headers.read_caller_request(request)
+        refusal = Refusal(reason, retry_after_ms)
+        self._refuse(request, caller_request, refusal, 0.0, finish=False)
+
+    async def _serve_and_free(self, reader: RequestReader) -> None:
+        try:
+            await self._serve(reader.request)
+        finally:
+            # Reference cycles may keep the request for a while.
+            reader.request.body = b""
+            reader.body.close()
+
     async def _serve(self, request: HTTPServerRequest) -> None:
         started_s = self._clock.now_s()
         caller_request = headers.read_caller_request(request)
@@ -136,8 +160,11 @@
                     "took_ms": int(took_ms),
                 },
             )
-            self._write(request, outcome.status, HTTPHeaders(), outcome.headers, outcome.body)
-            return
+            if self._server.hold_answer(request.connection, len(outcome.body)):
+                self._write(request, outcome.status, HTTPHeaders(), outcome.headers, outcome.body)
+                return
+            self._decisions.record("refused", outcomes.ANSWER_DROPPED, size=len(outcome.body))
+            outcome = Refusal(outcomes.ANSWER_DROPPED, 0)
         self._refuse(request, caller_request, outcome, took_ms)
 
     def _refuse(
@@ -146,6 +173,8 @@
         caller_request: CallerRequest,
         refusal: Refusal,
         took_ms: float,
+        *,
+        finish: bool = True,
     ) -> None:
         row = outcomes.OUTCOMES[refusal.reason]
         count("refusals", reason=refusal.reason)
@@ -167,7 +196,10 @@
             own_headers["Retry-After"] = f"{retry_after_s:.3f}"
         body = {"reason": refusal.reason, "not_run": row.not_run}
         echoed = [[headers.REQUEST_ID_HEADER, caller_request.request_id]]
-        self._write(request, row.http_status, own_headers, echoed, json.dumps(body).encode())
+        text = json.dumps(body).encode()
+        # Written in any case: it is small, and tells whether the request may have been executed.
+        self._server.hold_answer(request.connection, len(text))
+        self._write(request, row.http_status, own_headers, echoed, text, finish=finish)
 
     def _write(
         self,
@@ -176,17 +208,25 @@
         own_headers: HTTPHeaders,
         other_headers: list[list[str]],
         body: bytes,
+        *,
+        finish: bool = True,
     ) -> None:
         for name, value in other_headers:
             own_headers.add(name, value)
-        if self.closing_connections:
+        if self._server.nearly_full:
+            self._server.close_after_answer(request.connection)
+        if self.closing_connections or self._server.nearly_full or not finish:
             own_headers["Connection"] = "close"
         if status not in BODILESS:
             own_headers["Content-Length"] = str(len(body))
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
         chunk = None if request.method == "HEAD" or status in BODILESS else body
+        separate = chunk is not None and len(chunk) > SEPARATE_BODY_BYTES
         try:
-            request.connection.write_headers(line, own_headers, chunk)
-            request.connection.finish()
+            request.connection.write_headers(line, own_headers, None if separate else chunk)
+            if separate:
+                request.connection.write(chunk)
+            if finish:
+                request.connection.finish()
         except StreamClosedError:
             count("answers_undeliverable")
--- a/greengagefall/gateway/dispatchers.py
+++ b/greengagefall/gateway/dispatchers.py
@@ -17,6 +17,8 @@
 from greengagefall.gateway.server_knowledge import ServerKnowledge
 from greengagefall.limits.server_rate_limit import UNLIMITED
 from greengagefall.limits.stop_admission import StopAdmission
+from greengagefall.memory.budget import SERVER_ANSWERS
+from greengagefall.memory.host_memory import open_host_memory
 from greengagefall.ownership.key_load import KeyCounter
 from greengagefall.ownership.key_spans import KeySpan
 from greengagefall.ownership.model import ServerIncarnation
@@ -27,7 +29,9 @@
     from collections.abc import Awaitable, Callable
     from typing import Any
 
+    from greengagefall.gateway.model import PlatformSettings
     from greengagefall.gateway.view import ClusterView
+    from greengagefall.memory.account import MemoryAccount
     from greengagefall.protocol.gateway_messages import (
         Dispatch,
         Dispatched,
@@ -50,19 +54,23 @@
 RESTART_DETECTION_HEARTBEATS = 1.3
 # The store has dropped the entry of a server after this many heartbeat intervals of silence.
 ENTRY_EXPIRY_HEARTBEATS = 3.3
-# Memory for the unfinished answers of all servers, and for one of them, as shares of the host's. An
-# answer is copied on its way to the caller.
-UNFINISHED_ANSWERS_SHARE = 1 / 4
+# Largest answer of one server, as a share of the host's memory.
 ANSWER_SHARE = 1 / 8
 
 
-def _pool_opener(memory_bytes: int) -> Callable[[str], ConnectionPool]:
+def pool_opener(memory_bytes: int, account: MemoryAccount) -> Callable[[str], ConnectionPool]:
     """Returns what creates the connection pool of a server from its address."""
-    memory = AnswerMemory(int(UNFINISHED_ANSWERS_SHARE * memory_bytes))
+    memory = AnswerMemory(account.limit_bytes(SERVER_ANSWERS), account)
     answer_limit_bytes = int(ANSWER_SHARE * memory_bytes)
     return lambda address: ConnectionPool(address, answer_limit_bytes, memory=memory)
 
 
+def _own_pool_opener(settings: PlatformSettings, clock: Clock) -> Callable[[str], ConnectionPool]:
+    """Returns what creates pools with an account of their own, for tests of single parts."""
+    memory = open_host_memory(settings.memory_bytes, settings.max_descriptors, clock)
+    return pool_opener(settings.memory_bytes, memory.account)
+
+
 async def _is_listed(incarnation: ServerIncarnation) -> bool:
     """Tells that the store lists an incarnation, as long as nothing else is set."""
     return True
@@ -75,7 +83,7 @@
         view: The cluster view of this host.
         clock: Clock that counts suspended time.
         open_pool: Creates the connection pool of a server from its address; by default the pools
-            share the memory for answers.
+            share an account of their own.
         stop: Which requests are taken while this host stops; by default it never stops.
 
     Attributes:
@@ -93,7 +101,7 @@
         open_pool: Callable[[str], ConnectionPool] | None = None,
         stop: StopAdmission | None = None,
     ) -> None:
-        self.open_pool = open_pool or _pool_opener(view.settings.memory_bytes)
+        self.open_pool = open_pool or _own_pool_opener(view.settings, clock)
         self._stop = stop or StopAdmission(clock)
         self._view = view
         self._clock = clock
@@ -150,11 +158,11 @@
         """Executes a request on one of this host's servers, or returns why there is no answer."""
         received_s = self._clock.now_s()
         if not self._stop.accepts(received_s + request.remaining_ms / MS_PER_S):
-            return self._refuse(request, outcomes.STOPPING)
+            return self.refuse(request, outcomes.STOPPING)
         channel = self._choose(request)
         if channel is None:
             reason = outcomes.NOT_OWNER if request.server_id else outcomes.NO_SERVER
-            return self._refuse(request, reason)
+            return self.refuse(request, reason)
         if request.key != NO_KEY and channel.grants is not None:
             self._key_counters.setdefault(request.service, KeyCounter()).add(request.key)
         self._submitted += 1
@@ -314,7 +322,8 @@
         alive = [channel for channel in candidates if channel.health.up]
         return min(alive or candidates, key=ServerChannel.expected_finish_s, default=None)
 
-    def _refuse(self, request: Dispatch, reason: str) -> NotDispatched:
+    def refuse(self, request: Dispatch, reason: str) -> NotDispatched:
+        """Returns the refusal of a request that no server got."""
         count("dispatch_failures", reason=reason)
         log.info(
             "Dispatcher refused a request; the host that sent it decides about a retry.",
--- a/greengagefall/gateway/handlers.py
+++ b/greengagefall/gateway/handlers.py
@@ -5,8 +5,10 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
+from greengagefall.gateway import outcomes
 from greengagefall.gateway.publishing import full_message
 from greengagefall.gateway.relaying import NOT_RELAYING
+from greengagefall.memory.budget import WAITING_BODIES
 from greengagefall.ownership import rows
 from greengagefall.ownership.exceptions import AssignmentError
 from greengagefall.ownership.model import EMPTY_ASSIGNMENT
@@ -31,6 +33,7 @@
     from greengagefall.gateway.dispatchers import ChannelManager
     from greengagefall.gateway.relaying import StoreRelay
     from greengagefall.gateway.view import ClusterView
+    from greengagefall.memory.account import MemoryAccount
 
 log = logging.getLogger(__name__)
 
@@ -49,14 +52,18 @@
     Args:
         view: The cluster view of this host.
         channels: Channels to the servers that this host dispatches.
+        account: Account for the bodies of requests from other hosts; None for none.
 
     Attributes:
         coordinator: The coordinator while this host is elected, else None.
         relay: Passes changes of the store on; None if this host does not.
     """
 
-    def __init__(self, view: ClusterView, channels: ChannelManager) -> None:
+    def __init__(
+        self, view: ClusterView, channels: ChannelManager, account: MemoryAccount | None = None
+    ) -> None:
         self._view = view
+        self._account = account
         self._channels = channels
         self.coordinator: Coordinator | None = None
         self.relay: StoreRelay | None = None
@@ -69,8 +76,23 @@
                 "Message of an unknown type was refused.", extra={"peer": peer.host, "kind": name}
             )
             return UNKNOWN_MESSAGE
+        # The body of a request of this host's own callers is in the account already.
+        if isinstance(message, Dispatch) and peer.host != self._view.host_incarnation.host:
+            return self._dispatch_within_memory(message)
         return HANDLERS[name](self, message)
 
+    async def _dispatch_within_memory(self, message: Dispatch) -> Any:
+        """Executes a request of another host if there is memory for its body until the outcome."""
+        size_bytes = len(message.body)
+        if self._account is None:
+            return await self.on_dispatch(message)
+        if not self._account.reserve(WAITING_BODIES, size_bytes):
+            return self._channels.refuse(message, outcomes.MEMORY_FULL)
+        try:
+            return await self.on_dispatch(message)
+        finally:
+            self._account.release(WAITING_BODIES, size_bytes)
+
     @HANDLERS.register(Dispatch.__name__)
     async def on_dispatch(self, message: Dispatch) -> Any:
         """Executes a request on a server of this host."""
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import resource
 import time
 from typing import TYPE_CHECKING, Any
 
@@ -12,7 +13,7 @@
 from greengagefall.gateway.beats import HeartbeatSender
 from greengagefall.gateway.caller_http import CallerServer
 from greengagefall.gateway.coordinator import Coordinator
-from greengagefall.gateway.dispatchers import ChannelManager
+from greengagefall.gateway.dispatchers import ChannelManager, pool_opener
 from greengagefall.gateway.election import Election
 from greengagefall.gateway.entry_check import EntryCheck
 from greengagefall.gateway.following import RESTORE_GRACE_HEARTBEATS, PrefixWatcher
@@ -35,6 +36,8 @@
 from greengagefall.gateway.store_probe import StoreProbe
 from greengagefall.gateway.view import ClusterView, HostRecord
 from greengagefall.limits.stop_admission import StopAdmission
+from greengagefall.memory.client_limits import ClientLimits
+from greengagefall.memory.host_memory import open_host_memory
 from greengagefall.ownership.model import UNKNOWN_RESTORES, HostIncarnation
 from greengagefall.platform import records as platform_records
 from greengagefall.platform.store import PlatformStore, Put
@@ -52,6 +55,16 @@
 MIN_REFUSE_S = 0.2
 # Time in which the last answers of a stop are written.
 LAST_ANSWERS_S = 0.1
+# Used if neither the settings nor the operating system name a limit.
+DEFAULT_MAX_DESCRIPTORS = 1024
+
+
+def _max_descriptors(settings: PlatformSettings) -> int:
+    """Returns how many files and sockets this process may open."""
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if allowed == resource.RLIM_INFINITY:
+        return settings.max_descriptors or DEFAULT_MAX_DESCRIPTORS
+    return min(allowed, settings.max_descriptors or allowed)
 
 
 class GatewayHost:
@@ -71,8 +84,10 @@
         self._store = PlatformStore(settings.store_address)
         self._lease_store = PlatformStore(settings.store_address)
         self._stop = StopAdmission(clock)
-        self._channels = ChannelManager(self.view, clock, stop=self._stop)
-        self._handlers = PeerHandlers(self.view, self._channels)
+        memory = open_host_memory(settings.memory_bytes, _max_descriptors(settings), clock)
+        open_pool = pool_opener(settings.memory_bytes, memory.account)
+        self._channels = ChannelManager(self.view, clock, open_pool, self._stop)
+        self._handlers = PeerHandlers(self.view, self._channels, memory.account)
         self._peers = Peers(self.view, self._handlers.handle)
         self._channels.is_listed = EntryCheck(self._store).lists
         ask_others = PeerNotices(self.view, self._peers).ask
@@ -86,7 +101,9 @@
         self._router = Router(
             self.view, self._peers, clock, self._heartbeats.request_update, self._stop
         )
-        self._callers = CallerServer(settings.caller_address, self._router, clock)
+        self._callers = CallerServer(
+            settings.caller_address, self._router, clock, memory, self._client_limits
+        )
         ip = settings.readiness_address.rpartition(":")[0]
         metrics_address = f"{ip}:{metrics_port}" if metrics_port else ""
         self._status = StatusServer(settings.readiness_address, metrics_address, self._is_ready)
@@ -227,6 +244,18 @@
     def _host_count(self) -> int:
         return self._follower.watching_host_count()
 
+    def _client_limits(self) -> ClientLimits | None:
+        """Returns the limits of the configuration on clients, None without a configuration."""
+        table = self.view.routing_table
+        if not table.version:
+            return None
+        return ClientLimits(
+            table.max_header_bytes,
+            table.max_body_bytes,
+            table.idle_timeout_s,
+            table.header_timeout_s,
+        )
+
     def _is_ready(self) -> bool:
         if self._stopping or not self.view.routing_table.version:
             return False
--- a/greengagefall/gateway/outcomes.py
+++ b/greengagefall/gateway/outcomes.py
@@ -14,6 +14,27 @@
 NO_ROUTE = _add("no_route", 404, "No route of the configuration matches host and path.")
 NO_KEY = _add("no_key", 400, "The service is keyed and the request has no key.")
 NO_ID = _add("no_request_id", 400, "The request has no id.")
+BODY_TOO_LARGE = _add(
+    "body_too_large", 413, "The body is over limits.maxBodyBytes of the configuration."
+)
+HEADERS_TOO_LARGE = _add(
+    "headers_too_large", 431, "The headers are over limits.maxHeaderBytes of the configuration."
+)
+BODY_TIMEOUT = _add(
+    "body_timeout", 408, "The body made no progress; the request was not passed on."
+)
+MEMORY_FULL = _add(
+    "memory_full",
+    503,
+    "This host has no memory for the body; the request was not passed on.",
+    retry_after_ms=1000,
+)
+ANSWER_DROPPED = _add(
+    "answer_dropped",
+    502,
+    "The request was executed, and this host has no memory for its answer.",
+    not_run=False,
+)
 NO_CONFIG = _add(
     "no_config", 503, "This host has no routing configuration yet.", retry_after_ms=500
 )
--- a/greengagefall/standins/http.py
+++ b/greengagefall/standins/http.py
@@ -17,7 +17,7 @@
 
 log = logging.getLogger(__name__)
 
-MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_BODY_BYTES = 80 * 1024 * 1024
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
--- a/greengagefall/utils/logs.py
+++ b/greengagefall/utils/logs.py
@@ -14,6 +14,7 @@
     "greengagefall.routing": "routing",
     "greengagefall.coordination": "coordination",
     "greengagefall.limits": "limits",
+    "greengagefall.memory": "memory",
     "greengagefall.balancing": "balancing",
     "greengagefall.protocol": "peer",
     "greengagefall.store": "store",
--- a/greengagefall/utils/metrics.py
+++ b/greengagefall/utils/metrics.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 if TYPE_CHECKING:
+    from opentelemetry.metrics import _Gauge as Gauge
     from opentelemetry.sdk.metrics import Counter, Histogram, Meter
     from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 
@@ -26,6 +27,7 @@
     reader: InMemoryMetricReader
     counters: dict[str, Counter]
     histograms: dict[str, Histogram]
+    gauges: dict[str, Gauge]
 
 
 class _Collected:
@@ -35,18 +37,20 @@
         sdk: OpenTelemetry's side; None before the first batch.
         counts: Amounts by counter and labels.
         durations: Histogram, labels and value of each duration in milliseconds.
+        levels: Newest value by gauge and labels.
     """
 
     def __init__(self) -> None:
         self.sdk: _Sdk | None = None
         self.counts: dict[tuple[str, Labels], int] = {}
         self.durations: list[tuple[str, Labels, float]] = []
+        self.levels: dict[tuple[str, Labels], float] = {}
 
     def hand_on(self) -> _Sdk:
         """Hands all records to OpenTelemetry."""
         if self.sdk is None:
             self.sdk = _load_sdk()
-        meter, _, counters, histograms = self.sdk
+        meter, _, counters, histograms, gauges = self.sdk
         for (name, labels), amount in self.counts.items():
             if name not in counters:
                 counters[name] = meter.create_counter(name)
@@ -55,7 +59,12 @@
             if name not in histograms:
                 histograms[name] = meter.create_histogram(name, unit="ms")
             histograms[name].record(value_ms, dict(labels))
+        for (name, labels), value in self.levels.items():
+            if name not in gauges:
+                gauges[name] = meter.create_gauge(name)
+            gauges[name].set(value, dict(labels))
         self.counts.clear()
+        self.levels.clear()
         self.durations.clear()
         return self.sdk
 
@@ -69,7 +78,7 @@
 
     reader = InMemoryMetricReader()
     provider = MeterProvider(metric_readers=[reader])
-    return _Sdk(provider.get_meter(METER_NAME), reader, {}, {})
+    return _Sdk(provider.get_meter(METER_NAME), reader, {}, {}, {})
 
 
 def count(name: str, amount: int = 1, **labels: str) -> None:
@@ -78,6 +87,11 @@
     _collected.counts[key] = _collected.counts.get(key, 0) + amount
 
 
+def set_level(name: str, value: float, **labels: str) -> None:
+    """Sets the gauge ``name`` with the given labels."""
+    _collected.levels[name, tuple(labels.items())] = value
+
+
 def observe_ms(name: str, value_ms: float, **labels: str) -> None:
     """Records a duration in milliseconds in the histogram ``name``."""
     _collected.durations.append((name, tuple(labels.items()), value_ms))
