--- a/greengagefall/memory/client_limits.py
+++ b/greengagefall/memory/client_limits.py
@@ -40,19 +40,21 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._newest = DEFAULT_LIMITS
+        self._newest: ClientLimits | None = None
         self._former: list[tuple[float, ClientLimits]] = []
 
     def update(self, limits: ClientLimits) -> None:
         """Applies the limits of the configuration that is in force now."""
         now_s = self._clock.now_s()
-        if limits != self._newest:
+        if self._newest is not None and limits != self._newest:
             self._former.append((now_s, self._newest))
-            self._newest = limits
+        self._newest = limits
         self._former = [row for row in self._former if now_s - row[0] < KEEP_FORMER_S]
 
     def current(self) -> ClientLimits:
         """Returns the limits in force."""
+        if self._newest is None:
+            return DEFAULT_LIMITS
         if not self._former:
             return self._newest
         rows = [self._newest, *(limits for _, limits in self._former)]
--- a/greengagefall/tests/crowd_host.py
+++ b/greengagefall/tests/crowd_host.py
@@ -80,6 +80,10 @@
 class CrowdTestCase(unittest.IsolatedAsyncioTestCase):
     """Starts two hosts, store and backend servers; runs a crowd against the first host."""
 
+    hosts = HOSTS
+    memory_mb = MEMORY_MB
+    max_body_bytes = MAX_BODY_BYTES
+
     async def asyncSetUp(self):
         self.processes = ProcessGroup()
         self.ports = PortBlock()
@@ -100,7 +104,7 @@
             await self.store.put_json(f"servers/{server.server_id}", server.entry())
         self.callers = {}
         self.usage = {}
-        for host in HOSTS:
+        for host in self.hosts:
             self.start_host(host)
         # Cleanups run in reverse order: processes end before the store and the servers.
         self.addAsyncCleanup(asyncio.to_thread, self.processes.close)
@@ -118,7 +122,7 @@
         document = routing(1, rules=rules)
         document["limits"] = {
             "maxHeaderBytes": 65_536,
-            "maxBodyBytes": MAX_BODY_BYTES,
+            "maxBodyBytes": self.max_body_bytes,
             "idleTimeoutS": IDLE_TIMEOUT_S,
             "headerTimeoutS": HEADER_TIMEOUT_S,
         }
@@ -127,7 +131,7 @@
     def start_host(self, host):
         ports = (self.ports.take(), self.ports.take(), self.ports.take())
         text = settings_text(host, ZONE, "127.0.0.1", ports, self.store.address, SHUTDOWN_GRACE_S)
-        text += f"self.limits.memoryMb={MEMORY_MB}\nself.limits.maxFds={MAX_DESCRIPTORS}\n"
+        text += f"self.limits.memoryMb={self.memory_mb}\nself.limits.maxFds={MAX_DESCRIPTORS}\n"
         path = self.processes.log_dir / f"{host}.conf"
         path.write_text(text)
         self.callers[host] = f"127.0.0.1:{ports[0]}"
@@ -144,7 +148,7 @@
         """Returns the status of an ordinary request, 0 if no try got an answer with 200."""
         status = 0
         for number in range(ORDINARY_TRIES):
-            pool = ConnectionPool(self.callers[HOSTS[0]], ANSWER_LIMIT_BYTES)
+            pool = ConnectionPool(self.callers[self.hosts[0]], ANSWER_LIMIT_BYTES)
             rows = caller_headers(f"ordinary-{number}", ORDINARY_DEADLINE_MS, key=1)
             request = HttpRequest("GET", "/drafts/1", rows, b"")
             try:
@@ -166,7 +170,7 @@
             clients: What each client does at an address until it is cancelled or ends.
         """
         sampling = asyncio.create_task(self.sample())
-        address = self.callers[HOSTS[0]]
+        address = self.callers[self.hosts[0]]
         crowd = [asyncio.create_task(self.run_client(client, address)) for client in clients]
         await asyncio.sleep(CROWD_S)
         beside = await self.ordinary_status()
@@ -176,11 +180,11 @@
         afterwards = await self.ordinary_status()
         sampling.cancel()
         self.report(beside, afterwards)
-        for host in HOSTS:
+        for host in self.hosts:
             with self.subTest(host=host):
                 self.assertTrue(self.processes.is_running(host), f"{host} has ended")
                 usage = self.usage[host]
-                self.assertLess(usage.peak_bytes, MEMORY_MB * BYTES_PER_MB)
+                self.assertLess(usage.peak_bytes, self.memory_mb * BYTES_PER_MB)
                 self.assertLess(usage.descriptors, DESCRIPTORS_BOUND)
         self.assertEqual((beside, afterwards), (OK, OK))
 
@@ -191,7 +195,7 @@
     async def sample(self):
         """Records the usage of the hosts until it is cancelled."""
         while True:
-            for host in HOSTS:
+            for host in self.hosts:
                 with contextlib.suppress(OSError, StopIteration):
                     now = read_usage(self.processes.pid(host))
                     before = self.usage.get(host, now)
