Search heads cheaply, and make room by bodies without progress

And small bodies that stop short could hold every connection until their timeout of 20 s.

If there is no other connection to close for a new one, a body or an answer without progress for 2 s is.

--- a/greengagefall/gateway/caller_acceptor.py
+++ b/greengagefall/gateway/caller_acceptor.py
@@ -6,9 +6,10 @@
 import errno
 from typing import TYPE_CHECKING
 
-from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
 
+from greengagefall.gateway.caller_streams import CallerStream
+
 if TYPE_CHECKING:
     import socket
     from collections.abc import Callable
@@ -35,7 +36,7 @@
         self,
         address: str,
         make_room: Callable[[], bool],
-        on_accept: Callable[[IOStream, tuple], object],
+        on_accept: Callable[[CallerStream, tuple], object],
         on_pause: Callable[[str], None],
     ) -> None:
         self._address = address
@@ -88,5 +89,5 @@
                 self._pause(listening, errno.errorcode.get(error.errno, "unknown"))
                 return
             accepted.setblocking(False)
-            stream = IOStream(accepted, read_chunk_size=CHUNK_BYTES)
+            stream = CallerStream(accepted, read_chunk_size=CHUNK_BYTES)
             self._on_accept(stream, address)
--- a/greengagefall/gateway/caller_streams.py
+++ b/greengagefall/gateway/caller_streams.py
@@ -1,11 +1,27 @@
-"""Reads from Tornado's streams how much they hold, which they have no public attributes for."""
+"""Tornado's streams, with what they hold and a cheaper search for the end of a header block.
+
+Streams have no public attributes for either; only this module uses their private ones.
+"""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from tornado.iostream import IOStream
+
+
+class CallerStream(IOStream):
+    """Stream of a caller's connection.
+
+    Tornado runs a regular expression over all that was received each time more arrives. For header
+    blocks that never end this takes a whole processor core.
+    """
 
-if TYPE_CHECKING:
-    from tornado.iostream import IOStream
+    def _find_read_pos(self) -> int | None:
+        regex = self._read_regex
+        received = self._read_buffer
+        if regex is None or b"\n\r\n" in received or b"\n\n" in received:
+            return super()._find_read_pos()
+        self._check_max_bytes(regex, self._read_buffer_size)
+        return None
 
 
 def unread_bytes(stream: IOStream) -> int:
--- a/greengagefall/memory/connections.py
+++ b/greengagefall/memory/connections.py
@@ -20,6 +20,8 @@
 CLOSING_SHARE = 0.75
 # A new connection gets this long to begin a request before it may be closed to make room.
 MIN_SILENT_S = 0.5
+# A body or an answer without progress for this long may be ended to make room.
+MIN_TRANSFER_STALL_S = 2.0
 
 HEADER_TIMEOUT = "header_timeout"
 IDLE_TIMEOUT = "idle_timeout"
@@ -133,16 +135,27 @@
     def find_removable(self) -> TrackedConnection | None:
         """Returns the connection to close for a new one, if there is one.
 
-        That is one with an incomplete header block or without any request so far, the oldest first.
-        A connection that was used before is not closed: its client may be about to use it again.
+        First the oldest one with an incomplete header block or without any request so far, then the
+        one whose body or answer has made no progress for longest. A connection that waits for its
+        next request is not closed: its client may be about to send it.
         """
         latest_s = self._clock.now_s() - MIN_SILENT_S
-        removable = [
+        unused = [
             connection
             for connection in self._connections
             if connection.state in (State.HEAD, State.SILENT) and connection.since_s <= latest_s
         ]
-        return min(removable, key=lambda connection: connection.since_s, default=None)
+        if unused:
+            return min(unused, key=lambda connection: connection.since_s)
+        latest_s = self._clock.now_s() - MIN_TRANSFER_STALL_S
+        stalled = [
+            (connection.holder.progress_s, number, connection)
+            for number, connection in enumerate(self._connections)
+            if connection.state in (State.BODY, State.WRITING)
+            and connection.holder is not None
+            and connection.holder.progress_s <= latest_s
+        ]
+        return min(stalled)[-1] if stalled else None
 
     def _largest_heads(self, closed: set[TrackedConnection]) -> list[Closing]:
         heads = [
--- a/greengagefall/tests/memory_connections_tests.py
+++ b/greengagefall/tests/memory_connections_tests.py
@@ -4,7 +4,8 @@
 
 import unittest
 
-from greengagefall.memory.budget import FILE_DESCRIPTORS, plan_budget
+from greengagefall.memory.account import PROGRESS_BYTES
+from greengagefall.memory.budget import BODIES, FILE_DESCRIPTORS, plan_budget
 from greengagefall.memory.client_limits import (
     DEFAULT_LIMITS,
     KEEP_FORMER_S,
@@ -16,12 +17,16 @@
     HEADS_MEMORY,
     IDLE_TIMEOUT,
     MIN_SILENT_S,
+    MIN_TRANSFER_STALL_S,
     ConnectionRegister,
     State,
 )
+from greengagefall.memory.host_memory import open_host_memory
 from greengagefall.utils.clock import ManualClock
 
 LIMITS = ClientLimits(16_384, 1_000_000, 20.0, 5.0)
+MEMORY_BYTES = 100_000_000
+MAX_DESCRIPTORS = 400
 MAX_CONNECTIONS = 8
 MAX_HEADS_BYTES = 100_000
 # Well-behaved clients use connections again up to this share of the idle timeout.
@@ -79,6 +84,18 @@
         self.assertIsNone(self.register.find_removable())
         self.assertIn(used, self.register.connections())
 
+    def test_room_is_made_by_a_body_without_progress(self):
+        # Guards against small unfinished bodies that hold all connections until their timeout.
+        memory = open_host_memory(MEMORY_BYTES, MAX_DESCRIPTORS, self.clock)
+        stalled, working = (memory.account.open(BODIES, None) for _ in range(2))
+        connection = self.register.open()
+        connection.enter(State.BODY, self.clock.now_s(), stalled)
+        self.register.open().enter(State.BODY, self.clock.now_s(), working)
+        self.assertIsNone(self.register.find_removable())
+        self.clock.advance(MIN_TRANSFER_STALL_S)
+        working.advance(PROGRESS_BYTES)
+        self.assertIs(self.register.find_removable(), connection)
+
     def test_answers_ask_to_close_before_the_last_connection_is_used(self):
         # Guards against idle connections that leave no room for new ones.
         while not self.register.nearly_full:
