--- a/greengagefall/gateway/caller_body.py
+++ b/greengagefall/gateway/caller_body.py
@@ -57,6 +57,7 @@
         request: The request, None until its header block was read.
         body: Holder of the body's memory, None until the header block was read.
         reading: Whether the body is being read.
+        size_bytes: Bytes of the body that were read.
     """
 
     def __init__(
@@ -77,7 +78,7 @@
         self._on_body = on_body
         self._sink = sink
         self._buffer = io.BytesIO()
-        self._size_bytes = 0
+        self.size_bytes = 0
         self._refused = False
         self._finished = False
         self._linger: asyncio.TimerHandle | None = None
@@ -111,8 +112,8 @@
         """Keeps a part of the body; while there is no room for it, reading pauses."""
         if self._refused:
             return None
-        self._size_bytes += len(chunk)
-        if self._size_bytes > self._limits.max_body_bytes:
+        self.size_bytes += len(chunk)
+        if self.size_bytes > self._limits.max_body_bytes:
             self.refuse(outcomes.BODY_TOO_LARGE)
             return None
         if not self.body.grow(len(chunk)):
--- a/greengagefall/gateway/caller_http.py
+++ b/greengagefall/gateway/caller_http.py
@@ -104,12 +104,19 @@
     def on_refusal(self, reader: RequestReader, reason: str) -> None:
         """Writes the refusal of a request that was not passed on; the reader finishes it."""
         request = reader.request
-        retry_after_ms = outcomes.OUTCOMES[reason].retry_after_ms
-        self._decisions.record("refused", reason, connections=self._server.connections)
         self._server.close_after_answer(request.connection)
         caller_request = headers.read_caller_request(request)
-        refusal = Refusal(reason, retry_after_ms)
-        self._refuse(request, caller_request, refusal, 0.0, finish=False)
+        refusal = Refusal(reason, outcomes.OUTCOMES[reason].retry_after_ms)
+        count("refusals", reason=reason)
+        # Unlike refusals of routed requests, these are logged at a bounded rate.
+        self._decisions.record(
+            "refused",
+            reason,
+            request_id=caller_request.request_id,
+            read_bytes=reader.size_bytes,
+            connections=self._server.connections,
+        )
+        self._write_refusal(request, caller_request, refusal, finish=False)
 
     async def _serve_and_free(self, reader: RequestReader) -> None:
         try:
@@ -163,7 +170,12 @@
             if self._server.hold_answer(request.connection, len(outcome.body)):
                 self._write(request, outcome.status, HTTPHeaders(), outcome.headers, outcome.body)
                 return
-            self._decisions.record("refused", outcomes.ANSWER_DROPPED, size=len(outcome.body))
+            self._decisions.record(
+                "refused",
+                outcomes.ANSWER_DROPPED,
+                request_id=caller_request.request_id,
+                answer_bytes=len(outcome.body),
+            )
             outcome = Refusal(outcomes.ANSWER_DROPPED, 0)
         self._refuse(request, caller_request, outcome, took_ms)
 
@@ -173,13 +185,10 @@
         caller_request: CallerRequest,
         refusal: Refusal,
         took_ms: float,
-        *,
-        finish: bool = True,
     ) -> None:
         row = outcomes.OUTCOMES[refusal.reason]
         count("refusals", reason=refusal.reason)
-        spread = 1 + RETRY_SPREAD * self._random.random()
-        retry_after_s = refusal.retry_after_ms / MS_PER_S * spread
+        retry_after_s = self._write_refusal(request, caller_request, refusal)
         log.info(
             "Request refused.",
             extra={
@@ -191,6 +200,19 @@
                 "took_ms": int(took_ms),
             },
         )
+
+    def _write_refusal(
+        self,
+        request: HTTPServerRequest,
+        caller_request: CallerRequest,
+        refusal: Refusal,
+        *,
+        finish: bool = True,
+    ) -> float:
+        """Writes a refusal and returns the delay that it asks for, in seconds."""
+        row = outcomes.OUTCOMES[refusal.reason]
+        spread = 1 + RETRY_SPREAD * self._random.random()
+        retry_after_s = refusal.retry_after_ms / MS_PER_S * spread
         own_headers = HTTPHeaders({"Content-Type": "application/json"})
         if row.not_run and refusal.retry_after_ms:
             own_headers["Retry-After"] = f"{retry_after_s:.3f}"
@@ -200,6 +222,7 @@
         # Written in any case: it is small, and tells whether the request may have been executed.
         self._server.hold_answer(request.connection, len(text))
         self._write(request, row.http_status, own_headers, echoed, text, finish=finish)
+        return retry_after_s
 
     def _write(
         self,
--- a/greengagefall/tests/gateway_caller_memory_tests.py
+++ b/greengagefall/tests/gateway_caller_memory_tests.py
@@ -10,8 +10,11 @@
 import logging
 import unittest
 
+from tornado.iostream import IOStream
+
 from greengagefall.bench.processes import free_addresses
 from greengagefall.gateway.caller_http import CallerServer
+from greengagefall.gateway.caller_streams import CallerStream
 from greengagefall.gateway.router import Answer
 from greengagefall.memory.client_limits import ClientLimits
 from greengagefall.memory.host_memory import open_host_memory
@@ -161,6 +164,18 @@
         self.router.work_s = 2 * LIMITS.idle_timeout_s
         self.assertEqual((await self.exchange(clients.head("GET", "/orders/1")))[0], 200)
 
+    async def test_the_end_of_a_header_block_is_found_in_whatever_pieces_it_comes(self):
+        # Guards against the search for the end that replaces Tornado's for callers.
+        self.assertTrue(hasattr(IOStream, CallerStream._find_read_pos.__name__))
+        for line_end in (b"\r\n", b"\n"):
+            head = clients.head("GET", "/orders/1").replace(b"\r\n", line_end)
+            for cut in range(len(head) - 5, len(head)):
+                async with asyncio.timeout(TIMEOUT_S), clients.connection(self.address) as sock:
+                    await clients.send(sock, head[:cut])
+                    await asyncio.sleep(0.02)
+                    await clients.send(sock, head[cut:])
+                    self.assertEqual((await read_status_and_body(sock))[0], 200)
+
     async def test_pipelined_requests_are_all_answered(self):
         # Guards against requests that are lost while the answer before them is written.
         self.router.answer_bytes = 500_000
--- a/greengagefall/utils/logs.py
+++ b/greengagefall/utils/logs.py
@@ -61,6 +61,8 @@
         **static_fields: Fields added to each line, such as ``host``.
     """
     _install(RateLimitedHandler(sys.stdout.fileno()), level, static_fields)
+    # Tornado writes a line for each malformed request and each header block that is too large.
+    logging.getLogger("tornado.general").setLevel(logging.WARNING)
 
 
 def _install(handler: logging.Handler, level: str, static_fields: dict[str, str]) -> None:
