Add a crowd of small bodies one byte short; log idle timeouts as normal

Cause: unfinished bodies of 200 bytes need no memory, but each holds a connection until its timeout. No test had such a crowd. And the end of an idle connection was logged as a warning.

Change: 320 clients that leave out the last byte of 200; bounds as in the other tests of crowds. idle_timeout is logged at the level INFO.

--- a/greengagefall/memory/decisions.py
+++ b/greengagefall/memory/decisions.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from greengagefall.memory.connections import IDLE_TIMEOUT
 from greengagefall.utils.metrics import count
 from greengagefall.utils.token_bucket import TokenBucket
 
@@ -16,6 +17,8 @@
 # Bounds of the lines of each kind of decision, so that a crowd leaves room for other lines.
 LINES_PER_S = 1.0
 BURST_LINES = 10.0
+# Ordinary clients leave connections idle, too.
+NORMAL_REASONS = frozenset({IDLE_TIMEOUT})
 COUNTERS = {
     "evicted": "memory_evictions",
     "refused": "memory_refusals",
@@ -51,7 +54,8 @@
         if not self._budgets[kind].try_take():
             self._unlogged[kind] = self._unlogged.get(kind, 0) + 1
             return
-        log.warning(
+        log.log(
+            logging.INFO if reason in NORMAL_REASONS else logging.WARNING,
             "Client's share of this host was limited.",
             extra={
                 "decision": decision,
--- a/greengagefall/tests/crowd_connections_tests.py
+++ b/greengagefall/tests/crowd_connections_tests.py
@@ -17,6 +17,8 @@
 ENDLESS_HEADS = 250
 OPENED_AGAIN = 300
 HEAD_PAUSE_S = 0.01
+SMALL_BODIES = 320
+SMALL_BODY_BYTES = 200
 
 
 async def silent(address):
@@ -44,6 +46,13 @@
         await asyncio.sleep(clients.RETRY_PAUSE_S)
 
 
+async def small_body(address):
+    """Sends a small body but for its last byte."""
+    async with clients.connection(address) as sock:
+        await clients.send_whole(sock, SMALL_BODY_BYTES, left_out_bytes=1)
+        await clients.stay_open()
+
+
 async def stays_after_an_answer(address):
     """Gets an answer and stays connected; connects again when the connection is closed."""
     while True:
@@ -65,6 +74,10 @@
         # Guards against heads that are kept while they grow.
         await self.check_crowd([endless_head] * ENDLESS_HEADS)
 
+    async def test_small_bodies_one_byte_short_do_not_shut_others_out(self):
+        # Guards against unfinished bodies that need no memory but hold all connections.
+        await self.check_crowd([small_body] * SMALL_BODIES)
+
     async def test_connections_that_stay_open_after_an_answer_do_not_shut_others_out(self):
         # Guards against idle connections that keep their descriptors.
         await self.check_crowd([stays_after_an_answer] * OPENED_AGAIN)
