Let answers wait for room before they are dropped

Cause: an answer of an executed request was dropped with 502 as soon as it did not fit beside answers that were less than 1 s old, although one without progress gives way a moment later.

Change: it waits for up to 1.5 s, counted as server_answers, which bounds the answers that wait.

--- a/greengagefall/gateway/caller_http.py
+++ b/greengagefall/gateway/caller_http.py
@@ -12,8 +12,10 @@
 from tornado.iostream import StreamClosedError
 
 from greengagefall.gateway import outcomes
+from greengagefall.gateway.caller_body import ROOM_CHECK_S, ROOM_WAIT_S
 from greengagefall.gateway.caller_connections import CallerConnections
 from greengagefall.gateway.router import Answer, Refusal
+from greengagefall.memory.budget import SERVER_ANSWERS
 from greengagefall.platform import requests as headers
 from greengagefall.utils.metrics import count, observe_ms
 from greengagefall.utils.supervision import log_failure
@@ -70,6 +72,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._routing: set[asyncio.Future] = set()
         self._ended = False
+        self._account = memory.account
         self._decisions = memory.decisions
         self._server = CallerConnections(address, self, memory, clock, read_limits)
         self.closing_connections = False
@@ -167,7 +170,7 @@
                     "took_ms": int(took_ms),
                 },
             )
-            if self._server.hold_answer(request.connection, len(outcome.body)):
+            if await self._hold_answer(request, len(outcome.body)):
                 self._write(request, outcome.status, HTTPHeaders(), outcome.headers, outcome.body)
                 return
             self._decisions.record(
@@ -179,6 +182,26 @@
             outcome = Refusal(outcomes.ANSWER_DROPPED, 0)
         self._refuse(request, caller_request, outcome, took_ms)
 
+    async def _hold_answer(self, request: HTTPServerRequest, size_bytes: int) -> bool:
+        """Takes the memory of an answer; returns False if there is no room for some time.
+
+        Meanwhile it belongs to the part of the answers that are read from servers, which bounds the
+        answers that wait.
+        """
+        if self._server.hold_answer(request.connection, size_bytes):
+            return True
+        if not self._account.reserve(SERVER_ANSWERS, size_bytes):
+            return False
+        deadline_s = self._clock.now_s() + ROOM_WAIT_S
+        try:
+            while self._clock.now_s() < deadline_s:
+                await asyncio.sleep(ROOM_CHECK_S)
+                if self._server.hold_answer(request.connection, size_bytes):
+                    return True
+        finally:
+            self._account.release(SERVER_ANSWERS, size_bytes)
+        return False
+
     def _refuse(
         self,
         request: HTTPServerRequest,
--- a/greengagefall/tests/gateway_caller_memory_tests.py
+++ b/greengagefall/tests/gateway_caller_memory_tests.py
@@ -142,6 +142,17 @@
         self.assertEqual(status, 502)
         self.assertEqual(json.loads(body), {"reason": "answer_dropped", "not_run": False})
 
+    async def test_an_answer_waits_for_room_that_becomes_free(self):
+        # Guards against losing the answer of an executed request that others make room for.
+        account = self.memory.account
+        size_bytes = account.limit_bytes("answers")
+        self.assertTrue(account.reserve("answers", size_bytes))
+        asyncio.get_running_loop().call_later(0.5, account.release, "answers", size_bytes)
+        self.router.answer_bytes = 1_000_000
+        status, body = await self.exchange(clients.head("GET", "/orders/1"))
+        self.assertEqual((status, len(body)), (200, 1_000_000))
+        self.assertEqual(account.parts_bytes["server_answers"], 0)
+
     async def test_idle_and_half_read_connections_are_closed_in_their_time(self):
         # Guards against connections that stay open for good.
         for first in (b"", clients.head("GET", "/orders/1")[:30]):
