--- a/greengagefall/bench/large_messages.py
+++ b/greengagefall/bench/large_messages.py
@@ -24,6 +24,7 @@
 from greengagefall.utils.waiting import wait_until
 
 MB = 1_000_000
+MAX_BODY_BYTES = 64 * MB
 MIB = 1024 * 1024
 KIB = 1024
 ZONE = "north-a"
@@ -81,7 +82,9 @@
         await self._store.start()
         await self.server.start()
         rules = [rule("orders", "/orders/", "benchline", kind="safe", timeout_s=REQUEST_TIMEOUT_S)]
-        await self._store.put_json(ROUTING_KEY, routing(1, rules=rules))
+        await self._store.put_json(
+            ROUTING_KEY, routing(1, rules=rules, max_body_bytes=MAX_BODY_BYTES)
+        )
         await self._store.put_json(SERVERS_PREFIX + "b0", self.server.entry())
         for host in HOSTS:
             self._start_host(host)
--- a/greengagefall/dispatch/connection_pool.py
+++ b/greengagefall/dispatch/connection_pool.py
@@ -137,8 +137,9 @@
         if self._size_bytes > self._limit_bytes:
             self.give_up()
             return
-        self._content.write(chunk)
         self._memory.add(self, len(chunk))
+        if not self.too_large:
+            self._content.write(chunk)
 
     def finish(self) -> None:
         """Marks the answer as complete unless it is malformed or too large."""
--- a/greengagefall/utils/logs.py
+++ b/greengagefall/utils/logs.py
@@ -15,6 +15,7 @@
     "greengagefall.routing": "routing",
     "greengagefall.coordination": "coordination",
     "greengagefall.limits": "limits",
+    "greengagefall.memory": "memory",
     "greengagefall.balancing": "balancing",
     "greengagefall.protocol": "peer",
     "greengagefall.store": "store",
@@ -82,6 +83,8 @@
         **static_fields: Fields added to each line, such as ``host``.
     """
     _install(RateLimitedHandler(sys.stdout.fileno()), level, static_fields)
+    # Tornado writes a line for each malformed request and each header block that is too large.
+    logging.getLogger("tornado.general").setLevel(logging.WARNING)
 
 
 def _install(handler: logging.Handler, level: str, static_fields: dict[str, str]) -> None:
