--- a/greengagefall/commands/ctl_config_check.py
+++ b/greengagefall/commands/ctl_config_check.py
@@ -20,7 +20,7 @@
 
 CHECK_HELP = """Checks a configuration of the platform's form; sends nothing.
 
-FILE contains the document as it is to be written to `op/config`; - reads standard input. Lists
+FILE contains the whole configuration; - reads standard input. Lists
 errors (unreadable values, limits that contradict each other), entries that can never match, and
 with --against the differences from the version in force. Ends with exit code 1 if there are
 errors. API keys are never printed.
