Send messages on quotas only to hosts that can read them

During a rolling upgrade, hosts of earlier versions take the quota fields of heartbeats and replies, and calls for permits, as malformed and close the link, with all calls on it. A host with the token of a newer coordinator could then not report to an earlier one at all.

Heartbeats and their replies have the fields only if the record of the host says that it reads them, and such hosts alone are fallback hosts.

--- a/greengagefall/bench/quotas_model.py
+++ b/greengagefall/bench/quotas_model.py
@@ -154,7 +154,7 @@
             return
         sent_s = self._model.clock.now_s()
         beat = HostBeat(0, self.name, self.start_ms, 0, self.stopping, [], [])
-        beat = self.quotas.add_roles(sent_s, beat)
+        beat = self.quotas.add_roles(sent_s, beat, coordinator.host)
         reply = await self._call(coordinator.host, beat, HEARTBEAT_TIMEOUT_S)
         if isinstance(reply, BeatReply):
             self.quotas.on_reply(sent_s, reply)
@@ -169,7 +169,9 @@
             if not self.reaches_store:
                 continue
             started_s = model.clock.now_s()
-            model.store.hosts[self.name] = HostRecord(self.name, self.start_ms, "", self.zone, 1.0)
+            model.store.hosts[self.name] = HostRecord(
+                self.name, self.start_ms, "", self.zone, 1.0, reads_kinds=True
+            )
             self._store_seen_s = started_s
             self.view.hosts = dict(model.store.hosts)
             model.offer_configuration(self)
--- a/greengagefall/gateway/beats.py
+++ b/greengagefall/gateway/beats.py
@@ -108,7 +108,7 @@
                 int(self._view.assignment_age_s() * MS_PER_S),
             )
             if self._quotas is not None:
-                message = self._quotas.add_roles(sent_s, message)
+                message = self._quotas.add_roles(sent_s, message, coordinator.host)
             reply = await self._peers.call(coordinator.host, message, HEARTBEAT_TIMEOUT_S)
             if isinstance(reply, BeatReply):
                 self._last_answered_s = sent_s
--- a/greengagefall/gateway/view.py
+++ b/greengagefall/gateway/view.py
@@ -46,8 +46,8 @@
         weight: Number of processor cores that it may use.
         relays: Whether it passes changes of the store on to hosts that ask for them.
         link_mbps: Bandwidth of its network link; 0 if unknown.
-        reads_kinds: Whether it can read requests that name their kind; hosts of earlier versions
-            take them as malformed and close the link.
+        reads_kinds: Whether it can read requests that name their kind, and messages on quotas;
+            hosts of earlier versions take them as malformed and close the link.
     """
 
     host: str
@@ -254,6 +254,11 @@
         """Returns how long ago the current assignment was last known to be the newest."""
         return self._clock.now_s() - self._valid_until_s + ASSIGNMENT_VALIDITY_S
 
+    def reads_quotas(self, host: str) -> bool:
+        """Returns whether a host is known to read messages on quotas."""
+        record = self.hosts.get(host)
+        return record is not None and record.reads_kinds
+
     def find_service(self, name: str) -> Service | None:
         """Returns a service of the routing configuration, or None if it is unknown."""
         return self.routing_table.services.get(name)
--- a/greengagefall/quotas/fallback.py
+++ b/greengagefall/quotas/fallback.py
@@ -59,7 +59,12 @@
             hosts: Entry hosts by name.
         """
         self._zones = len({record.zone for record in hosts.values()})
-        in_zone = [record.host for record in hosts.values() if record.zone == self._zone]
+        # Hosts of earlier versions close the connection on which they are asked for permits.
+        in_zone = [
+            record.host
+            for record in hosts.values()
+            if record.zone == self._zone and record.reads_kinds
+        ]
         self._chosen = {name: choose_host(name, in_zone) for name in names}
         now_s = self._clock.now_s()
         self._since_s = {
--- a/greengagefall/quotas/host_quotas.py
+++ b/greengagefall/quotas/host_quotas.py
@@ -73,11 +73,19 @@
         """Returns the limiter of each workspace that this host knows of."""
         return dict(self._limiters)
 
-    def add_roles(self, sent_s: float, beat: HostBeat) -> HostBeat:
-        """Returns a heartbeat with the limiter roles of this host added."""
+    def add_roles(self, sent_s: float, beat: HostBeat, coordinator: str) -> HostBeat:
+        """Returns a heartbeat with the limiter roles of this host added.
+
+        Args:
+            sent_s: When it is sent.
+            beat: The heartbeat.
+            coordinator: Host to which it is sent.
+        """
         if not self._limited.current():
             return beat
         roles = self._limiter.begin_heartbeat(sent_s)
+        if not self._view.reads_quotas(coordinator):
+            return beat
         return beat._replace(
             quota_token=self._token, quota_version=self._version, quota_roles=roles
         )
--- a/greengagefall/quotas/role_planner.py
+++ b/greengagefall/quotas/role_planner.py
@@ -113,7 +113,7 @@
 
     def add_roles(self, beat: HostBeat, reply: BeatReply) -> BeatReply:
         """Records a heartbeat and returns its reply with the roles of the host added."""
-        if not self._limited.current():
+        if not self._limited.current() or not self._view.reads_quotas(beat.host):
             return reply
         now_s = self._clock.now_s()
         if not self._record(beat, now_s):
--- a/greengagefall/tests/quotas_roles_tests.py
+++ b/greengagefall/tests/quotas_roles_tests.py
@@ -26,8 +26,8 @@
 LEASE_S = role_planner.LIMITER_LEASE_S
 
 
-def record(host, zone="a", start_ms=1):
-    return HostRecord(host, start_ms, "", zone, 1.0)
+def record(host, zone="a", start_ms=1, *, reads_kinds=True):
+    return HostRecord(host, start_ms, "", zone, 1.0, reads_kinds=reads_kinds)
 
 
 def make_view(clock, workspaces=(W,)):
@@ -147,7 +147,7 @@
         quotas = HostQuotas(view, None, self.clock)
         quotas.on_reply(99.0, REPLY._replace(quota_token="of an earlier configuration"))
         beat = HostBeat(0, "h0", 1, 1, False, [], [])
-        self.assertEqual(encode(quotas.add_roles(100.0, beat)), encode(beat))
+        self.assertEqual(encode(quotas.add_roles(100.0, beat, "h1")), encode(beat))
         quotas.gate._states["former"] = mock.Mock(task=None)
         quotas.start()
         self.assertEqual(quotas.gate._states, {})
@@ -156,6 +156,38 @@
         self.assertEqual(encode(planner.add_roles(beat, REPLY)), encode(REPLY))
 
 
+class EarlierVersionTests(unittest.TestCase):
+    """Guard against links closed by hosts that take messages on quotas as malformed."""
+
+    def setUp(self):
+        self.clock = ManualClock(100.0)
+        self.view = make_view(self.clock)
+        self.view.hosts["h1"] = record("h1", reads_kinds=False)
+
+    def test_heartbeat_to_an_earlier_coordinator_has_no_roles(self):
+        quotas = HostQuotas(self.view, None, self.clock)
+        beat = HostBeat(0, "h0", 1, 1, False, [], [])
+        quotas.on_reply(99.0, REPLY._replace(quota_token="of a coordinator of this version"))
+        self.assertEqual(quotas.add_roles(100.0, beat, "h1"), beat)
+        self.assertNotEqual(quotas.add_roles(100.0, beat, "h0"), beat)
+
+    def test_reply_to_an_earlier_host_has_no_roles(self):
+        planner = RolePlanner(self.view, LimitedWorkspaces(self.view), self.clock, lambda: 0.0)
+        self.clock.advance(role_planner.MOVE_VALIDITY_S + 0.1)
+        replies = {
+            host: planner.add_roles(HostBeat(0, host, 1, 1, False, [], []), REPLY)
+            for host in ("h0", "h1")
+        }
+        self.assertNotEqual(replies["h0"], REPLY)
+        self.assertEqual(replies["h1"], REPLY)
+
+    def test_earlier_host_is_not_asked_as_fallback(self):
+        fallback = ZoneFallback("h0", "a", lambda: LIMITS, self.clock)
+        names = [f"w{number}" for number in range(20)]
+        fallback.update(names, self.view.hosts)
+        self.assertEqual({fallback.host_for(name) for name in names}, {"h0"})
+
+
 class LimiterTests(unittest.TestCase):
     def setUp(self):
         self.clock = ManualClock(100.0)
