Give permits left over to requests that arrived during the call

Permits beyond those for the requests that waited went to the stock, while requests that arrived during the call waited for another one. And a request that arrived during the call was refused by its reply if one that had waited before had left meanwhile.

A reply now serves all waiting requests in their order, and refuses only those that its call asked for.

Evidence: the two new tests fail before the change; quotas_gate_tests pass.

--- a/greengagefall/quotas/gate.py
+++ b/greengagefall/quotas/gate.py
@@ -214,13 +214,13 @@
     async def _ask(self, state: _State) -> None:
         """Asks for permits until no request waits; one call at a time for each workspace."""
         while True:
-            waiting = sum(not future.done() for future in state.waiters)
-            if not waiting:
-                state.waiters.clear()
+            state.waiters = deque(future for future in state.waiters if not future.done())
+            asked = len(state.waiters)
+            if not asked:
                 state.task = None
                 return
-            reply = await self._request(state, waiting)
-            self._distribute(state, reply, waiting)
+            reply = await self._request(state, asked)
+            self._distribute(state, reply, asked)
 
     async def _request(self, state: _State, needed: int) -> _Reply | None:
         """Asks the limiter, or the fallback host if there is no answer; None without either."""
@@ -261,20 +261,26 @@
             return None
         return _Reply(reply, sent_s, source)
 
-    def _distribute(self, state: _State, reply: _Reply | None, waiting: int) -> None:
-        """Gives permits to the requests that waited before the call, and keeps the others."""
-        granted = 0 if reply is None else reply.message.granted
-        permits = granted
-        for _ in range(waiting):
-            future = _next_waiter(state)
-            if future is None:
-                break
+    def _distribute(self, state: _State, reply: _Reply | None, asked: int) -> None:
+        """Gives permits to the requests that wait, and keeps the others.
+
+        Args:
+            state: The workspace.
+            reply: The reply, None if there is none.
+            asked: Number of the first waiters for which the call asked; later ones are not refused.
+        """
+        permits = 0 if reply is None else reply.message.granted
+        while state.waiters and (permits or asked > 0):
+            future = state.waiters.popleft()
+            asked -= 1
+            if future.done():
+                continue
             if permits:
                 permits -= 1
                 future.set_result(_Permit(reply.sent_s + PERMIT_VALIDITY_S, reply.source))
             else:
                 future.set_result(self._refuse(state, reply))
-        if reply is not None:
+        if permits:
             state.stock.extend([_Permit(reply.sent_s + PERMIT_VALIDITY_S, "stock")] * permits)
 
     def _refuse(self, state: _State, reply: _Reply | None) -> QuotaDecision:
--- a/greengagefall/tests/quotas_gate_tests.py
+++ b/greengagefall/tests/quotas_gate_tests.py
@@ -20,6 +20,7 @@
 from greengagefall.gateway.peers import UNREACHABLE
 from greengagefall.gateway.router import Router
 from greengagefall.protocol.gateway_messages import Dispatched, QuotaGranted
+from greengagefall.quotas import gate
 from greengagefall.quotas.arithmetic import PERMIT_VALIDITY_S
 from greengagefall.quotas.gate import UNLIMITED, QuotaDecision, QuotaGate
 from greengagefall.utils.clock import ManualClock
@@ -67,6 +68,40 @@
         self.assertTrue(all(decision.granted for decision in decisions))
         self.assertEqual([needed for _, needed, _ in self.calls], [8])
 
+    async def take_during_the_first_call(self, *, abandon=False):
+        """Returns the decision for a request that arrives while the first call is under way."""
+        release = asyncio.Event()
+        call = self.gate._call
+
+        async def held_call(*arguments):
+            await release.wait()
+            return await call(*arguments)
+
+        self.gate._call = held_call
+        first = asyncio.create_task(self.gate.take(WORKSPACE, TIMEOUT_S))
+        await asyncio.sleep(0)
+        second = asyncio.create_task(self.gate.take(WORKSPACE, TIMEOUT_S))
+        await asyncio.sleep(0)
+        if abandon:
+            first.cancel()
+        release.set()
+        return await second
+
+    async def test_permits_left_go_to_requests_that_arrived_during_the_call(self):
+        """Guards against a second round trip, and requests overtaken, while permits are unused."""
+        self.replies["limiter"] = 100
+        with mock.patch.object(gate._Demand, "expected", return_value=2):
+            decision = await self.take_during_the_first_call()
+        self.assertTrue(decision.granted)
+        self.assertEqual(len(self.calls), 1)
+
+    async def test_request_is_not_refused_in_the_place_of_one_that_left(self):
+        """Guards against a refusal by a call that did not ask for the request."""
+        granted = iter((0, 1))
+        self.replies = mock.MagicMock()
+        self.replies.__getitem__.side_effect = lambda _: next(granted)
+        self.assertTrue((await self.take_during_the_first_call(abandon=True)).granted)
+
     async def test_exhausted_quota_is_remembered_until_the_named_time(self):
         """Guards against a call for each request over the quota, and against refusing longer."""
         self.replies["limiter"] = 0
