Stop replies to ended calls, and end calls whose message cannot be written

The reply to a call that had timed out was sent to its end, up to 64 MiB on a slow link, although its receiver ignored it. The receiver now sends Cancel with the first fragment of such a reply, or when it drops what had arrived.

An error while a waiting message was written ended the writing task: the call and all messages behind it waited for their timeouts. The connection is now closed, so that calls end at once, with the messages not yet written known as not sent.

Evidence: the three new tests fail before the change (40,000,000 and 39,682,048 of 40,000,000 bytes received; a timeout after 20 s). The link_large_messages, protocol_assembly and link tests pass.

--- a/greengagefall/protocol/assembly.py
+++ b/greengagefall/protocol/assembly.py
@@ -120,11 +120,16 @@
         del self._assemblies[end.message_id]
         return Assembled(message, assembly.payload_bytes)
 
-    def drop_call(self, call_id: int) -> None:
-        """Drops the incomplete messages of a call."""
-        for message_id, assembly in list(self._assemblies.items()):
-            if assembly.call_id == call_id:
-                self._drop(message_id)
+    def drop_call(self, call_id: int) -> bool:
+        """Drops the incomplete messages of a call; returns whether there were any."""
+        message_ids = [
+            message_id
+            for message_id, assembly in self._assemblies.items()
+            if assembly.call_id == call_id
+        ]
+        for message_id in message_ids:
+            self._drop(message_id)
+        return bool(message_ids)
 
     def drop_silent(self, now_s: float) -> list[AssemblyError]:
         """Drops the messages without a fragment for ``MAX_SILENCE_S``; returns their failures."""
--- a/greengagefall/protocol/channel.py
+++ b/greengagefall/protocol/channel.py
@@ -126,12 +126,14 @@
     def withdraw(self, call_id: int) -> bool:
         """Drops the rest of a call's message and what arrived of its reply.
 
+        The peer is told to drop its part of what was sent incompletely.
+
         Returns:
             Whether the message was not completely written, so that the peer has not handled it and
             never will.
         """
-        if self._assembler:
-            self._assembler.drop_call(call_id)
+        if self._assembler and self._assembler.drop_call(call_id):
+            self._write_cancel(call_id)
         if not self._queue:
             return False
         written_bytes = self._queue.drop(call_id)
@@ -223,6 +225,10 @@
         except (PeerUnreachableError, OSError):
             # What waits stays known as unsent until the channel is closed.
             return
+        except Exception:
+            # Calls must not wait for messages that no task writes any more.
+            connection.transport.abort()
+            raise
         finally:
             self._pump_task = None
 
--- a/greengagefall/protocol/link.py
+++ b/greengagefall/protocol/link.py
@@ -42,6 +42,7 @@
     Cancel,
     Failure,
     Forward,
+    Fragment,
     Hello,
 )
 from greengagefall.protocol.server import FAILURE_NOT_ASSEMBLED, FAILURE_REPLY_MEMORY
@@ -424,7 +425,9 @@
         call_id = read_call_id(part)
         channel = self._channel
         if call_id and call_id not in self._outstanding:
-            # The call has ended, and the peer was told if its reply had arrived in part.
+            # The call has ended; the peer was told then if its reply had arrived in part.
+            if isinstance(part, Fragment) and not part.offset:
+                self.send(Cancel(call_id))
             return
         try:
             assembled = channel.assemble(part)
--- a/greengagefall/tests/link_large_messages_tests.py
+++ b/greengagefall/tests/link_large_messages_tests.py
@@ -15,6 +15,7 @@
     FrameError,
     PeerLostError,
     PeerMemoryError,
+    PeerTimeoutError,
     PeerUnreachableError,
     ReplyLostError,
 )
@@ -124,6 +125,52 @@
                 self.assertEqual(answer.body, body_of(MB))
         self.assert_no_memory_is_held()
 
+    def count_received(self, on_first=lambda: None) -> list[int]:
+        """Returns a list that gets the size of each fragment that the link receives."""
+        receive_part = self.link._receive_part
+        sizes = []
+
+        def receive(part):
+            receive_part(part)
+            sizes.append(len(getattr(part, "data", b"")))
+            if len(sizes) == 1:
+                on_first()
+
+        self.link._receive_part = receive
+        return sizes
+
+    async def test_a_reply_to_a_call_that_timed_out_is_not_sent_to_its_end(self):
+        # Guards against megabytes on a slow link that their receiver ignores.
+        sizes = self.count_received()
+        self.gate.clear()
+        with self.assertRaises(PeerTimeoutError):
+            await self.link.call(self.sized("1", 40 * MB), 0.2)
+        self.gate.set()
+        await eventually(lambda: sizes)
+        await eventually(lambda: not self.server_budget.reserved_bytes)
+        self.assertLess(sum(sizes), 20 * MB)
+
+    async def test_a_reply_that_arrives_during_the_timeout_is_not_sent_to_its_end(self):
+        # As above, for a reply of which a part had arrived.
+        sizes = self.count_received(on_first=lambda: self.link._expire(1))
+        with self.assertRaises(PeerTimeoutError):
+            await self.link.call(self.sized("1", 40 * MB), TIMEOUT_S)
+        await eventually(lambda: not self.server_budget.reserved_bytes)
+        self.assertLess(sum(sizes), 20 * MB)
+        self.assert_no_memory_is_held()
+
+    async def test_a_message_that_cannot_be_written_ends_its_call_and_those_behind_it(self):
+        # Guards against messages that wait until their timeout because the writing task ended.
+        bad = large("1", bytes(MB))._replace(headers=[["a", "b" * 5 * MB]])
+        with self.assertLogs("greengagefall", "ERROR"):
+            outcomes = await asyncio.gather(
+                self.link.call(bad, TIMEOUT_S),
+                self.link.call(large("2", bytes(20 * MB)), TIMEOUT_S),
+                return_exceptions=True,
+            )
+        self.assertEqual([type(one) for one in outcomes], [PeerLostError, PeerUnreachableError])
+        self.assert_no_memory_is_held()
+
     async def test_peers_of_version_1_get_one_frame_for_each_message(self):
         # Guards against hosts that cannot talk to each other during a rolling upgrade.
         old_server = PeerServer("127.0.0.1:0", hello_of("b", version=1), self.handle)
