Name limiters again after workspaces gained or lost their limit

The limiters that the coordinator sends leave out workspaces without a limit, but their version did not change with those workspaces. If a limit was removed and set again, and the same host became the limiter, hosts that had taken a version in between never learned it, and used the small share of the fallback host for good.

The coordinator now begins a version when the workspaces with a limit change.

Evidence: the new test fails before the change; quotas_roles and quotas_exploration tests pass.

--- a/greengagefall/quotas/role_planner.py
+++ b/greengagefall/quotas/role_planner.py
@@ -29,6 +29,7 @@
     from greengagefall.protocol.gateway_messages import BeatReply, HostBeat
     from greengagefall.quotas.limited import LimitedWorkspaces
     from greengagefall.utils.clock import Clock
+    from greengagefall.workspaces.directory import Workspace
 
 log = logging.getLogger(__name__)
 
@@ -107,6 +108,8 @@
         own = view.host_incarnation
         self._token = f"{own.host}@{own.start_ms}@{int(self._elected_s * MS_PER_S)}"
         self._version = 1
+        # Workspaces that the limiters of this version cover.
+        self._covered: dict[str, Workspace] = {}
         self._all_reported = False
         self._hosts: dict[str, _Host] = {}
         self._holders: dict[str, _Holder] = {}
@@ -115,6 +118,7 @@
         """Records a heartbeat and returns its reply with the roles of the host added."""
         if not self._limited.current() or not self._view.reads_quotas(beat.host):
             return reply
+        self._follow_limited()
         now_s = self._clock.now_s()
         if not self._record(beat, now_s):
             return reply
@@ -139,6 +143,15 @@
             quota_limiters=None if known else self._limiters(),
         )
 
+    def _follow_limited(self) -> None:
+        """Begins a version of the limiters if other workspaces have a limit than before."""
+        limited = self._limited.current()
+        if limited is self._covered:
+            return
+        if limited.keys() != self._covered.keys():
+            self._version += 1
+        self._covered = limited
+
     def _record(self, beat: HostBeat, now_s: float) -> bool:
         """Records a heartbeat; returns whether it is of the host's newest incarnation."""
         before = self._hosts.get(beat.host)
--- a/greengagefall/tests/quotas_roles_tests.py
+++ b/greengagefall/tests/quotas_roles_tests.py
@@ -141,6 +141,28 @@
         self.age_s = role_planner.ROLE_VALIDITY_S
         self.assertEqual(self.beat(other, token, ("w",)), REPLY)
 
+    def test_limiter_of_a_workspace_that_is_limited_again_is_named_again(self):
+        """Guards against hosts that use the fallback for good although there is a limiter."""
+
+        def limit(*workspaces):
+            table = self.view.routing_table
+            self.view.update_routing_table(
+                table._replace(version=table.version + 1, workspaces=WorkspaceDirectory(workspaces))
+            )
+
+        holder, other, token = self.settle()
+        before = self.beat(other, token)
+        limit(W._replace(name="x"))
+        for host in (holder, other, holder):
+            between = self.beat(host, token)
+        self.assertNotIn("w", between.quota_limiters[holder])
+        self.assertGreater(between.quota_version, before.quota_version)
+        limit(W)
+        known = HostBeat(
+            0, other, 1, 1, False, [], [], quota_token=token, quota_version=between.quota_version
+        )
+        self.assertEqual(self.planner.add_roles(known, REPLY).quota_limiters, {holder: ["w"]})
+
     def test_configuration_without_limits_adds_no_bytes(self):
         """Guards against a cost for deployments without quotas, or once they have no more."""
         view = make_view(self.clock, (Workspace("free"),))
