--- a/greengagefall/tests/quotas_roles_tests.py
+++ b/greengagefall/tests/quotas_roles_tests.py
@@ -26,8 +26,8 @@
 LEASE_S = role_planner.LIMITER_LEASE_S
 
 
-def record(host, zone="a", start_ms=1):
-    return HostRecord(host, start_ms, "", zone, 1.0)
+def record(host, zone="a", start_ms=1, *, reads_kinds=True):
+    return HostRecord(host, start_ms, "", zone, 1.0, reads_kinds=reads_kinds)
 
 
 def make_view(clock, workspaces=(W,)):
@@ -141,13 +141,35 @@
         self.age_s = role_planner.ROLE_VALIDITY_S
         self.assertEqual(self.beat(other, token, ("w",)), REPLY)
 
+    def test_limiter_of_a_workspace_that_is_limited_again_is_named_again(self):
+        """Guards against hosts that use the fallback for good although there is a limiter."""
+
+        def limit(*workspaces):
+            table = self.view.routing_table
+            self.view.update_routing_table(
+                table._replace(version=table.version + 1, workspaces=WorkspaceDirectory(workspaces))
+            )
+
+        holder, other, token = self.settle()
+        before = self.beat(other, token)
+        limit(W._replace(name="x"))
+        for host in (holder, other, holder):
+            between = self.beat(host, token)
+        self.assertNotIn("w", between.quota_limiters[holder])
+        self.assertGreater(between.quota_version, before.quota_version)
+        limit(W)
+        known = HostBeat(
+            0, other, 1, 1, False, [], [], quota_token=token, quota_version=between.quota_version
+        )
+        self.assertEqual(self.planner.add_roles(known, REPLY).quota_limiters, {holder: ["w"]})
+
     def test_configuration_without_limits_adds_no_bytes(self):
         """Guards against a cost for deployments without quotas, or once they have no more."""
         view = make_view(self.clock, (Workspace("free"),))
         quotas = HostQuotas(view, None, self.clock)
         quotas.on_reply(99.0, REPLY._replace(quota_token="of an earlier configuration"))
         beat = HostBeat(0, "h0", 1, 1, False, [], [])
-        self.assertEqual(encode(quotas.add_roles(100.0, beat)), encode(beat))
+        self.assertEqual(encode(quotas.add_roles(100.0, beat, "h1")), encode(beat))
         quotas.gate._states["former"] = mock.Mock(task=None)
         quotas.start()
         self.assertEqual(quotas.gate._states, {})
@@ -156,6 +178,38 @@
         self.assertEqual(encode(planner.add_roles(beat, REPLY)), encode(REPLY))
 
 
+class EarlierVersionTests(unittest.TestCase):
+    """Guard against links closed by hosts that take messages on quotas as malformed."""
+
+    def setUp(self):
+        self.clock = ManualClock(100.0)
+        self.view = make_view(self.clock)
+        self.view.hosts["h1"] = record("h1", reads_kinds=False)
+
+    def test_heartbeat_to_an_earlier_coordinator_has_no_roles(self):
+        quotas = HostQuotas(self.view, None, self.clock)
+        beat = HostBeat(0, "h0", 1, 1, False, [], [])
+        quotas.on_reply(99.0, REPLY._replace(quota_token="of a coordinator of this version"))
+        self.assertEqual(quotas.add_roles(100.0, beat, "h1"), beat)
+        self.assertNotEqual(quotas.add_roles(100.0, beat, "h0"), beat)
+
+    def test_reply_to_an_earlier_host_has_no_roles(self):
+        planner = RolePlanner(self.view, LimitedWorkspaces(self.view), self.clock, lambda: 0.0)
+        self.clock.advance(role_planner.MOVE_VALIDITY_S + 0.1)
+        replies = {
+            host: planner.add_roles(HostBeat(0, host, 1, 1, False, [], []), REPLY)
+            for host in ("h0", "h1")
+        }
+        self.assertNotEqual(replies["h0"], REPLY)
+        self.assertEqual(replies["h1"], REPLY)
+
+    def test_earlier_host_is_not_asked_as_fallback(self):
+        fallback = ZoneFallback("h0", "a", lambda: LIMITS, self.clock)
+        names = [f"w{number}" for number in range(20)]
+        fallback.update(names, self.view.hosts)
+        self.assertEqual({fallback.host_for(name) for name in names}, {"h0"})
+
+
 class LimiterTests(unittest.TestCase):
     def setUp(self):
         self.clock = ManualClock(100.0)
