--- a/greengagefall/memory/part_budget.py
+++ b/greengagefall/memory/part_budget.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from greengagefall.memory.account import SMALL_BYTES
-
 if TYPE_CHECKING:
     from greengagefall.memory.account import MemoryAccount
 
@@ -23,11 +21,12 @@
         self._part = part
 
     def reserve(self, size_bytes: int) -> bool:
-        """Reserves memory; returns whether there was enough.
+        """Reserves memory for a whole message; returns whether there was enough.
 
-        Pieces of large messages do not count as small holders, which may use the reserve.
+        Ordinary answers may use the reserve of the account, so that large messages do not make
+        them fail.
         """
-        return self._account.reserve(self._part, size_bytes, max(size_bytes, SMALL_BYTES + 1))
+        return self._account.reserve(self._part, size_bytes)
 
     def release(self, size_bytes: int) -> None:
         """Returns memory that was reserved."""
--- a/greengagefall/tests/memory_account_tests.py
+++ b/greengagefall/tests/memory_account_tests.py
@@ -19,6 +19,7 @@
 )
 from greengagefall.memory.decisions import BURST_LINES, DecisionLog
 from greengagefall.memory.host_memory import open_host_memory
+from greengagefall.memory.part_budget import PartBudget
 from greengagefall.utils.clock import ManualClock
 
 MEMORY_BYTES = 100_000_000
@@ -163,6 +164,17 @@
         self.assertEqual(set(account.parts_bytes.values()), {0})
 
 
+class PartBudgetTests(AccountTestCase):
+    def test_ordinary_answers_pass_beside_large_messages_that_fill_their_part(self):
+        # Guards against a lost answer of an executed request because others are large.
+        budget = PartBudget(self.account, FRAGMENTS)
+        while budget.reserve(BODY_BYTES):
+            pass
+        self.assertTrue(budget.reserve(SMALL_BYTES // 2))
+        budget.release(BODY_BYTES)
+        self.assertTrue(budget.reserve(BODY_BYTES // 2))
+
+
 class DecisionLogTests(unittest.TestCase):
     def test_a_crowd_does_not_fill_the_log(self):
         # Guards against thousands of lines a second, which would displace all others.
