--- a/greengagefall/tests/gateway_workspaces_end_to_end_tests.py
+++ b/greengagefall/tests/gateway_workspaces_end_to_end_tests.py
@@ -39,7 +39,11 @@
     def capture_logs(self):
         """Collects all log lines as a process writes them, of all levels and libraries."""
         root = logging.getLogger()
+        package = logging.getLogger("greengagefall")
         self.addCleanup(setattr, root, "handlers", list(root.handlers))
+        # Tests of greengagefallctl in the same process raise the level of the package.
+        self.addCleanup(package.setLevel, package.level)
+        package.setLevel(logging.NOTSET)
         self.addCleanup(root.setLevel, root.level)
         setup_logging("DEBUG")
         self.lines = io.StringIO()
