Rely on a watch of the store only for a short time after a proof

Cause: the watch that follows a change is sent 0.12 s after it on all hosts. Sent into a store outage of 0.5 s, it gets no answer, and looks like a watch without changes until its own timeout of 16 s. The probe that should notice an outage is a short call once a second and may miss it, on all hosts at once.

The coordinator proves itself by watches of half of the drain timeout, and states in its replies to heartbeats what it knows and when; a host that knows as much has the same proof. A host that hears of a later change, or has no proof for 0.8 of the drain timeout, reads all keys and dates what it finds at its last proof. Hosts of earlier versions neither get nor send the new field.

--- a/greengagefall/gateway/beats.py
+++ b/greengagefall/gateway/beats.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from greengagefall.gateway.dispatchers import ChannelManager
     from greengagefall.gateway.peers import Peers
+    from greengagefall.gateway.store_proofs import StoreProofs
     from greengagefall.gateway.view import ClusterView
     from greengagefall.ownership.model import HostIncarnation
     from greengagefall.platform.store import PlatformStore
@@ -49,6 +50,7 @@
         store: The store.
         clock: Clock that counts suspended time.
         quotas: Limiter roles of this host; None if it takes none.
+        proofs: Proofs that this host knows the store; None if it exchanges none.
     """
 
     def __init__(
@@ -59,8 +61,10 @@
         store: PlatformStore,
         clock: Clock,
         quotas: HostQuotas | None = None,
+        proofs: StoreProofs | None = None,
     ) -> None:
         self._quotas = quotas
+        self._proofs = proofs
         self._view = view
         self._peers = peers
         self._channels = channels
@@ -109,11 +113,15 @@
             )
             if self._quotas is not None:
                 message = self._quotas.add_roles(sent_s, message, coordinator.host)
+            if self._proofs is not None:
+                message = self._proofs.add_to_beat(message, coordinator.host)
             reply = await self._peers.call(coordinator.host, message, HEARTBEAT_TIMEOUT_S)
             if isinstance(reply, BeatReply):
                 self._last_answered_s = sent_s
                 if self._quotas is not None:
                     self._quotas.on_reply(sent_s, reply)
+                if self._proofs is not None:
+                    self._proofs.on_reply(sent_s, reply)
                 self._view.confirm_assignment(
                     reply.assignment_version, sent_s - reply.verified_age_ms / MS_PER_S
                 )
--- a/greengagefall/gateway/following.py
+++ b/greengagefall/gateway/following.py
@@ -23,6 +23,8 @@
 from greengagefall.store.exceptions import (
     StoreCompactedError,
     StoreConnectionLostError,
+    StoreError,
+    StoreUnavailableError,
 )
 from greengagefall.utils.supervision import start_supervised
 
@@ -55,6 +57,10 @@
 RESTORE_GRACE_HEARTBEATS = 4.0
 
 
+class _WatchRefreshedError(StoreError):
+    """This host ended its watch to read all keys."""
+
+
 def _never_reverts(known: KeyValue | None, found: KeyValue | None) -> bool:
     return False
 
@@ -84,6 +90,11 @@
         restores: Restores of the store up to which the revisions count, ``UNKNOWN_RESTORES`` if it
             does not tell.
         loaded: Set once all keys were read.
+        prefix: The prefix.
+        proved_s: Time at which this host certainly knew all changes, by the newest proof.
+        max_proof_age_s: Age of a proof after which this host may have missed changes.
+        max_watch_s: Returns the longest duration of a watch that begins now.
+        refreshing: Whether this host is about to read what it may have missed since ``proved_s``.
     """
 
     def __init__(
@@ -102,7 +113,7 @@
         retention_s: float = DEFAULT_RETENTION_S,
     ) -> None:
         self._store = store
-        self._prefix = prefix
+        self.prefix = prefix
         self._clock = clock
         self._keep_through_outage = keep_through_outage
         self._held_back = HeldBackKeys(clock, reverts, restore_grace_s)
@@ -119,11 +130,21 @@
         self.revision = 0
         self.restores = UNKNOWN_RESTORES
         self.loaded = asyncio.Event()
+        self.proved_s = -math.inf
+        self.max_proof_age_s = math.inf
+        self.max_watch_s: Callable[[], float] = lambda: math.inf
+        self.refreshing = False
 
     @property
     def watching(self) -> bool:
-        """Whether this host itself watches the keys and can have missed no change."""
-        return self._watching and self._resync_s == math.inf and not self._held_back.keys
+        """Whether this host itself watches the keys and a recent proof covers what it knows."""
+        is_settled = self._resync_s == math.inf and not self._held_back.keys
+        return self._watching and is_settled and not self._is_proof_outdated()
+
+    @property
+    def following(self) -> bool:
+        """Whether this host reads and watches the keys itself and has read them."""
+        return self._task is not None and self.loaded.is_set()
 
     @property
     def last_change(self) -> int:
@@ -136,21 +157,21 @@
         return self._reachability.since_s
 
     def is_current(self, key: str) -> bool:
-        """Returns whether the store has a key now and no change of it can have been missed.
+        """Returns whether the store has a key, as far as a recent proof covers.
 
         This is false until ``OUTAGE_RECOVERY_GRACE_S`` after an outage, since the writers of the
         keys may not have written their current state yet.
         """
         if not self._reachability.reached or self._resync_s != math.inf:
             return False
-        if self._clock.now_s() < self._grace_ends_s():
+        if self._is_proof_outdated() or self._clock.now_s() < self._grace_ends_s():
             return False
         return self._keys.is_settled(key)
 
     def start(self) -> None:
         """Starts the task that reads and watches the keys, unless it runs."""
         if self._task is None:
-            self._task = start_supervised(self._run, f"follow {self._prefix}", self._on_failure)
+            self._task = start_supervised(self._run, f"follow {self.prefix}", self._on_failure)
 
     def pause(self) -> None:
         """Stops watching; the known keys stay."""
@@ -158,6 +179,7 @@
             self._task.cancel()
             self._task = None
         self._watching = False
+        self.refreshing = False
         self._resync_s = math.inf
         if self._held_back.keys:
             # Has a relay send all keys, those that were held back included.
@@ -189,8 +211,10 @@
                 backoff.record_failure()
 
     async def _read_all(self) -> int | None:
-        read = await self._store.range(self._prefix)
+        started_s = self._clock.now_s()
+        read = await self._store.range(self.prefix)
         if isinstance(read, Err):
+            self._watching = False
             self._reachability.note_failure(read.err_value)
             return None
         self._reachability.note_answer()
@@ -199,6 +223,8 @@
         self._note_restores(self._store.restores)
         revision = read.ok_value.revision
         self._apply(PrefixChanges(revision, True, read.ok_value.key_values, []))
+        self.refreshing = False
+        self.note_proof(started_s)
         self._watching = True
         return revision
 
@@ -208,15 +234,20 @@
 
     async def _read_changes(self, revision: int) -> int | None:
         remaining_s = self._next_full_read_s() - self._clock.now_s()
-        timeout_s = min(self._watch_timeout_s, max(0.0, remaining_s))
-        read = await self._watch_call.run(self._store.watch(self._prefix, revision, timeout_s))
+        # Until all keys were read again, an answer to a watch proves nothing.
+        max_watch_s = self.max_watch_s() if self._resync_s == math.inf else math.inf
+        timeout_s = min(self._watch_timeout_s, max_watch_s, max(0.0, remaining_s))
+        started_s = self._clock.now_s()
+        read = await self._watch_call.run(self._store.watch(self.prefix, revision, timeout_s))
         if isinstance(read, Err):
+            if isinstance(read.err_value, _WatchRefreshedError):
+                return None
             self._watching = False
             self._resync_s = self._clock.now_s() + RESYNC_DELAY_S
             if isinstance(read.err_value, StoreCompactedError):
                 log.info(
                     "Store history was compacted; reading all keys again.",
-                    extra={"prefix": self._prefix},
+                    extra={"prefix": self.prefix},
                 )
                 return None
             if not isinstance(read.err_value, StoreConnectionLostError):
@@ -230,6 +261,7 @@
             self._resync_s = self._clock.now_s() + RESYNC_DELAY_S
             return None
         events = read.ok_value.events
+        self._note_watch_proof(started_s, 0.0 if events else timeout_s)
         with self._batch():
             for change in events:
                 if change.deleted:
@@ -241,9 +273,32 @@
             await asyncio.sleep(self.batch_delay_s())
         return read.ok_value.revision
 
+    def _note_watch_proof(self, started_s: float, quiet_s: float) -> None:
+        """Notes what the answer to a watch proves.
+
+        Args:
+            started_s: When the watch was sent.
+            quiet_s: For how long the store certainly had no change after it got the watch.
+        """
+        if self._resync_s == math.inf:
+            self.note_proof(min(started_s + quiet_s, self._clock.now_s()))
+
+    def note_proof(self, proved_s: float) -> None:
+        """Notes that this host certainly knew all changes at a time."""
+        self.proved_s = max(self.proved_s, proved_s)
+
+    def _is_proof_outdated(self) -> bool:
+        return self._clock.now_s() - self.proved_s > self.max_proof_age_s
+
     def give_up_watch(self) -> None:
-        """Begins anew, since the answer of the present watch may be lost."""
-        self._watch_call.give_up()
+        """Begins anew, since the store does not answer and the present watch may be lost."""
+        self._watch_call.give_up(StoreUnavailableError("the watch was given up"))
+
+    def refresh(self) -> bool:
+        """Ends the present watch and reads all keys; returns whether there was one."""
+        given_up = self._watch_call.give_up(_WatchRefreshedError("the watch was refreshed"))
+        self.refreshing = self.refreshing or given_up
+        return given_up
 
     def changes_since(self, revision: int) -> PrefixChanges:
         """Returns the changes after a revision; all keys if the deletions are not known."""
@@ -305,7 +360,7 @@
             return
         log.warning(
             "Reading all keys again, since the store was restored.",
-            extra={"prefix": self._prefix, "restores": restores, "revision": self.revision},
+            extra={"prefix": self.prefix, "restores": restores, "revision": self.revision},
         )
         self._keys.forget_revisions()
         self.revision = 0
--- a/greengagefall/gateway/handlers.py
+++ b/greengagefall/gateway/handlers.py
@@ -35,6 +35,7 @@
     from greengagefall.gateway.coordinator import Coordinator
     from greengagefall.gateway.dispatchers import ChannelManager
     from greengagefall.gateway.relaying import StoreRelay
+    from greengagefall.gateway.store_proofs import StoreProofs
     from greengagefall.gateway.view import ClusterView
     from greengagefall.memory.account import MemoryAccount
     from greengagefall.quotas.host_quotas import HostQuotas
@@ -62,6 +63,7 @@
         coordinator: The coordinator while this host is elected, else None.
         relay: Passes changes of the store on; None if this host does not.
         quotas: Counts requests of workspaces; None if this host does not.
+        proofs: Proofs that this host knows the store; None if it exchanges none.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         self.coordinator: Coordinator | None = None
         self.relay: StoreRelay | None = None
         self.quotas: HostQuotas | None = None
+        self.proofs: StoreProofs | None = None
 
     def handle(self, peer: Hello, message: Any) -> Any:
         """Returns the reply to a message, or a coroutine for it."""
@@ -109,7 +112,8 @@
         """Records a heartbeat if this host is the coordinator."""
         if self.coordinator is None:
             return NOT_COORDINATOR
-        return self.coordinator.on_heartbeat(message)
+        reply = self.coordinator.on_heartbeat(message)
+        return reply if self.proofs is None else self.proofs.add_to_reply(message, reply)
 
     @HANDLERS.register(AssignmentPush.__name__)
     def on_push(self, message: AssignmentPush) -> AssignmentAck:
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -34,6 +34,7 @@
 from greengagefall.gateway.stand_in_notices import StandInNotices
 from greengagefall.gateway.status_http import StatusServer
 from greengagefall.gateway.store_probe import StoreProbe
+from greengagefall.gateway.store_proofs import StoreProofs
 from greengagefall.gateway.view import ClusterView, HostRecord
 from greengagefall.limits.stop_admission import StopAdmission
 from greengagefall.memory.budget import FRAGMENTS
@@ -100,8 +101,13 @@
         self._stand_in = StandInNotices(
             self.view, clock, self._channels.open_pool, self._peers.is_lost, ask_others
         )
+        self._watchers = self._make_watchers()
+        self._proofs = StoreProofs(
+            self._watchers, self.view, clock, settings.limits.drain_timeout_s
+        )
+        self._handlers.proofs = self._proofs
         self._heartbeats = HeartbeatSender(
-            self.view, self._peers, self._channels, self._store, clock, self._quotas
+            self.view, self._peers, self._channels, self._store, clock, self._quotas, self._proofs
         )
         self._router = Router(
             self.view,
@@ -120,7 +126,6 @@
         self._election = Election(
             self._lease_store, self.view, clock, self._become_coordinator, self._step_down
         )
-        self._watchers = self._make_watchers()
         self._relay = StoreRelay(self._watchers, PlatformStore(settings.store_address), clock)
         self._store_probe = StoreProbe(
             self._watchers,
@@ -129,6 +134,7 @@
         )
         self._handlers.relay = self._relay
         self._follower = RelayFollower(self._watchers, self._relay, self.view, self._peers, clock)
+        self._follower.on_check = self._proofs.check
         self.view.is_entry_in_store = self._is_entry_in_store
         self.view.store_lag_s = self._follower.lag_s
         self.view.known_restores = self._known_restores
@@ -288,6 +294,7 @@
             relays=True,
             link_mbps=self.settings.link_mbps,
             reads_kinds=True,
+            reads_proofs=True,
         )
         key = HOST_PREFIX + record.host
         registered_after = UNKNOWN_RESTORES
--- a/greengagefall/gateway/records.py
+++ b/greengagefall/gateway/records.py
@@ -176,6 +176,7 @@
         fields.get("relays") is True,
         read_number(key, fields, "link_mbps", 0.0),
         fields.get("reads_kinds") is True,
+        fields.get("reads_proofs") is True,
     )
 
 
--- a/greengagefall/gateway/relay_following.py
+++ b/greengagefall/gateway/relay_following.py
@@ -23,7 +23,7 @@
 from greengagefall.utils.supervision import start_supervised
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from greengagefall.gateway.following import PrefixWatcher
     from greengagefall.gateway.peers import Peers
@@ -76,6 +76,7 @@
 
     Attributes:
         relayed: Whether this host follows a relay now.
+        on_check: Called in short intervals while this host watches by itself.
     """
 
     def __init__(
@@ -98,6 +99,7 @@
         self._failed_last = False
         self._task: asyncio.Task | None = None
         self.relayed = False
+        self.on_check: Callable[[], None] = lambda: None
 
     def start(self) -> None:
         """Starts to follow the store."""
@@ -118,7 +120,10 @@
         """
         self._note_own_proof()
         reachable_since_s = max(watcher.reachable_since_s for watcher in self._watchers)
-        return self._clock.now_s() - max(self._verified_s, reachable_since_s)
+        # A watch that is refreshed may have missed changes since its last proof.
+        proved_s = [watcher.proved_s for watcher in self._watchers if watcher.refreshing]
+        known_s = min([self._verified_s, *proved_s])
+        return self._clock.now_s() - max(known_s, reachable_since_s)
 
     def _note_own_proof(self) -> None:
         """Notes up to when this host certainly knows all changes by its own watches."""
@@ -141,6 +146,7 @@
                 self._watch()
             if relay is None or self._is_starting():
                 self._note_own_proof()
+                self.on_check()
                 await asyncio.sleep(CHECK_INTERVAL_S)
 
     def _is_starting(self) -> bool:
@@ -161,6 +167,9 @@
         return sorted(able, key=lambda record: (-record.weight, record.host))
 
     def _is_relay(self) -> bool:
+        # The other hosts rely on what the coordinator knows by itself.
+        if self._view.is_coordinator:
+            return True
         if self._clock.now_s() - self._relay.last_poll_s < PROMOTION_S:
             return True
         own = self._view.host_incarnation.host
@@ -218,9 +227,7 @@
             return False
         self._failed.pop(relay.host, None)
         self._failed_last = False
-        self._verified_s = max(
-            self._verified_s, sent_s + (reply.waited_ms - reply.verified_age_ms) / MS_PER_S
-        )
+        self._note_relay_proof(sent_s + (reply.waited_ms - reply.verified_age_ms) / MS_PER_S)
         if not self.relayed:
             log.info("Following the store through a relay.", extra={"relay": relay.host})
             self._pause()
@@ -237,6 +244,12 @@
                 watcher.apply_relayed(changes, reachable_since_s, reply.restores)
         return any(changes.puts or changes.deletions for changes in all_changes)
 
+    def _note_relay_proof(self, proved_s: float) -> None:
+        """Notes when the relay certainly knew all changes that this host now knows."""
+        self._verified_s = max(self._verified_s, proved_s)
+        for watcher in self._watchers:
+            watcher.note_proof(proved_s)
+
     def _pause(self) -> None:
         """Stops this host's own watches."""
         self.relayed = True
--- a/greengagefall/gateway/view.py
+++ b/greengagefall/gateway/view.py
@@ -48,6 +48,7 @@
         link_mbps: Bandwidth of its network link; 0 if unknown.
         reads_kinds: Whether it can read requests that name their kind, and messages on quotas;
             hosts of earlier versions take them as malformed and close the link.
+        reads_proofs: The same for heartbeats and replies with ``store_knowledge``.
     """
 
     host: str
@@ -58,6 +59,7 @@
     relays: bool = False
     link_mbps: float = 0.0
     reads_kinds: bool = False
+    reads_proofs: bool = False
 
     @property
     def incarnation(self) -> HostIncarnation:
@@ -259,6 +261,16 @@
         record = self.hosts.get(host)
         return record is not None and record.reads_kinds
 
+    def reads_proofs(self, host: str) -> bool:
+        """Returns whether a host is known to read messages with ``store_knowledge``."""
+        record = self.hosts.get(host)
+        return record is not None and record.reads_proofs
+
+    @property
+    def is_coordinator(self) -> bool:
+        """Whether this host is the coordinator according to the store."""
+        return self.coordinator == self.host_incarnation
+
     def find_service(self, name: str) -> Service | None:
         """Returns a service of the routing configuration, or None if it is unknown."""
         return self.routing_table.services.get(name)
--- a/greengagefall/gateway/watch_call.py
+++ b/greengagefall/gateway/watch_call.py
@@ -7,11 +7,11 @@
 
 from result import Err, Result
 
-from greengagefall.store.exceptions import StoreError, StoreUnavailableError
-
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
+    from greengagefall.store.exceptions import StoreError
+
 T = TypeVar("T")
 
 
@@ -20,25 +20,27 @@
 
     def __init__(self) -> None:
         self._call: asyncio.Task | None = None
-        self._given_up = False
+        self._reason: StoreError | None = None
 
     async def run(
         self, call: Coroutine[None, None, Result[T, StoreError]]
     ) -> Result[T, StoreError]:
-        """Returns the result of a call, or an error if it was given up."""
-        self._given_up = False
+        """Returns the result of a call, or the reason for which it was given up."""
+        self._reason = None
         self._call = asyncio.create_task(call, name="watch call")
         try:
             return await self._call
         except asyncio.CancelledError:
-            if not self._given_up or asyncio.current_task().cancelling():
+            if self._reason is None or asyncio.current_task().cancelling():
                 raise
-            return Err(StoreUnavailableError("the watch was given up"))
+            return Err(self._reason)
         finally:
             self._call.cancel()
 
-    def give_up(self) -> None:
-        """Ends the present call, if there is one."""
-        if self._call is not None and not self._call.done():
-            self._given_up = True
-            self._call.cancel()
+    def give_up(self, reason: StoreError) -> bool:
+        """Ends the present call; returns whether there was one."""
+        if self._call is None or self._call.done():
+            return False
+        self._reason = reason
+        self._call.cancel()
+        return True
--- a/greengagefall/protocol/gateway_messages.py
+++ b/greengagefall/protocol/gateway_messages.py
@@ -117,6 +117,9 @@
             sent after that reply; empty if no workspace has a limit.
         quota_version: Version of the limiters that it has by that coordinator.
         quota_roles: Workspaces of which it is the limiter.
+        store_knowledge: What it knows of the store: restores, how many ms ago it certainly knew all
+            changes, and the revision of the last known change under each followed prefix; empty if
+            it does not watch the store by itself.
     """
 
     call_id: int
@@ -132,6 +135,7 @@
     quota_token: str = ""
     quota_version: int = 0
     quota_roles: Sequence[str] = ()
+    store_knowledge: Sequence[int] = ()
 
 
 @message("hr")
@@ -148,6 +152,8 @@
         quota_lease_ms: Duration of these leases from the sending of the heartbeat.
         quota_limiters: Workspaces by the host that is their limiter; None if the host has this
             version.
+        store_knowledge: What the coordinator knows of the store, as in ``HostBeat``; empty if the
+            heartbeat has none.
     """
 
     call_id: int
@@ -158,6 +164,7 @@
     quota_roles: Sequence[str] = ()
     quota_lease_ms: int = 0
     quota_limiters: dict[str, list[str]] | None = None
+    store_knowledge: Sequence[int] = ()
 
 
 @message("qp")
--- a/greengagefall/standins/platform_store.py
+++ b/greengagefall/standins/platform_store.py
@@ -21,6 +21,7 @@
         key_values: Key-values by key.
         refuse: HTTP status with which every call is refused, 0 for none.
         lose_answers: Number of next transactions that are applied but get no answer.
+        lose_watches: Prefixes whose next watch is never answered; its connection stays open.
         calls: Number of calls by path.
         delay_watch_events: Whether watches report events only when their wait time has passed.
         watchers: Handlers of the open watches.
@@ -31,6 +32,7 @@
         self.key_values: dict[str, dict[str, Any]] = {}
         self.refuse = 0
         self.lose_answers = 0
+        self.lose_watches: set[str] = set()
         self.calls: dict[str, int] = {}
         self.delay_watch_events = False
         self.watchers: set[_WatchHandler] = set()
@@ -263,9 +265,14 @@
     async def get(self) -> None:
         after = int(self.get_argument("after"))
         wait_s = int(self.get_argument("waitMs")) / 1000
+        prefix = self.get_argument("prefix")
+        if prefix in self.store.lose_watches:
+            self.store.lose_watches.remove(prefix)
+            self._auto_finish = False
+            return
         self.store.watchers.add(self)
         try:
-            found = await self.store.events(self.get_argument("prefix"), after, wait_s)
+            found = await self.store.events(prefix, after, wait_s)
         finally:
             self.store.watchers.discard(self)
         if found is None:
