--- a/greengagefall/tests/gateway_lost_watch_tests.py
+++ b/greengagefall/tests/gateway_lost_watch_tests.py
@@ -13,7 +13,7 @@
 from greengagefall.ownership.model import UNKNOWN_RESTORES
 from greengagefall.platform.store import KeyValue, RangeResult, WatchEvent, WatchResult
 from greengagefall.store.exceptions import StoreConnectionLostError, StoreUnavailableError
-from greengagefall.tests.virtual_time import LoopClock, VirtualLoop
+from greengagefall.tests.virtual_time import LoopClock, VirtualLoop, run_in_virtual_time
 
 PREFIX = "servers/"
 CALL_S = 0.004
@@ -113,16 +113,7 @@
         self.seen[key_value.key] = key_value.value
 
     def play(self, run) -> None:
-        loop = VirtualLoop()
-        asyncio.set_event_loop(loop)
-        try:
-            loop.run_until_complete(self.follow(loop, run))
-        finally:
-            for task in asyncio.all_tasks(loop):
-                task.cancel()
-            loop.run_until_complete(asyncio.sleep(0))
-            loop.close()
-            asyncio.set_event_loop(None)
+        run_in_virtual_time(lambda loop: self.follow(loop, run))
 
     async def follow(self, loop: VirtualLoop, run) -> None:
         store = QuietStore()
--- a/greengagefall/tests/gateway_store_proofs_tests.py
+++ b/greengagefall/tests/gateway_store_proofs_tests.py
@@ -18,7 +18,7 @@
 from greengagefall.tests.gateway_lost_watch_tests import DRAIN_TIMEOUT_S, PREFIX, QuietStore
 from greengagefall.tests.relaying_simulation import HOST_COUNT, server_entry
 from greengagefall.tests.relaying_simulation import run_virtual as run_zone
-from greengagefall.tests.virtual_time import LoopClock, VirtualLoop
+from greengagefall.tests.virtual_time import LoopClock, VirtualLoop, run_in_virtual_time
 
 HOST_COUNT_WITHOUT_RELAYS = 4
 BEAT_INTERVAL_S = 0.3
@@ -146,16 +146,7 @@
 
 def run_fleet(run):
     """Runs a coroutine function with a fleet in virtual time; returns its result."""
-    loop = VirtualLoop()
-    asyncio.set_event_loop(loop)
-    try:
-        return loop.run_until_complete(run(Fleet(loop)))
-    finally:
-        for task in asyncio.all_tasks(loop):
-            task.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
-        loop.close()
-        asyncio.set_event_loop(None)
+    return run_in_virtual_time(lambda loop: run(Fleet(loop)))
 
 
 class StoreProofsTests(unittest.TestCase):
--- a/greengagefall/tests/relaying_simulation.py
+++ b/greengagefall/tests/relaying_simulation.py
@@ -33,7 +33,7 @@
     WatchResult,
 )
 from greengagefall.store.exceptions import StoreCompactedError, StoreUnavailableError
-from greengagefall.tests.virtual_time import LoopClock, VirtualLoop
+from greengagefall.tests.virtual_time import LoopClock, VirtualLoop, run_in_virtual_time
 
 ZONE = "a"
 HOST_COUNT = 12
@@ -227,13 +227,4 @@
 
 def run_virtual(run, host_count: int = HOST_COUNT):
     """Runs a coroutine function with a zone in virtual time."""
-    loop = VirtualLoop()
-    asyncio.set_event_loop(loop)
-    try:
-        return loop.run_until_complete(run(Zone(loop, host_count)))
-    finally:
-        for task in asyncio.all_tasks(loop):
-            task.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
-        loop.close()
-        asyncio.set_event_loop(None)
+    return run_in_virtual_time(lambda loop: run(Zone(loop, host_count)))
--- a/greengagefall/tests/virtual_time.py
+++ b/greengagefall/tests/virtual_time.py
@@ -50,12 +50,18 @@
 
 
 def run_in_virtual_time(play: Callable[[VirtualLoop], Awaitable[T]]) -> T:
-    """Runs what ``play`` returns for a new event loop in virtual time; returns its result."""
+    """Runs what ``play`` returns for a new event loop in virtual time; returns its result.
+
+    Tasks that it leaves are cancelled.
+    """
     loop = VirtualLoop()
     asyncio.set_event_loop(loop)
     try:
         return loop.run_until_complete(play(loop))
     finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
         loop.close()
         asyncio.set_event_loop(None)
 
