--- a/greengagefall/tests/gateway_store_proofs_tests.py
+++ b/greengagefall/tests/gateway_store_proofs_tests.py
@@ -9,6 +9,8 @@
 from unittest import mock
 
 from greengagefall.gateway.following import PrefixWatcher
+from greengagefall.gateway.records import HOST_PREFIX, encode_host
+from greengagefall.gateway.relay_following import RELAYS_PER_ZONE
 from greengagefall.gateway.store_probe import StoreProbe
 from greengagefall.gateway.store_proofs import StoreKnowledge, StoreProofs
 from greengagefall.gateway.view import ClusterView, HostRecord
@@ -28,7 +30,11 @@
 SHORT_OUTAGE_S = 0.5
 # Time from the end of a disruption to the change of the store that hosts must know in time.
 STABLE_S = 3.0
+# Shorter than until the next proof is due.
+HEARD_WITHIN_S = 0.75
 TENTHS = range(10)
+# No relay.
+COORDINATOR = f"h{HOST_COUNT - 1:02}"
 BEAT = HostBeat(0, "h1", 1, 7, False, [], [])
 
 
@@ -61,6 +67,18 @@
         return await self._shared.watch(prefix, revision, wait_s)
 
 
+async def exchange(
+    loop: VirtualLoop, proofs: StoreProofs, of_coordinator: StoreProofs, coordinator: str
+) -> None:
+    """Sends one heartbeat to the coordinator and takes its reply."""
+    sent_s = loop.now_s
+    beat = proofs.add_to_beat(BEAT, coordinator)
+    await asyncio.sleep(BEAT_S)
+    reply = of_coordinator.add_to_reply(beat, BeatReply(0, 7, 0))
+    await asyncio.sleep(BEAT_S)
+    proofs.on_reply(sent_s, reply)
+
+
 class Host:
     """A host that watches the store, probes it and sends heartbeats to the coordinator."""
 
@@ -91,14 +109,9 @@
         while True:
             await asyncio.sleep(BEAT_INTERVAL_S)
             coordinator = self._fleet.coordinator
-            if coordinator is None:
-                continue
-            sent_s = self._fleet.loop.now_s
-            beat = self.proofs.add_to_beat(BEAT, coordinator.view.host_incarnation.host)
-            await asyncio.sleep(BEAT_S)
-            reply = coordinator.proofs.add_to_reply(beat, BeatReply(0, 7, 0))
-            await asyncio.sleep(BEAT_S)
-            self.proofs.on_reply(sent_s, reply)
+            if coordinator is not None:
+                name = coordinator.view.host_incarnation.host
+                await exchange(self._fleet.loop, self.proofs, coordinator.proofs, name)
 
 
 class Fleet:
@@ -192,7 +205,7 @@
             blind = fleet.hosts[2]
             blind.store.lose_watch = True
             await fleet.change(b"2", STABLE_S)
-            return await fleet.change(b"3", 1.0)
+            return await fleet.change(b"3", HEARD_WITHIN_S)
 
         self.assertEqual(run_fleet(run), [])
 
@@ -201,7 +214,7 @@
             fleet.elect(fleet.hosts[0])
             await fleet.start()
             fleet.hosts[0].store.lose_watch = True
-            return await fleet.change(b"2", 0.2) + await fleet.change(b"3", 1.0)
+            return await fleet.change(b"2", 0.2) + await fleet.change(b"3", HEARD_WITHIN_S)
 
         self.assertEqual(run_fleet(run), [])
 
@@ -218,6 +231,19 @@
 
         self.assertEqual(run_fleet(run), [])
 
+    def test_a_host_that_loses_its_watch_and_the_coordinator_reads_all_keys(self):
+        async def run(fleet):
+            fleet.elect(fleet.hosts[0])
+            await fleet.start()
+            for host in fleet.hosts[1:]:
+                host.store.lose_watch = True
+            missed = await fleet.change(b"2", 0.2)
+            fleet.coordinator = None
+            await asyncio.sleep(DRAIN_TIMEOUT_S)
+            return missed + await fleet.change(b"3", 0.2)
+
+        self.assertEqual(run_fleet(run), [])
+
     def test_a_watch_without_a_proof_is_not_trusted_for_long(self):
         async def run(fleet):
             await fleet.start()
@@ -295,12 +321,50 @@
 
         run_zone(run, HOST_COUNT_WITHOUT_RELAYS)
 
+    async def beat(self, zone, proofs: dict[str, StoreProofs]) -> None:
+        """Has all hosts send heartbeats to the coordinator."""
+        while True:
+            await asyncio.sleep(BEAT_INTERVAL_S)
+            for one in proofs.values():
+                await exchange(zone.loop, one, proofs[COORDINATOR], COORDINATOR)
+
+    async def start_with_proofs(self, zone) -> None:
+        """Starts a zone whose hosts exchange proofs with a coordinator that is no relay."""
+        proofs = {}
+        for name, host in zone.hosts.items():
+            clock = LoopClock(zone.loop)
+            proofs[name] = StoreProofs(host.watchers, host.view, clock, DRAIN_TIMEOUT_S)
+            host.follower.on_check = proofs[name].check
+            host.view.coordinator = zone.hosts[COORDINATOR].view.host_incarnation
+            record = HostRecord(name, 1, "127.0.0.1:1", "a", 1.0, True, reads_proofs=True)
+            zone.store.put(HOST_PREFIX + name, encode_host(record))
+        zone.start()
+        self.beating = asyncio.create_task(self.beat(zone, proofs))
+        await asyncio.sleep(SETTLED_S)
+
+    def test_a_zone_behind_relays_that_lost_a_watch_learns_of_a_change(self):
+        async def run(zone):
+            await self.start_with_proofs(zone)
+            relays = [zone.hosts[name] for name in zone.relays() if name != COORDINATOR]
+            self.assertEqual(len(relays), RELAYS_PER_ZONE)
+            for relay in relays:
+                lost = mock.Mock(side_effect=lambda *args: asyncio.sleep(2 * SETTLED_S))
+                with mock.patch.object(relay.watchers[0]._store, "watch", lost):
+                    relay.watchers[0].refresh()
+                    await asyncio.sleep(CHECK_INTERVAL_S)
+                lost.assert_called_once()
+            zone.store.put("servers/s1", server_entry("draining"))
+            await asyncio.sleep(DRAIN_TIMEOUT_S)
+            return [name for name, host in zone.hosts.items() if not host.view.draining_since_s]
+
+        self.assertEqual(run_zone(run), [])
+
     def test_a_coordinator_watches_the_store_itself(self):
         # The proofs of all hosts would otherwise depend on those of its relay, and these on its.
         async def run(zone):
             zone.start()
             await asyncio.sleep(SETTLED_S)
-            last = zone.hosts[f"h{HOST_COUNT - 1:02}"]
+            last = zone.hosts[COORDINATOR]
             self.assertTrue(last.follower.relayed)
             last.view.coordinator = last.view.host_incarnation
             await asyncio.sleep(1.0)
