Record in the store what a former owner of keys has to be told

Cause: keys go on once the former owner's grants have expired. That it has to be told of the newer token was known only to processes, and its address only by its entry; after a kill of hosts and the lapse of the entry nobody knew either, and a renewal that a killed host had sent was taken when the network delivered it.

Change: before the coordinator has keys granted that their former owner did not release, it records the server, its address, the keys and their token under the prefix that all hosts follow (gateway/notice_records). Three hosts, chosen by the names of hosts and server, tell the server every 0.1 s until it answers or another process has its address, and delete the record (gateway/notice_delivery). A host that starts knows the records before it has an assignment. Addresses of servers are kept in the store beside the assignment, in the same transactions, so that a coordinator that starts after the lapse knows them (gateway/server_addresses). Moves that end by a confirmed release write no record.

Tests of the notices that hosts send by themselves plant faults that the records make harmless; they leave the records out, so that each still catches its fault.

--- a/greengagefall/gateway/assignment_store.py
+++ b/greengagefall/gateway/assignment_store.py
@@ -21,7 +21,7 @@
 from greengagefall.store.exceptions import StoreOutcomeUnknownError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from greengagefall.ownership.model import Assignment, HostIncarnation
     from greengagefall.platform.store import PlatformStore
@@ -102,9 +102,13 @@
                 restores = restores_since(stored, self._restores)
             return StoredAssignment(stored.assignment, restores)
 
-    async def write(self, assignment: Assignment) -> bool:
+    async def write(self, assignment: Assignment, more: Sequence[Put] = ()) -> bool:
         """Writes an assignment and retries until the outcome of the write is known.
 
+        Args:
+            assignment: The assignment.
+            more: What is written together with it.
+
         Returns:
             Whether it was written. If not, the write certainly failed, another writer changed the
             assignment, or the store was restored.
@@ -114,7 +118,7 @@
         )
         write = Put(ASSIGNMENT_KEY, value)
         while not self.restored:
-            done = await self._store.txn({ASSIGNMENT_KEY: self._revision}, [write])
+            done = await self._store.txn({ASSIGNMENT_KEY: self._revision}, [write, *more])
             if not isinstance(done, Err) and done.ok_value is not None:
                 self._revision = done.ok_value
                 return True
--- a/greengagefall/gateway/coordinator.py
+++ b/greengagefall/gateway/coordinator.py
@@ -15,8 +15,10 @@
 from greengagefall.gateway.dispatch_planning import DispatcherCandidate, plan_dispatchers
 from greengagefall.gateway.host_reports import HostReports
 from greengagefall.gateway.move_planning import MovePlanner
+from greengagefall.gateway.notice_records import NoticeRecords
 from greengagefall.gateway.publishing import AssignmentPublisher
 from greengagefall.gateway.range_moves import RangeMoves
+from greengagefall.gateway.server_addresses import ServerAddresses
 from greengagefall.ownership import key_moves
 from greengagefall.ownership.model import (
     EMPTY_ASSIGNMENT,
@@ -86,7 +88,11 @@
         self._move_planner = MovePlanner(self._reports, clock)
         self._publisher = AssignmentPublisher(peers, self._reports, clock)
         self._step_needed = asyncio.Event()
-        self._moves = RangeMoves(peers, self._reports, clock, self._step_needed.set)
+        self._addresses = ServerAddresses(store)
+        self._notice_records = NoticeRecords(store, view, self._addresses.find)
+        self._moves = RangeMoves(
+            peers, self._reports, clock, self._step_needed.set, self._notice_records.add
+        )
         self._task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -102,6 +108,7 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
         await self._moves.close()
+        self._notice_records.close()
 
     def on_heartbeat(self, heartbeat: HostBeat) -> BeatReply:
         """Records a heartbeat of a host and returns the reply."""
@@ -123,6 +130,7 @@
 
     async def _run(self) -> None:
         await self._load()
+        await self._addresses.read()
         self._started_s = self._clock.now_s()
         while True:
             self._step_needed.clear()
@@ -187,6 +195,7 @@
         if not startup_wait_over and not self._reports.all_reported(self._view.hosts):
             return
         self._reports.keep_servers(self._view.servers)
+        self._addresses.note(self._view.servers.values())
         cleared_sources = self._moves.clear_released_sources(self._assignment)
         wanted = self._replace_fences(self._plan_dispatching(cleared_sources))
         for service in self._view.routing_table.services.values():
@@ -316,9 +325,10 @@
         """Writes an assignment and, once it is stored, publishes it; returns whether it is."""
         wanted = wanted._replace(version=max(self._assignment.version, wanted.version) + 1)
         started_s = self._clock.now_s()
-        if not await self._stored.write(wanted):
+        if not await self._stored.write(wanted, self._addresses.changed(wanted.dispatchers)):
             await self._load()
             return False
+        self._addresses.note_written()
         self._assignment = wanted
         self._moves.set_written(wanted)
         duration_ms = int((self._clock.now_s() - started_s) * MS_PER_S)
--- a/greengagefall/gateway/host.py
+++ b/greengagefall/gateway/host.py
@@ -18,6 +18,7 @@
 from greengagefall.gateway.entry_check import EntryCheck
 from greengagefall.gateway.following import RESTORE_GRACE_HEARTBEATS, PrefixWatcher
 from greengagefall.gateway.handlers import PeerHandlers
+from greengagefall.gateway.notice_delivery import NoticeDelivery
 from greengagefall.gateway.peer_notices import PeerNotices
 from greengagefall.gateway.peers import Peers
 from greengagefall.gateway.records import (
@@ -101,6 +102,9 @@
         self._stand_in = StandInNotices(
             self.view, clock, self._channels.open_pool, self._peers.is_lost, ask_others
         )
+        self._notice_delivery = NoticeDelivery(
+            self.view, self._store, clock, self._channels.open_pool, self._peers.is_lost
+        )
         self._watchers = self._make_watchers()
         self._proofs = StoreProofs(
             self._watchers, self.view, clock, settings.limits.drain_timeout_s
@@ -136,6 +140,7 @@
         self._follower = RelayFollower(self._watchers, self._relay, self.view, self._peers, clock)
         self._follower.on_check = self._proofs.check
         self.view.is_entry_in_store = self._is_entry_in_store
+        self.view.knows_entries = self._watchers[0].loaded.is_set
         self.view.store_lag_s = self._follower.lag_s
         self.view.known_restores = self._known_restores
         self._register_task: asyncio.Task | None = None
@@ -151,6 +156,7 @@
         self._channels.start()
         self._quotas.start()
         self._stand_in.start()
+        self._notice_delivery.start()
         self._heartbeats.start()
         self._election.start()
         self._register_task = start_supervised(self._register, "register")
@@ -188,6 +194,7 @@
         self._channels.close()
         self._quotas.close()
         self._stand_in.close()
+        self._notice_delivery.close()
         self._follower.close()
         self._store_probe.close()
         self._relay.close()
--- a/greengagefall/gateway/range_moves.py
+++ b/greengagefall/gateway/range_moves.py
@@ -19,6 +19,7 @@
     KeyRange,
     ServerIncarnation,
 )
+from greengagefall.ownership.pending_notices import PendingNotice
 from greengagefall.protocol.gateway_messages import (
     GrantKeys,
     KeysGranted,
@@ -29,7 +30,7 @@
 from greengagefall.utils.supervision import log_failure
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from greengagefall.gateway.host_reports import HostReports
     from greengagefall.gateway.peers import Peers
@@ -85,6 +86,8 @@
         reports: Reports of the entry hosts.
         clock: Clock that counts suspended time.
         on_released: Called when a range was released and granted.
+        on_unconfirmed: Called with the former owner, the service and what it has to be told, before
+            a range that it did not release goes on.
 
     Attributes:
         released_since_s: Since when a released range is not recorded in the assignment.
@@ -96,12 +99,14 @@
         reports: HostReports,
         clock: Clock,
         on_released: Callable[[], None],
+        on_unconfirmed: Callable[[ServerIncarnation, str, PendingNotice], Awaitable[None]],
     ) -> None:
         self.released_since_s = math.inf
         self._peers = peers
         self._reports = reports
         self._clock = clock
         self._on_released = on_released
+        self._on_unconfirmed = on_unconfirmed
         self._assignment: Assignment = EMPTY_ASSIGNMENT
         self._tasks: dict[_MoveId, asyncio.Task] = {}
         self._begun: dict[_MoveId, _Begin] = {}
@@ -239,6 +244,8 @@
             remaining_s = ended_s - self._clock.now_s()
             if remaining_s <= 0:
                 self._log_unconfirmed(move_id)
+                notice = PendingNotice(move_id.first, move_id.last, move_id.fence)
+                await self._on_unconfirmed(move_id.source, move_id.service, notice)
                 return ""
             await asyncio.sleep(min(RETRY_INTERVAL_S, remaining_s))
 
--- a/greengagefall/gateway/records.py
+++ b/greengagefall/gateway/records.py
@@ -6,6 +6,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from greengagefall.gateway.notice_records import NOTICES_PREFIX, StoredNotices, decode_notices
 from greengagefall.gateway.view import HostRecord
 from greengagefall.ownership.model import HostIncarnation
 from greengagefall.platform import records as platform_records
@@ -108,19 +109,21 @@
 
 
 class MemberRecords:
-    """Applies the records of entry hosts and of the coordinator."""
+    """Applies the records of entry hosts, of the coordinator and of pending notices."""
 
     def __init__(self, view: ClusterView) -> None:
         self._view = view
 
     def put(self, key_value: KeyValue) -> None:
-        """Applies a record of a host or of the coordinator."""
+        """Applies a record of a host, of the coordinator or of pending notices."""
         try:
             if key_value.key == COORDINATOR_KEY:
                 self._view.coordinator = decode_coordinator(key_value.value)
             elif key_value.key.startswith(HOST_PREFIX):
                 record = decode_host(key_value.key, key_value.value)
                 self._view.hosts[record.host] = record
+            elif key_value.key.startswith(NOTICES_PREFIX):
+                self._put_notices(key_value)
         except RecordError as error:
             _reject(key_value.key, error)
             return
@@ -130,10 +133,17 @@
         )
         self._view.notify_listeners()
 
+    def _put_notices(self, key_value: KeyValue) -> None:
+        record = decode_notices(key_value.key, key_value.value)
+        stored = StoredNotices(record, key_value.mod_revision)
+        self._view.pending_notices[record.server.server_id] = stored
+
     def delete(self, key: str) -> None:
-        """Removes a host or the coordinator from the view."""
+        """Removes a host, the coordinator or pending notices from the view."""
         if key == COORDINATOR_KEY:
             self._view.coordinator = None
+        elif key.startswith(NOTICES_PREFIX):
+            self._view.pending_notices.pop(key.removeprefix(NOTICES_PREFIX), None)
         else:
             self._view.hosts.pop(key.removeprefix(HOST_PREFIX), None)
         log.info("Member record was removed from the store.", extra={"key": key})
--- a/greengagefall/gateway/stand_in_notices.py
+++ b/greengagefall/gateway/stand_in_notices.py
@@ -191,11 +191,13 @@
                 opened.notices.set_assignment(self._view.assignment, entry.service)
 
 
-def is_stand_in(host: str, server_id: str, alive: Iterable[str]) -> bool:
+def is_stand_in(
+    host: str, server_id: str, alive: Iterable[str], stand_ins: int = STAND_INS_PER_SERVER
+) -> bool:
     """Returns whether a host is one of those that stand in for the dispatcher of a server."""
     own_rank = _rank(host, server_id)
     before = (other for other in alive if _rank(other, server_id) < own_rank)
-    return len(list(islice(before, STAND_INS_PER_SERVER))) < STAND_INS_PER_SERVER
+    return len(list(islice(before, stand_ins))) < stand_ins
 
 
 def _rank(host: str, server_id: str) -> int:
--- a/greengagefall/gateway/view.py
+++ b/greengagefall/gateway/view.py
@@ -26,6 +26,7 @@
     from collections.abc import Callable, Iterable, Iterator
     from typing import Any
 
+    from greengagefall.gateway.notice_records import StoredNotices
     from greengagefall.utils.clock import Clock
 
 log = logging.getLogger(__name__)
@@ -79,6 +80,7 @@
             begun, by zone.
         hosts: Entry hosts by name.
         coordinator: The coordinator according to the store.
+        pending_notices: Recorded notices of backend servers by id.
         assignment: Newest assignment.
         rate_limits: Requests per second that servers take, as their dispatchers reported it with
             the newest assignment; for servers that this host is about to dispatch.
@@ -86,6 +88,7 @@
             leave, by id.
         is_entry_in_store: Returns whether the store has a server's entry now and no change of it
             can have been missed.
+        knows_entries: Returns whether this host has read the entries of the servers.
         known_restores: Returns how often the store was restored from an older copy, as far as this
             host's watches know.
         store_lag_s: Returns how long ago this host certainly knew all changes in the store, at
@@ -102,6 +105,7 @@
         self.evacuated_since_s: dict[str, float] = {}
         self.hosts: dict[str, HostRecord] = {}
         self.coordinator: HostIncarnation | None = None
+        self.pending_notices: dict[str, StoredNotices] = {}
         self.assignment: Assignment = EMPTY_ASSIGNMENT
         self.rate_limits: dict[ServerIncarnation, float] = {}
         self.draining_since_s: dict[str, float] = {}
@@ -109,6 +113,7 @@
         self._latest_start_ms: dict[str, int] = {}
         self._latest_by_address: dict[str, ServerIncarnation] = {}
         self.is_entry_in_store: Callable[[str], bool] = lambda server_id: True
+        self.knows_entries: Callable[[], bool] = lambda: True
         self.known_restores: Callable[[], int] = lambda: UNKNOWN_RESTORES
         self.store_lag_s: Callable[[], float] = lambda: 0.0
         self._valid_until_s = 0.0
--- a/greengagefall/tests/ownership_exploration_tests.py
+++ b/greengagefall/tests/ownership_exploration_tests.py
@@ -31,7 +31,7 @@
 from greengagefall.ownership.unconfirmed_fences import UnconfirmedFences
 from greengagefall.tests.ownership_faults import inject_fault
 from greengagefall.tests.ownership_simulation import Simulation
-from greengagefall.tests.planted_ownership import keep_fences_of_moves
+from greengagefall.tests.planted_ownership import keep_fences_of_moves, without_notice_records
 from greengagefall.tests.simulated_network import SimulatedPool
 from greengagefall.tests.simulated_servers import THAW_SLACK_S
 from greengagefall.tests.virtual_time import VirtualLoop
@@ -286,6 +286,7 @@
             )
         self.assertTrue(caught)
 
+    @without_notice_records()
     def test_oracle_detects_planted_ignored_reuse_of_an_address(self):
         # Notices of newer fences, or new fences of ranges that move, alone keep these seeds sound.
         with mock.patch.object(FenceNotices, "start", lambda self: None), keep_fences_of_moves():
@@ -296,6 +297,7 @@
             self.assert_none_found(REUSED_ADDRESS_SEEDS, REUSED_BEHIND_CUT_FAULT_KINDS)
         self.assert_none_found(REUSED_ADDRESS_SEEDS, REUSED_BEHIND_CUT_FAULT_KINDS)
 
+    @without_notice_records()
     def test_oracle_detects_planted_silence_on_newer_fences(self):
         with mock.patch.object(FenceNotices, "start", lambda self: None):
             caught = any(
@@ -304,6 +306,7 @@
             )
         self.assertTrue(caught)
 
+    @without_notice_records()
     def test_oracle_detects_planted_notices_that_come_too_late(self):
         # The rules excuse an outdated grant for 0.3 s after the end of a cut.
         with mock.patch.object(fence_notices, "RETRY_INTERVAL_S", LATE_RETRY_INTERVAL_S):
@@ -313,6 +316,7 @@
             )
         self.assertTrue(caught)
 
+    @without_notice_records()
     def test_oracle_detects_planted_notices_of_lost_keys_only(self):
         def confirm_all_at_once(self, clock):
             init(self, clock)
@@ -326,6 +330,7 @@
             )
         self.assertTrue(caught)
 
+    @without_notice_records()
     def test_oracle_detects_planted_silence_while_a_dispatcher_is_gone(self):
         with mock.patch.object(StandInNotices, "start", lambda self: None):
             caught = any(
@@ -334,6 +339,7 @@
             )
         self.assertTrue(caught)
 
+    @without_notice_records()
     def test_oracle_detects_planted_silence_on_owned_keys_that_were_not_granted(self):
         with mock.patch.object(FenceNotices, "_note_not_connected", lambda self: None):
             with mock.patch.object(GrantManager, "_awaits_grant", lambda self, key_range: False):
@@ -344,6 +350,7 @@
             self.assert_none_found(NOT_GRANTED_SEEDS, KILLED_BEHIND_HOLD_FAULT_KINDS, HOLDS_PER_S)
         self.assertTrue(caught)
 
+    @without_notice_records()
     def test_oracle_detects_planted_wait_for_a_first_connection(self):
         with mock.patch.object(FenceNotices, "_note_not_connected", lambda self: None):
             for seed in PLANTED_FIRST_CONNECTION_SEEDS:
@@ -351,6 +358,7 @@
                     violations, _ = explore(seed, KILLED_BEHIND_HOLD_FAULT_KINDS, HOLDS_PER_S)
                     self.assertTrue(violations)
 
+    @without_notice_records()
     def test_oracle_detects_planted_stand_ins_that_come_too_late(self):
         with mock.patch.object(stand_in_notices, "LOST_LINK_DELAY_S", LATE_STAND_IN_S):
             caught = any(
@@ -394,6 +402,8 @@
         with mock.patch.object(grants.GrantManager, "_may_grant", ignore_assignment_age):
             self.assert_caught()
 
+    # The seeds depend on the calls to the store.
+    @without_notice_records()
     def test_oracle_detects_planted_acknowledgement_of_a_version_that_was_only_sent(self):
         push = publishing.AssignmentPublisher._push
 
--- a/greengagefall/tests/ownership_faults.py
+++ b/greengagefall/tests/ownership_faults.py
@@ -39,6 +39,10 @@
 # Share of the servers behind a hold, and of the holds, that meet each further trouble.
 BEHIND_HOLD_TROUBLE_SHARE = 0.12
 
+# Servers write their entries again within two seconds.
+UNLISTED_AFTER_HOLD_RANGE_S = (0.0, 2.0)
+UNLISTED_BEHIND_HOLD = "unlisted_behind_hold"
+
 FAULTS: Registry[Callable[[Simulation, FaultTarget], Awaitable[None]]] = Registry("fault")
 
 
@@ -254,6 +258,41 @@
     await asyncio.gather(*kills, *overlapping)
 
 
+@FAULTS.register(UNLISTED_BEHIND_HOLD)
+async def kill_behind_hold_of_unlisted(simulation: Simulation, target: FaultTarget) -> None:
+    """Kills hosts behind a hold of servers that are cut off from the store, too.
+
+    The servers' entries lapse, so that hosts which start meanwhile do not know their addresses.
+    The entries are back some time after the hold. Hosts may be killed again shortly before its end.
+    """
+    rng = simulation.rng
+    servers = rng.sample(list(simulation.servers.values()), rng.randint(1, 3))
+    others = rng.sample(list(simulation.hosts), rng.randint(0, len(simulation.hosts)))
+    first_kills = sorted({*_dispatchers_of(simulation, servers), *others})
+    second_kills = rng.sample(list(simulation.hosts), rng.randint(0, len(simulation.hosts)))
+    hold_s = LATE_REPETITION_S - rng.uniform(*HEAL_BEFORE_REPETITION_RANGE_S)
+    kills = [
+        asyncio.create_task(_kill_after(simulation, name, rng.uniform(*KILL_AFTER_HOLD_RANGE_S)))
+        for name in first_kills
+    ]
+    kills += [
+        asyncio.create_task(
+            _kill_after(simulation, name, hold_s - rng.uniform(*KILL_BEFORE_HEAL_RANGE_S))
+        )
+        for name in second_kills
+    ]
+    for server in servers:
+        server.calls_pass.clear()
+        server.reaches_store = False
+    await asyncio.sleep(hold_s)
+    for server in servers:
+        server.end_hold()
+    await asyncio.sleep(rng.uniform(*UNLISTED_AFTER_HOLD_RANGE_S))
+    for server in servers:
+        server.reaches_store = True
+    await asyncio.gather(*kills)
+
+
 def _dispatchers_of(simulation: Simulation, servers: list[SimulatedServer]) -> set[str]:
     """Returns the names of the hosts that dispatch servers by the newest assignment."""
     newest = max(
--- a/greengagefall/tests/ownership_simulation.py
+++ b/greengagefall/tests/ownership_simulation.py
@@ -11,6 +11,7 @@
 import random
 from typing import TYPE_CHECKING
 
+from greengagefall.gateway.notice_records import NOTICES_PREFIX, StoredNotices, decode_notices
 from greengagefall.gateway.records import COORDINATOR_KEY, decode_coordinator
 from greengagefall.ownership.model import LAST_KEY
 from greengagefall.tests.simulated_hosts import WATCH_DELAY_S, SimulatedHost
@@ -76,6 +77,10 @@
     def is_cut(self, one: str, other: str) -> bool:
         return frozenset((one, other)) in self.cuts
 
+    def server_at(self, address: str) -> SimulatedServer:
+        """Returns the server with an address."""
+        return next(one for one in self.servers.values() if one.entry().address == address)
+
     def calls_pass(self, host: str, server: str) -> bool:
         """Returns whether the network lets what a host sent before pass to a server."""
         return (
@@ -148,6 +153,16 @@
         if view.hosts != records or view.coordinator != coordinator:
             view.hosts, view.coordinator = records, coordinator
             view.notify_listeners()
+        notices = {
+            key.removeprefix(NOTICES_PREFIX): StoredNotices(
+                decode_notices(key, found.value), found.mod_revision
+            )
+            for key, found in self.store_data.key_values.items()
+            if key.startswith(NOTICES_PREFIX)
+        }
+        if view.pending_notices != notices:
+            view.pending_notices = notices
+            view.notify_listeners()
         for server_id in [
             server_id for server_id in view.servers if server_id not in self.server_entries
         ]:
--- a/greengagefall/tests/simulated_hosts.py
+++ b/greengagefall/tests/simulated_hosts.py
@@ -17,6 +17,7 @@
     RoutingTable,
     Service,
 )
+from greengagefall.gateway.notice_delivery import NoticeDelivery
 from greengagefall.gateway.peer_notices import PeerNotices
 from greengagefall.gateway.stand_in_notices import StandInNotices
 from greengagefall.gateway.view import ClusterView, HostRecord
@@ -75,6 +76,13 @@
             peers.is_lost,
             PeerNotices(self.view, SimulatedPeers(simulation, self, rng)).ask,
         )
+        self.notice_delivery = NoticeDelivery(
+            self.view,
+            SimulatedStore(simulation, self, rng),
+            clock,
+            lambda address: SimulatedPool(simulation, self, address, rng),
+            peers.is_lost,
+        )
         self.handlers = PeerHandlers(self.view, self.channels)
         self.hello = Hello(PROTOCOL_VERSION, "gateway", name, zone, str(start_ms), "", "")
         self.heartbeats = HeartbeatSender(self.view, peers, self.channels, store, clock)
@@ -110,6 +118,7 @@
         self.view.update_routing_table(TABLE)
         self.channels.start()
         self.stand_in.start()
+        self.notice_delivery.start()
         self.heartbeats.start()
         self.election.start()
 
@@ -119,6 +128,7 @@
         self.heartbeats.close()
         self.channels.close()
         self.stand_in.close()
+        self.notice_delivery.close()
         if self.handlers.coordinator is not None:
             await self.handlers.coordinator.close()
             self.handlers.coordinator = None
