--- a/greengagefall/gateway/notice_delivery.py
+++ b/greengagefall/gateway/notice_delivery.py
@@ -13,7 +13,7 @@
 from result import Err
 
 from greengagefall.dispatch.exceptions import DispatchError
-from greengagefall.gateway.fence_notices import NOTICE_TIMEOUT_S, RETRY_INTERVAL_S
+from greengagefall.gateway.fence_notices import NOTICE_TIMEOUT_S
 from greengagefall.gateway.notice_records import NOTICES_PREFIX, StoredNotices
 from greengagefall.gateway.stand_in_notices import MAX_ASSIGNMENT_AGE_S, is_stand_in
 from greengagefall.ownership.key_spans import KeySpan, without_all
@@ -32,9 +32,13 @@
 
 log = logging.getLogger(__name__)
 
-# A server that is not reached for this long is tried at the longer interval.
+# A server that was not reached for this long is tried at the longer interval.
 FAST_RETRIES_S = 30.0
-SLOW_RETRY_INTERVAL_S = 1.0
+SLOW_INTERVAL_S = 1.0
+# Several hosts try, not all at the same moment. Operators excuse an outdated grant that arrives
+# within 0.3 s after the end of a cut.
+FAST_INTERVAL_S = 0.2
+CHECK_INTERVAL_S = 0.1
 # Some of them may be cut off, or have been killed a moment ago.
 HOSTS_PER_SERVER = 3
 # Calls without an answer yet, at one of which each interval begins.
@@ -69,6 +73,8 @@
         self._open_pool = open_pool
         self._is_lost = is_lost
         self._since_s: dict[str, float] = {}
+        self._alive: set[str] = set()
+        self._responsible: dict[str, bool] = {}
         self._deliveries: dict[str, tuple[StoredNotices, asyncio.Task[None]]] = {}
         self._task: asyncio.Task[None] | None = None
 
@@ -91,18 +97,21 @@
     async def _run(self) -> None:
         while True:
             self._update()
-            await asyncio.sleep(RETRY_INTERVAL_S)
+            await asyncio.sleep(CHECK_INTERVAL_S)
 
     def _update(self) -> None:
         """Begins and ends deliveries as the records and the hosts require."""
         records = self._view.pending_notices
-        if not records and not self._deliveries:
+        if not records and not self._since_s:
             return
         now_s = self._clock.now_s()
         self._since_s = {server_id: self._since_s.get(server_id, now_s) for server_id in records}
         set_level("pending_notices", len(records))
+        set_level("pending_notices_age_s", now_s - min(self._since_s.values(), default=now_s))
+        self._note_alive()
         for server_id, (stored, delivery) in list(self._deliveries.items()):
-            if records.get(server_id) != stored or not self._is_responsible(server_id):
+            is_wanted = records.get(server_id) == stored and self._is_responsible(server_id)
+            if not is_wanted or _has_failed(delivery):
                 delivery.cancel()
                 del self._deliveries[server_id]
         for server_id, stored in records.items():
@@ -111,10 +120,20 @@
                 delivery.add_done_callback(log_failure)
                 self._deliveries[server_id] = (stored, delivery)
 
-    def _is_responsible(self, server_id: str) -> bool:
-        own = self._view.host_incarnation.host
+    def _note_alive(self) -> None:
+        """Forgets for which servers this host is responsible if other hosts are alive now."""
         alive = {host for host in self._view.hosts if not self._is_lost(host)}
-        return is_stand_in(own, server_id, alive | {own}, HOSTS_PER_SERVER)
+        alive.add(self._view.host_incarnation.host)
+        if alive != self._alive:
+            self._alive = alive
+            self._responsible.clear()
+
+    def _is_responsible(self, server_id: str) -> bool:
+        if server_id not in self._responsible:
+            own = self._view.host_incarnation.host
+            found = is_stand_in(own, server_id, self._alive, HOSTS_PER_SERVER)
+            self._responsible[server_id] = found
+        return self._responsible[server_id]
 
     async def _deliver(self, stored: StoredNotices) -> None:
         record = stored.record
@@ -145,10 +164,10 @@
             async with limit:
                 while not any(attempt.result() for attempt in attempts if attempt.done()):
                     attempts = [attempt for attempt in attempts if not attempt.done()]
-                    spans = self._spans_to_tell(record, notice)
-                    if not spans:
+                    if self._is_over(record, notice):
                         break
-                    if len(attempts) < MAX_ATTEMPTS_AT_ONCE and self._may_tell(record):
+                    spans = self._spans_to_tell(record, notice)
+                    if spans and len(attempts) < MAX_ATTEMPTS_AT_ONCE and self._may_tell(record):
                         attempt = self._release(pool, record, spans, notice.fence, reached)
                         attempts.append(asyncio.create_task(attempt))
                     await self._wait(record, attempts)
@@ -161,7 +180,7 @@
         """Waits until the next attempt is due, or one of the present ones succeeded."""
         since_s = self._since_s.get(record.server.server_id, self._clock.now_s())
         is_slow = self._clock.now_s() - since_s > FAST_RETRIES_S
-        end_s = self._clock.now_s() + (SLOW_RETRY_INTERVAL_S if is_slow else RETRY_INTERVAL_S)
+        end_s = self._clock.now_s() + (SLOW_INTERVAL_S if is_slow else FAST_INTERVAL_S)
         waiting = set(attempts)
         while waiting and self._clock.now_s() < end_s:
             done, waiting = await asyncio.wait(
@@ -209,10 +228,16 @@
             return self._view.knows_entries()
         return self._view.assignment_age_s() < MAX_ASSIGNMENT_AGE_S
 
-    def _spans_to_tell(self, record: NoticeRecord, notice: PendingNotice) -> list[KeySpan]:
-        """Returns the keys of a notice; none of a process that has ended."""
+    def _is_over(self, record: NoticeRecord, notice: PendingNotice) -> bool:
+        """Returns whether the server's process has ended, or its dispatcher tells it all keys."""
         if self._view.is_replaced(record.server, record.address):
-            return []
+            return True
+        is_listed = record.server.server_id in self._view.servers
+        is_owner = not self._spans_to_tell(record, notice)
+        return is_owner and is_listed and self._may_tell(record)
+
+    def _spans_to_tell(self, record: NoticeRecord, notice: PendingNotice) -> list[KeySpan]:
+        """Returns the keys of a notice that the server does not own."""
         owned = self._view.assignment.key_ranges_of(record.service, record.server.server_id)
         return without_all([notice.span], [key_range.span for key_range in owned])
 
@@ -235,3 +260,8 @@
             if not isinstance(deleted, Err):
                 return
             await asyncio.sleep(DELETE_RETRY_S)
+
+
+def _has_failed(delivery: asyncio.Task[None]) -> bool:
+    """Returns whether a delivery ended by an error, so that it has to begin again."""
+    return delivery.done() and not delivery.cancelled() and delivery.exception() is not None
--- a/greengagefall/gateway/notice_records.py
+++ b/greengagefall/gateway/notice_records.py
@@ -90,6 +90,9 @@
                 extra={"server": server.server_id, **notice._asdict()},
             )
             return
+        if self._view.is_replaced(server, address):
+            # The connections of a process end with it, so that it can get no grant any more.
+            return
         queued = self._queued.get(server.server_id)
         if queued is None or queued.server != server:
             queued = NoticeRecord(server, service, address)
@@ -142,12 +145,11 @@
         return True
 
     def _stored(self, server_id: str) -> StoredNotices | None:
-        """Returns the newest known record of a server in the store."""
-        followed = self._view.pending_notices.get(server_id)
-        read = self._read.get(server_id)
-        if server_id not in self._read or (followed and read and followed > read):
-            return followed
-        return read
+        """Returns what the store has of a server, as far as this host knows.
+
+        The revision shows whether that is still so.
+        """
+        return self._read.get(server_id, self._view.pending_notices.get(server_id))
 
     async def _read_again(self, batch: dict[str, NoticeRecord]) -> bool:
         """Reads records that others have changed; returns whether the store answered."""
