--- a/greengagefall/gateway/notice_delivery.py
+++ b/greengagefall/gateway/notice_delivery.py
@@ -220,11 +220,13 @@
         return True
 
     def _may_tell(self, record: NoticeRecord) -> bool:
-        """Returns whether a release cannot end a grant that the server got since.
+        """Returns whether a release hardly ends a grant that the server got since.
 
-        A server that is listed may have been given keys by an assignment that this host lacks.
+        A server that is listed may have been given keys by an assignment that this host lacks. A
+        host that starts tells it all the same: an outdated grant would do more harm.
         """
-        if record.server.server_id not in self._view.servers:
+        is_listed = record.server.server_id in self._view.servers
+        if not is_listed or not self._view.assignment.version:
             return self._view.knows_entries()
         return self._view.assignment_age_s() < MAX_ASSIGNMENT_AGE_S
 
