--- a/greengagefall/bench/gateway_hold_faults.py
+++ b/greengagefall/bench/gateway_hold_faults.py
@@ -36,6 +36,10 @@
 EXPIRY_HOLD_RANGES_S = ((3.5, 8.0), (5.4, 6.1), (11.4, 12.2))
 # A renewal that is held back is given up after 0.5 s.
 KILL_RANGE_S = (0.1, 0.45)
+# A host takes about a second to start.
+KILL_BEFORE_HEAL_RANGE_S = (1.5, 3.0)
+# Servers write their entries again within two seconds.
+UNLISTED_AFTER_HOLD_RANGE_S = (0.0, 2.0)
 HELD_DIRECTIONS = ((True, True), (True, True), (True, False), (False, True))
 HELD_TO_TARGET = ((True, True), (True, False))
 # How hosts lose servers: calls hang, connections are reset, or new ones are refused.
@@ -146,6 +150,30 @@
         await asyncio.sleep(rng.uniform(*SHORT_RANGE_S))
 
 
+@FAULTS.register("hosts_killed_behind_hold_of_unlisted")
+async def hosts_killed_behind_hold_of_unlisted(fleet: GatewayFleet, rng: random.Random) -> None:
+    """Kills hosts just after a hold of servers that do not reach the store either.
+
+    The entries of the servers expire, and are back some time after the hold. Some hosts are killed
+    again meanwhile.
+    """
+    name = rng.choice(list(fleet.servers))
+    hosts = rng.sample(fleet.hosts(), rng.randint(1, len(fleet.hosts())))
+    again = rng.sample(fleet.hosts(), rng.randint(0, len(fleet.hosts()) - 1))
+    duration_s = rng.uniform(*rng.choice(EXPIRY_HOLD_RANGES_S))
+    await fleet.wait_before_renewal(name)
+    link = fleet.server_links[name]
+    if link.is_holding() or link.refuses:
+        return
+    fleet.log_event(f"hold of {name}, unlisted, for {duration_s:.2f} s, {hosts} to be killed")
+    await asyncio.gather(
+        hold([link], rng, duration_s, directions=HELD_TO_TARGET),
+        _kill_after_hold_began(fleet, hosts, rng),
+        _kill_before_heal(fleet, again, rng, duration_s),
+        _lose_entry(fleet, name, duration_s + rng.uniform(*UNLISTED_AFTER_HOLD_RANGE_S)),
+    )
+
+
 @FAULTS.register("hosts_without_servers_killed")
 async def hosts_without_servers_killed(fleet: GatewayFleet, rng: random.Random) -> None:
     """Kills the hosts that lose all servers, just after that; the other hosts reach the servers."""
@@ -190,6 +218,14 @@
     return is_of_host
 
 
+async def _kill_before_heal(
+    fleet: GatewayFleet, hosts: list[str], rng: random.Random, duration_s: float
+) -> None:
+    """Kills hosts some time before a hold ends, and restarts them."""
+    await asyncio.sleep(max(0.0, duration_s - rng.uniform(*KILL_BEFORE_HEAL_RANGE_S)))
+    await kill_and_restart(fleet, hosts, rng.uniform(*RESTART_RANGE_S))
+
+
 async def _kill_after_hold_began(fleet: GatewayFleet, hosts: list[str], rng: random.Random) -> None:
     """Kills hosts before they give up what is held back, and restarts them at once.
 
--- a/greengagefall/bench/planted_gateway.py
+++ b/greengagefall/bench/planted_gateway.py
@@ -14,6 +14,7 @@
 from greengagefall.gateway import outcomes
 from greengagefall.gateway.fence_notices import FenceNotices
 from greengagefall.gateway.grants import GrantManager
+from greengagefall.gateway.notice_delivery import NoticeDelivery
 from greengagefall.gateway.range_moves import RangeMoves
 from greengagefall.gateway.router import Router
 from greengagefall.utils.registry import Registry
@@ -74,6 +75,12 @@
     FenceNotices._spans_to_tell = lambda self: []
 
 
+@PLANTS.register("no_notice_records")
+def no_notice_records() -> None:
+    """Does not deliver the notices that are recorded in the store."""
+    NoticeDelivery.start = lambda self: None
+
+
 if __name__ == "__main__":
     plant = sys.argv.pop(1)
     PLANTS[plant]()
