Test that pending notices are recorded before the keys go on

The test of range moves noted what was recorded and asserted nothing of it. It now checks that the record is complete and comes before the order to grant; with the record begun and not awaited it fails.

--- a/greengagefall/tests/gateway_range_moves_tests.py
+++ b/greengagefall/tests/gateway_range_moves_tests.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import unittest
-from typing import TYPE_CHECKING
 
 from greengagefall.gateway.host_reports import HostReports
 from greengagefall.gateway.peers import UNREACHABLE
@@ -17,12 +16,10 @@
     KeyRange,
     ServerIncarnation,
 )
+from greengagefall.ownership.pending_notices import PendingNotice
 from greengagefall.protocol.gateway_messages import GrantKeys, KeysGranted
 from greengagefall.tests.virtual_time import LoopClock, VirtualTimeTestCase
 
-if TYPE_CHECKING:
-    from greengagefall.ownership.pending_notices import PendingNotice
-
 SERVICE = "proofdesk"
 SOURCE, OWNER = ServerIncarnation("s0", 1), ServerIncarnation("s1", 1)
 MOVING = KeyRange(0, 99, OWNER, 7, SOURCE)
@@ -33,6 +30,7 @@
 # Hosts renew grants for 8 s without a coordinator, and a grant lasts for 3.1 s at most.
 WAIT_S = 11.1
 REPLACED_S = 6.0
+STORED_S = 0.05
 
 
 class LostSource:
@@ -64,6 +62,7 @@
         self.replaced = replace_fences(ASSIGNMENT, lambda key_range: True)
 
     async def note(self, server: ServerIncarnation, service: str, notice: PendingNotice) -> None:
+        await asyncio.sleep(STORED_S)
         self.noted.append((server, notice, self.loop.time()))
 
     async def play(self, replaced: Assignment) -> None:
@@ -88,6 +87,14 @@
         self.assertEqual(order.fence, 8)
         self.assertAlmostEqual(at_s, WAIT_S, delta=0.2)
 
+    def test_what_the_former_owner_has_to_be_told_is_recorded_before_the_grant(self):
+        # A record that comes later is lost with a coordinator that ends in between.
+        self.loop.run_until_complete(self.play(self.replaced._replace(version=5)))
+        ((server, notice, noted_s),) = self.noted
+        ((_, granted_s),) = self.peers.orders
+        self.assertEqual((server, notice), (SOURCE, PendingNotice(0, 99, 8)))
+        self.assertLessEqual(noted_s, granted_s)
+
     def test_a_move_that_may_have_begun_again_meanwhile_waits_anew(self):
         # Versions of another coordinator lie between, in which the source may have owned the keys.
         self.loop.run_until_complete(self.play(self.replaced._replace(version=9)))
